Serve a request end to end: the thin whole path

Cause: nothing existed yet. Change: the shared types (objects, catalogue, contracts, endpoints, hosts, verdicts, errors), the entry daemon with the callers' API, thin forms of routing, claims, bills, sessions, answers, limits and configuration, stand-ins of platform, engine and booking desk, and a demonstration that drives all of it with the official client. Measured: make test, 2 passed; a booking sent twice under one key runs once.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+SEED ?= 1
+EXPERIMENT ?= relay
+KEEP ?= 0
+
+.PHONY: run test check tests bench fuzz format
+
+$(STAMP): constraints.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -c constraints.txt -e '.[test]'
+	touch $(STAMP)
+
+run: $(STAMP)
+	$(VENV)/bin/radishshift-demo --keep=$(KEEP)
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+check: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+tests: $(STAMP)
+	$(PY) -m pytest -n 6 tests
+
+test: check tests
+
+bench: $(STAMP)
+	$(VENV)/bin/radishshift-bench --experiment=$(EXPERIMENT) --seed=$(SEED) $(FLAGS)
+
+fuzz: $(STAMP)
+	RADISHSHIFT_FUZZ=1 $(PY) -m pytest tests -k fuzz
--- /dev/null
+++ b/radishshift/cascade.py
@@ -0,0 +1,110 @@
+"""Choice of the versions that a request is tried on."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from radishshift.catalogue import ModelVersion
+from radishshift.contracts import QualityTarget, TaskClass
+from radishshift.errors import NotAllowedError
+from radishshift.evidence import Evidence
+
+__all__ = ["Plan", "PlanQuestion", "PlanStep", "make_plan", "planner"]
+
+
+@dataclass(frozen=True, slots=True)
+class PlanStep:
+    """One version of a plan.
+
+    Attributes
+    ----------
+    version : ModelVersion
+    accept_score : float
+        Score that the answer needs for the plan to end here; 0 takes any answer.
+    """
+
+    version: ModelVersion
+    accept_score: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Versions to try, in order; the last one's answer is taken as it is."""
+
+    steps: tuple[PlanStep, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlanQuestion:
+    """What a planner decides by.
+
+    Attributes
+    ----------
+    customer : str
+    task_class : TaskClass
+    quality : QualityTarget
+    candidates : tuple of ModelVersion
+        Versions that are allowed, take new sessions and have an endpoint.
+    prompt_tokens, completion_tokens : int
+        Estimates.
+    deadline, now : float
+        Instants.
+    """
+
+    customer: str
+    task_class: TaskClass
+    quality: QualityTarget
+    candidates: tuple[ModelVersion, ...]
+    prompt_tokens: int
+    completion_tokens: int
+    deadline: float
+    now: float
+
+
+Planner = Callable[[PlanQuestion, Evidence], Plan]
+
+_PLANNERS: dict[str, Planner] = {}
+
+
+def planner(name: str) -> Callable[[Planner], Planner]:
+    """Register a planner under the name that the catalogue uses."""
+
+    def register(func: Planner) -> Planner:
+        _PLANNERS[name] = func
+        return func
+
+    return register
+
+
+def make_plan(name: str, question: PlanQuestion, evidence: Evidence) -> Plan:
+    """Return the plan of the planner of that name.
+
+    Raises
+    ------
+    NotAllowedError
+        There is no candidate.
+    """
+    if not question.candidates:
+        raise NotAllowedError("the contract allows no version that takes new work")
+    return _PLANNERS[name](question, evidence)
+
+
+@planner("cheapest-sufficient")
+def cheapest_sufficient(question: PlanQuestion, evidence: Evidence) -> Plan:
+    """Take the cheapest version expected to meet the target, or the best one."""
+
+    def cost(version: ModelVersion) -> int:
+        return version.cost(question.prompt_tokens, question.completion_tokens)
+
+    def quality(version: ModelVersion) -> float:
+        task_class = question.task_class.name
+        prior = version.quality.get(task_class, 0.5)
+        return evidence.quality(version.name, task_class, prior).mean
+
+    sufficient = [
+        version
+        for version in question.candidates
+        if quality(version) >= question.quality.target
+    ]
+    if sufficient:
+        return Plan((PlanStep(min(sufficient, key=cost)),))
+    return Plan((PlanStep(max(question.candidates, key=quality)),))
--- /dev/null
+++ b/radishshift/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that `radishshift-bench` runs, one a module."""
--- /dev/null
+++ b/radishshift/http_platform.py
@@ -0,0 +1,204 @@
+"""The platform's object API over HTTP, in the Kubernetes conventions."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from radishshift.errors import (
+    AlreadyExistsError,
+    ConflictError,
+    GoneError,
+    NotFoundError,
+    PlatformUnavailableError,
+    RadishshiftError,
+)
+from radishshift.objects import ChangeType, Kind, Listing, ObjectChange, StoredObject
+from radishshift.platform import Platform
+from radishshift.verdicts import Verdict
+
+__all__ = ["BASE_PATH", "HttpPlatform", "object_from_json", "object_to_json"]
+
+API_VERSION = "radishshift.dev/v1"
+BASE_PATH = f"/apis/{API_VERSION}"
+WRITER_ANNOTATION = "radishshift.dev/writer"
+
+
+class _Metadata(msgspec.Struct, rename="camel"):
+    name: str = ""
+    resource_version: str = "0"
+    annotations: dict[str, str] = {}
+
+
+class _ObjectModel(msgspec.Struct, rename="camel"):
+    metadata: _Metadata
+    spec: dict[str, Any] = {}
+    status: dict[str, Any] = {}
+
+
+class _ListModel(msgspec.Struct, rename="camel"):
+    metadata: _Metadata
+    items: list[_ObjectModel]
+
+
+class _EventModel(msgspec.Struct):
+    type: str
+    object: _ObjectModel
+
+
+class _StatusModel(msgspec.Struct):
+    reason: str = ""
+    message: str = ""
+
+
+def object_to_json(item: StoredObject) -> dict[str, Any]:
+    """Return the JSON form of an object."""
+    return {
+        "apiVersion": API_VERSION,
+        "kind": item.kind.value,
+        "metadata": {
+            "name": item.name,
+            "resourceVersion": str(item.revision),
+            "annotations": {WRITER_ANNOTATION: item.writer},
+        },
+        "spec": item.spec,
+        "status": item.status,
+    }
+
+
+def _stored(kind: Kind, model: _ObjectModel) -> StoredObject:
+    metadata = model.metadata
+    return StoredObject(
+        kind=kind,
+        name=metadata.name,
+        spec=model.spec,
+        status=model.status,
+        revision=int(metadata.resource_version),
+        writer=metadata.annotations.get(WRITER_ANNOTATION, ""),
+    )
+
+
+def object_from_json(kind: Kind, data: bytes) -> StoredObject:
+    """Return the object that a JSON body holds.
+
+    Raises
+    ------
+    msgspec.DecodeError, ValueError
+    """
+    return _stored(kind, msgspec.json.decode(data, type=_ObjectModel))
+
+
+def _error(status: int, data: bytes) -> RadishshiftError:
+    try:
+        reply = msgspec.json.decode(data, type=_StatusModel)
+    except msgspec.DecodeError:
+        reply = _StatusModel()
+    if status == 404:
+        return NotFoundError(reply.message)
+    if status == 410:
+        return GoneError(reply.message)
+    if status == 409 and reply.reason == "AlreadyExists":
+        return AlreadyExistsError(reply.message)
+    if status == 409:
+        return ConflictError(reply.message)
+    return PlatformUnavailableError(
+        f"the platform answered {status}", verdict=Verdict.MAY_HAVE_RUN
+    )
+
+
+class HttpPlatform(Platform):
+    """Platform reached over HTTP.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+    address : str
+        Base URL.
+    writer : str
+        Name that is left on what is written.
+    call_timeout_s : float
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        writer: str,
+        call_timeout_s: float,
+    ) -> None:
+        self._session = session
+        self._base = address + BASE_PATH
+        self._writer = writer
+        self._call_timeout_s = call_timeout_s
+
+    async def get(self, kind: Kind, name: str) -> StoredObject:
+        """Return one object."""
+        data = await self._call("GET", f"/{kind.value}/{name}")
+        return object_from_json(kind, data)
+
+    async def list_all(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        data = await self._call("GET", f"/{kind.value}")
+        model = msgspec.json.decode(data, type=_ListModel)
+        items = tuple(_stored(kind, item) for item in model.items)
+        return Listing(items, int(model.metadata.resource_version))
+
+    async def create(self, item: StoredObject) -> StoredObject:
+        """Store a new object."""
+        data = await self._call("POST", f"/{item.kind.value}", item)
+        return object_from_json(item.kind, data)
+
+    async def update(self, item: StoredObject) -> StoredObject:
+        """Store an object over the revision that it holds."""
+        data = await self._call("PUT", f"/{item.kind.value}/{item.name}", item)
+        return object_from_json(item.kind, data)
+
+    async def delete(self, kind: Kind, name: str, revision: int) -> None:
+        """Remove an object that still has `revision`."""
+        path = f"/{kind.value}/{name}?resourceVersion={revision}"
+        await self._call("DELETE", path)
+
+    async def watch(self, kind: Kind, since: int) -> AsyncIterator[ObjectChange]:
+        """Yield the changes of a kind after revision `since`."""
+        url = f"{self._base}/{kind.value}?watch=1&resourceVersion={since}"
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._call_timeout_s)
+        try:
+            async with self._session.get(url, timeout=timeout) as resp:
+                if resp.status != 200:
+                    raise _error(resp.status, await resp.read())
+                async for line in resp.content:
+                    event = msgspec.json.decode(line, type=_EventModel)
+                    if event.type == "ERROR":
+                        raise GoneError("the platform ended the watch")
+                    yield ObjectChange(
+                        ChangeType(event.type), _stored(kind, event.object)
+                    )
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise PlatformUnavailableError(f"the watch broke: {exc}") from exc
+
+    async def _call(
+        self, method: str, path: str, item: StoredObject | None = None
+    ) -> bytes:
+        data = None
+        if item is not None:
+            body = object_to_json(item)
+            body["metadata"]["annotations"][WRITER_ANNOTATION] = self._writer
+            data = msgspec.json.encode(body)
+        try:
+            async with (
+                asyncio.timeout(self._call_timeout_s),
+                self._session.request(method, self._base + path, data=data) as resp,
+            ):
+                reply = await resp.read()
+                if resp.status >= 400:
+                    raise _error(resp.status, reply)
+                return reply
+        except aiohttp.ClientConnectorError as exc:
+            raise PlatformUnavailableError(str(exc)) from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            verdict = Verdict.NOT_RUN if method == "GET" else Verdict.MAY_HAVE_RUN
+            raise PlatformUnavailableError(
+                f"no reply from the platform: {exc!r}", verdict=verdict
+            ) from exc
--- /dev/null
+++ b/radishshift/listening.py
@@ -0,0 +1,34 @@
+"""Web applications bound to an address for as long as a context lasts."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+__all__ = ["listening"]
+
+
+@asynccontextmanager
+async def listening(
+    app: web.Application, ip: str = "127.0.0.1", port: int = 0, **options
+) -> AsyncIterator[str]:
+    """Serve an application; give its base URL.
+
+    Parameters
+    ----------
+    app : web.Application
+    ip : str
+    port : int
+        0 takes any free one.
+    **options
+        Passed on to `web.AppRunner`.
+    """
+    runner = web.AppRunner(app, access_log=None, **options)
+    await runner.setup()
+    site = web.TCPSite(runner, ip, port)
+    await site.start()
+    bound_port = runner.addresses[0][1]
+    try:
+        yield f"http://{ip}:{bound_port}"
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/radishshift/logs.py
@@ -0,0 +1,33 @@
+"""Logs as JSON lines."""
+
+import sys
+from typing import TextIO
+
+import logbook
+import msgspec
+
+__all__ = ["JsonLinesHandler", "log_to"]
+
+
+class JsonLinesHandler(logbook.StreamHandler):
+    """Writes each record as one JSON object on a line."""
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Return the line of a record."""
+        line = {
+            "time": record.time.isoformat(timespec="milliseconds"),
+            "level": record.level_name.lower(),
+            "logger": record.channel,
+            "message": record.message,
+            **record.extra,
+        }
+        if record.exception_name:
+            line["exception"] = record.formatted_exception
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def log_to(stream: TextIO = sys.stderr, level: int = logbook.INFO) -> JsonLinesHandler:
+    """Send all logs to a stream; return the handler, which `pop_application` ends."""
+    handler = JsonLinesHandler(stream, level=level)
+    handler.push_application()
+    return handler
--- /dev/null
+++ b/radishshift/manifests.py
@@ -0,0 +1,325 @@
+"""Validated form of the catalogue's entries and of the platform's lists.
+
+An entry is a JSON object whose `type` says which of the specs below it is. Keys
+are in camel case, unknown keys are refused, and a key with a unit ends in it.
+"""
+
+from collections.abc import Iterable
+from typing import Annotated, Any
+
+import msgspec
+
+from radishshift.catalogue import (
+    Catalogue,
+    ModelVersion,
+    Policies,
+    Route,
+    Service,
+    VersionState,
+)
+from radishshift.contracts import (
+    Contract,
+    Limits,
+    Objectives,
+    QualityTarget,
+    TaskClass,
+)
+from radishshift.endpoints import Endpoint, EndpointState
+from radishshift.errors import SettingsError
+from radishshift.objects import Kind, StoredObject
+
+__all__ = [
+    "ClassSpec",
+    "CustomerSpec",
+    "EndpointSpec",
+    "EntrySpec",
+    "PolicySpec",
+    "ServiceSpec",
+    "VersionSpec",
+    "build_catalogue",
+    "read_endpoint",
+    "read_entry",
+]
+
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Price = Annotated[int, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="camel"):
+    """Base of what is read from outside."""
+
+
+class LimitsSpec(Manifest, frozen=True):
+    """Limits of an entry; see `contracts.Limits`."""
+
+    requests_per_s: Amount = 1e9
+    tokens_per_s: Amount = 1e9
+    concurrency: Count = 1_000_000
+
+    def limits(self) -> Limits:
+        """Return the data class."""
+        return Limits(self.requests_per_s, self.tokens_per_s, self.concurrency)
+
+
+class EntryBase(Manifest, frozen=True, kw_only=True):
+    """What every entry of the catalogue has.
+
+    `class_` is the entry's class of service, shown to operators and used to group
+    reports.
+    """
+
+    owner: str
+    class_: str = msgspec.field(name="class")
+    limits: LimitsSpec = LimitsSpec()
+
+
+class VersionSpec(
+    EntryBase, frozen=True, kw_only=True, tag_field="type", tag="version"
+):
+    """A version of a model; see `catalogue.ModelVersion`."""
+
+    model: Name
+    state: VersionState = VersionState.PROPOSED
+    canary_share: Share = 0.0
+    stable: str = ""
+    prompt_price_nano: Price
+    completion_price_nano: Price
+    quality: dict[str, Share] = {}
+
+    def version(self, name: str) -> ModelVersion:
+        """Return the data class."""
+        return ModelVersion(
+            name=name,
+            model=self.model,
+            owner=self.owner,
+            state=self.state,
+            canary_share=self.canary_share,
+            stable=self.stable,
+            prompt_price=self.prompt_price_nano,
+            completion_price=self.completion_price_nano,
+            quality=self.quality,
+            limits=self.limits.limits(),
+        )
+
+
+class RouteSpec(Manifest, frozen=True, kw_only=True):
+    """A call of a service; see `catalogue.Route`."""
+
+    method: str
+    path_prefix: str
+    idempotent: bool = False
+
+    def route(self) -> Route:
+        """Return the data class."""
+        return Route(self.method, self.path_prefix, self.idempotent)
+
+
+class ServiceSpec(
+    EntryBase, frozen=True, kw_only=True, tag_field="type", tag="service"
+):
+    """A plain service; see `catalogue.Service`."""
+
+    routes: list[RouteSpec]
+    call_price_nano: Price = 0
+    task_class: str
+
+    def service(self, name: str) -> Service:
+        """Return the data class."""
+        return Service(
+            name=name,
+            owner=self.owner,
+            routes=tuple(route.route() for route in self.routes),
+            call_price=self.call_price_nano,
+            task_class=self.task_class,
+            limits=self.limits.limits(),
+        )
+
+
+class QualitySpec(Manifest, frozen=True):
+    """A quality target; see `contracts.QualityTarget`."""
+
+    target: Share
+    floor: Share = 0.0
+
+
+class CustomerSpec(
+    EntryBase, frozen=True, kw_only=True, tag_field="type", tag="customer"
+):
+    """A customer; see `contracts.Contract`."""
+
+    key_digests: list[Digest]
+    allowed: list[str]
+    weight: Amount = 1.0
+    quality: dict[str, QualitySpec] = {}
+    default_class: str
+
+    def contract(self, name: str) -> Contract:
+        """Return the data class."""
+        quality = {
+            task_class: QualityTarget(spec.target, spec.floor)
+            for task_class, spec in self.quality.items()
+        }
+        return Contract(
+            customer=name,
+            key_digests=tuple(self.key_digests),
+            allowed=frozenset(self.allowed),
+            weight=self.weight,
+            limits=self.limits.limits(),
+            quality=quality,
+            default_class=self.default_class,
+        )
+
+
+class ObjectivesSpec(Manifest, frozen=True):
+    """Objectives of a task class; see `contracts.Objectives`."""
+
+    first_token_s: Amount = 0.75
+    between_tokens_s: Amount = 0.058
+    whole_answer_s: Amount = 60.0
+    objective: Share = 0.95
+
+    def objectives(self) -> Objectives:
+        """Return the data class."""
+        return Objectives(
+            self.first_token_s,
+            self.between_tokens_s,
+            self.whole_answer_s,
+            self.objective,
+        )
+
+
+class ClassSpec(
+    EntryBase, frozen=True, kw_only=True, tag_field="type", tag="task-class"
+):
+    """A task class; see `contracts.TaskClass`."""
+
+    priority: Count
+    deadline_s: Amount
+    cascade: bool = False
+    objectives: ObjectivesSpec = ObjectivesSpec()
+
+    def task_class(self, name: str) -> TaskClass:
+        """Return the data class."""
+        return TaskClass(
+            name,
+            self.priority,
+            self.deadline_s,
+            self.cascade,
+            self.objectives.objectives(),
+        )
+
+
+class PolicySpec(EntryBase, frozen=True, kw_only=True, tag_field="type", tag="policy"):
+    """The policies in use; see `catalogue.Policies`."""
+
+    planner: str = Policies().planner
+    balancer: str = Policies().balancer
+    parameters: dict[str, float] = {}
+
+    def policies(self) -> Policies:
+        """Return the data class."""
+        return Policies(self.planner, self.balancer, self.parameters)
+
+
+class EndpointSpec(Manifest, frozen=True, kw_only=True):
+    """An endpoint in the platform's list; see `endpoints.Endpoint`."""
+
+    address: str
+    data_centre: Name
+    serves: list[str]
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 8
+    checks_fencing: bool = False
+    state: EndpointState = EndpointState.LIVE
+
+    def endpoint(self, name: str) -> Endpoint:
+        """Return the data class."""
+        return Endpoint(
+            name,
+            self.address,
+            self.data_centre,
+            frozenset(self.serves),
+            self.slots,
+            self.checks_fencing,
+            self.state,
+        )
+
+
+EntrySpec = VersionSpec | ServiceSpec | CustomerSpec | ClassSpec | PolicySpec
+
+
+def read_entry(name: str, spec: dict[str, Any]) -> EntrySpec:
+    """Validate the spec of a catalogue entry.
+
+    Raises
+    ------
+    SettingsError
+    """
+    return _convert(name, spec, EntrySpec)
+
+
+def read_endpoint(name: str, spec: dict[str, Any]) -> EndpointSpec:
+    """Validate the spec of an endpoint.
+
+    Raises
+    ------
+    SettingsError
+    """
+    return _convert(name, spec, EndpointSpec)
+
+
+def _convert(name: str, spec: dict[str, Any], wanted: Any) -> Any:
+    try:
+        return msgspec.convert(spec, wanted)
+    except msgspec.ValidationError as exc:
+        raise SettingsError([f"{name}: {exc}"]) from exc
+
+
+def build_catalogue(revision: int, items: Iterable[StoredObject]) -> Catalogue:
+    """Return the catalogue that a set of entries and endpoints makes.
+
+    Raises
+    ------
+    SettingsError
+        One of them is not valid.
+    """
+    versions = {}
+    services = {}
+    contracts = {}
+    classes = {}
+    endpoints = {}
+    policies = Policies()
+    for item in items:
+        if item.kind is Kind.ENDPOINT:
+            endpoint_spec = read_endpoint(item.name, item.spec)
+            endpoints[item.name] = endpoint_spec.endpoint(item.name)
+            continue
+        match read_entry(item.name, item.spec):
+            case VersionSpec() as spec:
+                versions[item.name] = spec.version(item.name)
+            case ServiceSpec() as spec:
+                services[item.name] = spec.service(item.name)
+            case CustomerSpec() as spec:
+                contracts[item.name] = spec.contract(item.name)
+            case ClassSpec() as spec:
+                classes[item.name] = spec.task_class(item.name)
+            case PolicySpec() as spec:
+                policies = spec.policies()
+    by_key_digest = {
+        digest: contract
+        for contract in contracts.values()
+        for digest in contract.key_digests
+    }
+    return Catalogue(
+        revision,
+        versions,
+        services,
+        contracts,
+        classes,
+        endpoints,
+        policies,
+        by_key_digest,
+    )
--- /dev/null
+++ b/radishshift/platform.py
@@ -0,0 +1,188 @@
+"""The platform's object API: versions, conditional updates and watches."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+from radishshift.errors import (
+    AlreadyExistsError,
+    ConflictError,
+    GoneError,
+    NotFoundError,
+)
+from radishshift.objects import (
+    ChangeType,
+    Kind,
+    Listing,
+    ObjectChange,
+    StoredObject,
+)
+
+__all__ = ["MemoryPlatform", "Platform"]
+
+HISTORY_LENGTH = 4096
+
+
+class Platform:
+    """What a host may ask of the platform.
+
+    Every call may raise `PlatformUnavailableError`. Its verdict is
+    `MAY_HAVE_RUN` when a write was sent and no reply came back: the write may
+    have taken effect.
+    """
+
+    async def get(self, kind: Kind, name: str) -> StoredObject:
+        """Return one object.
+
+        Raises
+        ------
+        NotFoundError
+        """
+        raise NotImplementedError
+
+    async def list_all(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        raise NotImplementedError
+
+    async def create(self, item: StoredObject) -> StoredObject:
+        """Store a new object; return it with its revision.
+
+        Raises
+        ------
+        AlreadyExistsError
+        """
+        raise NotImplementedError
+
+    async def update(self, item: StoredObject) -> StoredObject:
+        """Store an object over the revision that `item` holds.
+
+        Raises
+        ------
+        ConflictError
+            It has changed since.
+        NotFoundError
+        """
+        raise NotImplementedError
+
+    async def delete(self, kind: Kind, name: str, revision: int) -> None:
+        """Remove an object that still has `revision`.
+
+        Raises
+        ------
+        ConflictError
+        NotFoundError
+        """
+        raise NotImplementedError
+
+    def watch(self, kind: Kind, since: int) -> AsyncIterator[ObjectChange]:
+        """Yield the changes of a kind after revision `since`, without end.
+
+        Raises
+        ------
+        GoneError
+            `since` is older than the platform's history; list anew.
+        """
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        """Give back connections."""
+
+
+class MemoryPlatform(Platform):
+    """Platform held in this process; the stand-in server wraps one.
+
+    Parameters
+    ----------
+    history_length : int
+        Number of changes that a watch can reach back over.
+    """
+
+    def __init__(self, history_length: int = HISTORY_LENGTH) -> None:
+        self.revision = 0
+        self.reads = 0
+        self.writes = 0
+        self.watches = 0
+        self._history_length = history_length
+        self._items: dict[Kind, dict[str, StoredObject]] = {kind: {} for kind in Kind}
+        self._history: list[ObjectChange] = []
+        self._oldest = 0
+        self._changed = asyncio.Condition()
+
+    async def get(self, kind: Kind, name: str) -> StoredObject:
+        """Return one object."""
+        self.reads += 1
+        item = self._items[kind].get(name)
+        if item is None:
+            raise NotFoundError(f"no {kind} {name}")
+        return item
+
+    async def list_all(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        self.reads += 1
+        items = sorted(self._items[kind].values(), key=lambda item: item.name)
+        return Listing(tuple(items), self.revision)
+
+    async def create(self, item: StoredObject) -> StoredObject:
+        """Store a new object."""
+        self.writes += 1
+        if item.name in self._items[item.kind]:
+            raise AlreadyExistsError(f"{item.kind} {item.name} exists")
+        return await self._store(ChangeType.ADDED, item)
+
+    async def update(self, item: StoredObject) -> StoredObject:
+        """Store an object over the revision that it holds."""
+        self.writes += 1
+        self._check(item.kind, item.name, item.revision)
+        return await self._store(ChangeType.MODIFIED, item)
+
+    async def delete(self, kind: Kind, name: str, revision: int) -> None:
+        """Remove an object that still has `revision`."""
+        self.writes += 1
+        item = self._check(kind, name, revision)
+        await self._store(ChangeType.DELETED, item)
+
+    async def watch(self, kind: Kind, since: int) -> AsyncIterator[ObjectChange]:
+        """Yield the changes of a kind after revision `since`."""
+        self.reads += 1
+        self.watches += 1
+        try:
+            while True:
+                if since < self._oldest:
+                    raise GoneError(f"revision {since} is no longer held")
+                upto = self.revision
+                for change in self._after(since):
+                    if change.item.kind is kind:
+                        yield change
+                since = upto
+                async with self._changed:
+                    await self._changed.wait_for(lambda seen=upto: self.revision > seen)
+        finally:
+            self.watches -= 1
+
+    def _after(self, since: int) -> list[ObjectChange]:
+        return [change for change in self._history if change.item.revision > since]
+
+    def _check(self, kind: Kind, name: str, revision: int) -> StoredObject:
+        held = self._items[kind].get(name)
+        if held is None:
+            raise NotFoundError(f"no {kind} {name}")
+        if held.revision != revision:
+            writer = held.writer or "someone"
+            raise ConflictError(
+                f"{kind} {name} is at revision {held.revision}, written by {writer}"
+            )
+        return held
+
+    async def _store(self, change_type: ChangeType, item: StoredObject) -> StoredObject:
+        self.revision += 1
+        stored = replace(item, revision=self.revision)
+        if change_type is ChangeType.DELETED:
+            del self._items[item.kind][item.name]
+        else:
+            self._items[item.kind][item.name] = stored
+        self._history.append(ObjectChange(change_type, stored))
+        if len(self._history) > self._history_length:
+            self._oldest = self._history.pop(0).item.revision
+        async with self._changed:
+            self._changed.notify_all()
+        return stored
--- /dev/null
+++ b/radishshift/requests.py
@@ -0,0 +1,119 @@
+"""Requests of callers, checked and ready to be routed."""
+
+import uuid
+from dataclasses import dataclass, field
+from typing import Any
+
+import xxhash
+
+from radishshift.contracts import Contract, TaskClass
+
+__all__ = ["ModelRequest", "ServiceCall", "new_request_id"]
+
+PROMPT_BYTES_PER_TOKEN = 4
+
+
+def new_request_id() -> str:
+    """Return a request id that no other host makes."""
+    return uuid.uuid4().hex
+
+
+@dataclass(slots=True, kw_only=True)
+class ModelRequest:
+    """A request for an answer of a model.
+
+    Attributes
+    ----------
+    request_id : str
+    contract : Contract
+    task_class : TaskClass
+    operation : str
+        `chat/completions` or `completions`.
+    model : str
+        What the caller named: a version, a model, or `auto`.
+    body : dict
+        JSON body as the caller sent it.
+    body_bytes : bytes
+    stream, include_usage : bool
+    arrived, deadline : float
+        Instants.
+    idempotency_key : str
+        Empty if the caller gave none; the request is then idempotent.
+    session_token : str
+        Empty if the caller gave none.
+    wants_session : bool
+    """
+
+    request_id: str
+    contract: Contract
+    task_class: TaskClass
+    operation: str
+    model: str
+    body: dict[str, Any]
+    body_bytes: bytes
+    stream: bool
+    include_usage: bool
+    arrived: float
+    deadline: float
+    idempotency_key: str = ""
+    session_token: str = ""
+    wants_session: bool = False
+    fingerprint: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        digest = xxhash.xxh3_128_hexdigest(self.body_bytes)
+        self.fingerprint = f"{self.contract.customer}:{digest}"
+
+    @property
+    def prompt_tokens_estimate(self) -> int:
+        """Return a guess of the prompt's length in tokens."""
+        return max(1, len(self.body_bytes) // PROMPT_BYTES_PER_TOKEN)
+
+    @property
+    def completion_tokens_bound(self) -> int:
+        """Return the most tokens that the caller takes, or a usual number."""
+        wanted = self.body.get("max_completion_tokens") or self.body.get("max_tokens")
+        return wanted if isinstance(wanted, int) else 256
+
+
+@dataclass(slots=True, kw_only=True)
+class ServiceCall:
+    """A call of a plain service.
+
+    Attributes
+    ----------
+    request_id : str
+    contract : Contract
+    task_class : TaskClass
+    service : str
+    method, path : str
+        As the service gets them; `path` with its query.
+    headers : dict of str to str
+        Those that are passed on.
+    body : bytes
+    idempotent : bool
+        From the catalogue.
+    arrived, deadline : float
+        Instants.
+    idempotency_key : str
+        The caller's, or the request id.
+    """
+
+    request_id: str
+    contract: Contract
+    task_class: TaskClass
+    service: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    idempotent: bool
+    arrived: float
+    deadline: float
+    idempotency_key: str
+    fingerprint: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        whole = f"{self.method} {self.path} ".encode() + self.body
+        digest = xxhash.xxh3_128_hexdigest(whole)
+        self.fingerprint = f"{self.contract.customer}:{digest}"
--- /dev/null
+++ b/radishshift/settings.py
@@ -0,0 +1,110 @@
+"""Settings of an entry host, read from JSON with comments."""
+
+from pathlib import Path
+from typing import Annotated
+
+import json5
+import msgspec
+
+from radishshift.errors import SettingsError
+
+__all__ = ["HostSettings", "load_settings", "read_settings"]
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
+class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="camel"):
+    """Base of the parts of the settings."""
+
+
+class AddressSettings(Section, frozen=True):
+    """Where the host listens; port 0 takes any free one."""
+
+    ip: str = "127.0.0.1"
+    caller_port: Port = 8080
+    peer_port: Port = 8081
+    metrics_port: Port = 8082
+
+
+class PlatformSettings(Section, frozen=True):
+    """Where the platform's object API is, and how long a call may take."""
+
+    address: str
+    call_timeout_s: Positive = 2.0
+
+
+class BoundSettings(Section, frozen=True):
+    """Bounds on what the host holds."""
+
+    body_bytes: PositiveCount = 4_000_000
+    header_bytes: PositiveCount = 16_384
+    answer_bytes: PositiveCount = 4_000_000
+    answers_bytes: PositiveCount = 256_000_000
+    connections: PositiveCount = 4_000
+    requests: PositiveCount = 2_000
+    open_bills: PositiveCount = 50_000
+
+
+class TimeSettings(Section, frozen=True):
+    """Times the host keeps, in seconds."""
+
+    stop_s: Positive = 30.0
+    stream_idle_s: Positive = 5.0
+    connect_s: Positive = 1.0
+    answer_kept_s: Positive = 600.0
+    bill_batch_s: Positive = 1.0
+
+
+class HostSettings(Section, frozen=True, kw_only=True):
+    """All settings of a host.
+
+    A duration here is a setting; what runs keeps the instants made from it.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    platform: PlatformSettings
+    address: AddressSettings = AddressSettings()
+    bounds: BoundSettings = BoundSettings()
+    times: TimeSettings = TimeSettings()
+
+
+def read_settings(text: str, source: str = "settings") -> HostSettings:
+    """Validate settings.
+
+    Parameters
+    ----------
+    text : str
+        JSON with comments.
+    source : str
+        Name to put before each problem.
+
+    Raises
+    ------
+    SettingsError
+    """
+    try:
+        values = json5.loads(text)
+    except ValueError as exc:
+        raise SettingsError([f"{source}: {exc}"]) from exc
+    try:
+        return msgspec.convert(values, HostSettings)
+    except msgspec.ValidationError as exc:
+        raise SettingsError([f"{source}: {exc}"]) from exc
+
+
+def load_settings(path: str) -> HostSettings:
+    """Read settings from a file.
+
+    Raises
+    ------
+    SettingsError
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError([f"{path}: {exc}"]) from exc
+    return read_settings(text, path)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each of the package's."""
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,37 @@
+"""Tests of the whole thin path."""
+
+import openai
+
+from radishshift.demo import demonstrate, small_host
+from radishshift.objects import Kind
+from radishshift.standins.deployment import KEY, deployed
+from tests.cases import TestCase
+
+
+class DemoTest(TestCase):
+    async def test_requests_are_answered_and_a_booking_runs_once(self):
+        async with deployed() as deployment, small_host(deployment) as host:
+            await demonstrate(host.address)
+            self.assertEqual(["booking-1"], deployment.desk.ran)
+            await host.router.biller.flush()
+            batches = await deployment.platform.list_all(Kind.BILL_BATCH)
+            bills = [bill for item in batches.items for bill in item.spec["bills"]]
+            self.assertEqual(3, len({bill["request_id"] for bill in bills}))
+
+    async def test_the_official_client_raises_its_own_errors(self):
+        async with (
+            deployed() as deployment,
+            small_host(deployment) as host,
+            openai.AsyncOpenAI(api_key="wrong", base_url=f"{host.address}/v1") as bad,
+            openai.AsyncOpenAI(api_key=KEY, base_url=f"{host.address}/v1") as good,
+        ):
+            await self.assert_raises_async(openai.AuthenticationError, _models(bad))
+            messages = [{"role": "user", "content": "Hello"}]
+            await self.assert_raises_async(
+                openai.NotFoundError,
+                good.chat.completions.create(model="no-such", messages=messages),
+            )
+
+
+async def _models(client):
+    return await client.models.list()
