--- a/radishshift/cascade.py
+++ b/radishshift/cascade.py
@@ -1,12 +1,13 @@
 """Choice of the versions that a request is tried on."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
 from radishshift.catalogue import ModelVersion
 from radishshift.contracts import QualityTarget, TaskClass
 from radishshift.errors import NotAllowedError
 from radishshift.evidence import Evidence
+from radishshift.quality import QualityAccounts
 
 __all__ = ["Plan", "PlanQuestion", "PlanStep", "make_plan", "planner"]
 
@@ -28,9 +29,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Versions to try, in order; the last one's answer is taken as it is."""
+    """Versions to try, in order; the last one's answer is taken as it is.
+
+    Attributes
+    ----------
+    steps : tuple of PlanStep
+    rate : bool
+        Whether each answer that comes of it is to be rated.
+    score : bool
+        Whether the first answer is to be scored, though it is given as it is.
+    explores : bool
+        Whether the plan is taken to learn of its version.
+    """
 
     steps: tuple[PlanStep, ...]
+    rate: bool = False
+    score: bool = False
+    explores: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +63,10 @@
         Estimates.
     deadline, now : float
         Instants.
+    can_judge : bool
+        Whether a judge is in reach that scores an answer at once.
+    parameters : mapping of str to float
+        The catalogue's settings of policies.
     """
 
     customer: str
@@ -58,9 +77,11 @@
     completion_tokens: int
     deadline: float
     now: float
+    can_judge: bool = False
+    parameters: Mapping[str, float] = field(default_factory=dict)
 
 
-Planner = Callable[[PlanQuestion, Evidence], Plan]
+Planner = Callable[[PlanQuestion, Evidence, QualityAccounts], Plan]
 
 _PLANNERS: dict[str, Planner] = {}
 
@@ -75,7 +96,9 @@
     return register
 
 
-def make_plan(name: str, question: PlanQuestion, evidence: Evidence) -> Plan:
+def make_plan(
+    name: str, question: PlanQuestion, evidence: Evidence, accounts: QualityAccounts
+) -> Plan:
     """Return the plan of the planner of that name.
 
     Raises
@@ -85,11 +108,13 @@
     """
     if not question.candidates:
         raise NotAllowedError("the contract allows no version that takes new work")
-    return _PLANNERS[name](question, evidence)
+    return _PLANNERS[name](question, evidence, accounts)
 
 
 @planner("cheapest-sufficient")
-def cheapest_sufficient(question: PlanQuestion, evidence: Evidence) -> Plan:
+def cheapest_sufficient(
+    question: PlanQuestion, evidence: Evidence, accounts: QualityAccounts
+) -> Plan:
     """Take the cheapest version expected to meet the target, or the best one."""
 
     def cost(version: ModelVersion) -> int:
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -31,6 +31,7 @@
 from radishshift.evidence import Evidence, Outcome
 from radishshift.limits import Limiter
 from radishshift.poison import PoisonWatch
+from radishshift.quality import QualityAccounts
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
 from radishshift.sessions import Session, SessionKeys
@@ -86,6 +87,7 @@
     answer_kept_s: float
     limiter: Limiter = field(default_factory=Limiter)
     evidence: Evidence = field(default_factory=Evidence)
+    accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
@@ -153,7 +155,7 @@
             now=self.clock.now(),
         )
         planner_name = self.catalogue.policies.planner
-        return make_plan(planner_name, question, self.evidence).steps
+        return make_plan(planner_name, question, self.evidence, self.accounts).steps
 
     def _session_version(self, req: ModelRequest, session: Session) -> ModelVersion:
         version = self.catalogue.versions.get(session.version)
