Split the router: attempts and service calls have modules of their own

Change: attempts.py holds VersionRun, service_calls.py holds run_call, the sink's protocol stands with the answers. No behaviour changes; the tests are as before.

--- a/radishshift/answers.py
+++ b/radishshift/answers.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from radishshift.errors import NotFoundError, RadishshiftError
 
-__all__ = ["Answer", "Answers"]
+__all__ = ["Answer", "AnswerSink", "Answers"]
 
 
 @dataclass(slots=True)
@@ -63,6 +64,16 @@
             await self._grown.wait()
 
 
+class AnswerSink(Protocol):
+    """Where an answer goes while its caller is there."""
+
+    async def start(self, answer: Answer) -> None:
+        """Send the status and the headers."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part; returns when there is room for the next."""
+
+
 class Answers:
     """Answers that a host holds.
 
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -2,15 +2,14 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import Protocol
 
-import logbook
 import xxhash
 
 from radishshift.admission import Admission
-from radishshift.answers import Answer, Answers
+from radishshift.answers import Answers, AnswerSink
+from radishshift.attempts import VersionRun
 from radishshift.balance import BalanceQuestion, EndpointLoads, choose
-from radishshift.bills import Bill, Biller, BillItem
+from radishshift.bills import Bill, Biller
 from radishshift.cascade import PlanQuestion, PlanStep, make_plan
 from radishshift.catalogue import Catalogue, ModelVersion
 from radishshift.claims import Claims
@@ -18,42 +17,27 @@
 from radishshift.configuration import Configuration
 from radishshift.contracts import QualityTarget
 from radishshift.endpoints import Endpoint
-from radishshift.engines import EngineClient, EngineStream, ServiceReply
+from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
-    EndpointError,
     NoEndpointError,
     NotAllowedError,
     NotFoundError,
     RadishshiftError,
     WithdrawnError,
 )
-from radishshift.events import DONE, EventScanner, Usage, read_usage
-from radishshift.evidence import Evidence, Outcome
+from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
 from radishshift.poison import PoisonWatch
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
+from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
-from radishshift.verdicts import Verdict
 
-__all__ = ["AnswerSink", "Router"]
+__all__ = ["Router"]
 
 PREFIX_BYTES = 1024
-SESSION_S = 3600.0
 ANY_MODEL = "auto"
 
-logger = logbook.Logger("router")
-
-
-class AnswerSink(Protocol):
-    """Where an answer goes while its caller is there."""
-
-    async def start(self, answer: Answer) -> None:
-        """Send the status and the headers."""
-
-    async def write(self, data: bytes) -> None:
-        """Send a part; returns when there is room for the next."""
-
 
 @dataclass(slots=True)
 class Router:
@@ -121,7 +105,7 @@
         try:
             for step in steps:
                 self._check_version(step.version.name)
-                run = _Run(self, req, step.version, bill, answer, sink)
+                run = VersionRun(self, req, step.version, bill, answer, sink)
                 await run.until_done()
         except RadishshiftError as exc:
             if bill.items:
@@ -226,191 +210,10 @@
             self.poison.check(call.fingerprint, self.clock.now())
             grant = self.limiter.take(call.contract, 0, self.clock.now())
             try:
-                if call.idempotent:
-                    return await self._attempt_call(call)
-                return await self._call_once(call)
+                return await run_call(self, call)
             finally:
                 self.limiter.settle(grant, 0)
 
-    async def _call_once(self, call: ServiceCall) -> ServiceReply:
-        claim = await self.claims.claim(call)
-        if claim.recorded is not None:
-            return claim.recorded
-        try:
-            reply = await self._attempt_call(call)
-        except RadishshiftError as exc:
-            if exc.verdict is Verdict.NOT_RUN:
-                await self.claims.release(claim)
-            raise
-        await self.claims.record(claim, reply)
-        return reply
-
-    async def _attempt_call(self, call: ServiceCall) -> ServiceReply:
-        tried: set[str] = set()
-        while True:
-            endpoint = self.choose_endpoint(call.service, call.body, tried)
-            tried.add(endpoint.name)
-            self.loads.started(endpoint)
-            try:
-                reply = await self.engines.call(endpoint, call)
-            except EndpointError as exc:
-                if not self.retry_budget.allows(
-                    exc, call.idempotent, call.deadline, self.clock.now()
-                ):
-                    raise
-                continue
-            finally:
-                self.loads.ended(endpoint)
-            service = self.catalogue.services[call.service]
-            bill = Bill(call.request_id, call.contract.customer)
-            item = BillItem(call.service, endpoint.name, 0, 0, service.call_price)
-            bill.items.append(item)
-            await self.biller.secure(bill)
-            return reply
-
 
 def _tokens_of(bill: Bill) -> int:
     return sum(item.prompt_tokens + item.completion_tokens for item in bill.items)
-
-
-class _Run:
-    """One version's try at a request, over as many attempts as it takes."""
-
-    def __init__(
-        self,
-        router: Router,
-        req: ModelRequest,
-        version: ModelVersion,
-        bill: Bill,
-        answer: Answer,
-        sink: AnswerSink,
-    ) -> None:
-        self.router = router
-        self.req = req
-        self.version = version
-        self.bill = bill
-        self.answer = answer
-        self.sink = sink
-        self.started = False
-
-    async def until_done(self) -> None:
-        """Try endpoints until one has given the whole answer."""
-        router = self.router
-        tried: set[str] = set()
-        while True:
-            endpoint = router.choose_endpoint(
-                self.version.name, self.req.body_bytes, tried
-            )
-            tried.add(endpoint.name)
-            try:
-                await self._attempt(endpoint, len(tried))
-                return
-            except EndpointError as exc:
-                idempotent = not self.started
-                if not router.retry_budget.allows(
-                    exc, idempotent, self.req.deadline, router.clock.now()
-                ):
-                    raise
-                logger.info("attempt failed at {}: {}", endpoint.name, exc.message)
-
-    async def _attempt(self, endpoint: Endpoint, number: int) -> None:
-        router = self.router
-        attempt_id = f"{self.req.request_id}-{self.version.name}-{number}"
-        began = router.clock.now()
-        router.loads.started(endpoint)
-        try:
-            async with router.engines.open(
-                endpoint, self.req, self.version.name, attempt_id
-            ) as stream:
-                if self.req.stream:
-                    usage = await self._relay(endpoint, stream, began)
-                else:
-                    usage = await self._collect(stream)
-        except EndpointError:
-            self._note(endpoint, began, Usage(), ok=False)
-            raise
-        finally:
-            router.loads.ended(endpoint)
-        self._note(endpoint, began, usage, ok=True)
-        await self._finish(endpoint, usage)
-
-    async def _relay(
-        self, endpoint: Endpoint, stream: EngineStream, began: float
-    ) -> Usage:
-        scanner = EventScanner(self.req.include_usage)
-        async for data in stream.chunks():
-            events = scanner.feed(data)
-            if not events:
-                continue
-            if not self.started:
-                wait_s = self.router.clock.now() - began
-                self.router.loads.first_token(endpoint, wait_s)
-                await self._start(stream)
-            self.answer.append(events)
-            await self.sink.write(events)
-        if not scanner.done:
-            raise EndpointError("the stream ended too soon")
-        return scanner.usage or Usage()
-
-    async def _collect(self, stream: EngineStream) -> Usage:
-        body = b"".join([data async for data in stream.chunks()])
-        usage = read_usage(body)
-        if usage is None:
-            raise EndpointError("the endpoint's answer is not whole")
-        await self._start(stream)
-        self.answer.append(body)
-        return usage
-
-    async def _start(self, stream: EngineStream) -> None:
-        self.started = True
-        answer = self.answer
-        answer.content_type = stream.content_type
-        answer.headers["X-Request-Id"] = self.req.request_id
-        answer.headers["X-Radishshift-Version"] = self.version.name
-        if self.req.session_token:
-            answer.headers["X-Session"] = self.req.session_token
-        elif self.req.wants_session:
-            answer.headers["X-Session"] = self._new_session()
-        await self.sink.start(answer)
-
-    def _new_session(self) -> str:
-        session = Session(
-            session_id=self.req.request_id,
-            customer=self.req.contract.customer,
-            version=self.version.name,
-            expires=self.router.clock.now() + SESSION_S,
-        )
-        return self.router.session_keys.issue(session)
-
-    def _note(self, endpoint: Endpoint, began: float, usage: Usage, ok: bool) -> None:
-        whole_s = self.router.clock.now() - began
-        outcome = Outcome(
-            version=self.version.name,
-            endpoint=endpoint.name,
-            customer=self.req.contract.customer,
-            task_class=self.req.task_class.name,
-            ok=ok,
-            first_token_s=whole_s,
-            between_tokens_s=whole_s / max(1, usage.completion_tokens),
-            whole_s=whole_s,
-            cost=self.version.cost(usage.prompt_tokens, usage.completion_tokens),
-        )
-        self.router.evidence.record(outcome)
-
-    async def _finish(self, endpoint: Endpoint, usage: Usage) -> None:
-        cost = self.version.cost(usage.prompt_tokens, usage.completion_tokens)
-        item = BillItem(
-            self.version.name,
-            endpoint.name,
-            usage.prompt_tokens,
-            usage.completion_tokens,
-            cost,
-        )
-        self.bill.items.append(item)
-        await self.router.biller.secure(self.bill)
-        last = DONE if self.req.stream else b""
-        if last:
-            self.answer.append(last)
-            await self.sink.write(last)
-        else:
-            await self.sink.write(b"".join(self.answer.parts))
