List every problem of settings and entries at once

Cause: msgspec stops at the first problem, so an operator mended a file one run a problem. Change: validation.py walks the types and yields each problem with the path of its key; settings and entries use it. Shown by: tests/test_settings.py, six problems of one file listed at once.

--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -25,8 +25,8 @@
     TaskClass,
 )
 from radishshift.endpoints import Endpoint, EndpointState
-from radishshift.errors import SettingsError
 from radishshift.objects import Kind, StoredObject
+from radishshift.validation import validated
 
 __all__ = [
     "ClassSpec",
@@ -258,7 +258,7 @@
     ------
     SettingsError
     """
-    return _convert(name, spec, EntrySpec)
+    return validated(spec, EntrySpec, name)
 
 
 def read_endpoint(name: str, spec: dict[str, Any]) -> EndpointSpec:
@@ -268,14 +268,7 @@
     ------
     SettingsError
     """
-    return _convert(name, spec, EndpointSpec)
-
-
-def _convert(name: str, spec: dict[str, Any], wanted: Any) -> Any:
-    try:
-        return msgspec.convert(spec, wanted)
-    except msgspec.ValidationError as exc:
-        raise SettingsError([f"{name}: {exc}"]) from exc
+    return validated(spec, EndpointSpec, name)
 
 
 def build_catalogue(revision: int, items: Iterable[StoredObject]) -> Catalogue:
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -3,10 +3,10 @@
 from pathlib import Path
 from typing import Annotated
 
-import json5
 import msgspec
 
 from radishshift.errors import SettingsError
+from radishshift.validation import read_commented_json, validated
 
 __all__ = ["HostSettings", "load_settings", "read_settings"]
 
@@ -86,14 +86,7 @@
     ------
     SettingsError
     """
-    try:
-        values = json5.loads(text)
-    except ValueError as exc:
-        raise SettingsError([f"{source}: {exc}"]) from exc
-    try:
-        return msgspec.convert(values, HostSettings)
-    except msgspec.ValidationError as exc:
-        raise SettingsError([f"{source}: {exc}"]) from exc
+    return validated(read_commented_json(text, source), HostSettings, source)
 
 
 def load_settings(path: str) -> HostSettings:
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,38 @@
+"""Tests of settings and of their validation."""
+
+from radishshift.errors import SettingsError
+from radishshift.settings import read_settings
+from tests.cases import TestCase
+
+GOOD = """{
+  // an entry host
+  name: "mbeya-entry-1", dataCentre: "mbeya", region: "tz-south",
+  platform: {address: "http://127.0.0.1:7000"},
+}"""
+
+
+class ReadSettingsTest(TestCase):
+    def test_comments_and_defaults(self):
+        cfg = read_settings(GOOD)
+        self.assertEqual("mbeya", cfg.data_centre)
+        self.assertEqual(8080, cfg.address.caller_port)
+
+    def test_all_problems_are_listed_with_their_paths(self):
+        text = """{name: 3, region: "r", platform: {adress: "x"},
+                   times: {stopMs: 3}, bounds: {requests: 0}}"""
+        exc = self.assertRaises(SettingsError, read_settings, text, "host.jsonc")
+        paths = sorted(problem.partition(": ")[0] for problem in exc.problems)
+        self.assertEqual(
+            [
+                "host.jsonc.bounds.requests",
+                "host.jsonc.dataCentre",
+                "host.jsonc.name",
+                "host.jsonc.platform.address",
+                "host.jsonc.platform.adress",
+                "host.jsonc.times.stopMs",
+            ],
+            paths,
+        )
+
+    def test_text_that_is_no_json_is_refused(self):
+        self.assertRaises(SettingsError, read_settings, "{name: ")
