--- a/radishshift/clocks.py
+++ b/radishshift/clocks.py
@@ -3,8 +3,12 @@
 import asyncio
 import heapq
 import time
+from collections.abc import Awaitable
+from typing import TypeVar
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["Clock", "ManualClock", "SystemClock", "finish_by"]
+
+T = TypeVar("T")
 
 
 class Clock:
@@ -85,3 +89,22 @@
     async def _settle() -> None:
         for _ in range(20):
             await asyncio.sleep(0)
+
+
+async def finish_by(clock: Clock, deadline: float, work: Awaitable[T]) -> T:
+    """Return the result of `work`, which is cancelled at `deadline`.
+
+    Raises
+    ------
+    TimeoutError
+    """
+    fut = asyncio.ensure_future(work)
+    timer = asyncio.ensure_future(clock.sleep_until(deadline))
+    try:
+        await asyncio.wait({fut, timer}, return_when=asyncio.FIRST_COMPLETED)
+        if fut.done():
+            return fut.result()
+        raise TimeoutError
+    finally:
+        timer.cancel()
+        fut.cancel()
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -82,6 +82,7 @@
             session, cfg.platform.address, cfg.name, cfg.platform.call_timeout_s
         )
         configuration = Configuration(clock)
+        process = f"{cfg.name}-{int(clock.now() * 1000)}"
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
@@ -89,7 +90,7 @@
             engines=HttpEngineClient(
                 session, cfg.times.connect_s, cfg.times.stream_idle_s
             ),
-            claims=Claims(platform, cfg.name),
+            claims=Claims(platform, clock, process),
             biller=Biller(platform, cfg.name, int(clock.now() * 1000)),
             answers=Answers(cfg.bounds.answers_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
@@ -114,6 +115,7 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
+                await router.claims.close()
                 with suppress(RadishshiftError):
                     await router.biller.flush()
 
