--- /dev/null
+++ b/radishshift/http_peers.py
@@ -0,0 +1,281 @@
+"""Peers over HTTP with JSON, on connections that are kept alive.
+
+A host sends heartbeats to a few successors on the ring of its data centre, and the
+answer to each is a heartbeat too, so one exchange carries state both ways. See
+`membership` for who is sent one, and `peer_messages` for the form.
+"""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
+
+import aiohttp
+import logbook
+import msgspec
+from aiohttp import web
+
+from radishshift.clocks import Clock
+from radishshift.errors import RadishshiftError
+from radishshift.hosts import Host
+from radishshift.membership import Membership
+from radishshift.peer_messages import PROOF_HEADER, Heartbeat, PeerKeys
+from radishshift.peers import Peers, PeerUnavailableError
+from radishshift.verdicts import Verdict
+
+__all__ = ["HttpPeers", "make_peer_app"]
+
+HEARTBEAT_PATH = "/h"
+CALL_PATH = "/c/"
+HEARTBEAT_TIMEOUT_S = 2.0
+SOON_S = 0.1
+RETRY_DEAD_S = 5.0
+MESSAGE_BYTES = 8_000_000
+NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+
+logger = logbook.Logger("peers")
+
+
+@dataclass(slots=True)
+class _PeerTask:
+    task: asyncio.Task
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class HttpPeers(Peers):
+    """The other entry hosts, reached over HTTP.
+
+    Parameters
+    ----------
+    me : Host
+    keys : PeerKeys
+    clock : Clock
+    session : aiohttp.ClientSession
+        Best of its own, so that peers and endpoints don't share a pool.
+    heartbeat_s : float
+        Time between two heartbeats to a peer, in seconds.
+    seeds : tuple of str
+        Addresses asked while no host is known, such as a service address.
+    """
+
+    def __init__(
+        self,
+        me: Host,
+        keys: PeerKeys,
+        clock: Clock,
+        session: aiohttp.ClientSession,
+        heartbeat_s: float,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        super().__init__(me)
+        self.membership = Membership(me)
+        self.carry(self.membership.section)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._keys = keys
+        self._clock = clock
+        self._session = session
+        self._heartbeat_s = heartbeat_s
+        self._seeds = seeds
+        self._rng = Random(f"{me.name}{me.incarnation}")
+        self._tasks: dict[str, _PeerTask] = {}
+
+    def hosts(self) -> list[Host]:
+        """Return all hosts known, this one left out, in order of name."""
+        return self.membership.hosts()
+
+    def listen_at(self, address: str) -> None:
+        """Set the address of the peer port, once it is bound."""
+        self.membership.listen_at(address, self._clock.now())
+        self.me = self.membership.me
+
+    def hurry(self) -> None:
+        """Send the next heartbeats soon, because there is news."""
+        for task in self._tasks.values():
+            task.news.set()
+
+    async def leave(self) -> None:
+        """Tell the peers that this host is leaving."""
+        self.membership.leave(self._clock.now())
+        targets = self.membership.targets()
+        await asyncio.gather(*(self._beat(host) for host in targets))
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        retry_dead_at = 0.0
+        try:
+            while True:
+                now = self._clock.now()
+                self.membership.expire(now)
+                self._match_tasks()
+                if now >= retry_dead_at:
+                    retry_dead_at = now + RETRY_DEAD_S
+                    await self._widen()
+                await self._clock.sleep_until(now + self._heartbeat_s / 2)
+        finally:
+            for task in self._tasks.values():
+                task.task.cancel()
+
+    def _match_tasks(self) -> None:
+        wanted = {host.name for host in self.membership.targets()}
+        for name in [name for name in self._tasks if name not in wanted]:
+            self._tasks.pop(name).task.cancel()
+        for name in wanted - self._tasks.keys():
+            task = asyncio.create_task(self._meet(name))
+            self._tasks[name] = _PeerTask(task)
+
+    async def _meet(self, name: str) -> None:
+        await asyncio.sleep(0)
+        news = self._tasks[name].news
+        while True:
+            member = self.membership.members.get(name)
+            if member is None:
+                return
+            await self._beat(member.host)
+            self.membership.silent(name, self._clock.now())
+            with suppress(TimeoutError):
+                pause_s = self._heartbeat_s * self._rng.uniform(0.9, 1.1)
+                await asyncio.wait_for(news.wait(), pause_s)
+                await asyncio.sleep(SOON_S)
+            news.clear()
+
+    async def _widen(self) -> None:
+        dead = self.membership.dead_target(self._rng)
+        if dead is not None:
+            await self._beat(dead)
+        if not self.membership.members:
+            for address in self._seeds:
+                await self._beat(Host("", self.me.data_centre, "", address))
+
+    async def _beat(self, host: Host) -> bool:
+        deadline = self._clock.now() + HEARTBEAT_TIMEOUT_S
+        body = self._heartbeat_for(host)
+        try:
+            reply = await self._send(host, HEARTBEAT_PATH, body, deadline)
+            self._take_heartbeat(msgspec.json.decode(reply, type=Heartbeat))
+        except (RadishshiftError, msgspec.DecodeError, ValueError, TypeError) as exc:
+            logger.debug("no heartbeat from {}: {}", host.name, exc)
+            return False
+        return True
+
+    def _heartbeat_for(self, host: Host) -> bytes:
+        now = self._clock.now()
+        sections = {}
+        for name, section in self.sections.items():
+            value = section.outgoing(host, now)
+            if value is not None:
+                sections[name] = value
+        me = self.membership.me
+        heartbeat = Heartbeat(me.name, me.data_centre, me.incarnation, sections)
+        return msgspec.json.encode(heartbeat)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> Host:
+        now = self._clock.now()
+        member = self.membership.members.get(heartbeat.name)
+        address = "" if member is None else member.host.peer_address
+        sender = Host(
+            heartbeat.name,
+            heartbeat.data_centre,
+            "" if member is None else member.host.region,
+            address,
+            heartbeat.incarnation,
+        )
+        if sender.name == self.me.name:
+            return sender
+        for name, value in heartbeat.sections.items():
+            section = self.sections.get(name)
+            if section is not None:
+                section.incoming(sender, value, now)
+        self.membership.heard(sender, now)
+        return sender
+
+    async def call(
+        self, host: str, topic: str, message: bytes, deadline: float
+    ) -> bytes:
+        """Send a message to a host and return its reply."""
+        member = self.membership.members.get(host)
+        if member is None:
+            raise PeerUnavailableError(f"{host} is not known", verdict=Verdict.NOT_RUN)
+        return await self._send(member.host, CALL_PATH + topic, message, deadline)
+
+    async def _send(self, host: Host, path: str, body: bytes, deadline: float) -> bytes:
+        now = self._clock.now()
+        proof = self._keys.sign(self.me.name, f"{host.name} {path}", body, now)
+        try:
+            async with (
+                asyncio.timeout(max(0.0, deadline - now)),
+                self._session.post(
+                    host.peer_address + path,
+                    data=body,
+                    headers={PROOF_HEADER: proof},
+                    skip_auto_headers=NEEDLESS_HEADERS,
+                ) as resp,
+            ):
+                reply = await resp.read()
+                if resp.status != 200:
+                    raise PeerUnavailableError(f"{host.name} answered {resp.status}")
+                answer = resp.headers.get(PROOF_HEADER, "")
+        except aiohttp.ClientConnectorError as exc:
+            raise PeerUnavailableError(
+                f"{host.name} is not in reach", verdict=Verdict.NOT_RUN
+            ) from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise PeerUnavailableError(f"no reply from {host.name}") from exc
+        self._keys.check(answer, proof, reply, self._clock.now())
+        self.bytes_sent += len(body)
+        self.bytes_received += len(reply)
+        return reply
+
+    async def take_request(self, request: web.Request) -> web.Response:
+        """Answer a request on the peer port."""
+        body = await request.read()
+        proof = request.headers.get(PROOF_HEADER, "")
+        sender = self._check(request.path, proof, body)
+        if request.path == HEARTBEAT_PATH:
+            peer = self._take_heartbeat(msgspec.json.decode(body, type=Heartbeat))
+            reply = self._heartbeat_for(peer)
+        else:
+            handler = self.handlers.get(request.match_info["topic"])
+            if handler is None:
+                return web.Response(status=404)
+            reply = await handler(sender, body)
+        now = self._clock.now()
+        headers = {PROOF_HEADER: self._keys.sign(self.me.name, proof, reply, now)}
+        return web.Response(body=reply, headers=headers)
+
+    def _check(self, path: str, proof: str, body: bytes) -> str:
+        now = self._clock.now()
+        try:
+            return self._keys.check(proof, f"{self.me.name} {path}", body, now)
+        except RadishshiftError:
+            if path != HEARTBEAT_PATH:
+                raise
+            return self._keys.check(proof, f" {path}", body, now)
+
+
+@web.middleware
+async def _errors_as_status(request: web.Request, handler) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except RadishshiftError as exc:
+        logger.info("{} from {}: {}", request.path, request.remote, exc.code)
+        return web.Response(status=exc.status)
+    except (msgspec.DecodeError, ValueError, TypeError, KeyError) as exc:
+        logger.warning("a malformed message on {}: {}", request.path, exc)
+        return web.Response(status=400)
+
+
+async def _keep_short(_: web.Request, resp: web.StreamResponse) -> None:
+    for name in ("Date", "Server", "Content-Type"):
+        resp.headers.pop(name, None)
+
+
+def make_peer_app(peers: HttpPeers) -> web.Application:
+    """Return the application of the peer port."""
+    app = web.Application(
+        middlewares=[_errors_as_status], client_max_size=MESSAGE_BYTES
+    )
+    app.on_response_prepare.append(_keep_short)
+    app.router.add_post(HEARTBEAT_PATH, peers.take_request)
+    app.router.add_post(CALL_PATH + "{topic}", peers.take_request)
+    return app
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -35,6 +35,19 @@
     call_timeout_s: Positive = 2.0
 
 
+class PeerSettings(Section, frozen=True):
+    """How the host meets the other entry hosts.
+
+    The key file holds the keys that all hosts share, one a line, the first to sign
+    with; without it the host acts alone. The seeds are addresses of peer ports that
+    a host asks when it knows no other.
+    """
+
+    key_file: str = ""
+    heartbeat_s: Positive = 2.0
+    seeds: tuple[str, ...] = ()
+
+
 class BoundSettings(Section, frozen=True):
     """Bounds on what the host holds."""
 
@@ -68,6 +81,7 @@
     region: str
     platform: PlatformSettings
     address: AddressSettings = AddressSettings()
+    peers: PeerSettings = PeerSettings()
     bounds: BoundSettings = BoundSettings()
     times: TimeSettings = TimeSettings()
 
