Start the peers with the entry host

The peers ran in tests only. The entry now opens the peer port where a key file is given, tells its peers when it leaves, and hands the peers to what else it runs.

--- /dev/null
+++ b/radishshift/control.py
@@ -0,0 +1,56 @@
+"""What an entry host runs to act together with the others."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import aiohttp
+
+from radishshift.clocks import Clock
+from radishshift.hosts import Host
+from radishshift.http_peers import HttpPeers, make_peer_app
+from radishshift.listening import listening
+from radishshift.peer_messages import load_peer_keys
+from radishshift.peers import MemoryPeers, Peers
+from radishshift.settings import HostSettings
+
+__all__ = ["met_peers"]
+
+PEER_CONNECTIONS = 1_000
+CLOSE_S = 0.5
+
+
+def _me(cfg: HostSettings, clock: Clock) -> Host:
+    incarnation = int(clock.now() * 1000)
+    return Host(cfg.name, cfg.data_centre, cfg.region, "", incarnation)
+
+
+@asynccontextmanager
+async def met_peers(cfg: HostSettings, clock: Clock) -> AsyncIterator[Peers]:
+    """Meet the other entry hosts for as long as the context lasts.
+
+    A host whose settings name no key file is alone.
+    """
+    me = _me(cfg, clock)
+    if not cfg.peers.key_file:
+        yield MemoryPeers(me, {})
+        return
+    keys = load_peer_keys(cfg.peers.key_file)
+    async with AsyncExitStack() as stack:
+        connector = aiohttp.TCPConnector(limit=PEER_CONNECTIONS, keepalive_timeout=60)
+        session = aiohttp.ClientSession(connector=connector)
+        await stack.enter_async_context(session)
+        peers = HttpPeers(
+            me, keys, clock, session, cfg.peers.heartbeat_s, cfg.peers.seeds
+        )
+        app = make_peer_app(peers)
+        site = listening(
+            app, cfg.address.ip, cfg.address.peer_port, shutdown_timeout=CLOSE_S
+        )
+        peers.listen_at(await stack.enter_async_context(site))
+        task = asyncio.create_task(peers.run())
+        try:
+            yield peers
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -19,11 +19,13 @@
 from radishshift.claims import Claims
 from radishshift.clocks import Clock, SystemClock
 from radishshift.configuration import Configuration
+from radishshift.control import met_peers
 from radishshift.engines import HttpEngineClient
 from radishshift.errors import RadishshiftError
 from radishshift.http_platform import HttpPlatform
 from radishshift.listening import listening
 from radishshift.logs import log_to
+from radishshift.peers import Peers
 from radishshift.router import Router
 from radishshift.sessions import SessionKeys
 from radishshift.settings import HostSettings, load_settings
@@ -46,11 +48,14 @@
     router : Router
     address : str
         Base URL for callers.
+    peers : Peers
+        The other entry hosts.
     """
 
     cfg: HostSettings
     router: Router
     address: str
+    peers: Peers
 
     async def drain(self, deadline: float) -> int:
         """Take no new work and wait for what runs; return what was left."""
@@ -75,9 +80,11 @@
 async def running(cfg: HostSettings) -> AsyncIterator[EntryHost]:
     """Run an entry host for as long as the context lasts."""
     clock = SystemClock()
-    async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=False)
-    ) as session:
+    connector = aiohttp.TCPConnector(limit=0, force_close=False)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        met_peers(cfg, clock) as peers,
+    ):
         platform = HttpPlatform(
             session, cfg.platform.address, cfg.name, cfg.platform.call_timeout_s
         )
@@ -106,10 +113,11 @@
         _add_health(caller_app, router)
         address = cfg.address
         async with listening(caller_app, address.ip, address.caller_port) as url:
-            host = EntryHost(cfg, router, url)
+            host = EntryHost(cfg, router, url, peers)
             try:
                 yield host
             finally:
+                await peers.leave()
                 await host.drain(clock.now() + cfg.times.stop_s)
                 for task in tasks:
                     task.cancel()
--- a/radishshift/peers.py
+++ b/radishshift/peers.py
@@ -77,6 +77,9 @@
             and (data_centre is None or host.data_centre == data_centre)
         ]
 
+    async def leave(self) -> None:
+        """Tell the others that this host is leaving."""
+
     async def call(
         self, host: str, topic: str, message: bytes, deadline: float
     ) -> bytes:
