Give operators a client: check, diff, apply, add, promote, withdraw, show, hosts

Cause: the catalogue could be written only by hand at the platform. Change: plain functions in operators.py whose every write is conditional on what was seen, a lost race told with the writer and the differing keys, steps of a version that may not be skipped, lost replies settled by read-back; cli.py parses arguments for them and has documented exit codes. The platform held in memory copies what it stores: a shared dict hid a lost race.

--- a/radishshift/balance.py
+++ b/radishshift/balance.py
@@ -6,7 +6,14 @@
 from radishshift.endpoints import Endpoint
 from radishshift.errors import NoEndpointError
 
-__all__ = ["BalanceQuestion", "Candidate", "EndpointLoads", "balancer", "choose"]
+__all__ = [
+    "BalanceQuestion",
+    "Candidate",
+    "EndpointLoads",
+    "balancer",
+    "balancer_names",
+    "choose",
+]
 
 SMOOTHING = 0.2
 
@@ -66,6 +73,11 @@
     return register
 
 
+def balancer_names() -> list[str]:
+    """Return the names that a catalogue may give."""
+    return sorted(_BALANCERS)
+
+
 def choose(
     name: str, question: BalanceQuestion, candidates: Iterable[Candidate]
 ) -> Endpoint:
--- a/radishshift/cascade.py
+++ b/radishshift/cascade.py
@@ -8,7 +8,7 @@
 from radishshift.errors import NotAllowedError
 from radishshift.evidence import Evidence
 
-__all__ = ["Plan", "PlanQuestion", "PlanStep", "make_plan", "planner"]
+__all__ = ["Plan", "PlanQuestion", "PlanStep", "make_plan", "planner", "planner_names"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +75,11 @@
     return register
 
 
+def planner_names() -> list[str]:
+    """Return the names that a catalogue may give."""
+    return sorted(_PLANNERS)
+
+
 def make_plan(name: str, question: PlanQuestion, evidence: Evidence) -> Plan:
     """Return the plan of the planner of that name.
 
--- a/radishshift/catalogue.py
+++ b/radishshift/catalogue.py
@@ -37,6 +37,29 @@
         """Tell whether a session that has the version may go on with it."""
         return self.takes_new_sessions or self is VersionState.RETIRING
 
+    @property
+    def next_states(self) -> tuple["VersionState", ...]:
+        """Return the states that a version may go to from this one."""
+        return _NEXT_STATES[self]
+
+
+_NEXT_STATES = {
+    VersionState.PROPOSED: (VersionState.CANARY, VersionState.WITHDRAWN),
+    VersionState.CANARY: (
+        VersionState.SERVING,
+        VersionState.HELD,
+        VersionState.WITHDRAWN,
+    ),
+    VersionState.SERVING: (
+        VersionState.RETIRING,
+        VersionState.HELD,
+        VersionState.WITHDRAWN,
+    ),
+    VersionState.RETIRING: (VersionState.SERVING, VersionState.WITHDRAWN),
+    VersionState.HELD: (VersionState.CANARY, VersionState.WITHDRAWN),
+    VersionState.WITHDRAWN: (),
+}
+
 
 @dataclass(frozen=True, slots=True)
 class ModelVersion:
--- /dev/null
+++ b/radishshift/catalogue_checks.py
@@ -0,0 +1,87 @@
+"""Checks across the entries of a catalogue that no single entry can show."""
+
+from collections.abc import Callable, Iterator
+
+from radishshift.balance import balancer_names
+from radishshift.cascade import planner_names
+from radishshift.catalogue import Catalogue, VersionState
+
+__all__ = ["cross_problems"]
+
+Check = Callable[[Catalogue], Iterator[str]]
+
+_CHECKS: list[Check] = []
+
+
+def _check(func: Check) -> Check:
+    _CHECKS.append(func)
+    return func
+
+
+def cross_problems(catalogue: Catalogue) -> list[str]:
+    """Return what does not fit together, each with the entry it is about."""
+    return [problem for check in _CHECKS for problem in check(catalogue)]
+
+
+@_check
+def _allowed_names_exist(catalogue: Catalogue) -> Iterator[str]:
+    models = {version.model for version in catalogue.versions.values()}
+    known = models | set(catalogue.versions) | set(catalogue.services)
+    for contract in catalogue.contracts.values():
+        for name in sorted(contract.allowed - known):
+            yield f"{contract.customer}.allowed: no model, version or service {name}"
+
+
+@_check
+def _task_classes_exist(catalogue: Catalogue) -> Iterator[str]:
+    for contract in catalogue.contracts.values():
+        for name in sorted({contract.default_class, *contract.quality}):
+            if name not in catalogue.classes:
+                yield f"{contract.customer}: no task class {name}"
+    for service in catalogue.services.values():
+        if service.task_class not in catalogue.classes:
+            yield f"{service.name}.taskClass: no task class {service.task_class}"
+
+
+@_check
+def _floors_are_below_targets(catalogue: Catalogue) -> Iterator[str]:
+    for contract in catalogue.contracts.values():
+        for name, quality in contract.quality.items():
+            if quality.floor > quality.target:
+                yield f"{contract.customer}.quality.{name}: floor is above target"
+
+
+@_check
+def _keys_belong_to_one_customer(catalogue: Catalogue) -> Iterator[str]:
+    owners: dict[str, str] = {}
+    for contract in catalogue.contracts.values():
+        for digest in contract.key_digests:
+            owner = owners.setdefault(digest, contract.customer)
+            if owner != contract.customer:
+                yield f"{contract.customer}.keyDigests: a key is {owner}'s too"
+
+
+@_check
+def _versions_are_named_after_their_model(catalogue: Catalogue) -> Iterator[str]:
+    for version in catalogue.versions.values():
+        if not version.name.startswith(version.model + "."):
+            yield f"{version.name}: the name must be `{version.model}.VERSION`"
+
+
+@_check
+def _canaries_have_a_stable_version(catalogue: Catalogue) -> Iterator[str]:
+    for version in catalogue.versions.values():
+        if version.state is not VersionState.CANARY:
+            continue
+        stable = catalogue.versions.get(version.stable)
+        if stable is None or stable.model != version.model:
+            yield f"{version.name}.stable: must name a version of {version.model}"
+
+
+@_check
+def _policies_are_registered(catalogue: Catalogue) -> Iterator[str]:
+    policies = catalogue.policies
+    if policies.planner not in planner_names():
+        yield f"planner: no planner {policies.planner}"
+    if policies.balancer not in balancer_names():
+        yield f"balancer: no balancer {policies.balancer}"
--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -20,6 +20,7 @@
     "InProgressError",
     "InternalError",
     "LimitError",
+    "LostRaceError",
     "NoEndpointError",
     "NotAllowedError",
     "NotFoundError",
@@ -145,6 +146,28 @@
     kind = "invalid_request_error"
 
 
+class LostRaceError(RadishshiftError):
+    """An operator's write came after someone else's.
+
+    Parameters
+    ----------
+    message : str
+    writer : str
+        Who wrote first.
+    changes : list of str
+        How the two differ, key by key.
+    """
+
+    code = "lost-race"
+    status = 409
+    kind = "invalid_request_error"
+
+    def __init__(self, message: str, writer: str, changes: list[str]) -> None:
+        super().__init__(message)
+        self.writer = writer
+        self.changes = changes
+
+
 class InProgressError(RadishshiftError):
     """The same non-idempotent request is running now."""
 
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -1,6 +1,7 @@
 """The platform's object API: versions, conditional updates and watches."""
 
 import asyncio
+import copy
 from collections.abc import AsyncIterator
 from dataclasses import replace
 
@@ -175,7 +176,9 @@
 
     async def _store(self, change_type: ChangeType, item: StoredObject) -> StoredObject:
         self.revision += 1
-        stored = replace(item, revision=self.revision)
+        spec = copy.deepcopy(item.spec)
+        status = copy.deepcopy(item.status)
+        stored = replace(item, spec=spec, status=status, revision=self.revision)
         if change_type is ChangeType.DELETED:
             del self._items[item.kind][item.name]
         else:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,87 @@
+"""Tests of the operators' client as a script sees it."""
+
+import io
+import json
+import tempfile
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
+
+import json5
+from absl import flags
+
+from radishshift import cli
+from radishshift.listening import listening
+from radishshift.platform import MemoryPlatform
+from radishshift.standins.deployment import small_catalogue
+from radishshift.standins.platform import make_platform_app
+from tests.cases import TestCase
+
+VERSION = "farm-advice-large.v2"
+
+
+class CliTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        if "token_file" not in flags.FLAGS:
+            cli.define_flags()
+
+    async def _run(self, *args):
+        flags.FLAGS.unparse_flags()
+        rest = flags.FLAGS(["radishshift", *args])
+        return await cli.main(rest[1:])
+
+    async def test_a_version_is_added_promoted_and_withdrawn(self):
+        app = make_platform_app(MemoryPlatform())
+        path = self._file({**small_catalogue()[VERSION], "state": "proposed"})
+        async with listening(app) as url:
+            to = f"--platform={url}"
+            report = await self._run("add", VERSION, path, to)
+            self.assertEqual(cli.ExitCode.DONE, report.code)
+            report = await self._run("promote", VERSION, "--to=serving", to)
+            self.assertEqual(cli.ExitCode.INVALID, report.code)
+            report = await self._run("promote", VERSION, "--to=canary", to)
+            self.assertEqual("canary", report.value[0]["spec"]["state"])
+            report = await self._run("withdraw", VERSION, to)
+            self.assertEqual(cli.ExitCode.DONE, report.code)
+            report = await self._run("show", VERSION, to)
+            self.assertIn("withdrawn", report.text)
+            report = await self._run("show", "no-such-entry", to)
+            self.assertEqual(cli.ExitCode.NOT_FOUND, report.code)
+
+    async def test_diff_exits_with_its_own_code(self):
+        app = make_platform_app(MemoryPlatform())
+        path = self._file({"entries": small_catalogue()})
+        async with listening(app) as url:
+            to = f"--platform={url}"
+            report = await self._run("diff", path, to)
+            self.assertEqual(cli.ExitCode.DIFFERENCES, report.code)
+            await self._run("apply", path, to)
+            report = await self._run("diff", path, to)
+            self.assertEqual(cli.ExitCode.DONE, report.code)
+
+    async def test_a_platform_out_of_reach_has_its_own_code(self):
+        report = await self._run("show", "--platform=http://127.0.0.1:9")
+        self.assertEqual(cli.ExitCode.UNAVAILABLE, report.code)
+
+    async def test_check_lists_all_problems(self):
+        specs = small_catalogue()
+        specs["uyole-ring"]["weight"] = -1
+        specs["booking"]["deadlineMs"] = 3
+        report = await self._run("check", self._file({"entries": specs}))
+        self.assertEqual(cli.ExitCode.INVALID, report.code)
+        self.assertEqual(2, len(report.value["problems"]))
+
+    def test_the_script_exits_with_the_code_and_prints_json(self):
+        out, err = io.StringIO(), io.StringIO()
+        flags.FLAGS(["radishshift", "--output=json"])
+        with redirect_stdout(out), redirect_stderr(err):
+            exc = self.assertRaises(SystemExit, cli._main, ["", "check", "none.json"])
+        self.assertEqual(cli.ExitCode.INVALID, exc.code)
+        self.assertEqual("bad-settings", json.loads(out.getvalue())["error"])
+
+    def _file(self, values):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "file.jsonc"
+        path.write_text(json5.dumps(values), encoding="utf-8")
+        return str(path)
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,124 @@
+"""Tests of what operators do, and of the client over it."""
+
+from dataclasses import replace
+
+from radishshift.catalogue import VersionState
+from radishshift.errors import (
+    BadRequestError,
+    LostRaceError,
+    PlatformUnavailableError,
+    SettingsError,
+)
+from radishshift.objects import Kind, StoredObject
+from radishshift.operators import (
+    DifferenceType,
+    add_entry,
+    apply_catalogue,
+    check_catalogue,
+    diff_catalogue,
+    move_version,
+)
+from radishshift.platform import MemoryPlatform
+from radishshift.standins.deployment import small_catalogue
+from radishshift.verdicts import Verdict
+from tests.cases import TestCase
+
+VERSION = "farm-advice-large.v2"
+
+
+class _LosesReplies(MemoryPlatform):
+    async def update(self, item):
+        await super().update(item)
+        raise PlatformUnavailableError("reply lost", verdict=Verdict.MAY_HAVE_RUN)
+
+
+class CheckTest(TestCase):
+    def test_the_small_catalogue_is_valid(self):
+        check_catalogue(small_catalogue())
+
+    def test_every_problem_is_listed(self):
+        specs = small_catalogue()
+        specs["uyole-ring"]["allowed"] = ["no-such-model"]
+        specs["booking-desk"]["taskClass"] = "no-such-class"
+        specs["policies"]["planner"] = "no-such-planner"
+        exc = self.assertRaises(SettingsError, check_catalogue, specs)
+        self.assertEqual(3, len(exc.problems))
+
+
+class ApplyTest(TestCase):
+    async def test_apply_then_diff_is_empty(self):
+        platform = MemoryPlatform()
+        specs = small_catalogue()
+        await apply_catalogue(platform, await diff_catalogue(platform, specs))
+        self.assertEqual([], await diff_catalogue(platform, specs))
+
+    async def test_a_lost_race_names_the_writer_and_writes_nothing_over(self):
+        """Two operators read one entry; the second write must not win silently."""
+        platform = MemoryPlatform()
+        specs = small_catalogue()
+        await apply_catalogue(platform, await diff_catalogue(platform, specs))
+        specs["uyole-ring"]["weight"] = 2.0
+        differences = await diff_catalogue(platform, specs)
+        held = await platform.get(Kind.ENTRY, "uyole-ring")
+        theirs = replace(held, spec={**held.spec, "weight": 3.0}, writer="neema")
+        await platform.update(theirs)
+        exc = await self.assert_raises_async(
+            LostRaceError, apply_catalogue(platform, differences)
+        )
+        self.assertEqual("neema", exc.writer)
+        self.assertEqual(["weight: theirs 3.0, yours 2.0"], exc.changes)
+        held = await platform.get(Kind.ENTRY, "uyole-ring")
+        self.assertEqual(3.0, held.spec["weight"])
+
+    async def test_what_a_file_lacks_is_kept_unless_pruned(self):
+        platform = MemoryPlatform()
+        specs = small_catalogue()
+        await apply_catalogue(platform, await diff_catalogue(platform, specs))
+        del specs["igurusi-ring"]
+        differences = await diff_catalogue(platform, specs)
+        self.assertEqual([DifferenceType.REMOVED], [d.type for d in differences])
+        await apply_catalogue(platform, differences)
+        self.assertEqual(1, len(await diff_catalogue(platform, specs)))
+        await apply_catalogue(platform, differences, prune=True)
+        self.assertEqual([], await diff_catalogue(platform, specs))
+
+
+class MoveVersionTest(TestCase):
+    async def _platform(self, platform=None):
+        platform = platform or MemoryPlatform()
+        spec = {**small_catalogue()[VERSION], "state": "proposed"}
+        await platform.create(StoredObject(Kind.ENTRY, VERSION, spec))
+        return platform
+
+    async def test_a_step_may_not_be_skipped(self):
+        platform = await self._platform()
+        await self.assert_raises_async(
+            BadRequestError, move_version(platform, VERSION, VersionState.SERVING)
+        )
+
+    async def test_the_same_step_twice_is_taken_once(self):
+        platform = await self._platform()
+        first = await move_version(platform, VERSION, VersionState.CANARY, 0.1)
+        second = await move_version(platform, VERSION, VersionState.CANARY, 0.1)
+        self.assertEqual(first.revision, second.revision)
+
+    async def test_a_lost_reply_is_settled_by_reading_back(self):
+        """The write took effect, its reply was lost: the step counts as taken."""
+        platform = await self._platform(_LosesReplies())
+        stored = await move_version(platform, VERSION, VersionState.CANARY, 0.1)
+        self.assertEqual("canary", stored.spec["state"])
+
+    async def test_a_withdrawn_version_stays_withdrawn(self):
+        platform = await self._platform()
+        await move_version(platform, VERSION, VersionState.WITHDRAWN)
+        await self.assert_raises_async(
+            BadRequestError, move_version(platform, VERSION, VersionState.CANARY)
+        )
+
+    async def test_adding_a_name_that_is_taken_is_a_lost_race(self):
+        platform = await self._platform()
+        spec = small_catalogue()[VERSION]
+        exc = await self.assert_raises_async(
+            LostRaceError, add_entry(platform, VERSION, spec)
+        )
+        self.assertEqual(['state: theirs "proposed", yours "serving"'], exc.changes)
