Claim calls in sharded objects with group commit

Cause: a claim was an object of its own, its lost write reply left the call stuck, its record was never retried, and nothing was ever trimmed. Change: claims lie in 16 shards, a head and sealed segments; changes share one conditional update; conflicts and lost replies are settled by reading back the try's token; a usual writer by rendezvous rank; unknown results are recorded; the deadline is checked before dispatch and bounds the call; the verdict of a refusal is the worst of its attempts.

--- a/radishshift/claim_shards.py
+++ b/radishshift/claim_shards.py
@@ -29,7 +29,7 @@
     "TakeOp",
 ]
 
-RESULT_BYTES_MAX = 4_096
+RESULT_BYTES_MAX = 2_048
 
 
 class ClaimState(enum.StrEnum):
--- a/radishshift/claim_writer.py
+++ b/radishshift/claim_writer.py
@@ -4,13 +4,13 @@
 import random
 
 import logbook
-import msgspec
 
 from radishshift.claim_shards import ClaimRecord, ClaimShard, ShardOp, TakeOp
 from radishshift.clocks import Clock
 from radishshift.errors import (
     AlreadyExistsError,
     ConflictError,
+    InternalError,
     NotFoundError,
     OverloadedError,
     PlatformUnavailableError,
@@ -22,8 +22,9 @@
 
 __all__ = ["ShardWriter"]
 
-HEAD_BYTES = 32_768
-SHARD_BYTES_MAX = 900_000
+HEAD_CLAIMS = 128
+HEAD_CLAIMS_MAX = 3_000
+COMMIT_CHANGES_MAX = 100
 COMMIT_TRIES = 12
 CONFLICT_PAUSE_S = 0.01
 RETRY_S = 1.0
@@ -107,14 +108,13 @@
     async def _run(self) -> None:
         while self._takes or self._endings:
             await self._pause()
-            takes = [op for op in self._takes if not op.done.done()]
-            self._takes = []
-            endings = self._live_endings()
+            endings = self._live_endings()[:COMMIT_CHANGES_MAX]
+            takes = self._next_takes(COMMIT_CHANGES_MAX - len(endings))
             self._next_write = self._clock.now() + self._pace_s
             try:
                 shard = await self._commit([*endings, *takes])
-            except RadishshiftError as exc:
-                self._fail(takes, endings, exc)
+            except Exception as exc:
+                self._fail(takes, endings, _typed(exc))
                 self._retry_at = self._clock.now() + RETRY_S
                 continue
             self._endings = [op for op in self._endings if op not in endings]
@@ -137,6 +137,11 @@
                 timer.cancel()
                 came.cancel()
 
+    def _next_takes(self, room: int) -> list[ShardOp]:
+        waiting = [op for op in self._takes if not op.done.done()]
+        self._takes = waiting[room:]
+        return waiting[:room]
+
     def _live_endings(self) -> list[ShardOp]:
         now = self._clock.now()
         expired = [op for op in self._endings if op.record.expires <= now]
@@ -247,15 +252,14 @@
         return shard
 
     async def _seal(self, shard: ClaimShard, now: float) -> None:
-        size = len(msgspec.json.encode(shard.head().spec))
-        if size <= HEAD_BYTES:
+        if len(shard.claims) <= HEAD_CLAIMS:
             return
         name = f"{self._name}.{self._token_prefix}.{self.writes}"
         segment = shard.seal(name, now)
         if segment is not None:
             self.writes += 1
             await self._platform.create(segment)
-        elif size > SHARD_BYTES_MAX:
+        elif len(shard.claims) > HEAD_CLAIMS_MAX:
             raise OverloadedError(
                 "the shard of claims is full", retry_after_s=PLATFORM_RETRY_AFTER_S
             )
@@ -266,3 +270,10 @@
             await self._platform.delete(Kind.CLAIM_SHARD, name, held.revision)
         except RadishshiftError as exc:
             logger.warning("segment {} was left behind: {}", name, exc.message)
+
+
+def _typed(exc: Exception) -> RadishshiftError:
+    if isinstance(exc, RadishshiftError):
+        return exc
+    logger.exception("a shard of claims could not be read or written")
+    return InternalError("claims can't be kept", verdict=Verdict.NOT_RUN)
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -89,7 +89,7 @@
             session, cfg.platform.address, cfg.name, cfg.platform.call_timeout_s
         )
         configuration = Configuration(clock)
-        process = f"{cfg.name}-{int(clock.now() * 1000)}"
+        process = f"{cfg.name}-{peers.me.incarnation}"
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
@@ -97,8 +97,8 @@
             engines=HttpEngineClient(
                 session, cfg.times.connect_s, cfg.times.stream_idle_s
             ),
-            claims=Claims(platform, clock, process),
-            biller=Biller(platform, cfg.name, int(clock.now() * 1000)),
+            claims=Claims(platform, clock, process, peers),
+            biller=Biller(platform, cfg.name, peers.me.incarnation),
             answers=Answers(cfg.bounds.answers_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
             admission=Admission(cfg.bounds.requests),
--- a/tests/cases.py
+++ b/tests/cases.py
@@ -6,13 +6,15 @@
 
 import testtools
 
-__all__ = ["TestCase"]
+from radishshift.virtual_time import run_virtually
+
+__all__ = ["TestCase", "VirtualTestCase"]
 
 
 def _run_to_end(method):
     @functools.wraps(method)
     def run(self):
-        asyncio.run(method(self))
+        self.run_coroutine(method(self))
 
     return run
 
@@ -20,6 +22,8 @@
 class TestCase(testtools.TestCase):
     """A test case; each coroutine test runs on a loop of its own."""
 
+    run_coroutine = staticmethod(asyncio.run)
+
     def __init_subclass__(cls) -> None:
         super().__init_subclass__()
         for name, method in list(vars(cls).items()):
@@ -33,3 +37,9 @@
         except expected as exc:
             return exc
         return self.fail(f"{expected.__name__} was not raised")
+
+
+class VirtualTestCase(TestCase):
+    """A test case whose coroutine tests run in virtual time, without sockets."""
+
+    run_coroutine = staticmethod(run_virtually)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,179 @@
+"""Tests that a claimed call runs at most once and its result is kept."""
+
+import asyncio
+
+from radishshift import claim_writer
+from radishshift.engines import ServiceReply
+from radishshift.errors import (
+    BadRequestError,
+    DeadlineError,
+    InProgressError,
+    PlatformUnavailableError,
+    ResultLostError,
+)
+from radishshift.verdicts import Verdict
+from tests.cases import VirtualTestCase
+from tests.holding import CLOCK, REPLY, Fleet, booking
+
+
+async def sleep(seconds):
+    await CLOCK.sleep_until(CLOCK.now() + seconds)
+
+
+class ClaimsTest(VirtualTestCase):
+    async def test_a_resend_through_any_host_gets_the_recorded_answer(self):
+        fleet = Fleet()
+        claim = await fleet.claims["mbeya-1"].claim(booking())
+        self.assertIsNone(claim.recorded)
+        await fleet.claims["mbeya-1"].record(claim, REPLY)
+        for claims in fleet.claims.values():
+            self.assertEqual(REPLY, (await claims.claim(booking())).recorded)
+
+    async def test_a_resend_while_the_call_runs_is_told_when_to_come_back(self):
+        fleet = Fleet()
+        await fleet.claims["mbeya-1"].claim(booking())
+        for claims in fleet.claims.values():
+            exc = await self.assert_raises_async(
+                InProgressError, claims.claim(booking())
+            )
+            self.assertIs(Verdict.MAY_HAVE_RUN, exc.verdict)
+            self.assertGreater(exc.retry_after_s, 0)
+
+    async def test_after_the_runner_died_the_result_is_unknown_and_never_run_again(
+        self,
+    ):
+        fleet = Fleet()
+        call = booking()
+        claim = await fleet.claims["mbeya-1"].claim(call)
+        await sleep(21.0)
+        exc = await self.assert_raises_async(
+            ResultLostError, fleet.claims["iringa-1"].claim(booking())
+        )
+        self.assertIs(Verdict.MAY_HAVE_RUN, exc.verdict)
+        exc = self.assertRaises(DeadlineError, claim.check, CLOCK.now())
+        self.assertIs(Verdict.NOT_RUN, exc.verdict)
+
+    async def test_the_same_key_at_every_host_at_once_is_run_by_one(self):
+        for cut in (False, True):
+            fleet = Fleet()
+            if cut:
+                fleet.claims["iringa-1"]._peers.cut = {"mbeya-1", "mbeya-2"}
+            tries = [claims.claim(booking()) for claims in fleet.claims.values()]
+            results = await asyncio.gather(*tries, return_exceptions=True)
+            errors = [item for item in results if isinstance(item, Exception)]
+            self.assertEqual(2, len(errors))
+            for error in errors:
+                self.assertIsInstance(error, InProgressError)
+
+    async def test_a_claim_whose_write_reply_is_lost_is_found_by_reading_back(self):
+        fleet = Fleet()
+        fleet.fault(lost_replies=1)
+        await fleet.claims["mbeya-1"].claim(booking())
+        await self.assert_raises_async(
+            InProgressError, fleet.claims["mbeya-2"].claim(booking())
+        )
+
+    async def test_with_the_platform_away_the_refusal_is_prompt_and_true(self):
+        fleet = Fleet()
+        fleet.fault(down=True)
+        began = CLOCK.now()
+        for claims in fleet.claims.values():
+            exc = await self.assert_raises_async(
+                PlatformUnavailableError, claims.claim(booking())
+            )
+            self.assertIs(Verdict.NOT_RUN, exc.verdict)
+            self.assertIsNotNone(exc.retry_after_s)
+        self.assertLess(CLOCK.now() - began, 1.0)
+        fleet.fault(down=False)
+        await fleet.claims["mbeya-1"].claim(booking())
+
+    async def test_a_claim_that_was_refused_after_a_lost_reply_is_given_up(self):
+        """The claim took effect, its caller was told not-run: no one runs it."""
+        fleet = Fleet("mbeya-1")
+        way = fleet.ways["mbeya-1"]
+        claims = fleet.claims["mbeya-1"]
+        way.faults.slow_s = 5.0
+        way.faults.lost_replies = 100
+        call = booking()
+        call.deadline = CLOCK.now() + 11.0
+        await self.assert_raises_async(DeadlineError, claims.claim(call))
+        way.faults.lost_replies = 0
+        await sleep(60.0)
+        self.assertEqual(0, claims.backlog)
+        self.assertIsNone((await claims.claim(booking())).recorded)
+
+    async def test_a_key_used_for_another_call_is_refused(self):
+        fleet = Fleet()
+        await fleet.claims["mbeya-1"].claim(booking())
+        await self.assert_raises_async(
+            BadRequestError, fleet.claims["mbeya-2"].claim(booking(body=b"plough-1"))
+        )
+
+    async def test_a_released_claim_can_be_taken_again(self):
+        fleet = Fleet()
+        claim = await fleet.claims["mbeya-1"].claim(booking())
+        await fleet.claims["mbeya-1"].release(claim)
+        await fleet.claims["iringa-1"].claim(booking())
+
+    async def test_an_unknown_result_is_told_at_once(self):
+        fleet = Fleet()
+        claim = await fleet.claims["mbeya-1"].claim(booking())
+        await fleet.claims["mbeya-1"].lose(claim)
+        await self.assert_raises_async(
+            ResultLostError, fleet.claims["mbeya-2"].claim(booking())
+        )
+
+    async def test_a_record_that_fails_is_written_when_the_platform_is_back(self):
+        fleet = Fleet()
+        claims = fleet.claims["mbeya-1"]
+        claim = await claims.claim(booking())
+        fleet.fault(down=True)
+        began = CLOCK.now()
+        await claims.record(claim, REPLY)
+        self.assertLess(CLOCK.now() - began, 1.0)
+        await sleep(300.0)
+        fleet.fault(down=False)
+        await sleep(5.0)
+        again = await fleet.claims["iringa-1"].claim(booking())
+        self.assertEqual(REPLY, again.recorded)
+
+    async def test_the_host_that_ran_a_call_answers_a_resend_in_an_outage(self):
+        fleet = Fleet("mbeya-1")
+        claims = fleet.claims["mbeya-1"]
+        claim = await claims.claim(booking())
+        fleet.fault(down=True)
+        await claims.record(claim, REPLY)
+        self.assertEqual(REPLY, (await claims.claim(booking())).recorded)
+
+    async def test_a_result_over_the_bound_is_kept_as_its_digest(self):
+        fleet = Fleet()
+        claim = await fleet.claims["mbeya-1"].claim(booking())
+        long_reply = ServiceReply(200, "text/plain", b"x" * 100_000)
+        await fleet.claims["mbeya-1"].record(claim, long_reply)
+        exc = await self.assert_raises_async(
+            ResultLostError, fleet.claims["mbeya-2"].claim(booking())
+        )
+        self.assertIs(Verdict.RAN, exc.verdict)
+
+    async def test_many_claims_share_writes_and_survive_sealing_and_trimming(self):
+        self.patch(claim_writer, "HEAD_CLAIMS", 16)
+        fleet = Fleet()
+        claims = fleet.claims["mbeya-1"]
+        calls = [booking(f"key-{number}") for number in range(600)]
+        held = await asyncio.gather(*(claims.claim(call) for call in calls))
+        self.assertLess(fleet.platform.writes, 60)
+        await asyncio.gather(*(claims.record(claim, REPLY) for claim in held))
+        self.assertLess(max(len(str(item.spec)) for item in _objects(fleet)), 1e6)
+        fresh = Fleet("njombe-1")
+        fresh.ways["njombe-1"].inner = fleet.platform
+        again = await fresh.claims["njombe-1"].claim(booking("key-7"))
+        self.assertEqual(REPLY, again.recorded)
+        await sleep(3700.0)
+        more = [claims.claim(booking(f"late-{number}")) for number in range(100)]
+        await asyncio.gather(*more)
+        sizes = [len(str(item.spec)) for item in _objects(fleet)]
+        self.assertLess(sum(sizes), 30_000)
+
+
+def _objects(fleet):
+    return [item for items in fleet.platform._items.values() for item in items.values()]
