Follow the configuration from two watchers and the rest from peers

Every host listed and watched the platform, so watches grew with the hosts, a host could not start while the platform was away, and one bad entry stopped all. Tables of objects are now joined: the order of sources does not matter and no object goes back. Two hosts a data centre watch, by rendezvous rank; the rest compare a digest on heartbeats and ask for what they lack. A data centre's object holds each host's confirmed revision, which in_force reads.

--- a/radishshift/configuration.py
+++ b/radishshift/configuration.py
@@ -1,94 +1,224 @@
-"""The configuration in force at a host, followed from the platform."""
+"""The configuration in force at a host.
+
+It is joined from the platform and from peers, and never reverts; see `object_table`.
+An entry that is not valid stops no other: its last valid form stays in force and the
+reason is reported.
+"""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import logbook
+import msgspec
 
-from radishshift.catalogue import Catalogue
+from radishshift.catalogue import Catalogue, VersionState
 from radishshift.clocks import Clock
-from radishshift.errors import RadishshiftError
-from radishshift.manifests import build_catalogue
-from radishshift.objects import ChangeType, Kind, StoredObject
+from radishshift.errors import RadishshiftError, SettingsError
+from radishshift.manifests import build_catalogue, read_endpoint, read_entry
+from radishshift.object_table import Head, ObjectTable, TableDelta
+from radishshift.objects import ChangeType, Kind, Listing, ObjectChange, StoredObject
 from radishshift.platform import Platform
+from radishshift.watching import follow_kind
 
-__all__ = ["Configuration"]
+__all__ = ["CONFIGURATION_KINDS", "Configuration", "ConfigurationDelta"]
 
-CONFIGURATION_KINDS = (Kind.ENTRY, Kind.ENDPOINT)
-RETRY_S = 1.0
+CONFIGURATION_KINDS = (Kind.ENTRY, Kind.ENDPOINT, Kind.HOST)
+CANARY_CONFIRMED_WITHIN_S = 60.0
 
 logger = logbook.Logger("configuration")
 
 
+class ConfigurationDelta(msgspec.Struct, array_like=True):
+    """What one host's configuration has and another's lacks.
+
+    Attributes
+    ----------
+    tables : list of TableDelta
+        In the order of `CONFIGURATION_KINDS`.
+    last_valid : list
+        Last valid form of entries whose newest is not valid, each
+        `[kind, name, revision, spec]`.
+    """
+
+    tables: list[TableDelta]
+    last_valid: list[tuple[str, str, int, dict]] = []
+
+
 class Configuration:
-    """Entries and endpoints, each at the highest revision seen.
+    """Entries, endpoints and hosts, each at the highest revision seen.
 
     Parameters
     ----------
     clock : Clock
+
+    Attributes
+    ----------
+    catalogue : Catalogue
+    confirmed_at : float
+        Latest instant at which the platform is known to have had nothing newer.
+    rejected : dict
+        Why the newest form of an entry is not in force, by kind and name.
+    listeners : list of callable
+        Called with each new catalogue.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.catalogue = Catalogue()
         self.confirmed_at = 0.0
+        self.rejected: dict[tuple[Kind, str], str] = {}
         self.listeners: list[Callable[[Catalogue], None]] = []
+        self.tables = {kind: ObjectTable(kind) for kind in CONFIGURATION_KINDS}
         self._clock = clock
-        self._items: dict[tuple[Kind, str], StoredObject] = {}
-        self._deleted: dict[tuple[Kind, str], int] = {}
+        self._valid: dict[tuple[Kind, str], StoredObject] = {}
+        self._cautious = False
+
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which catalogue entries are in force."""
+        return self.tables[Kind.ENTRY].head.complete
+
+    def heads(self) -> list[Head]:
+        """Return the heads of the tables, in the order of the kinds."""
+        return [table.head for table in self.tables.values()]
+
+    def hosts(self) -> list[StoredObject]:
+        """Return the platform's list of hosts."""
+        return list(self.tables[Kind.HOST].items.values())
 
-    def take(self, items: list[StoredObject], deleted: list[StoredObject]) -> None:
+    def take(
+        self, items: Iterable[StoredObject], deleted: Iterable[StoredObject]
+    ) -> None:
         """Take changed and deleted objects; older ones than held do nothing."""
-        changed = False
-        for item in items:
-            changed |= self._take_one(item)
+        changed = [self.tables[item.kind].take(item) for item in items]
         for item in deleted:
-            changed |= self._drop_one(item)
-        if not changed:
-            return
-        revisions = [item.revision for item in self._items.values()]
-        revision = max([*revisions, *self._deleted.values()])
-        self.catalogue = build_catalogue(revision, self._items.values())
-        for listener in self.listeners:
-            listener(self.catalogue)
+            changed.append(self.tables[item.kind].drop(item.name, item.revision))
+        self._after(any(changed))
+
+    def take_listing(self, kind: Kind, listing: Listing) -> None:
+        """Take all objects of a kind as the platform holds them."""
+        table = self.tables[kind]
+        if listing.revision < table.head.complete:
+            logger.warning(
+                "the platform lists {} at {}, older than {} in force",
+                kind,
+                listing.revision,
+                table.head.complete,
+            )
+        self._after(table.take_listing(listing))
+        self.confirm(self._clock.now())
 
-    def _take_one(self, item: StoredObject) -> bool:
-        key = (item.kind, item.name)
-        held = self._items.get(key)
-        if held is not None and held.revision >= item.revision:
-            return False
-        if self._deleted.get(key, 0) >= item.revision:
-            return False
-        self._items[key] = item
-        return True
-
-    def _drop_one(self, item: StoredObject) -> bool:
-        key = (item.kind, item.name)
-        if self._deleted.get(key, 0) >= item.revision:
-            return False
-        self._deleted[key] = item.revision
-        held = self._items.get(key)
-        if held is not None and held.revision < item.revision:
-            del self._items[key]
-        return True
+    def take_change(self, change: ObjectChange) -> None:
+        """Take an event of a watch."""
+        if change.type is ChangeType.DELETED:
+            self.take([], [change.item])
+        elif change.type is not ChangeType.BOOKMARK:
+            self.take([change.item], [])
+        self.confirm(self._clock.now())
+
+    def delta(self, heads: list[Head], whole: bool = False) -> ConfigurationDelta:
+        """Return what a configuration with these heads lacks."""
+        tables = [
+            table.delta(head, whole)
+            for table, head in zip(self.tables.values(), heads, strict=True)
+        ]
+        last_valid = []
+        for kind, name in self.rejected:
+            item = self._valid.get((kind, name))
+            if item is not None:
+                last_valid.append((kind.value, name, item.revision, item.spec))
+        return ConfigurationDelta(tables, last_valid)
+
+    def merge(self, delta: ConfigurationDelta) -> bool:
+        """Join another host's delta; return whether both are now equal."""
+        for kind, name, revision, spec in delta.last_valid:
+            item = StoredObject(Kind(kind), name, spec, {}, revision)
+            self._valid.setdefault((item.kind, name), item)
+        pairs = list(zip(self.tables.values(), delta.tables, strict=True))
+        changed = [table.merge(part) for table, part in pairs]
+        self._after(any(changed))
+        return all(table.head == part.head for table, part in pairs)
+
+    def confirm(self, instant: float) -> None:
+        """Note that the platform had nothing newer at an instant."""
+        self.confirmed_at = max(self.confirmed_at, instant)
+
+    def check_age(self) -> None:
+        """Take canary versions from new sessions while the platform is out of reach.
+
+        A version under roll-out is the one most likely to be withdrawn meanwhile.
+        """
+        age_s = self._clock.now() - self.confirmed_at
+        cautious = age_s > CANARY_CONFIRMED_WITHIN_S
+        if cautious is not self._cautious:
+            self._cautious = cautious
+            self._rebuild()
 
     async def follow(self, platform: Platform) -> None:
         """Follow the platform until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             for kind in CONFIGURATION_KINDS:
-                tasks.create_task(self._follow_kind(platform, kind))
+                tasks.create_task(self.follow_kind(platform, kind))
 
-    async def _follow_kind(self, platform: Platform, kind: Kind) -> None:
-        while True:
+    async def follow_kind(self, platform: Platform, kind: Kind) -> None:
+        """Follow one kind at the platform until cancelled."""
+        async for news in follow_kind(platform, kind, self._clock):
             try:
-                listing = await platform.list_all(kind)
-                self.take(list(listing.items), [])
-                self.confirmed_at = self._clock.now()
-                async for change in platform.watch(kind, listing.revision):
-                    if change.type is ChangeType.DELETED:
-                        self.take([], [change.item])
-                    elif change.type is not ChangeType.BOOKMARK:
-                        self.take([change.item], [])
-                    self.confirmed_at = self._clock.now()
+                if isinstance(news, Listing):
+                    self.take_listing(kind, news)
+                else:
+                    self.take_change(news)
             except RadishshiftError as exc:
-                logger.warning("following {} failed: {}", kind, exc.message)
-                await self._clock.sleep_until(self._clock.now() + RETRY_S)
+                logger.error("{} could not be taken: {}", kind, exc.message)
+
+    def _after(self, changed: bool) -> None:
+        if changed:
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        valid = list(self._valid_items())
+        self._valid = {(item.kind, item.name): item for item in valid}
+        revision = max(
+            self.tables[Kind.ENTRY].head.complete,
+            self.tables[Kind.ENDPOINT].head.complete,
+        )
+        catalogue = build_catalogue(revision, valid)
+        self.catalogue = _without_canaries(catalogue) if self._cautious else catalogue
+        for listener in self.listeners:
+            listener(self.catalogue)
+
+    def _valid_items(self) -> Iterable[StoredObject]:
+        self.rejected = {}
+        for kind in (Kind.ENTRY, Kind.ENDPOINT):
+            for item in self.tables[kind].items.values():
+                key = (kind, item.name)
+                held = self._valid.get(key)
+                if held is not None and held.revision == item.revision:
+                    yield held
+                    continue
+                try:
+                    _validate(item)
+                except SettingsError as exc:
+                    self.rejected[key] = exc.message
+                    logger.error("{} {} is not valid: {}", kind, *key[1:], exc.message)
+                    if held is not None:
+                        yield held
+                    continue
+                yield item
+
+
+def _validate(item: StoredObject) -> None:
+    if item.kind is Kind.ENDPOINT:
+        read_endpoint(item.name, item.spec)
+    else:
+        read_entry(item.name, item.spec)
+
+
+def _without_canaries(catalogue: Catalogue) -> Catalogue:
+    versions = {
+        name: replace(version, state=VersionState.RETIRING)
+        if version.state is VersionState.CANARY
+        else version
+        for name, version in catalogue.versions.items()
+    }
+    return replace(catalogue, versions=versions)
--- a/radishshift/control.py
+++ b/radishshift/control.py
@@ -7,17 +7,22 @@
 import aiohttp
 
 from radishshift.clocks import Clock
+from radishshift.configuration import Configuration
+from radishshift.confirmations import ConfirmationWriter
+from radishshift.following import ConfigurationFollower
 from radishshift.hosts import Host
 from radishshift.http_peers import HttpPeers, make_peer_app
 from radishshift.listening import listening
 from radishshift.peer_messages import load_peer_keys
 from radishshift.peers import MemoryPeers, Peers
+from radishshift.platform import Platform
 from radishshift.settings import HostSettings
 
-__all__ = ["met_peers"]
+__all__ = ["controlled", "met_peers"]
 
 PEER_CONNECTIONS = 1_000
 CLOSE_S = 0.5
+MEET_S = 3.0
 
 
 def _me(cfg: HostSettings, clock: Clock) -> Host:
@@ -54,3 +59,24 @@
         finally:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+
+
+@asynccontextmanager
+async def controlled(
+    configuration: Configuration,
+    platform: Platform,
+    peers: Peers,
+    clock: Clock,
+    seeds: tuple[str, ...] = (),
+) -> AsyncIterator[ConfigurationFollower]:
+    """Follow the configuration and confirm it for as long as the context lasts."""
+    watch_at = clock.now() + MEET_S if seeds else 0.0
+    follower = ConfigurationFollower(configuration, platform, peers, clock, watch_at)
+    writer = ConfirmationWriter(platform, peers, follower, clock)
+    tasks = [asyncio.create_task(follower.run()), asyncio.create_task(writer.run())]
+    try:
+        yield follower
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -4,7 +4,7 @@
 import os
 import signal
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass
 
 import aiohttp
@@ -19,7 +19,7 @@
 from radishshift.claims import Claims
 from radishshift.clocks import Clock, SystemClock
 from radishshift.configuration import Configuration
-from radishshift.control import met_peers
+from radishshift.control import controlled, met_peers
 from radishshift.engines import HttpEngineClient
 from radishshift.errors import RadishshiftError
 from radishshift.http_platform import HttpPlatform
@@ -77,8 +77,15 @@
 
 
 @asynccontextmanager
-async def running(cfg: HostSettings) -> AsyncIterator[EntryHost]:
-    """Run an entry host for as long as the context lasts."""
+async def running(cfg: HostSettings, control: bool = True) -> AsyncIterator[EntryHost]:
+    """Run an entry host for as long as the context lasts.
+
+    Parameters
+    ----------
+    cfg : HostSettings
+    control : bool
+        Whether to follow the configuration and take up duties.
+    """
     clock = SystemClock()
     connector = aiohttp.TCPConnector(limit=0, force_close=False)
     async with (
@@ -104,7 +111,6 @@
             answer_kept_s=cfg.times.answer_kept_s,
         )
         tasks = [
-            asyncio.create_task(configuration.follow(platform)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
@@ -112,7 +118,14 @@
         caller_app = make_caller_app(router, cfg.bounds)
         _add_health(caller_app, router)
         address = cfg.address
-        async with listening(caller_app, address.ip, address.caller_port) as url:
+        async with AsyncExitStack() as stack:
+            if control:
+                following = controlled(
+                    configuration, platform, peers, clock, cfg.peers.seeds
+                )
+                await stack.enter_async_context(following)
+            site = listening(caller_app, address.ip, address.caller_port)
+            url = await stack.enter_async_context(site)
             host = EntryHost(cfg, router, url, peers)
             try:
                 yield host
--- a/radishshift/http_peers.py
+++ b/radishshift/http_peers.py
@@ -19,6 +19,7 @@
 from radishshift.errors import RadishshiftError
 from radishshift.hosts import Host
 from radishshift.membership import Membership
+from radishshift.objects import StoredObject
 from radishshift.peer_messages import PROOF_HEADER, Heartbeat, PeerKeys
 from radishshift.peers import Peers, PeerUnavailableError
 from radishshift.verdicts import Verdict
@@ -89,6 +90,10 @@
         self.membership.listen_at(address, self._clock.now())
         self.me = self.membership.me
 
+    def take_list(self, items: list[StoredObject], now: float) -> None:
+        """Take the platform's list of hosts."""
+        self.membership.take_list(items, now)
+
     def hurry(self) -> None:
         """Send the next heartbeats soon, because there is news."""
         for task in self._tasks.values():
@@ -97,6 +102,7 @@
     async def leave(self) -> None:
         """Tell the peers that this host is leaving."""
         self.membership.leave(self._clock.now())
+        self.me = self.membership.me
         targets = self.membership.targets()
         await asyncio.gather(*(self._beat(host) for host in targets))
 
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -25,6 +25,7 @@
     TaskClass,
 )
 from radishshift.endpoints import Endpoint, EndpointState
+from radishshift.hosts import HostState
 from radishshift.objects import Kind, StoredObject
 from radishshift.validation import validated
 
@@ -33,12 +34,14 @@
     "CustomerSpec",
     "EndpointSpec",
     "EntrySpec",
+    "HostSpec",
     "PolicySpec",
     "ServiceSpec",
     "VersionSpec",
     "build_catalogue",
     "read_endpoint",
     "read_entry",
+    "read_host",
 ]
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -248,6 +251,15 @@
         )
 
 
+class HostSpec(Manifest, frozen=True, kw_only=True):
+    """An entry host in the platform's list; see `hosts.Host`."""
+
+    data_centre: Name
+    region: str
+    peer_address: str
+    state: HostState = HostState.LIVE
+
+
 EntrySpec = VersionSpec | ServiceSpec | CustomerSpec | ClassSpec | PolicySpec
 
 
@@ -271,6 +283,16 @@
     return validated(spec, EndpointSpec, name)
 
 
+def read_host(name: str, spec: dict[str, Any]) -> HostSpec:
+    """Validate the spec of an entry host.
+
+    Raises
+    ------
+    SettingsError
+    """
+    return validated(spec, HostSpec, name)
+
+
 def build_catalogue(revision: int, items: Iterable[StoredObject]) -> Catalogue:
     """Return the catalogue that a set of entries and endpoints makes.
 
--- a/radishshift/membership.py
+++ b/radishshift/membership.py
@@ -11,10 +11,13 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+import logbook
 from transitions import Machine
 
 from radishshift.epidemic import EpidemicSection, Row
+from radishshift.errors import SettingsError
 from radishshift.hosts import Host, HostState, rendezvous_order
+from radishshift.manifests import read_host
 from radishshift.objects import StoredObject
 
 __all__ = ["Member", "Membership", "successors"]
@@ -45,6 +48,8 @@
     HostState.LEAVING: "leave",
 }
 
+logger = logbook.Logger("membership")
+
 
 def successors(names: list[str], me: str, count: int = SUCCESSORS) -> list[str]:
     """Return the hosts that `me` sends heartbeats to.
@@ -196,15 +201,17 @@
         """Join the platform's list of hosts with what is known."""
         names = set()
         for item in items:
-            names.add(item.name)
             if item.name == self.me.name:
                 continue
+            try:
+                spec = read_host(item.name, item.spec)
+            except SettingsError as exc:
+                logger.error("the list's host {}", exc.message)
+                continue
+            names.add(item.name)
             if item.name not in self.members:
-                spec = item.spec
-                centre, region = spec["dataCentre"], spec["region"]
-                value = [centre, region, spec["peerAddress"], 0]
+                value = [spec.data_centre, spec.region, spec.peer_address, 0]
                 self.section.take(item.name, 0, value, self.me.name, now)
-            self.members[item.name].listed = True
         for name, member in self.members.items():
             member.listed = name in names
 
--- a/radishshift/objects.py
+++ b/radishshift/objects.py
@@ -24,6 +24,7 @@
     SESSION_KEY = "sessionkeys"
     SHARE = "shares"
     POISON = "poisonrequests"
+    CONFIRMATION = "confirmations"
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshift/peers.py
+++ b/radishshift/peers.py
@@ -10,6 +10,7 @@
 
 from radishshift.errors import RadishshiftError
 from radishshift.hosts import Host, HostState
+from radishshift.objects import StoredObject
 from radishshift.verdicts import Verdict
 
 __all__ = ["Handler", "MemoryPeers", "PeerUnavailableError", "Peers", "Section"]
@@ -77,6 +78,12 @@
             and (data_centre is None or host.data_centre == data_centre)
         ]
 
+    def take_list(self, items: list[StoredObject], now: float) -> None:
+        """Take the platform's list of hosts."""
+
+    def hurry(self) -> None:
+        """Send the next heartbeats soon, because there is news."""
+
     async def leave(self) -> None:
         """Tell the others that this host is leaving."""
 
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -148,8 +148,8 @@
         self.watches += 1
         try:
             while True:
-                if since < self._oldest:
-                    raise GoneError(f"revision {since} is no longer held")
+                if not self._oldest <= since <= self.revision:
+                    raise GoneError(f"revision {since} is not held")
                 upto = self.revision
                 for change in self._after(since):
                     if change.item.kind is kind:
