--- /dev/null
+++ b/radishshift/burn.py
@@ -0,0 +1,299 @@
+"""The report on service-level burn.
+
+The burn rate of a window is the share of bad requests in it over the share that the
+objective allows: at rate 1 the allowance of the period is used up just at its end.
+Alerts follow the multi-window rules of Google's SRE workbook, chapter 5: an alert
+fires when both its long and its short window burn faster than its rate.
+"""
+
+import asyncio
+import enum
+import os
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+from absl import app, flags
+
+from radishshift.catalogue import Catalogue, VersionState
+from radishshift.errors import RadishshiftError
+from radishshift.http_platform import HttpPlatform
+from radishshift.indicators import WINDOWS, Aspect, IndicatorReport, Window
+from radishshift.manifests import build_catalogue
+from radishshift.objects import Kind
+from radishshift.platform import Platform
+from radishshift.tables import table
+
+__all__ = [
+    "ALERTS",
+    "Alert",
+    "BurnReport",
+    "BurnRow",
+    "Severity",
+    "burn_report",
+    "burn_rows",
+    "gather",
+    "run",
+]
+
+FLAGS = flags.FLAGS
+PLATFORM_VARIABLE = "RADISHSHIFT_PLATFORM"
+GATHER_TIMEOUT_S = 3.0
+EXPOSURE_ALLOWED = 0.01
+
+
+class Severity(enum.StrEnum):
+    """What an alert asks for."""
+
+    PAGE = "page"
+    TICKET = "ticket"
+    NONE = "ok"
+
+
+@dataclass(frozen=True, slots=True)
+class Alert:
+    """A rule: both windows burn at least at `rate`."""
+
+    severity: Severity
+    long_window: Window
+    short_window: Window
+    rate: float
+
+
+ALERTS = (
+    Alert(Severity.PAGE, Window.HOUR, Window.MINUTES_5, 14.4),
+    Alert(Severity.PAGE, Window.HOURS_6, Window.MINUTES_30, 6.0),
+    Alert(Severity.TICKET, Window.DAYS_3, Window.HOURS_6, 1.0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class BurnRow:
+    """Burn of one customer, task class and aspect.
+
+    Attributes
+    ----------
+    customer, task_class : str
+    aspect : Aspect
+    objective : float
+        Share of good requests that is promised.
+    rates : dict of Window to float
+        Burn rate of each window; a window without a request has none.
+    requests : dict of Window to int
+    severity : Severity
+    """
+
+    customer: str
+    task_class: str
+    aspect: Aspect
+    objective: float
+    rates: dict[Window, float]
+    requests: dict[Window, int]
+    severity: Severity
+
+
+@dataclass(frozen=True, slots=True)
+class BurnReport:
+    """The whole report.
+
+    Attributes
+    ----------
+    rows : list of BurnRow
+    hosts : list of str
+        Hosts that told their counts.
+    missing : list of str
+        Hosts that did not; what they served is not in the rows.
+    partly_covered : list of Window
+        Windows that reach back before some host's start.
+    """
+
+    rows: list[BurnRow]
+    hosts: list[str]
+    missing: list[str]
+    partly_covered: list[Window] = field(default_factory=list)
+
+
+Counts = dict[tuple[str, str, Aspect], dict[Window, tuple[int, int]]]
+
+
+def _bad_versions(catalogue: Catalogue) -> set[str]:
+    return {
+        version.name
+        for version in catalogue.versions.values()
+        if version.state is VersionState.HELD
+    }
+
+
+def _merged(reports: Iterable[IndicatorReport], bad_versions: set[str]) -> Counts:
+    merged: Counts = {}
+    for report in reports:
+        for series in report.series:
+            aspect_name, _, version = series.subject.partition(":")
+            aspect = Aspect(aspect_name)
+            key = (series.customer, series.task_class, aspect)
+            for window, (good, total) in series.counts.items():
+                if aspect is Aspect.EXPOSURE:
+                    good = 0 if version in bad_versions else total
+                held = merged.setdefault(key, {}).get(window, (0, 0))
+                merged[key][window] = (held[0] + good, held[1] + total)
+    return merged
+
+
+def _objective(catalogue: Catalogue, task_class: str, aspect: Aspect) -> float | None:
+    if aspect is Aspect.EXPOSURE:
+        return 1 - EXPOSURE_ALLOWED
+    known = catalogue.classes.get(task_class)
+    return None if known is None else known.objectives.objective
+
+
+def _rate(good: int, total: int, objective: float) -> float:
+    allowed = max(1e-9, round(1 - objective, 9))
+    return (total - good) / total / allowed
+
+
+def _severity(rates: dict[Window, float]) -> Severity:
+    for alert in ALERTS:
+        long_rate = rates.get(alert.long_window, 0.0)
+        short_rate = rates.get(alert.short_window, 0.0)
+        if min(long_rate, short_rate) >= alert.rate:
+            return alert.severity
+    return Severity.NONE
+
+
+def burn_rows(
+    reports: Iterable[IndicatorReport], catalogue: Catalogue
+) -> Iterator[BurnRow]:
+    """Yield the burn of each customer, task class and aspect."""
+    merged = _merged(reports, _bad_versions(catalogue))
+    for (customer, task_class, aspect), windows in sorted(merged.items()):
+        objective = _objective(catalogue, task_class, aspect)
+        if objective is None:
+            continue
+        rates = {
+            window: _rate(good, total, objective)
+            for window, (good, total) in windows.items()
+            if total
+        }
+        requests = {window: total for window, (_, total) in windows.items()}
+        yield BurnRow(
+            customer,
+            task_class,
+            aspect,
+            objective,
+            rates,
+            requests,
+            _severity(rates),
+        )
+
+
+def burn_report(
+    reports: list[IndicatorReport], missing: list[str], catalogue: Catalogue
+) -> BurnReport:
+    """Return the report over what was gathered."""
+    youngest_s = min((report.now - report.since for report in reports), default=0.0)
+    partly = [window for window, window_s in WINDOWS.items() if youngest_s < window_s]
+    hosts = sorted(report.host for report in reports)
+    rows = list(burn_rows(reports, catalogue))
+    return BurnReport(rows, hosts, sorted(missing), partly)
+
+
+async def _ask(session: aiohttp.ClientSession, address: str) -> IndicatorReport:
+    async with session.get(f"{address}/indicators") as resp:
+        resp.raise_for_status()
+        return msgspec.json.decode(await resp.read(), type=IndicatorReport)
+
+
+async def gather(addresses: list[str]) -> tuple[list[IndicatorReport], list[str]]:
+    """Ask hosts for their counts; return those and the hosts that gave none."""
+    timeout = aiohttp.ClientTimeout(total=GATHER_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        asked = [_ask(session, address) for address in addresses]
+        replies = await asyncio.gather(*asked, return_exceptions=True)
+    reports = [reply for reply in replies if isinstance(reply, IndicatorReport)]
+    missing = [
+        address
+        for address, reply in zip(addresses, replies, strict=True)
+        if not isinstance(reply, IndicatorReport)
+    ]
+    return reports, missing
+
+
+async def _catalogue(platform: Platform) -> Catalogue:
+    listing = await platform.list_all(Kind.ENTRY)
+    return build_catalogue(listing.revision, listing.items)
+
+
+async def _addresses(platform: Platform) -> list[str]:
+    if FLAGS.hosts:
+        return FLAGS.hosts
+    listing = await platform.list_all(Kind.HOST)
+    return [
+        item.spec["monitoringAddress"]
+        for item in listing.items
+        if "monitoringAddress" in item.spec
+    ]
+
+
+def report_text(report: BurnReport) -> str:
+    """Return the report for a terminal."""
+    windows = list(Window)
+    headings = ["CUSTOMER", "CLASS", "ASPECT", "OBJECTIVE", *windows, "ALERT"]
+    rows = []
+    for row in report.rows:
+        rates = [
+            f"{row.rates[window]:.2f}" if window in row.rates else "-"
+            for window in windows
+        ]
+        objective = f"{row.objective:.3f}"
+        cells = [row.customer, row.task_class, row.aspect, objective]
+        rows.append([*cells, *rates, row.severity])
+    lines = [table(headings, rows), f"hosts: {len(report.hosts)} told their counts"]
+    if report.missing:
+        lines.append("not in reach: " + ", ".join(report.missing))
+    if report.partly_covered:
+        lines.append("partly covered: " + ", ".join(report.partly_covered))
+    return "\n".join(lines)
+
+
+def report_values(report: BurnReport) -> Any:
+    """Return the report as JSON values."""
+    return msgspec.to_builtins(report)
+
+
+async def _report() -> BurnReport:
+    address = FLAGS.platform or os.environ.get(PLATFORM_VARIABLE)
+    if not address:
+        raise app.UsageError(f"give --platform or set {PLATFORM_VARIABLE}")
+    async with aiohttp.ClientSession() as session:
+        platform = HttpPlatform(session, address, "burn", GATHER_TIMEOUT_S)
+        catalogue = await _catalogue(platform)
+        reports, missing = await gather(await _addresses(platform))
+    return burn_report(reports, missing, catalogue)
+
+
+def _main(_: list[str]) -> None:
+    try:
+        report = asyncio.run(_report())
+    except RadishshiftError as exc:
+        sys.exit(f"{exc.code}: {exc.message}")
+    if FLAGS.html:
+        from radishshift.burn_page import burn_page
+
+        Path(FLAGS.html).write_text(burn_page(report), encoding="utf-8")
+    if FLAGS.output == "json":
+        print(msgspec.json.encode(report_values(report)).decode())
+    else:
+        print(report_text(report))
+
+
+def run() -> None:
+    """Run the report from the command line."""
+    flags.DEFINE_string("platform", None, "Base URL of the platform's object API.")
+    flags.DEFINE_list("hosts", [], "Monitoring URLs to ask, in place of the list.")
+    flags.DEFINE_enum("output", "table", ["table", "json"], "Form of the output.")
+    flags.DEFINE_string("html", None, "File to write the report to, as a page.")
+    app.run(_main)
