Count every request at its end and serve the monitoring port

Cause: metrics and indicators had no source. Change: a request carries an observation that the attempt fills; the router counts it once at its end, refusals that lie with the caller burn no objective; the monitoring port shows metrics, indicators and health. TLS by settings for callers, endpoints and the platform.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -126,6 +126,7 @@
 
     async def _start(self, stream: EngineStream) -> None:
         self.started = True
+        self.req.observation.first_token(self.version.name, self.router.clock.now())
         answer = self.answer
         answer.content_type = stream.content_type
         answer.headers["X-Request-Id"] = self.req.request_id
@@ -170,6 +171,7 @@
             cost,
         )
         self.bill.items.append(item)
+        self.req.observation.completion_tokens = usage.completion_tokens
         await self.router.biller.secure(self.bill)
         last = DONE if self.req.stream else b""
         if last:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -10,7 +10,6 @@
 import aiohttp
 import logbook
 from absl import app, flags
-from aiohttp import web
 
 from radishshift.admission import Admission
 from radishshift.answers import Answers
@@ -25,10 +24,12 @@
 from radishshift.http_platform import HttpPlatform
 from radishshift.listening import listening
 from radishshift.logs import log_to
+from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
 from radishshift.router import Router
 from radishshift.sessions import SessionKeys
-from radishshift.settings import HostSettings, load_settings
+from radishshift.settings import ClientKeySettings, HostSettings, load_settings
+from radishshift.tls import client_context_of, server_tls_of
 
 __all__ = ["EntryHost", "run", "running"]
 
@@ -50,12 +51,15 @@
         Base URL for callers.
     peers : Peers
         The other entry hosts.
+    monitoring_address : str
+        Base URL of metrics, indicators and health.
     """
 
     cfg: HostSettings
     router: Router
     address: str
     peers: Peers
+    monitoring_address: str
 
     async def drain(self, deadline: float) -> int:
         """Take no new work and wait for what runs; return what was left."""
@@ -76,17 +80,25 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
+def _session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
+    return aiohttp.ClientSession(connector=connector)
+
+
 @asynccontextmanager
 async def running(cfg: HostSettings) -> AsyncIterator[EntryHost]:
     """Run an entry host for as long as the context lasts."""
     clock = SystemClock()
-    connector = aiohttp.TCPConnector(limit=0, force_close=False)
     async with (
-        aiohttp.ClientSession(connector=connector) as session,
+        _session(cfg.tls.to_endpoints) as session,
+        _session(cfg.tls.to_platform) as platform_session,
         met_peers(cfg, clock) as peers,
     ):
         platform = HttpPlatform(
-            session, cfg.platform.address, cfg.name, cfg.platform.call_timeout_s
+            platform_session,
+            cfg.platform.address,
+            cfg.name,
+            cfg.platform.call_timeout_s,
         )
         configuration = Configuration(clock)
         router = Router(
@@ -110,10 +122,16 @@
             ),
         ]
         caller_app = make_caller_app(router, cfg.bounds)
-        _add_health(caller_app, router)
+        add_health(caller_app, lambda: is_ready(router))
         address = cfg.address
-        async with listening(caller_app, address.ip, address.caller_port) as url:
-            host = EntryHost(cfg, router, url, peers)
+        caller_tls = server_tls_of(cfg.tls.callers)
+        if caller_tls is not None:
+            tasks.append(asyncio.create_task(caller_tls.keep_fresh(clock)))
+        async with (
+            monitored(cfg, clock, router) as monitoring_url,
+            listening(caller_app, address.ip, address.caller_port, caller_tls) as url,
+        ):
+            host = EntryHost(cfg, router, url, peers, monitoring_url)
             try:
                 yield host
             finally:
@@ -126,18 +144,6 @@
                     await router.biller.flush()
 
 
-def _add_health(caller_app: web.Application, router: Router) -> None:
-    async def healthz(_: web.Request) -> web.Response:
-        return web.json_response({"ok": True})
-
-    async def readyz(_: web.Request) -> web.Response:
-        ready = router.catalogue.revision > 0 and not router.admission.closed
-        return web.json_response({"ready": ready}, status=200 if ready else 503)
-
-    caller_app.router.add_get("/healthz", healthz)
-    caller_app.router.add_get("/readyz", readyz)
-
-
 async def _serve(cfg: HostSettings) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/radishshift/listening.py
+++ b/radishshift/listening.py
@@ -5,12 +5,18 @@
 
 from aiohttp import web
 
+from radishshift.tls import ServerTls
+
 __all__ = ["listening"]
 
 
 @asynccontextmanager
 async def listening(
-    app: web.Application, ip: str = "127.0.0.1", port: int = 0, **options
+    app: web.Application,
+    ip: str = "127.0.0.1",
+    port: int = 0,
+    tls: ServerTls | None = None,
+    **options,
 ) -> AsyncIterator[str]:
     """Serve an application; give its base URL.
 
@@ -20,15 +26,19 @@
     ip : str
     port : int
         0 takes any free one.
+    tls : ServerTls, optional
+        Without it, connections are plain.
     **options
         Passed on to `web.AppRunner`.
     """
     runner = web.AppRunner(app, access_log=None, **options)
     await runner.setup()
-    site = web.TCPSite(runner, ip, port)
+    context = None if tls is None else tls.context
+    site = web.TCPSite(runner, ip, port, ssl_context=context)
     await site.start()
     bound_port = runner.addresses[0][1]
     try:
-        yield f"http://{ip}:{bound_port}"
+        scheme = "http" if tls is None else "https"
+        yield f"{scheme}://{ip}:{bound_port}"
     finally:
         await runner.cleanup()
--- a/radishshift/monitoring.py
+++ b/radishshift/monitoring.py
@@ -1,15 +1,22 @@
 """The port for monitoring: metrics, indicators, health."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import msgspec
 from aiohttp import web
 
 from radishshift.clocks import Clock
 from radishshift.indicators import Indicators
+from radishshift.listening import listening
 from radishshift.metrics import Metrics
+from radishshift.observation import Observer
+from radishshift.router import Router
+from radishshift.settings import HostSettings
 
-__all__ = ["add_health", "make_monitoring_app"]
+__all__ = ["add_health", "is_ready", "make_monitoring_app", "monitored"]
+
+CLOSE_S = 0.5
 
 
 def add_health(app: web.Application, ready: Callable[[], bool]) -> None:
@@ -46,3 +53,35 @@
     app.router.add_get("/indicators", report)
     add_health(app, ready)
     return app
+
+
+def is_ready(router: Router) -> bool:
+    """Tell whether a host should be sent new work."""
+    return router.catalogue.revision > 0 and not router.admission.closed
+
+
+def _watch_tables(metrics: Metrics, router: Router) -> None:
+    metrics.watch("requests.running", lambda: router.admission.running)
+    metrics.watch("catalogue.revision", lambda: router.catalogue.revision)
+    metrics.watch("catalogue.versions", lambda: len(router.catalogue.versions))
+    metrics.watch("catalogue.endpoints", lambda: len(router.catalogue.endpoints))
+
+
+@asynccontextmanager
+async def monitored(
+    cfg: HostSettings, clock: Clock, router: Router
+) -> AsyncIterator[str]:
+    """Count a router's requests and serve the monitoring port; give its base URL."""
+    metrics = Metrics(cfg.name, cfg.data_centre)
+    indicators = Indicators(cfg.name, clock.now())
+    router.observer = Observer(clock, metrics, indicators)
+    _watch_tables(metrics, router)
+    app = make_monitoring_app(metrics, indicators, clock, lambda: is_ready(router))
+    address = cfg.address
+    async with listening(
+        app, address.ip, address.metrics_port, shutdown_timeout=CLOSE_S
+    ) as url:
+        try:
+            yield url
+        finally:
+            metrics.close()
--- a/radishshift/requests.py
+++ b/radishshift/requests.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from radishshift.contracts import Contract, TaskClass
+from radishshift.observation import Observation
 
 __all__ = ["ModelRequest", "ServiceCall", "new_request_id"]
 
@@ -42,6 +43,7 @@
     session_token : str
         Empty if the caller gave none.
     wants_session : bool
+    observation : Observation
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     idempotency_key: str = ""
     session_token: str = ""
     wants_session: bool = False
+    observation: Observation = field(default_factory=Observation)
     fingerprint: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -97,6 +100,7 @@
         Instants.
     idempotency_key : str
         The caller's, or the request id.
+    observation : Observation
     """
 
     request_id: str
@@ -111,6 +115,7 @@
     arrived: float
     deadline: float
     idempotency_key: str
+    observation: Observation = field(default_factory=Observation)
     fingerprint: str = field(init=False)
 
     def __post_init__(self) -> None:
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -1,6 +1,7 @@
 """The path of a request through an entry host, from admission to bill."""
 
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import xxhash
@@ -27,6 +28,7 @@
 )
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
+from radishshift.observation import Observer
 from radishshift.poison import PoisonWatch
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
@@ -73,6 +75,7 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
+    observer: Observer | None = None
 
     @property
     def catalogue(self) -> Catalogue:
@@ -87,6 +90,10 @@
         RadishshiftError
             Nothing has been written; the error is the answer.
         """
+        with self._observed(req):
+            await self._answer_model(req, sink)
+
+    async def _answer_model(self, req: ModelRequest, sink: AnswerSink) -> None:
         with self.admission.entered():
             self.poison.check(req.fingerprint, self.clock.now())
             tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
@@ -98,6 +105,24 @@
             finally:
                 self.limiter.settle(grant, _tokens_of(bill))
 
+    @contextmanager
+    def _observed(self, req: ModelRequest | ServiceCall) -> Iterator[None]:
+        error = None
+        try:
+            yield
+        except RadishshiftError as exc:
+            error = exc
+            raise
+        finally:
+            if self.observer is not None:
+                self.observer.ended(
+                    req.contract.customer,
+                    req.task_class,
+                    req.arrived,
+                    req.observation,
+                    error,
+                )
+
     async def _run_plan(self, req: ModelRequest, bill: Bill, sink: AnswerSink) -> None:
         steps = self._steps(req)
         kept_until = self.clock.now() + self.answer_kept_s
@@ -206,11 +231,17 @@
         ------
         RadishshiftError
         """
+        with self._observed(call):
+            return await self._call_service(call)
+
+    async def _call_service(self, call: ServiceCall) -> ServiceReply:
         with self.admission.entered():
             self.poison.check(call.fingerprint, self.clock.now())
             grant = self.limiter.take(call.contract, 0, self.clock.now())
             try:
-                return await run_call(self, call)
+                reply = await run_call(self, call)
+                call.observation.version = call.service
+                return reply
             finally:
                 self.limiter.settle(grant, 0)
 
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -48,6 +48,32 @@
     seeds: tuple[str, ...] = ()
 
 
+class ServerKeySettings(Section, frozen=True):
+    """Key of a port that listens; see `tls.KeyFiles`."""
+
+    certificate_file: str
+    key_file: str
+    client_ca_file: str = ""
+
+
+class ClientKeySettings(Section, frozen=True):
+    """How the other end of a connection is checked, and what we show it."""
+
+    ca_file: str
+    certificate_file: str = ""
+    key_file: str = ""
+
+
+class TlsSettings(Section, frozen=True):
+    """TLS by kind of connection; without a part, those connections are plain."""
+
+    callers: ServerKeySettings | None = None
+    peers: ServerKeySettings | None = None
+    to_peers: ClientKeySettings | None = None
+    to_platform: ClientKeySettings | None = None
+    to_endpoints: ClientKeySettings | None = None
+
+
 class BoundSettings(Section, frozen=True):
     """Bounds on what the host holds."""
 
@@ -82,6 +108,7 @@
     platform: PlatformSettings
     address: AddressSettings = AddressSettings()
     peers: PeerSettings = PeerSettings()
+    tls: TlsSettings = TlsSettings()
     bounds: BoundSettings = BoundSettings()
     times: TimeSettings = TimeSettings()
 
--- a/radishshift/tls.py
+++ b/radishshift/tls.py
@@ -9,8 +9,15 @@
 
 from radishshift.clocks import Clock
 from radishshift.errors import SettingsError
+from radishshift.settings import ClientKeySettings, ServerKeySettings
 
-__all__ = ["KeyFiles", "ServerTls", "client_context"]
+__all__ = [
+    "KeyFiles",
+    "ServerTls",
+    "client_context",
+    "client_context_of",
+    "server_tls_of",
+]
 
 LOOK_S = 5.0
 
@@ -100,3 +107,32 @@
         while True:
             await clock.sleep_until(clock.now() + LOOK_S)
             await asyncio.to_thread(self.reload)
+
+
+def client_context_of(settings: ClientKeySettings | None) -> ssl.SSLContext | bool:
+    """Return the context that settings ask for; without settings, aiohttp's own.
+
+    Raises
+    ------
+    SettingsError
+    """
+    if settings is None:
+        return True
+    return client_context(
+        settings.ca_file, settings.certificate_file, settings.key_file
+    )
+
+
+def server_tls_of(settings: ServerKeySettings | None) -> ServerTls | None:
+    """Return the keys of a port that settings ask for, or None.
+
+    Raises
+    ------
+    SettingsError
+    """
+    if settings is None:
+        return None
+    files = KeyFiles(
+        settings.certificate_file, settings.key_file, settings.client_ca_file
+    )
+    return ServerTls(files)
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,106 @@
+"""Tests of TLS and of keys that are replaced while a port listens."""
+
+import datetime
+import ipaddress
+import ssl
+import tempfile
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from radishshift.errors import SettingsError
+from radishshift.listening import listening
+from radishshift.tls import KeyFiles, ServerTls, client_context
+from tests.cases import TestCase
+
+IP = "127.0.0.1"
+
+
+def _write_key(folder: Path, serial: int) -> KeyFiles:
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "entry")])
+    start = datetime.datetime(2020, 1, 1)
+    alternative = x509.SubjectAlternativeName(
+        [x509.IPAddress(ipaddress.ip_address(IP))]
+    )
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(serial)
+        .not_valid_before(start)
+        .not_valid_after(start + datetime.timedelta(days=36500))
+        .add_extension(alternative, critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    (folder / "cert.pem").write_bytes(certificate.public_bytes(pem))
+    private = key.private_bytes(
+        pem,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    (folder / "key.pem").write_bytes(private)
+    return KeyFiles(str(folder / "cert.pem"), str(folder / "key.pem"))
+
+
+async def _serial_served(url: str, files: KeyFiles) -> int:
+    context = client_context(files.certificate_file)
+    connector = aiohttp.TCPConnector(ssl=context)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        session.get(url) as resp,
+    ):
+        peer = resp.connection.transport.get_extra_info("ssl_object")
+        der = peer.getpeercert(binary_form=True)
+        await resp.read()
+    return x509.load_der_x509_certificate(der).serial_number
+
+
+class ServerTlsTest(TestCase):
+    def _folder(self) -> Path:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return Path(folder.name)
+
+    async def test_a_replaced_key_is_served_without_a_restart(self):
+        folder = self._folder()
+        files = _write_key(folder, 1)
+        tls = ServerTls(files)
+        app = web.Application()
+        app.router.add_get("/", _answer)
+        async with listening(app, IP, 0, tls) as url:
+            self.assertEqual(1, await _serial_served(url, files))
+            _write_key(folder, 2)
+            self.assertTrue(tls.reload())
+            self.assertFalse(tls.reload())
+            self.assertEqual(2, await _serial_served(url, files))
+
+    def test_a_half_written_replacement_keeps_the_old_key(self):
+        folder = self._folder()
+        tls = ServerTls(_write_key(folder, 1))
+        (folder / "cert.pem").write_text("half a certifi")
+        self.assertFalse(tls.reload())
+
+    def test_a_missing_file_is_a_settings_error(self):
+        self.assertRaises(SettingsError, ServerTls, KeyFiles("none", "none"))
+
+    async def test_a_client_without_our_ca_is_refused(self):
+        folder = self._folder()
+        tls = ServerTls(_write_key(folder, 1))
+        stranger = _write_key(self._folder(), 3)
+        async with listening(web.Application(), IP, 0, tls) as url:
+            exc = await self.assert_raises_async(
+                aiohttp.ClientConnectorCertificateError, _serial_served(url, stranger)
+            )
+        self.assertIsInstance(exc.certificate_error, ssl.SSLCertVerificationError)
+
+
+async def _answer(_: web.Request) -> web.Response:
+    return web.Response(text="x" * 1_000_000)
