Guard the platform's client and spread duties over leases

One matter could use up what the platform allows for all, an outage cost every caller its timeout, and nothing said which host does a duty. Token buckets by kind and a circuit breaker stand before the client; lost replies are settled by reading back. Two hosts by rank contend for each duty's lease; the fencing number is the revision of the acquisition.

--- a/radishshift/control.py
+++ b/radishshift/control.py
@@ -9,6 +9,7 @@
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
 from radishshift.confirmations import ConfirmationWriter
+from radishshift.duties import Duties
 from radishshift.following import ConfigurationFollower
 from radishshift.hosts import Host
 from radishshift.http_peers import HttpPeers, make_peer_app
@@ -17,12 +18,14 @@
 from radishshift.peers import MemoryPeers, Peers
 from radishshift.platform import Platform
 from radishshift.settings import HostSettings
+from radishshift.tls import client_context_of, server_tls_of
 
 __all__ = ["controlled", "met_peers"]
 
 PEER_CONNECTIONS = 1_000
 CLOSE_S = 0.5
 MEET_S = 3.0
+KEEP_ALIVE_S = 60.0
 
 
 def _me(cfg: HostSettings, clock: Clock) -> Host:
@@ -42,23 +45,31 @@
         return
     keys = load_peer_keys(cfg.peers.key_file)
     async with AsyncExitStack() as stack:
-        connector = aiohttp.TCPConnector(limit=PEER_CONNECTIONS, keepalive_timeout=60)
+        connector = aiohttp.TCPConnector(
+            limit=PEER_CONNECTIONS,
+            keepalive_timeout=KEEP_ALIVE_S,
+            ssl=client_context_of(cfg.tls.to_peers),
+        )
         session = aiohttp.ClientSession(connector=connector)
         await stack.enter_async_context(session)
         peers = HttpPeers(
             me, keys, clock, session, cfg.peers.heartbeat_s, cfg.peers.seeds
         )
         app = make_peer_app(peers)
+        tls = server_tls_of(cfg.tls.peers)
         site = listening(
-            app, cfg.address.ip, cfg.address.peer_port, shutdown_timeout=CLOSE_S
+            app, cfg.address.ip, cfg.address.peer_port, tls, shutdown_timeout=CLOSE_S
         )
         peers.listen_at(await stack.enter_async_context(site))
-        task = asyncio.create_task(peers.run())
+        tasks = [asyncio.create_task(peers.run())]
+        if tls is not None:
+            tasks.append(asyncio.create_task(tls.keep_fresh(clock)))
         try:
             yield peers
         finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @asynccontextmanager
@@ -66,14 +77,16 @@
     configuration: Configuration,
     platform: Platform,
     peers: Peers,
+    duties: Duties,
     clock: Clock,
     seeds: tuple[str, ...] = (),
 ) -> AsyncIterator[ConfigurationFollower]:
-    """Follow the configuration and confirm it for as long as the context lasts."""
+    """Follow the configuration and take up duties for as long as the context lasts."""
     watch_at = clock.now() + MEET_S if seeds else 0.0
     follower = ConfigurationFollower(configuration, platform, peers, clock, watch_at)
     writer = ConfirmationWriter(platform, peers, follower, clock)
-    tasks = [asyncio.create_task(follower.run()), asyncio.create_task(writer.run())]
+    runners = (follower.run(), writer.run(), duties.run())
+    tasks = [asyncio.create_task(runner) for runner in runners]
     try:
         yield follower
     finally:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -19,8 +19,10 @@
 from radishshift.clocks import Clock, SystemClock
 from radishshift.configuration import Configuration
 from radishshift.control import controlled, met_peers
+from radishshift.duties import Duties
 from radishshift.engines import HttpEngineClient
 from radishshift.errors import RadishshiftError
+from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.listening import listening
 from radishshift.logs import log_to
@@ -60,6 +62,7 @@
     address: str
     peers: Peers
     monitoring_address: str
+    duties: Duties
 
     async def drain(self, deadline: float) -> int:
         """Take no new work and wait for what runs; return what was left."""
@@ -101,12 +104,14 @@
         _session(cfg.tls.to_platform) as platform_session,
         met_peers(cfg, clock) as peers,
     ):
-        platform = HttpPlatform(
+        http_platform = HttpPlatform(
             platform_session,
             cfg.platform.address,
             cfg.name,
             cfg.platform.call_timeout_s,
         )
+        platform = GuardedPlatform(http_platform, clock)
+        duties = Duties(platform, peers, clock)
         configuration = Configuration(clock)
         router = Router(
             data_centre=cfg.data_centre,
@@ -136,14 +141,14 @@
         following = nullcontext()
         if control:
             following = controlled(
-                configuration, platform, peers, clock, cfg.peers.seeds
+                configuration, platform, peers, duties, clock, cfg.peers.seeds
             )
         async with (
             following,
             monitored(cfg, clock, router) as monitoring_url,
             listening(caller_app, address.ip, address.caller_port, caller_tls) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url)
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
             try:
                 yield host
             finally:
