Bound the callers' border; resume streams; hold answers by request id

Cause: a request had no enforced deadline, a resend ran again, a stream that went silent failed, the id of a stream was not checked, errors below the application were plain text, and aiohttp sends PUT and DELETE again by itself.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -1,19 +1,33 @@
 """Attempts of one version at a model request."""
 
+import asyncio
+import secrets
+from collections.abc import AsyncIterator
+from contextlib import aclosing, asynccontextmanager
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import logbook
 
 from radishshift.answers import Answer, AnswerSink
+from radishshift.assembly import assemble
 from radishshift.bills import Bill, BillItem
 from radishshift.catalogue import ModelVersion
 from radishshift.endpoints import Endpoint
 from radishshift.engines import EngineStream
-from radishshift.errors import EndpointError
-from radishshift.events import DONE, EventScanner, Usage, read_usage
+from radishshift.errors import (
+    AnswerTooLargeError,
+    DeadlineError,
+    EndpointError,
+    HungUpError,
+    ResumeRefusedError,
+    StreamBrokenError,
+)
+from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
 from radishshift.requests import ModelRequest
 from radishshift.sessions import Session
+from radishshift.verdicts import Verdict
 
 if TYPE_CHECKING:
     from radishshift.router import Router
@@ -21,10 +35,40 @@
 __all__ = ["VersionRun"]
 
 SESSION_S = 3600.0
+ATTEMPT_ID_BYTES = 6
+RESUMES_MAX = 4
+RESUME_PAUSE_S = 0.05
 
 logger = logbook.Logger("attempts")
 
 
+class _HangUpWatch:
+    """Ends a timeout early once the caller has gone."""
+
+    def __init__(self, sink: AnswerSink, timeout: asyncio.Timeout) -> None:
+        self._sink = sink
+        self._timeout = timeout
+        self.hung_up = False
+
+    def check(self, now: float) -> None:
+        """Look whether the caller is still there."""
+        if self._sink.gone and not self.hung_up:
+            self.hung_up = True
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """What has come of one attempt so far."""
+
+    attempt_id: str
+    began: float
+    scanner: EventScanner
+    first_token_at: float | None = None
+    dispatched: bool = False
+    collected: bytearray = field(default_factory=bytearray)
+
+
 class VersionRun:
     """One version's try at a request, over as many attempts as it takes.
 
@@ -37,6 +81,12 @@
         Each attempt that gave an answer adds an item.
     answer : Answer
     sink : AnswerSink
+
+    Attributes
+    ----------
+    started : bool
+        Whether a part of the answer may have reached the caller; nothing is run
+        again from then on.
     """
 
     def __init__(
@@ -66,74 +116,135 @@
             )
             tried.add(endpoint.name)
             try:
-                await self._attempt(endpoint, len(tried))
+                await self._attempt(endpoint)
                 return
             except EndpointError as exc:
-                idempotent = not self.started
-                if not router.retry_budget.allows(
-                    exc, idempotent, self.req.deadline, router.clock.now()
+                if self.started or not router.retry_budget.allows(
+                    exc, True, self.req.deadline, router.clock.now()
                 ):
                     raise
                 logger.info("attempt failed at {}: {}", endpoint.name, exc.message)
 
-    async def _attempt(self, endpoint: Endpoint, number: int) -> None:
+    async def _attempt(self, endpoint: Endpoint) -> None:
         router = self.router
-        attempt_id = f"{self.req.request_id}-{self.version.name}-{number}"
-        began = router.clock.now()
+        req = self.req
+        attempt_id = f"{req.request_id}.{secrets.token_hex(ATTEMPT_ID_BYTES)}"
+        keep_usage = req.include_usage or not req.stream
+        scanner = EventScanner(keep_usage, attempt_id)
+        attempt = _Attempt(attempt_id, router.clock.now(), scanner)
         router.loads.started(endpoint)
         try:
-            async with router.engines.open(
-                endpoint, self.req, self.version.name, attempt_id
-            ) as stream:
-                if self.req.stream:
-                    usage = await self._relay(endpoint, stream, began)
-                else:
-                    usage = await self._collect(stream)
-        except EndpointError:
-            self._note(endpoint, began, Usage(), ok=False)
+            async with self._guarded():
+                await self._receive(endpoint, attempt)
+        except BaseException as exc:
+            self._give_up(endpoint, attempt, exc)
             raise
         finally:
             router.loads.ended(endpoint)
-        self._note(endpoint, began, usage, ok=True)
-        await self._finish(endpoint, usage)
+        self.answer.ran = Verdict.RAN
+        usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
+        self._note(endpoint, attempt, usage, ok=True)
+        await self._finish(endpoint, attempt, usage)
+
+    @asynccontextmanager
+    async def _guarded(self) -> AsyncIterator[None]:
+        """Bound what is done by the deadline, and by the caller's patience."""
+        req = self.req
+        remaining_s = req.deadline - self.router.clock.now()
+        if remaining_s <= 0:
+            raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
+        timeout = asyncio.timeout(remaining_s)
+        watch = _HangUpWatch(self.sink, timeout)
+        if req.task_class.cancel_on_hang_up:
+            self.router.sweep.add(watch)
+        try:
+            async with timeout:
+                yield
+        except TimeoutError as exc:
+            if watch.hung_up:
+                raise HungUpError("the caller hung up") from exc
+            raise DeadlineError("the deadline has passed") from exc
+        finally:
+            self.router.sweep.discard(watch)
+
+    async def _receive(self, endpoint: Endpoint, attempt: _Attempt) -> None:
+        """Take the whole stream, over as many connections as it takes."""
+        engines = self.router.engines
+        scanner = attempt.scanner
+        opening = engines.open(
+            endpoint, self.req, self.version.name, attempt.attempt_id
+        )
+        failures = 0
+        while True:
+            events_before = scanner.events
+            try:
+                async with opening as stream:
+                    attempt.dispatched = True
+                    await self._relay(endpoint, attempt, stream)
+                    return
+            except ResumeRefusedError:
+                raise
+            except EndpointError as exc:
+                silent = isinstance(exc, StreamBrokenError)
+                if not attempt.dispatched and not silent:
+                    raise
+                attempt.dispatched = True
+                failures = 1 if scanner.events > events_before else failures + 1
+                if failures >= RESUMES_MAX:
+                    raise
+                logger.info("stream of {} is resumed: {}", endpoint.name, exc.message)
+            scanner.restart()
+            await asyncio.sleep(RESUME_PAUSE_S * failures)
+            opening = engines.resume(endpoint, attempt.attempt_id, scanner.events)
 
     async def _relay(
-        self, endpoint: Endpoint, stream: EngineStream, began: float
-    ) -> Usage:
-        scanner = EventScanner(self.req.include_usage)
-        async for data in stream.chunks():
-            events = scanner.feed(data)
-            if not events:
-                continue
-            if not self.started:
-                wait_s = self.router.clock.now() - began
-                self.router.loads.first_token(endpoint, wait_s)
-                await self._start(stream)
-            self.answer.append(events)
-            await self.sink.write(events)
+        self, endpoint: Endpoint, attempt: _Attempt, stream: EngineStream
+    ) -> None:
+        """Pass on what comes over one connection, up to the end mark."""
+        scanner = attempt.scanner
+        async with aclosing(stream.chunks()) as chunks:
+            async for data in chunks:
+                events = scanner.feed(data)
+                if events:
+                    if attempt.first_token_at is None:
+                        self._first_token(endpoint, attempt)
+                    if self.req.stream:
+                        await self._pass_on(events)
+                    else:
+                        self._collect(attempt, events)
+                if scanner.done:
+                    break
         if not scanner.done:
-            raise EndpointError("the stream ended too soon")
-        return scanner.usage or Usage()
-
-    async def _collect(self, stream: EngineStream) -> Usage:
-        body = b"".join([data async for data in stream.chunks()])
-        usage = read_usage(body)
-        if usage is None:
-            raise EndpointError("the endpoint's answer is not whole")
-        await self._start(stream)
-        self.answer.append(body)
-        return usage
-
-    async def _start(self, stream: EngineStream) -> None:
+            raise StreamBrokenError("the stream ended too soon")
+        await stream.end()
+
+    def _first_token(self, endpoint: Endpoint, attempt: _Attempt) -> None:
+        attempt.first_token_at = self.router.clock.now()
+        wait_s = attempt.first_token_at - attempt.began
+        self.router.loads.first_token(endpoint, wait_s)
+
+    async def _pass_on(self, events: bytes) -> None:
+        if not self.started:
+            await self._start("text/event-stream")
+        self.answer.append(events)
+        await self.sink.write(events)
+
+    def _collect(self, attempt: _Attempt, events: bytes) -> None:
+        attempt.collected += events
+        if len(attempt.collected) > self.router.answers.answer_bytes:
+            raise AnswerTooLargeError("the answer is over the bound on answers")
+
+    async def _start(self, content_type: str) -> None:
         self.started = True
         answer = self.answer
-        answer.content_type = stream.content_type
+        answer.content_type = content_type
         answer.headers["X-Request-Id"] = self.req.request_id
         answer.headers["X-Radishshift-Version"] = self.version.name
         if self.req.session_token:
             answer.headers["X-Session"] = self.req.session_token
         elif self.req.wants_session:
             answer.headers["X-Session"] = self._new_session()
+        answer.start()
         await self.sink.start(answer)
 
     def _new_session(self) -> str:
@@ -145,22 +256,46 @@
         )
         return self.router.session_keys.issue(session)
 
-    def _note(self, endpoint: Endpoint, began: float, usage: Usage, ok: bool) -> None:
-        whole_s = self.router.clock.now() - began
+    def _give_up(
+        self, endpoint: Endpoint, attempt: _Attempt, exc: BaseException
+    ) -> None:
+        """Note a failed attempt, and let the endpoint stop work on it."""
+        verdict = getattr(exc, "verdict", Verdict.MAY_HAVE_RUN)
+        if attempt.dispatched:
+            verdict = verdict.worst(Verdict.MAY_HAVE_RUN)
+        if attempt.scanner.events:
+            verdict = Verdict.RAN
+        self.answer.ran = self.answer.ran.worst(verdict)
+        if isinstance(exc, EndpointError | DeadlineError):
+            self._note(endpoint, attempt, Usage(), ok=False)
+        if verdict is not Verdict.NOT_RUN:
+            self.router.in_background(
+                self.router.engines.cancel(endpoint, attempt.attempt_id)
+            )
+
+    def _note(
+        self, endpoint: Endpoint, attempt: _Attempt, usage: Usage, ok: bool
+    ) -> None:
+        now = self.router.clock.now()
+        first_token_at = attempt.first_token_at or now
         outcome = Outcome(
             version=self.version.name,
             endpoint=endpoint.name,
             customer=self.req.contract.customer,
             task_class=self.req.task_class.name,
             ok=ok,
-            first_token_s=whole_s,
-            between_tokens_s=whole_s / max(1, usage.completion_tokens),
-            whole_s=whole_s,
+            first_token_s=first_token_at - attempt.began,
+            between_tokens_s=(now - first_token_at)
+            / max(1, usage.completion_tokens - 1),
+            whole_s=now - attempt.began,
             cost=self.version.cost(usage.prompt_tokens, usage.completion_tokens),
         )
         self.router.evidence.record(outcome)
 
-    async def _finish(self, endpoint: Endpoint, usage: Usage) -> None:
+    async def _finish(
+        self, endpoint: Endpoint, attempt: _Attempt, usage: Usage
+    ) -> None:
+        """Make the bill safe, then let the end of the answer go."""
         cost = self.version.cost(usage.prompt_tokens, usage.completion_tokens)
         item = BillItem(
             self.version.name,
@@ -171,9 +306,12 @@
         )
         self.bill.items.append(item)
         await self.router.biller.secure(self.bill)
-        last = DONE if self.req.stream else b""
-        if last:
-            self.answer.append(last)
-            await self.sink.write(last)
+        if self.req.stream:
+            last = DONE
+            if not self.started:
+                await self._start("text/event-stream")
         else:
-            await self.sink.write(b"".join(self.answer.parts))
+            last = assemble(bytes(attempt.collected), self.req.operation)
+            await self._start("application/json")
+        self.answer.append(last)
+        await self.sink.write(last)
--- /dev/null
+++ b/radishshift/caller_connections.py
@@ -0,0 +1,232 @@
+"""Connections of callers: bounded in number, in size and in patience."""
+
+import asyncio
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import logbook
+import msgspec
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from radishshift.answers import Answer
+from radishshift.errors import (
+    BadRequestError,
+    HeadersTooLargeError,
+    InternalError,
+    OverloadedError,
+    RadishshiftError,
+    ShuttingDownError,
+)
+from radishshift.requests import new_request_id
+from radishshift.settings import BoundSettings, TimeSettings
+from radishshift.verdicts import Verdict
+
+__all__ = ["CallerSink", "error_response", "listening_to_callers"]
+
+WRITE_BUFFER_BYTES = 1 << 16
+HEADERS_MAX = 64
+BACKLOG = 1024
+KEEP_ALIVE_S = 75.0
+FINAL_STATUSES = frozenset({400, 401, 403, 404, 410, 413, 422, 431})
+
+logger = logbook.Logger("callers")
+
+
+class CallerSink:
+    """Sends an answer to the caller for as long as it is there.
+
+    Parameters
+    ----------
+    request : web.Request
+    stall_s : float
+        Time after which a caller that does not read is taken as gone, in seconds.
+    """
+
+    def __init__(self, request: web.Request, stall_s: float) -> None:
+        self._request = request
+        self._stall_s = stall_s
+        self._transport = request.transport
+        self._writer = None
+        self._gone = False
+        self.resp: web.StreamResponse | None = None
+
+    @property
+    def gone(self) -> bool:
+        """Tell whether the caller has hung up."""
+        return self._gone or self._request.transport is None
+
+    async def start(self, answer: Answer) -> None:
+        """Send the status and the headers."""
+        self.resp = web.StreamResponse(status=answer.status, headers=answer.headers)
+        self.resp.content_type = answer.content_type
+        self.resp.headers["Cache-Control"] = "no-store"
+        try:
+            self._writer = await self.resp.prepare(self._request)
+        except ConnectionError:
+            self._gone = True
+
+    async def write(self, data: bytes) -> None:
+        """Send a part; a caller that has hung up is passed over."""
+        if self._gone or self._writer is None:
+            return
+        try:
+            await self._writer.write(data, drain=False)
+        except ConnectionError:
+            self._gone = True
+            return
+        if self._transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+            await self._drain()
+
+    async def _drain(self) -> None:
+        try:
+            async with asyncio.timeout(self._stall_s):
+                await self._writer.drain()
+        except TimeoutError:
+            logger.info("a caller does not read and is taken as gone")
+            self._gone = True
+            self._transport.abort()
+        except ConnectionError:
+            self._gone = True
+
+
+def error_response(exc: RadishshiftError, request_id: str) -> web.Response:
+    """Return an error as a caller gets it."""
+    # The official client repeats some statuses by itself; the verdict decides.
+    repeat = exc.verdict is Verdict.NOT_RUN and exc.status not in FINAL_STATUSES
+    headers = {
+        "X-Request-Id": request_id,
+        "X-Radishshift-Verdict": exc.verdict.value,
+        "X-Should-Retry": "true" if repeat else "false",
+    }
+    if exc.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(exc.retry_after_s))
+    resp = web.Response(
+        status=exc.status,
+        headers=headers,
+        body=msgspec.json.encode(exc.body(request_id)),
+        content_type="application/json",
+    )
+    if isinstance(exc, ShuttingDownError):
+        resp.force_close()
+    return resp
+
+
+class _CallerProtocol(web.RequestHandler):
+    """The connection of a caller, with errors in JSON also below the application."""
+
+    __slots__ = ("_first_request_timer", "_receive_s")
+
+    def __init__(self, manager: web.Server, receive_s: float, **options) -> None:
+        super().__init__(manager, **options)
+        self._receive_s = receive_s
+        self._first_request_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for the first request."""
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self._receive_s, self.force_close)
+        self._first_request_timer = timer
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop to wait."""
+        self.request_came()
+        super().connection_lost(exc)
+
+    def request_came(self) -> None:
+        """Note that the headers of a request are whole."""
+        if self._first_request_timer is not None:
+            self._first_request_timer.cancel()
+            self._first_request_timer = None
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer to what is no HTTP, or to a fault of the host."""
+        if request.writer is not None and request.writer.output_size > 0:
+            raise ConnectionError("the response has begun")
+        error: RadishshiftError = BadRequestError("the request is malformed HTTP")
+        if isinstance(exc, LineTooLong):
+            error = HeadersTooLargeError("the headers are too large")
+        elif status >= 500:
+            error = InternalError("internal error")
+            logger.error("internal error: {}", type(exc).__name__)
+        resp = error_response(error, new_request_id())
+        resp.force_close()
+        return resp
+
+
+class _Refusal(asyncio.Protocol):
+    """A connection over the bound: it is told so and closed."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the refusal."""
+        error = OverloadedError("too many connections", retry_after_s=1.0)
+        body = msgspec.json.encode(error.body())
+        head = (
+            "HTTP/1.1 503 Service Unavailable\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Connection: close\r\n"
+            "Retry-After: 1\r\n"
+            "X-Should-Retry: true\r\n"
+            f"X-Radishshift-Verdict: {error.verdict.value}\r\n\r\n"
+        )
+        transport.write(head.encode() + body)
+        transport.close()
+
+
+@asynccontextmanager
+async def listening_to_callers(
+    app: web.Application,
+    bounds: BoundSettings,
+    times: TimeSettings,
+    ip: str = "127.0.0.1",
+    port: int = 0,
+    **options,
+) -> AsyncIterator[str]:
+    """Serve callers; give the base URL.
+
+    Parameters
+    ----------
+    app : web.Application
+    bounds : BoundSettings
+    times : TimeSettings
+    ip : str
+    port : int
+        0 takes any free one.
+    **options
+        Passed on to `loop.create_server`.
+    """
+    loop = asyncio.get_running_loop()
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+
+    def connect() -> asyncio.Protocol:
+        if len(runner.server.connections) >= bounds.connections:
+            return _Refusal()
+        return _CallerProtocol(
+            runner.server,
+            times.receive_s,
+            loop=loop,
+            access_log=None,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=bounds.header_bytes,
+            max_field_size=bounds.header_bytes,
+            max_headers=HEADERS_MAX,
+        )
+
+    server = await loop.create_server(connect, ip, port, backlog=BACKLOG, **options)
+    bound_port = server.sockets[0].getsockname()[1]
+    scheme = "https" if options.get("ssl") else "http"
+    try:
+        yield f"{scheme}://{ip}:{bound_port}"
+    finally:
+        server.close()
+        await runner.cleanup()
--- a/radishshift/contracts.py
+++ b/radishshift/contracts.py
@@ -72,6 +72,9 @@
     cascade : bool
         Whether a request may be tried on one version and then on a dearer one.
     objectives : Objectives
+    cancel_on_hang_up : bool
+        Whether a request is given up when its caller hangs up; otherwise it goes on
+        and the caller can come back for the answer.
     """
 
     name: str
@@ -79,6 +82,7 @@
     deadline_s: float
     cascade: bool
     objectives: Objectives
+    cancel_on_hang_up: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -1,21 +1,47 @@
 """Clients of model engines and of plain services."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import aiohttp
 import msgspec
+import yarl
 
+from radishshift.clocks import Clock, SystemClock
 from radishshift.endpoints import Endpoint
-from radishshift.errors import DeadlineError, EndpointError
+from radishshift.errors import (
+    AnswerTooLargeError,
+    BadRequestError,
+    DeadlineError,
+    EndpointError,
+    ResumeRefusedError,
+    StreamBrokenError,
+)
 from radishshift.requests import ModelRequest, ServiceCall
+from radishshift.timeouts import IdleSweep, IdleWatch
 from radishshift.verdicts import Verdict
 
-__all__ = ["EngineClient", "EngineStream", "HttpEngineClient", "ServiceReply"]
-
-NOT_STARTED_STATUSES = frozenset({429, 503})
+__all__ = [
+    "EngineClient",
+    "EngineStream",
+    "HttpEngineClient",
+    "ServiceReply",
+    "connected_engines",
+]
+
+NOT_RUN = Verdict.NOT_RUN
+NOT_STARTED_STATUSES = frozenset({404, 429, 503})
+REFUSED_STATUSES = frozenset({400, 413, 422})
+RESUME_REFUSED_STATUSES = frozenset({400, 404, 405, 409, 410})
+ERROR_BYTES_MAX = 4096
+ANSWER_BYTES_MAX = 4_000_000
+CANCEL_S = 2.0
+END_S = 0.05
+CONNECT_MARGIN_S = 0.02
+CONNECT_S_MIN = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,23 +64,36 @@
 
         Raises
         ------
-        EndpointError
+        StreamBrokenError
             The connection broke, was idle for too long, or ended too soon.
         """
         raise NotImplementedError
 
+    async def end(self) -> None:
+        """Let the connection come to its end, if it is quick to do so."""
+
 
 class EngineClient:
-    """What a host may ask of endpoints."""
+    """What a host may ask of endpoints.
+
+    Whoever opens a stream sees to it that it ends by the request's deadline.
+    """
 
     def open(
         self, endpoint: Endpoint, req: ModelRequest, version: str, attempt_id: str
     ):
-        """Return a context manager that starts an attempt and gives its stream."""
+        """Return a context manager that starts an attempt and gives its stream.
+
+        The stream is one of events, also for a caller that wants a whole answer,
+        and each event's id ends with `attempt_id`.
+        """
         raise NotImplementedError
 
     def resume(self, endpoint: Endpoint, attempt_id: str, events: int):
-        """Return a context manager that goes on with a stream from an offset."""
+        """Return a context manager that goes on with a stream from an offset.
+
+        It raises `ResumeRefusedError` if the endpoint does not have the stream.
+        """
         raise NotImplementedError
 
     async def cancel(self, endpoint: Endpoint, attempt_id: str) -> None:
@@ -73,26 +112,58 @@
 
 
 class _HttpStream(EngineStream):
-    def __init__(self, resp: aiohttp.ClientResponse, idle_s: float) -> None:
+    def __init__(
+        self, resp: aiohttp.ClientResponse, idle_s: float, sweep: IdleSweep
+    ) -> None:
         self.status = resp.status
         self.content_type = resp.content_type
         self._resp = resp
-        self._idle_s = idle_s
+        self._sweep = sweep
+        self._watch = IdleWatch(idle_s, resp.close)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the bytes as they come."""
-        content = self._resp.content
-        while True:
-            try:
-                async with asyncio.timeout(self._idle_s):
-                    data = await content.readany()
-            except TimeoutError as exc:
-                raise EndpointError("the stream went silent") from exc
-            except (aiohttp.ClientError, OSError) as exc:
-                raise EndpointError(f"the stream broke: {exc}") from exc
-            if not data:
-                return
-            yield data
+        read = self._resp.content.readany
+        watch = self._watch
+        self._sweep.add(watch)
+        try:
+            while True:
+                watch.wait()
+                data = await read()
+                watch.got()
+                if not data:
+                    return
+                yield data
+        except (aiohttp.ClientError, OSError) as exc:
+            if watch.expired:
+                raise StreamBrokenError("the stream went silent") from exc
+            raise StreamBrokenError(f"the stream broke: {exc}") from exc
+        finally:
+            self._sweep.discard(watch)
+
+    async def end(self) -> None:
+        """Read up to the end, so that the connection can be used again."""
+        try:
+            async with asyncio.timeout(END_S):
+                await self._resp.content.readany()
+        except (aiohttp.ClientError, OSError):
+            return
+
+
+class _LostReplyError(aiohttp.ClientError):
+    """A connection broke after a call may have been sent."""
+
+
+async def _never_resend(
+    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client from sending PUT and DELETE calls again by itself."""
+    try:
+        return await handler(req)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise _LostReplyError(str(exc)) from exc
 
 
 class HttpEngineClient(EngineClient):
@@ -103,14 +174,30 @@
     session : aiohttp.ClientSession
     connect_s, idle_s : float
         Longest waits for a connection and for the next bytes, in seconds.
+    clock : Clock, optional
+    once_session : aiohttp.ClientSession, optional
+        For calls that may run at most once; it keeps no connections, so that none
+        of them meets one that the endpoint is just closing.
+    answer_bytes : int
+        Bound on the answer of a plain service.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, connect_s: float, idle_s: float
+        self,
+        session: aiohttp.ClientSession,
+        connect_s: float,
+        idle_s: float,
+        clock: Clock | None = None,
+        once_session: aiohttp.ClientSession | None = None,
+        answer_bytes: int = ANSWER_BYTES_MAX,
     ) -> None:
         self._session = session
+        self._once_session = once_session or session
+        self._connect_s = connect_s
         self._idle_s = idle_s
-        self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s)
+        self._clock = clock or SystemClock()
+        self._answer_bytes = answer_bytes
+        self._sweep = IdleSweep(self._clock)
 
     @asynccontextmanager
     async def open(
@@ -120,16 +207,19 @@
         body = dict(req.body)
         body["model"] = version
         body["priority"] = req.task_class.priority
-        if req.stream:
-            body["stream_options"] = {"include_usage": True}
+        body["stream"] = True
+        body["stream_options"] = {"include_usage": True}
         async with self._send(
+            self._session,
             "POST",
             f"{endpoint.address}/v1/{req.operation}",
+            req.deadline,
+            headers_s=self._idle_s,
             headers={"X-Request-Id": attempt_id, "Content-Type": "application/json"},
             data=msgspec.json.encode(body),
         ) as resp:
             await self._check(resp)
-            yield _HttpStream(resp, self._idle_s)
+            yield _HttpStream(resp, self._idle_s, self._sweep)
 
     @asynccontextmanager
     async def resume(
@@ -137,19 +227,25 @@
     ) -> AsyncIterator[EngineStream]:
         """Go on with a stream from an offset."""
         async with self._send(
+            self._session,
             "GET",
             f"{endpoint.address}/v1/streams/{attempt_id}",
+            math.inf,
+            headers_s=self._idle_s,
             params={"from_event": str(events)},
         ) as resp:
-            await self._check(resp)
-            yield _HttpStream(resp, self._idle_s)
+            if resp.status in RESUME_REFUSED_STATUSES:
+                raise ResumeRefusedError("the endpoint does not have the stream")
+            if resp.status != 200:
+                raise StreamBrokenError(f"the endpoint answered {resp.status}")
+            yield _HttpStream(resp, self._idle_s, self._sweep)
 
     async def cancel(self, endpoint: Endpoint, attempt_id: str) -> None:
         """Tell an endpoint that no one waits for an attempt any more."""
         url = f"{endpoint.address}/v1/streams/{attempt_id}"
         try:
-            async with asyncio.timeout(self._idle_s):
-                async with self._session.delete(url):
+            async with asyncio.timeout(CANCEL_S):
+                async with self._session.delete(url, allow_redirects=False):
                     pass
         except (aiohttp.ClientError, OSError):
             return
@@ -159,35 +255,108 @@
         headers = dict(call.headers)
         headers["Idempotency-Key"] = call.idempotency_key
         headers["X-Request-Id"] = call.request_id
-        async with self._send(
-            call.method, endpoint.address + call.path, headers=headers, data=call.body
-        ) as resp:
-            if resp.status in NOT_STARTED_STATUSES:
-                raise EndpointError("the endpoint is full", verdict=Verdict.NOT_RUN)
-            body = await resp.read()
-            return ServiceReply(resp.status, resp.content_type, body)
+        session = self._session if call.idempotent else self._once_session
+        try:
+            async with asyncio.timeout(call.deadline - self._clock.now()):
+                async with self._send(
+                    session,
+                    call.method,
+                    yarl.URL(endpoint.address + call.path, encoded=True),
+                    call.deadline,
+                    headers=headers,
+                    data=call.body,
+                ) as resp:
+                    if resp.status in {429, 503}:
+                        raise EndpointError("the endpoint is full", verdict=NOT_RUN)
+                    body = await self._read_bounded(resp)
+                    return ServiceReply(resp.status, resp.content_type, body)
+        except TimeoutError as exc:
+            raise DeadlineError("the service did not answer in time") from exc
+
+    async def _read_bounded(self, resp: aiohttp.ClientResponse) -> bytes:
+        body = bytearray()
+        async for part in resp.content.iter_any():
+            body += part
+            if len(body) > self._answer_bytes:
+                raise AnswerTooLargeError("the service's answer is too large")
+        return bytes(body)
 
     @asynccontextmanager
     async def _send(
-        self, method: str, url: str, **kwargs
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        url: str | yarl.URL,
+        deadline: float,
+        headers_s: float | None = None,
+        **kwargs,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
+        remaining_s = deadline - self._clock.now()
+        if remaining_s <= 0:
+            raise DeadlineError("the deadline has passed", verdict=NOT_RUN)
+        # The wait for a connection ends first, so that its verdict is known.
+        connect_s = min(self._connect_s, remaining_s - CONNECT_MARGIN_S)
+        timeout = aiohttp.ClientTimeout(
+            total=None, connect=max(CONNECT_S_MIN, connect_s)
+        )
         try:
-            async with self._session.request(
-                method, url, timeout=self._timeout, **kwargs
-            ) as resp:
+            async with asyncio.timeout(headers_s):
+                resp = await session.request(
+                    method,
+                    url,
+                    timeout=timeout,
+                    allow_redirects=False,
+                    middlewares=(_never_resend,),
+                    **kwargs,
+                )
+            async with resp:
                 yield resp
-        except aiohttp.ClientConnectorError as exc:
-            raise EndpointError(str(exc), verdict=Verdict.NOT_RUN) from exc
-        except aiohttp.ConnectionTimeoutError as exc:
-            raise EndpointError(str(exc), verdict=Verdict.NOT_RUN) from exc
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise EndpointError(f"no connection: {exc}", verdict=NOT_RUN) from exc
+        except aiohttp.ClientError as exc:
+            raise EndpointError(f"the connection broke: {exc}") from exc
         except TimeoutError as exc:
-            raise DeadlineError("the deadline has passed") from exc
-        except (aiohttp.ClientError, OSError) as exc:
+            raise StreamBrokenError("the endpoint is silent") from exc
+        except OSError as exc:
             raise EndpointError(f"the connection broke: {exc}") from exc
 
     async def _check(self, resp: aiohttp.ClientResponse) -> None:
         if resp.status == 200:
             return
         if resp.status in NOT_STARTED_STATUSES:
-            raise EndpointError("the endpoint is full", verdict=Verdict.NOT_RUN)
+            raise EndpointError("the endpoint takes no work", verdict=NOT_RUN)
+        if resp.status in REFUSED_STATUSES:
+            raise BadRequestError(await _refusal(resp))
         raise EndpointError(f"the endpoint answered {resp.status}")
+
+
+async def _refusal(resp: aiohttp.ClientResponse) -> str:
+    """Return why an endpoint refused a request, in its own words."""
+    data = await resp.content.read(ERROR_BYTES_MAX)
+    try:
+        message = msgspec.json.decode(data)["error"]["message"]
+    except (msgspec.DecodeError, UnicodeDecodeError, LookupError, TypeError):
+        message = None
+    if isinstance(message, str) and message:
+        return message
+    return f"the endpoint refused the request with {resp.status}"
+
+
+@asynccontextmanager
+async def connected_engines(
+    clock: Clock, connect_s: float, idle_s: float, answer_bytes: int
+) -> AsyncIterator[HttpEngineClient]:
+    """Give a client of endpoints with connections of its own."""
+    kept = aiohttp.TCPConnector(limit=0)
+    once = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with (
+        aiohttp.ClientSession(
+            connector=kept, cookie_jar=aiohttp.DummyCookieJar()
+        ) as session,
+        aiohttp.ClientSession(
+            connector=once, cookie_jar=aiohttp.DummyCookieJar()
+        ) as once_session,
+    ):
+        yield HttpEngineClient(
+            session, connect_s, idle_s, clock, once_session, answer_bytes
+        )
--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "AlreadyExistsError",
+    "AnswerTooLargeError",
     "AuthenticationError",
     "BadRequestError",
     "BillsFullError",
@@ -17,8 +18,11 @@
     "DeadlineError",
     "EndpointError",
     "GoneError",
+    "HeadersTooLargeError",
+    "HungUpError",
     "InProgressError",
     "InternalError",
+    "KeyReusedError",
     "LimitError",
     "LostRaceError",
     "NoEndpointError",
@@ -29,12 +33,15 @@
     "PoisonError",
     "RadishshiftError",
     "ResultLostError",
+    "ResumeRefusedError",
     "SessionError",
     "SettingsError",
     "ShuttingDownError",
     "StaleConfigurationError",
+    "StreamBrokenError",
     "TooLargeError",
     "WithdrawnError",
+    "rebuild_error",
 ]
 
 
@@ -106,6 +113,28 @@
     kind = "invalid_request_error"
 
 
+class HeadersTooLargeError(TooLargeError):
+    """The request line or the headers are over a size that the settings bound."""
+
+    code = "headers-too-large"
+    status = 431
+
+
+class AnswerTooLargeError(RadishshiftError):
+    """The answer, or all answers held, are over a size that the settings bound."""
+
+    code = "answer-too-large"
+    status = 502
+    usual_verdict = Verdict.RAN
+
+
+class KeyReusedError(BadRequestError):
+    """The idempotency key, or the request id, was used for another request."""
+
+    code = "key-reused"
+    status = 422
+
+
 class AuthenticationError(RadishshiftError):
     """The key is missing or belongs to no customer."""
 
@@ -275,6 +304,21 @@
     usual_verdict = Verdict.MAY_HAVE_RUN
 
 
+class StreamBrokenError(EndpointError):
+    """A stream went silent, broke, or held what is not its own.
+
+    What an endpoint has generated can be had over a new connection.
+    """
+
+    code = "stream-broken"
+
+
+class ResumeRefusedError(EndpointError):
+    """An endpoint does not go on with a stream that broke."""
+
+    code = "resume-refused"
+
+
 class DeadlineError(RadishshiftError):
     """The request's deadline has passed."""
 
@@ -283,6 +327,14 @@
     usual_verdict = Verdict.MAY_HAVE_RUN
 
 
+class HungUpError(RadishshiftError):
+    """The caller hung up, and no one is to come back for the answer."""
+
+    code = "hung-up"
+    status = 499
+    usual_verdict = Verdict.MAY_HAVE_RUN
+
+
 class SettingsError(RadishshiftError):
     """Settings or a manifest are wrong.
 
@@ -299,3 +351,24 @@
     def __init__(self, problems: list[str]) -> None:
         super().__init__("; ".join(problems))
         self.problems = problems
+
+
+def rebuild_error(values: dict[str, Any]) -> RadishshiftError:
+    """Return the error that another host described.
+
+    Parameters
+    ----------
+    values : dict
+        The `error` object of `RadishshiftError.body`.
+    """
+    kinds = {cls.code: cls for cls in RadishshiftError.__subclasses__()}
+    for cls in list(kinds.values()):
+        kinds |= {sub.code: sub for sub in cls.__subclasses__()}
+    cls = kinds.get(str(values.get("code")), InternalError)
+    if cls is SettingsError:
+        cls = InternalError
+    return cls(
+        str(values.get("message")),
+        verdict=Verdict(values.get("verdict", Verdict.MAY_HAVE_RUN)),
+        retry_after_s=values.get("retry_after_s"),
+    )
--- a/radishshift/events.py
+++ b/radishshift/events.py
@@ -1,20 +1,28 @@
 """Server-sent events of a stream, told apart without parsing the tokens.
 
-An engine sends `data: {...}` blocks that end in an empty line; the last block but
-one holds the usage, the last is `data: [DONE]`. JSON escapes quotes and newlines in
-text, so the byte patterns below occur only where the protocol puts them.
+An engine sends blocks that end in an empty line: `data: {...}`, with its own `id`
+of the stream in the JSON object, and before it, if the engine numbers its events,
+a line `id: N` that counts from 0. The last block but one holds the usage, the last
+is `data: [DONE]`. JSON escapes quotes and newlines in text, so the byte patterns
+below occur only where the protocol puts them.
 """
 
 from dataclasses import dataclass
 
 import msgspec
 
-__all__ = ["DONE", "EventScanner", "Usage", "read_usage"]
+from radishshift.errors import EndpointError, StreamBrokenError
+
+__all__ = ["BORDER", "DONE", "EventScanner", "Usage", "read_usage", "skip_events"]
 
 BORDER = b"\n\n"
+EVENT_END = b"}" + BORDER
 DONE = b"data: [DONE]\n\n"
 USAGE_MARK = b'"usage":{'
 SPACED_USAGE_MARK = b'"usage": {'
+NUMBER_FIELD = b"id: "
+DATA_FIELD = b"data: "
+EVENT_BYTES_MAX = 1 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,74 +39,166 @@
 
 
 class _EventModel(msgspec.Struct):
+    id: str = ""
+    choices: list[msgspec.Raw] | None = None
     usage: _UsageModel | None = None
+    error: msgspec.Raw | None = None
+
+
+_decoder = msgspec.json.Decoder(_EventModel)
 
 
 def read_usage(data: bytes) -> Usage | None:
     """Return the usage that a JSON answer or event holds, or None."""
     try:
-        event = msgspec.json.decode(data, type=_EventModel)
+        event = _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
+    return _usage_of(event)
+
+
+def _usage_of(event: _EventModel) -> Usage | None:
     if event.usage is None:
         return None
     return Usage(event.usage.prompt_tokens, event.usage.completion_tokens)
 
 
+def skip_events(data: bytes | bytearray, events: int) -> int:
+    """Return the position behind the first `events` events, or the end."""
+    position = 0
+    for _ in range(events):
+        border = data.find(BORDER, position)
+        if border < 0:
+            return len(data)
+        position = border + len(BORDER)
+    return position
+
+
 class EventScanner:
     """Splits a stream into what may be passed on and what ends it.
 
+    Parameters
+    ----------
+    keep_usage : bool
+        Whether the caller asked for the event that holds only the usage.
+    stream_id : str
+        Each event's `id` must end with it; empty if no id is checked.
+
     Attributes
     ----------
     events : int
-        Whole events passed on, which is the offset to resume from.
+        Whole events taken, which is the offset to resume from.
     usage : Usage or None
     done : bool
         Whether the end mark was seen.
     """
 
-    def __init__(self, keep_usage: bool) -> None:
+    def __init__(self, keep_usage: bool, stream_id: str = "") -> None:
         self.events = 0
         self.usage: Usage | None = None
         self.done = False
         self._keep_usage = keep_usage
+        self._stream_id = stream_id
+        self._numbered = False
+        self._head = b""
+        self._rest = b""
+
+    def restart(self) -> None:
+        """Forget a part of an event; the next bytes come from a new connection."""
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events of `data` that go to the caller.
 
         The end mark is never among them: the caller gets it once the bill is
-        safe.
+        safe. Events that came before are left out.
+
+        Raises
+        ------
+        StreamBrokenError
+            An event is malformed, missing, or another stream's.
+        EndpointError
+            The engine gave up the stream.
         """
         if self._rest:
             data = self._rest + data
             self._rest = b""
-        if not data.endswith(BORDER):
-            data, border, self._rest = data.rpartition(BORDER)
-            data += border
-        if USAGE_MARK in data or SPACED_USAGE_MARK in data or DONE in data:
-            return self._feed_slowly(data)
-        self.events += data.count(BORDER)
-        return data
+        if self._is_next(data):
+            self.events += 1
+            return data
+        return self._feed_slowly(data)
+
+    def _is_next(self, data: bytes) -> bool:
+        """Tell whether `data` is just the one event that is expected."""
+        head = self._head
+        if not head or self.done:
+            return False
+        if self._numbered:
+            head = b"id: %d\n%b" % (self.events, head)
+        return (
+            data.startswith(head)
+            and data.endswith(EVENT_END)
+            and data.find(BORDER) == len(data) - 2
+            and USAGE_MARK not in data
+            and SPACED_USAGE_MARK not in data
+        )
 
     def _feed_slowly(self, data: bytes) -> bytes:
+        *blocks, rest = data.split(BORDER)
+        if len(rest) > EVENT_BYTES_MAX:
+            raise StreamBrokenError("the endpoint sent an event without an end")
         passed = []
-        for event in data.split(BORDER)[:-1]:
-            whole = event + BORDER
-            if whole == DONE:
-                self.done = True
-                continue
-            self.events += 1
-            if (USAGE_MARK in whole or SPACED_USAGE_MARK in whole) and self._take_usage(
-                event
-            ):
-                continue
-            passed.append(whole)
+        for block in blocks:
+            if not self.done and self._take(block):
+                passed.append(block + BORDER)
+        if not self.done:
+            self._rest = rest
         return b"".join(passed)
 
-    def _take_usage(self, event: bytes) -> bool:
-        usage = read_usage(event.removeprefix(b"data: "))
-        if usage is None:
+    def _take(self, block: bytes) -> bool:
+        if block.startswith(b":"):
+            return False
+        number, body = self._split(block)
+        if body == b"[DONE]":
+            self.done = True
             return False
-        self.usage = usage
-        return b'"choices":[]' in event and not self._keep_usage
+        if number is not None and number != self.events:
+            if number < self.events:
+                return False
+            raise StreamBrokenError("events of the stream are missing")
+        if number is None and self._numbered:
+            raise StreamBrokenError("an event of the stream has no number")
+        event = self._decode(body)
+        self._check_id(event, body)
+        self._numbered = number is not None
+        self.events += 1
+        self.usage = _usage_of(event) or self.usage
+        return bool(event.choices) or event.usage is None or self._keep_usage
+
+    def _split(self, block: bytes) -> tuple[int | None, bytes]:
+        number = None
+        if block.startswith(NUMBER_FIELD):
+            line, _, block = block.partition(b"\n")
+            digits = line.removeprefix(NUMBER_FIELD)
+            if not digits.isdigit() or len(digits) > 18:
+                raise StreamBrokenError("an event's number is malformed")
+            number = int(digits)
+        if not block.startswith(DATA_FIELD) or b"\n" in block:
+            raise StreamBrokenError("the endpoint sent what is no event")
+        return number, block.removeprefix(DATA_FIELD)
+
+    def _decode(self, body: bytes) -> _EventModel:
+        try:
+            event = _decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            raise StreamBrokenError("the endpoint sent a malformed event") from exc
+        if event.error is not None:
+            raise EndpointError("the endpoint gave up the stream")
+        return event
+
+    def _check_id(self, event: _EventModel, body: bytes) -> None:
+        if not event.id.endswith(self._stream_id):
+            raise StreamBrokenError("the endpoint sent another stream's event")
+        head = b'{"id":' + msgspec.json.encode(event.id)
+        if not self._head and body.startswith(head):
+            self._head = DATA_FIELD + head
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -200,6 +200,7 @@
     priority: Count
     deadline_s: Amount
     cascade: bool = False
+    cancel_on_hang_up: bool = False
     objectives: ObjectivesSpec = ObjectivesSpec()
 
     def task_class(self, name: str) -> TaskClass:
@@ -210,6 +211,7 @@
             self.deadline_s,
             self.cascade,
             self.objectives.objectives(),
+            self.cancel_on_hang_up,
         )
 
 
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -1,12 +1,14 @@
 """The path of a request through an entry host, from admission to bill."""
 
-from collections.abc import Iterator
+import asyncio
+from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 import xxhash
 
 from radishshift.admission import Admission
-from radishshift.answers import Answers, AnswerSink
+from radishshift.answers import Answer, Answers, AnswerSink
 from radishshift.attempts import VersionRun
 from radishshift.balance import BalanceQuestion, EndpointLoads, choose
 from radishshift.bills import Bill, Biller
@@ -19,6 +21,8 @@
 from radishshift.endpoints import Endpoint
 from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
+    DeadlineError,
+    InternalError,
     NoEndpointError,
     NotAllowedError,
     NotFoundError,
@@ -28,10 +32,12 @@
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
 from radishshift.poison import PoisonWatch
+from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
+from radishshift.timeouts import IdleSweep
 
 __all__ = ["Router"]
 
@@ -56,6 +62,8 @@
     admission : Admission
     answer_kept_s : float
         Time that an answer is held after its request came, in seconds.
+    remote_answers : RemoteAnswers, optional
+        Answers of the other hosts.
     """
 
     data_centre: str
@@ -73,20 +81,85 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
+    remote_answers: RemoteAnswers | None = None
+    replays: int = 0
+    sweep: IdleSweep = field(init=False)
+    _background: set[asyncio.Task[None]] = field(default_factory=set, init=False)
 
     @property
     def catalogue(self) -> Catalogue:
         """Return the catalogue in force."""
         return self.configuration.catalogue
 
+    def __post_init__(self) -> None:
+        self.sweep = IdleSweep(self.clock)
+
+    def in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Carry out work that no caller is to wait for."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    @property
+    def busy(self) -> int:
+        """Return how much would be cut if the host stopped now."""
+        return self.admission.running + self.replays + len(self._background)
+
     async def answer_model(self, req: ModelRequest, sink: AnswerSink) -> None:
         """Answer a model request into a sink.
 
+        A resend, known by its idempotency key or request id, gets the answer of the
+        first sending, also while that runs.
+
         Raises
         ------
         RadishshiftError
-            Nothing has been written; the error is the answer.
+            Nothing has been written, or the answer broke off.
         """
+        now = self.clock.now()
+        customer = req.contract.customer
+        self.answers.trim(now)
+        key, fingerprint = req.idempotency_key, req.fingerprint
+        held = self.answers.find_resent(customer, req.request_id, key, fingerprint)
+        if held is not None:
+            await self.replay(held, sink, 0, req.deadline)
+            return
+        kept_until = max(req.deadline, now + self.answer_kept_s)
+        answer = self.answers.open(
+            req.request_id, customer, kept_until, key, fingerprint
+        )
+        try:
+            await self._run_admitted(req, answer, sink)
+        except RadishshiftError as exc:
+            exc.verdict = exc.verdict.worst(answer.ran)
+            self.answers.fail(answer, exc)
+            raise
+        except BaseException:
+            self.answers.fail(answer, InternalError("the answer broke off"))
+            raise
+        answer.end()
+
+    async def replay(
+        self, answer: Answer, sink: AnswerSink, position: int, deadline: float
+    ) -> None:
+        """Send an answer that is held, as it grows, from a position on.
+
+        Raises
+        ------
+        RadishshiftError
+        """
+        self.replays += 1
+        try:
+            async with asyncio.timeout(deadline - self.clock.now()):
+                await answer.replay(sink, position)
+        except TimeoutError as exc:
+            raise DeadlineError("the answer is not whole yet") from exc
+        finally:
+            self.replays -= 1
+
+    async def _run_admitted(
+        self, req: ModelRequest, answer: Answer, sink: AnswerSink
+    ) -> None:
         with self.admission.entered():
             self.poison.check(req.fingerprint, self.clock.now())
             tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
@@ -94,25 +167,23 @@
             self.retry_budget.request_came()
             bill = Bill(req.request_id, req.contract.customer)
             try:
-                await self._run_plan(req, bill, sink)
+                await self._run_plan(req, bill, answer, sink)
             finally:
                 self.limiter.settle(grant, _tokens_of(bill))
 
-    async def _run_plan(self, req: ModelRequest, bill: Bill, sink: AnswerSink) -> None:
+    async def _run_plan(
+        self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
+    ) -> None:
         steps = self._steps(req)
-        kept_until = self.clock.now() + self.answer_kept_s
-        answer = self.answers.open(req.request_id, req.contract.customer, kept_until)
         try:
             for step in steps:
                 self._check_version(step.version.name)
                 run = VersionRun(self, req, step.version, bill, answer, sink)
                 await run.until_done()
-        except RadishshiftError as exc:
+        except RadishshiftError:
             if bill.items:
                 await self.biller.secure(bill)
-            answer.end(exc)
             raise
-        answer.end()
 
     def _steps(self, req: ModelRequest) -> tuple[PlanStep, ...]:
         if req.session_token:
--- a/radishshift/service_calls.py
+++ b/radishshift/service_calls.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from radishshift.bills import Bill, BillItem
+from radishshift.endpoints import Endpoint
 from radishshift.engines import ServiceReply
 from radishshift.errors import EndpointError, RadishshiftError
 from radishshift.requests import ServiceCall
@@ -42,23 +43,33 @@
 
 async def _attempt(router: "Router", call: ServiceCall) -> ServiceReply:
     tried: set[str] = set()
+    ran = Verdict.NOT_RUN
     while True:
-        endpoint = router.choose_endpoint(call.service, call.body, tried)
-        tried.add(endpoint.name)
-        router.loads.started(endpoint)
         try:
-            reply = await router.engines.call(endpoint, call)
-        except EndpointError as exc:
-            if not router.retry_budget.allows(
+            endpoint = router.choose_endpoint(call.service, call.body, tried)
+            tried.add(endpoint.name)
+            reply = await _run_at(router, call, endpoint)
+        except RadishshiftError as exc:
+            ran = ran.worst(exc.verdict)
+            if not isinstance(exc, EndpointError) or not router.retry_budget.allows(
                 exc, call.idempotent, call.deadline, router.clock.now()
             ):
+                exc.verdict = ran
                 raise
             continue
-        finally:
-            router.loads.ended(endpoint)
         service = router.catalogue.services[call.service]
         bill = Bill(call.request_id, call.contract.customer)
         item = BillItem(call.service, endpoint.name, 0, 0, service.call_price)
         bill.items.append(item)
         await router.biller.secure(bill)
         return reply
+
+
+async def _run_at(
+    router: "Router", call: ServiceCall, endpoint: Endpoint
+) -> ServiceReply:
+    router.loads.started(endpoint)
+    try:
+        return await router.engines.call(endpoint, call)
+    finally:
+        router.loads.ended(endpoint)
