--- a/radishshift/answers.py
+++ b/radishshift/answers.py
@@ -42,7 +42,9 @@
     ended : bool
     error : RadishshiftError or None
     ran : Verdict
-        Whether any attempt so far has run.
+        Whether any attempt that has ended did run.
+    attempting : bool
+        Whether an attempt is under way.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     ended: bool = False
     error: RadishshiftError | None = None
     ran: Verdict = Verdict.NOT_RUN
+    attempting: bool = False
     holder: "Answers | None" = None
     _waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
@@ -66,6 +69,13 @@
         """Return the bytes that the answer takes up."""
         return len(self.data) + ANSWER_OVERHEAD_BYTES
 
+    @property
+    def verdict(self) -> Verdict:
+        """Return whether the request may have run so far."""
+        if self.attempting:
+            return self.ran.worst(Verdict.MAY_HAVE_RUN)
+        return self.ran
+
     def start(self) -> None:
         """Note that the status and the headers are settled."""
         self.started = True
--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -133,6 +133,7 @@
         scanner = EventScanner(keep_usage, attempt_id)
         attempt = _Attempt(attempt_id, router.clock.now(), scanner)
         router.loads.started(endpoint)
+        self.answer.attempting = True
         try:
             async with self._guarded():
                 await self._receive(endpoint, attempt)
@@ -140,6 +141,7 @@
             self._give_up(endpoint, attempt, exc)
             raise
         finally:
+            self.answer.attempting = False
             router.loads.ended(endpoint)
         self.answer.ran = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
@@ -236,6 +238,7 @@
 
     async def _start(self, content_type: str) -> None:
         self.started = True
+        self.req.observation.first_token(self.version.name, self.router.clock.now())
         answer = self.answer
         answer.content_type = content_type
         answer.headers["X-Request-Id"] = self.req.request_id
@@ -305,6 +308,7 @@
             cost,
         )
         self.bill.items.append(item)
+        self.req.observation.completion_tokens = usage.completion_tokens
         await self.router.biller.secure(self.bill)
         if self.req.stream:
             last = DONE
--- a/radishshift/caller_connections.py
+++ b/radishshift/caller_connections.py
@@ -21,6 +21,7 @@
 )
 from radishshift.requests import new_request_id
 from radishshift.settings import BoundSettings, TimeSettings
+from radishshift.tls import ServerTls
 from radishshift.verdicts import Verdict
 
 __all__ = ["CallerSink", "error_response", "listening_to_callers"]
@@ -189,7 +190,7 @@
     times: TimeSettings,
     ip: str = "127.0.0.1",
     port: int = 0,
-    **options,
+    tls: ServerTls | None = None,
 ) -> AsyncIterator[str]:
     """Serve callers; give the base URL.
 
@@ -201,8 +202,8 @@
     ip : str
     port : int
         0 takes any free one.
-    **options
-        Passed on to `loop.create_server`.
+    tls : ServerTls, optional
+        Without it, connections are plain.
     """
     loop = asyncio.get_running_loop()
     runner = web.AppRunner(app, access_log=None)
@@ -222,9 +223,10 @@
             max_headers=HEADERS_MAX,
         )
 
-    server = await loop.create_server(connect, ip, port, backlog=BACKLOG, **options)
+    context = None if tls is None else tls.context
+    server = await loop.create_server(connect, ip, port, backlog=BACKLOG, ssl=context)
     bound_port = server.sockets[0].getsockname()[1]
-    scheme = "https" if options.get("ssl") else "http"
+    scheme = "http" if tls is None else "https"
     try:
         yield f"{scheme}://{ip}:{bound_port}"
     finally:
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -344,11 +345,15 @@
 
 @asynccontextmanager
 async def connected_engines(
-    clock: Clock, connect_s: float, idle_s: float, answer_bytes: int
+    clock: Clock,
+    connect_s: float,
+    idle_s: float,
+    answer_bytes: int,
+    ssl_context: ssl.SSLContext | bool = True,
 ) -> AsyncIterator[HttpEngineClient]:
     """Give a client of endpoints with connections of its own."""
-    kept = aiohttp.TCPConnector(limit=0)
-    once = aiohttp.TCPConnector(limit=0, force_close=True)
+    kept = aiohttp.TCPConnector(limit=0, ssl=ssl_context)
+    once = aiohttp.TCPConnector(limit=0, force_close=True, ssl=ssl_context)
     async with (
         aiohttp.ClientSession(
             connector=kept, cookie_jar=aiohttp.DummyCookieJar()
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -31,13 +32,16 @@
 )
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
+from radishshift.observation import Observer
 from radishshift.poison import PoisonWatch
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
+from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
 from radishshift.timeouts import IdleSweep
+from radishshift.verdicts import Verdict
 
 __all__ = ["Router"]
 
@@ -64,6 +68,8 @@
         Time that an answer is held after its request came, in seconds.
     remote_answers : RemoteAnswers, optional
         Answers of the other hosts.
+    leaving : bool
+        Whether the host is to be sent no new work.
     """
 
     data_centre: str
@@ -81,8 +87,10 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
+    observer: Observer | None = None
     remote_answers: RemoteAnswers | None = None
-    replays: int = 0
+    leaving: bool = False
+    running: RunningRequests = field(default_factory=RunningRequests)
     sweep: IdleSweep = field(init=False)
     _background: set[asyncio.Task[None]] = field(default_factory=set, init=False)
 
@@ -103,7 +111,7 @@
     @property
     def busy(self) -> int:
         """Return how much would be cut if the host stopped now."""
-        return self.admission.running + self.replays + len(self._background)
+        return len(self.running) + len(self._background)
 
     async def answer_model(self, req: ModelRequest, sink: AnswerSink) -> None:
         """Answer a model request into a sink.
@@ -116,28 +124,39 @@
         RadishshiftError
             Nothing has been written, or the answer broke off.
         """
-        now = self.clock.now()
         customer = req.contract.customer
-        self.answers.trim(now)
-        key, fingerprint = req.idempotency_key, req.fingerprint
-        held = self.answers.find_resent(customer, req.request_id, key, fingerprint)
+        self.answers.trim(self.clock.now())
+        held = self.answers.find_resent(
+            customer, req.request_id, req.idempotency_key, req.fingerprint
+        )
         if held is not None:
             await self.replay(held, sink, 0, req.deadline)
             return
-        kept_until = max(req.deadline, now + self.answer_kept_s)
-        answer = self.answers.open(
-            req.request_id, customer, kept_until, key, fingerprint
+        answer = self._open_answer(req)
+        with self._observed(req):
+            try:
+                with self.running.entered(
+                    req.request_id, customer, lambda: answer.verdict
+                ):
+                    await self._run_admitted(req, answer, sink)
+            except RadishshiftError as exc:
+                exc.verdict = exc.verdict.worst(answer.verdict)
+                self.answers.fail(answer, exc)
+                raise
+            except BaseException:
+                self.answers.fail(answer, InternalError("the answer broke off"))
+                raise
+            answer.end()
+
+    def _open_answer(self, req: ModelRequest) -> Answer:
+        kept_until = max(req.deadline, self.clock.now() + self.answer_kept_s)
+        return self.answers.open(
+            req.request_id,
+            req.contract.customer,
+            kept_until,
+            req.idempotency_key,
+            req.fingerprint,
         )
-        try:
-            await self._run_admitted(req, answer, sink)
-        except RadishshiftError as exc:
-            exc.verdict = exc.verdict.worst(answer.ran)
-            self.answers.fail(answer, exc)
-            raise
-        except BaseException:
-            self.answers.fail(answer, InternalError("the answer broke off"))
-            raise
-        answer.end()
 
     async def replay(
         self, answer: Answer, sink: AnswerSink, position: int, deadline: float
@@ -148,14 +167,14 @@
         ------
         RadishshiftError
         """
-        self.replays += 1
-        try:
-            async with asyncio.timeout(deadline - self.clock.now()):
-                await answer.replay(sink, position)
-        except TimeoutError as exc:
-            raise DeadlineError("the answer is not whole yet") from exc
-        finally:
-            self.replays -= 1
+        with self.running.entered(
+            answer.request_id, answer.customer, lambda: answer.verdict
+        ):
+            try:
+                async with asyncio.timeout(deadline - self.clock.now()):
+                    await answer.replay(sink, position)
+            except TimeoutError as exc:
+                raise DeadlineError("the answer is not whole yet") from exc
 
     async def _run_admitted(
         self, req: ModelRequest, answer: Answer, sink: AnswerSink
@@ -171,6 +190,24 @@
             finally:
                 self.limiter.settle(grant, _tokens_of(bill))
 
+    @contextmanager
+    def _observed(self, req: ModelRequest | ServiceCall) -> Iterator[None]:
+        error = None
+        try:
+            yield
+        except RadishshiftError as exc:
+            error = exc
+            raise
+        finally:
+            if self.observer is not None:
+                self.observer.ended(
+                    req.contract.customer,
+                    req.task_class,
+                    req.arrived,
+                    req.observation,
+                    error,
+                )
+
     async def _run_plan(
         self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
     ) -> None:
@@ -180,7 +217,7 @@
                 self._check_version(step.version.name)
                 run = VersionRun(self, req, step.version, bill, answer, sink)
                 await run.until_done()
-        except RadishshiftError:
+        except (RadishshiftError, asyncio.CancelledError):
             if bill.items:
                 await self.biller.secure(bill)
             raise
@@ -277,11 +314,20 @@
         ------
         RadishshiftError
         """
+        running = self.running.entered(
+            call.request_id, call.contract.customer, lambda: Verdict.MAY_HAVE_RUN
+        )
+        with self._observed(call), running:
+            return await self._call_service(call)
+
+    async def _call_service(self, call: ServiceCall) -> ServiceReply:
         with self.admission.entered():
             self.poison.check(call.fingerprint, self.clock.now())
             grant = self.limiter.take(call.contract, 0, self.clock.now())
             try:
-                return await run_call(self, call)
+                reply = await run_call(self, call)
+                call.observation.version = call.service
+                return reply
             finally:
                 self.limiter.settle(grant, 0)
 
--- a/radishshift/standins/engine.py
+++ b/radishshift/standins/engine.py
@@ -24,15 +24,39 @@
         Send nothing more after this many tokens of a stream.
     truncate_after : int or None
         Close a stream after this many tokens.
+    crash_after : int or None
+        Close every connection and forget every stream after this many tokens.
     garbage : bool
         Send bytes that are no events.
+    duplicate : bool
+        Send each event twice.
+    crossed_after : int or None
+        Send an event of another stream after this many tokens.
+    skip_after : int or None
+        Leave out one event after this many tokens.
+    late_s : float
+        Wait before the headers, in seconds.
+    refuse_resume : bool
+        Know nothing of a stream that is to be resumed.
+    on_resume : bool
+        Do the same wrong on resumed streams.
     """
 
     refuse: bool = False
     crash_on: str = ""
     silent_after: int | None = None
     truncate_after: int | None = None
+    crash_after: int | None = None
     garbage: bool = False
+    duplicate: bool = False
+    crossed_after: int | None = None
+    skip_after: int | None = None
+    late_s: float = 0.0
+    refuse_resume: bool = False
+    on_resume: bool = False
+
+
+NO_FAULTS = EngineFaults()
 
 
 @dataclass(slots=True)
@@ -40,8 +64,10 @@
     """One attempt as the engine holds it, so that its stream can be resumed."""
 
     version: str
+    kind: str
     tokens: list[str]
     prompt_tokens: int
+    began: float
     cancelled: bool = False
 
 
@@ -57,6 +83,15 @@
         Length of each answer.
     token_s : float
         Time between tokens, in seconds.
+
+    Attributes
+    ----------
+    faults : EngineFaults
+    ran, cancelled : list of str
+        Ids of the attempts that began, and of those that were cancelled.
+    resumed : list of (str, int)
+        Ids and offsets of resumed streams.
+    generations : dict of str to Generation
     """
 
     name: str
@@ -65,18 +100,28 @@
     token_s: float = 0.01
     faults: EngineFaults = field(default_factory=EngineFaults)
     ran: list[str] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    resumed: list[tuple[str, int]] = field(default_factory=list)
     generations: dict[str, Generation] = field(default_factory=dict)
     transports: set[asyncio.Transport] = field(default_factory=set)
 
     def app(self) -> web.Application:
         """Return the application that serves the engine."""
-        app = web.Application(client_max_size=1 << 24)
+        app = web.Application(client_max_size=1 << 24, middlewares=[self._tracked])
         app.router.add_post("/v1/chat/completions", self._chat)
         app.router.add_post("/v1/completions", self._complete)
         app.router.add_get("/v1/streams/{attempt_id}", self._resume)
         app.router.add_delete("/v1/streams/{attempt_id}", self._cancel)
         return app
 
+    @web.middleware
+    async def _tracked(self, request: web.Request, handler) -> web.StreamResponse:
+        self.transports.add(request.transport)
+        try:
+            return await handler(request)
+        finally:
+            self.transports.discard(request.transport)
+
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         return await self._run(request, "chat.completion")
 
@@ -91,114 +136,148 @@
         self.ran.append(attempt_id)
         prompt = str(body.get("messages") or body.get("prompt"))
         if self.faults.crash_on and self.faults.crash_on in prompt:
-            self.crash(request)
+            self.crash()
+        generation = self._generate(body, prompt, kind)
+        self.generations[attempt_id] = generation
+        await asyncio.sleep(self.faults.late_s)
+        if not body.get("stream"):
+            await asyncio.sleep(self.token_s * len(generation.tokens))
+            return web.json_response(self._whole(attempt_id, generation))
+        return await self._stream(request, attempt_id, 0, self.faults)
+
+    def _generate(self, body: dict[str, Any], prompt: str, kind: str) -> Generation:
         bound = body.get("max_tokens") or body.get("max_completion_tokens")
         count = min(self.tokens, bound) if bound else self.tokens
         tokens = [f"word{number} " for number in range(count)]
-        generation = Generation(body["model"], tokens, max(1, len(prompt) // 4))
-        self.generations[attempt_id] = generation
-        if not body.get("stream"):
-            await asyncio.sleep(self.token_s * count)
-            return web.json_response(self._whole(attempt_id, generation, kind))
-        return await self._stream(request, attempt_id, generation, kind, 0)
+        began = asyncio.get_running_loop().time()
+        length = max(1, len(prompt) // 4)
+        return Generation(body["model"], kind, tokens, length, began)
 
-    def crash(self, request: web.Request) -> None:
-        """Close the connection of a request without an answer."""
-        if request.transport is not None:
-            request.transport.abort()
+    def crash(self) -> None:
+        """Close every connection without an answer and forget every stream."""
+        self.generations.clear()
+        for transport in list(self.transports):
+            if transport is not None:
+                transport.abort()
         raise ConnectionResetError("crashed on command")
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
         attempt_id = request.match_info["attempt_id"]
-        generation = self.generations.get(attempt_id)
-        if generation is None:
+        if attempt_id not in self.generations or self.faults.refuse_resume:
             return web.json_response({"error": {"message": "unknown"}}, status=404)
         start = int(request.query.get("from_event", "0"))
-        kind = "chat.completion"
-        return await self._stream(request, attempt_id, generation, kind, start)
+        self.resumed.append((attempt_id, start))
+        faults = self.faults if self.faults.on_resume else NO_FAULTS
+        return await self._stream(request, attempt_id, start, faults)
 
     async def _cancel(self, request: web.Request) -> web.Response:
-        generation = self.generations.get(request.match_info["attempt_id"])
+        attempt_id = request.match_info["attempt_id"]
+        self.cancelled.append(attempt_id)
+        generation = self.generations.get(attempt_id)
         if generation is not None:
             generation.cancelled = True
         return web.json_response({})
 
     async def _stream(
-        self,
-        request: web.Request,
-        attempt_id: str,
-        generation: Generation,
-        kind: str,
-        start: int,
+        self, request: web.Request, attempt_id: str, start: int, faults: EngineFaults
     ) -> web.StreamResponse:
+        generation = self.generations[attempt_id]
+        loop = asyncio.get_running_loop()
         resp = web.StreamResponse()
         resp.content_type = "text/event-stream"
         await resp.prepare(request)
         for number in range(start, len(generation.tokens)):
+            due = generation.began + self.token_s * (number + 1)
+            await asyncio.sleep(max(0.0, due - loop.time()))
             if generation.cancelled:
                 return resp
-            await asyncio.sleep(self.token_s)
-            if self.faults.garbage:
-                await resp.write(b"\xff\xfe not an event \n\n")
-            if number == self.faults.silent_after:
-                await asyncio.sleep(3600)
-            if number == self.faults.truncate_after:
-                self.crash(request)
-            event = self._event(attempt_id, generation, kind, number)
-            await resp.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
-        last = {
-            "id": attempt_id,
-            "object": f"{kind}.chunk",
-            "created": 0,
-            "model": generation.version,
-            "choices": [],
-            "usage": self._usage(generation),
-        }
-        await resp.write(b"data: " + msgspec.json.encode(last) + b"\n\n")
+            await self._do_wrong(request, resp, generation, number, faults)
+            event = _event(attempt_id, generation, number)
+            if number != faults.skip_after:
+                await resp.write(event)
+            if faults.duplicate:
+                await resp.write(event)
+        await resp.write(_last_event(attempt_id, generation))
         await resp.write(b"data: [DONE]\n\n")
         return resp
 
-    def _event(
-        self, attempt_id: str, generation: Generation, kind: str, number: int
-    ) -> dict[str, Any]:
-        token = generation.tokens[number]
-        last = number == len(generation.tokens) - 1
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop" if last else None}
-        if kind == "chat.completion":
-            choice["delta"] = {"role": "assistant", "content": token}
-        else:
-            choice["text"] = token
-        return {
-            "id": attempt_id,
-            "object": f"{kind}.chunk" if kind == "chat.completion" else kind,
-            "created": 0,
-            "model": generation.version,
-            "choices": [choice],
-        }
+    async def _do_wrong(
+        self,
+        request: web.Request,
+        resp: web.StreamResponse,
+        generation: Generation,
+        number: int,
+        faults: EngineFaults,
+    ) -> None:
+        if faults.garbage:
+            await resp.write(b"\xff\xfe not an event \n\n")
+        if number == faults.crossed_after:
+            await resp.write(_event("another-stream", generation, number))
+        if number == faults.silent_after:
+            await asyncio.sleep(3600)
+        if number == faults.truncate_after:
+            request.transport.abort()
+            raise ConnectionResetError("cut on command")
+        if number == faults.crash_after:
+            self.crash()
 
-    def _whole(
-        self, attempt_id: str, generation: Generation, kind: str
-    ) -> dict[str, Any]:
+    def _whole(self, attempt_id: str, generation: Generation) -> dict[str, Any]:
         text = "".join(generation.tokens)
         choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
-        if kind == "chat.completion":
+        if generation.kind == "chat.completion":
             choice["message"] = {"role": "assistant", "content": text}
         else:
             choice["text"] = text
         return {
             "id": attempt_id,
-            "object": kind,
+            "object": generation.kind,
             "created": 0,
             "model": generation.version,
             "choices": [choice],
-            "usage": self._usage(generation),
+            "usage": _usage(generation),
         }
 
-    @staticmethod
-    def _usage(generation: Generation) -> dict[str, int]:
-        completion = len(generation.tokens)
-        return {
-            "prompt_tokens": generation.prompt_tokens,
-            "completion_tokens": completion,
-            "total_tokens": generation.prompt_tokens + completion,
-        }
+
+def _encode(number: int, event: dict[str, Any]) -> bytes:
+    return b"id: %d\ndata: %b\n\n" % (number, msgspec.json.encode(event))
+
+
+def _event(attempt_id: str, generation: Generation, number: int) -> bytes:
+    token = generation.tokens[number]
+    last = number == len(generation.tokens) - 1
+    choice: dict[str, Any] = {"index": 0, "finish_reason": "stop" if last else None}
+    kind = generation.kind
+    if kind == "chat.completion":
+        choice["delta"] = {"role": "assistant", "content": token}
+        kind = f"{kind}.chunk"
+    else:
+        choice["text"] = token
+    event = {
+        "id": attempt_id,
+        "object": kind,
+        "created": 0,
+        "model": generation.version,
+        "choices": [choice],
+    }
+    return _encode(number, event)
+
+
+def _last_event(attempt_id: str, generation: Generation) -> bytes:
+    event = {
+        "id": attempt_id,
+        "object": f"{generation.kind}.chunk",
+        "created": 0,
+        "model": generation.version,
+        "choices": [],
+        "usage": _usage(generation),
+    }
+    return _encode(len(generation.tokens), event)
+
+
+def _usage(generation: Generation) -> dict[str, int]:
+    completion = len(generation.tokens)
+    return {
+        "prompt_tokens": generation.prompt_tokens,
+        "completion_tokens": completion,
+        "total_tokens": generation.prompt_tokens + completion,
+    }
