--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -4,7 +4,7 @@
 import os
 import signal
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, nullcontext
 from dataclasses import dataclass
 
 import aiohttp
@@ -19,7 +19,7 @@
 from radishshift.claims import Claims
 from radishshift.clocks import Clock, SystemClock
 from radishshift.configuration import Configuration
-from radishshift.control import met_peers
+from radishshift.control import controlled, met_peers
 from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
 from radishshift.http_platform import HttpPlatform
@@ -144,8 +144,15 @@
 
 
 @asynccontextmanager
-async def running(cfg: HostSettings) -> AsyncIterator[EntryHost]:
-    """Run an entry host for as long as the context lasts."""
+async def running(cfg: HostSettings, control: bool = True) -> AsyncIterator[EntryHost]:
+    """Run an entry host for as long as the context lasts.
+
+    Parameters
+    ----------
+    cfg : HostSettings
+    control : bool
+        Whether to follow the configuration and take up duties.
+    """
     clock = SystemClock()
     async with (
         connected_engines(
@@ -178,7 +185,6 @@
             answer_kept_s=cfg.times.answer_kept_s,
         )
         tasks = [
-            asyncio.create_task(configuration.follow(platform)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
@@ -190,7 +196,13 @@
         caller_tls = server_tls_of(cfg.tls.callers)
         if caller_tls is not None:
             tasks.append(asyncio.create_task(caller_tls.keep_fresh(clock)))
+        following = nullcontext()
+        if control:
+            following = controlled(
+                configuration, platform, peers, clock, cfg.peers.seeds
+            )
         async with (
+            following,
             monitored(cfg, clock, router) as monitoring_url,
             listening_to_callers(
                 caller_app,
