--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -203,6 +203,7 @@
     priority: Count
     deadline_s: Amount
     cascade: bool = False
+    cancel_on_hang_up: bool = False
     objectives: ObjectivesSpec = ObjectivesSpec()
 
     def task_class(self, name: str) -> TaskClass:
@@ -213,6 +214,7 @@
             self.deadline_s,
             self.cascade,
             self.objectives.objectives(),
+            self.cancel_on_hang_up,
         )
 
 
--- a/radishshift/monitoring.py
+++ b/radishshift/monitoring.py
@@ -57,11 +57,15 @@
 
 def is_ready(router: Router) -> bool:
     """Tell whether a host should be sent new work."""
-    return router.catalogue.revision > 0 and not router.admission.closed
+    return router.catalogue.revision > 0 and not router.leaving
 
 
 def _watch_tables(metrics: Metrics, router: Router) -> None:
     metrics.watch("requests.running", lambda: router.admission.running)
+    metrics.watch("answers.held", lambda: len(router.answers))
+    metrics.watch("answers.held_bytes", lambda: router.answers.held_bytes)
+    metrics.watch("answers.dropped", lambda: router.answers.dropped)
+    metrics.watch("answers.refused", lambda: router.answers.refused)
     metrics.watch("catalogue.revision", lambda: router.catalogue.revision)
     metrics.watch("catalogue.versions", lambda: len(router.catalogue.versions))
     metrics.watch("catalogue.endpoints", lambda: len(router.catalogue.endpoints))
