--- a/radishshift/cascade.py
+++ b/radishshift/cascade.py
@@ -9,7 +9,7 @@
 from radishshift.evidence import Evidence
 from radishshift.quality import QualityAccounts
 
-__all__ = ["Plan", "PlanQuestion", "PlanStep", "make_plan", "planner"]
+__all__ = ["Plan", "PlanQuestion", "PlanStep", "make_plan", "planner", "planner_names"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +96,11 @@
     return register
 
 
+def planner_names() -> list[str]:
+    """Return the names that a catalogue may give."""
+    return sorted(_PLANNERS)
+
+
 def make_plan(
     name: str, question: PlanQuestion, evidence: Evidence, accounts: QualityAccounts
 ) -> Plan:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -4,34 +4,45 @@
 import os
 import signal
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager, nullcontext
 from dataclasses import dataclass
 
 import aiohttp
 import logbook
 from absl import app, flags
-from aiohttp import web
 
 from radishshift.admission import Admission
 from radishshift.answers import Answers
 from radishshift.bills import Biller
+from radishshift.caller_connections import listening_to_callers
 from radishshift.callers import make_caller_app
 from radishshift.claims import Claims
 from radishshift.clocks import Clock, SystemClock
 from radishshift.configuration import Configuration
-from radishshift.engines import HttpEngineClient
+from radishshift.control import controlled, met_peers
+from radishshift.duties import Duties
+from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
+from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
-from radishshift.listening import listening
 from radishshift.logs import log_to
+from radishshift.monitoring import add_health, is_ready, monitored
+from radishshift.peers import Peers
+from radishshift.remote_answers import RemoteAnswers
 from radishshift.router import Router
+from radishshift.running import RunningRequest
 from radishshift.sessions import SessionKeys
-from radishshift.settings import HostSettings, load_settings
+from radishshift.settings import ClientKeySettings, HostSettings, load_settings
+from radishshift.tls import client_context_of, server_tls_of
 
 __all__ = ["EntryHost", "run", "running"]
 
 FLAGS = flags.FLAGS
 DRAIN_POLL_S = 0.05
+CUT_S = 1.0
+FLUSH_S = 5.0
+FLUSH_PAUSE_S = 0.2
+LEFT_WORK_EXIT_CODE = 3
 
 logger = logbook.Logger("entry")
 
@@ -46,20 +57,79 @@
     router : Router
     address : str
         Base URL for callers.
+    peers : Peers
+        The other entry hosts.
+    monitoring_address : str
+        Base URL of metrics, indicators and health.
     """
 
     cfg: HostSettings
     router: Router
     address: str
+    peers: Peers
+    monitoring_address: str
+    duties: Duties
 
-    async def drain(self, deadline: float) -> int:
+    async def stop(
+        self, hurry: asyncio.Event | None = None, unready_s: float = 0.0
+    ) -> list[RunningRequest]:
+        """Leave without cutting a request; return those that had to be cut.
+
+        First the host is unready but takes work, until the balancer has seen that;
+        then it refuses new work and lets the rest end.
+
+        Parameters
+        ----------
+        hurry : asyncio.Event, optional
+            Once set, what still runs is cut.
+        unready_s : float
+            Time for the balancer to see that the host is unready, in seconds.
+        """
+        clock = self.router.clock
+        hurry = hurry or asyncio.Event()
+        self.router.leaving = True
+        await self.peers.leave()
+        await _until(hurry.is_set, clock, clock.now() + unready_s)
+        await self.drain(clock.now() + self.cfg.times.stop_s, hurry)
+        left = self.router.running.cut()
+        for request in left:
+            logger.error(
+                "cut by the stop: verdict {}",
+                request.verdict_now().value,
+                extra={"request_id": request.request_id},
+            )
+        if left:
+            await _until(lambda: not self.router.busy, clock, clock.now() + CUT_S)
+        await self._flush_bills(clock.now() + FLUSH_S)
+        return left
+
+    async def drain(self, deadline: float, hurry: asyncio.Event | None = None) -> int:
         """Take no new work and wait for what runs; return what was left."""
-        admission = self.router.admission
-        admission.close()
+        router = self.router
+        router.admission.close()
+        await _until(
+            lambda: not router.busy or (hurry is not None and hurry.is_set()),
+            router.clock,
+            deadline,
+        )
+        return router.busy
+
+    async def _flush_bills(self, deadline: float) -> None:
         clock = self.router.clock
-        while admission.running and clock.now() < deadline:
-            await clock.sleep_until(clock.now() + DRAIN_POLL_S)
-        return admission.running
+        while True:
+            try:
+                await self.router.biller.flush()
+                return
+            except RadishshiftError as exc:
+                if clock.now() >= deadline:
+                    logger.error("bills were not settled: {}", exc.message)
+                    return
+            await clock.sleep_until(clock.now() + FLUSH_PAUSE_S)
+
+
+async def _until(done: Callable[[], bool], clock: Clock, deadline: float) -> None:
+    while not done() and clock.now() < deadline:
+        await clock.sleep_until(clock.now() + DRAIN_POLL_S)
 
 
 async def _every(clock: Clock, period_s: float, act: Callable) -> None:
@@ -71,82 +141,122 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
+def _platform_session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
+    return aiohttp.ClientSession(connector=connector)
+
+
 @asynccontextmanager
-async def running(cfg: HostSettings) -> AsyncIterator[EntryHost]:
-    """Run an entry host for as long as the context lasts."""
+async def running(cfg: HostSettings, control: bool = True) -> AsyncIterator[EntryHost]:
+    """Run an entry host for as long as the context lasts.
+
+    Parameters
+    ----------
+    cfg : HostSettings
+    control : bool
+        Whether to follow the configuration and take up duties.
+    """
     clock = SystemClock()
-    async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=False)
-    ) as session:
-        platform = HttpPlatform(
-            session, cfg.platform.address, cfg.name, cfg.platform.call_timeout_s
+    async with (
+        connected_engines(
+            clock,
+            cfg.times.connect_s,
+            cfg.times.stream_idle_s,
+            cfg.bounds.answer_bytes,
+            client_context_of(cfg.tls.to_endpoints),
+        ) as engines,
+        _platform_session(cfg.tls.to_platform) as platform_session,
+        met_peers(cfg, clock) as peers,
+    ):
+        http_platform = HttpPlatform(
+            platform_session,
+            cfg.platform.address,
+            cfg.name,
+            cfg.platform.call_timeout_s,
         )
+        platform = GuardedPlatform(http_platform, clock)
+        duties = Duties(platform, peers, clock)
         configuration = Configuration(clock)
+        process = f"{cfg.name}-{peers.me.incarnation}"
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
             configuration=configuration,
-            engines=HttpEngineClient(
-                session, cfg.times.connect_s, cfg.times.stream_idle_s
-            ),
-            claims=Claims(platform, cfg.name),
-            biller=Biller(platform, cfg.name, int(clock.now() * 1000)),
-            answers=Answers(cfg.bounds.answers_bytes),
+            engines=engines,
+            claims=Claims(platform, clock, process, peers),
+            biller=Biller(platform, cfg.name, peers.me.incarnation),
+            answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
             admission=Admission(cfg.bounds.requests),
             answer_kept_s=cfg.times.answer_kept_s,
         )
         tasks = [
-            asyncio.create_task(configuration.follow(platform)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
         ]
-        caller_app = make_caller_app(router, cfg.bounds)
-        _add_health(caller_app, router)
+        router.remote_answers = RemoteAnswers(peers, router.answers, clock)
+        caller_app = make_caller_app(router, cfg.bounds, cfg.times)
+        add_health(caller_app, lambda: is_ready(router))
         address = cfg.address
-        async with listening(caller_app, address.ip, address.caller_port) as url:
-            host = EntryHost(cfg, router, url)
+        caller_tls = server_tls_of(cfg.tls.callers)
+        if caller_tls is not None:
+            tasks.append(asyncio.create_task(caller_tls.keep_fresh(clock)))
+        following = nullcontext()
+        if control:
+            following = controlled(
+                configuration, platform, peers, duties, clock, cfg.peers.seeds
+            )
+        async with (
+            following,
+            monitored(cfg, clock, router) as monitoring_url,
+            listening_to_callers(
+                caller_app,
+                cfg.bounds,
+                cfg.times,
+                address.ip,
+                address.caller_port,
+                caller_tls,
+            ) as url,
+        ):
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
             try:
                 yield host
             finally:
-                await host.drain(clock.now() + cfg.times.stop_s)
+                if not router.leaving:
+                    await host.stop()
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
-                with suppress(RadishshiftError):
-                    await router.biller.flush()
-
-
-def _add_health(caller_app: web.Application, router: Router) -> None:
-    async def healthz(_: web.Request) -> web.Response:
-        return web.json_response({"ok": True})
+                await router.claims.close()
 
-    async def readyz(_: web.Request) -> web.Response:
-        ready = router.catalogue.revision > 0 and not router.admission.closed
-        return web.json_response({"ready": ready}, status=200 if ready else 503)
 
-    caller_app.router.add_get("/healthz", healthz)
-    caller_app.router.add_get("/readyz", readyz)
+async def _serve(cfg: HostSettings) -> int:
+    stop = asyncio.Event()
+    hurry = asyncio.Event()
 
+    def signalled() -> None:
+        (hurry if stop.is_set() else stop).set()
 
-async def _serve(cfg: HostSettings) -> None:
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
+        loop.add_signal_handler(signum, signalled)
     async with running(cfg) as host:
         logger.info("serving callers at {}", host.address)
         await stop.wait()
+        logger.info("leaving: {} requests are running", len(host.router.running))
+        left = await host.stop(hurry, cfg.times.unready_s)
+        logger.info("left: {} requests were cut", len(left))
+    return LEFT_WORK_EXIT_CODE if left else 0
 
 
-def _main(_: list[str]) -> None:
+def _main(_: list[str]) -> int:
     cfg = load_settings(FLAGS.settings)
     if FLAGS.check:
         print("settings are valid")
-        return
+        return 0
     log_to()
-    asyncio.run(_serve(cfg))
+    return asyncio.run(_serve(cfg))
 
 
 def run() -> None:
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -25,20 +25,23 @@
     TaskClass,
 )
 from radishshift.endpoints import Endpoint, EndpointState
-from radishshift.errors import SettingsError
+from radishshift.hosts import HostState
 from radishshift.objects import Kind, StoredObject
+from radishshift.validation import validated
 
 __all__ = [
     "ClassSpec",
     "CustomerSpec",
     "EndpointSpec",
     "EntrySpec",
+    "HostSpec",
     "PolicySpec",
     "ServiceSpec",
     "VersionSpec",
     "build_catalogue",
     "read_endpoint",
     "read_entry",
+    "read_host",
 ]
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -200,6 +203,7 @@
     priority: Count
     deadline_s: Amount
     cascade: bool = False
+    cancel_on_hang_up: bool = False
     objectives: ObjectivesSpec = ObjectivesSpec()
 
     def task_class(self, name: str) -> TaskClass:
@@ -210,6 +214,7 @@
             self.deadline_s,
             self.cascade,
             self.objectives.objectives(),
+            self.cancel_on_hang_up,
         )
 
 
@@ -248,6 +253,15 @@
         )
 
 
+class HostSpec(Manifest, frozen=True, kw_only=True):
+    """An entry host in the platform's list; see `hosts.Host`."""
+
+    data_centre: Name
+    region: str
+    peer_address: str
+    state: HostState = HostState.LIVE
+
+
 EntrySpec = VersionSpec | ServiceSpec | CustomerSpec | ClassSpec | PolicySpec
 
 
@@ -258,7 +272,7 @@
     ------
     SettingsError
     """
-    return _convert(name, spec, EntrySpec)
+    return validated(spec, EntrySpec, name)
 
 
 def read_endpoint(name: str, spec: dict[str, Any]) -> EndpointSpec:
@@ -268,14 +282,17 @@
     ------
     SettingsError
     """
-    return _convert(name, spec, EndpointSpec)
+    return validated(spec, EndpointSpec, name)
+
 
+def read_host(name: str, spec: dict[str, Any]) -> HostSpec:
+    """Validate the spec of an entry host.
 
-def _convert(name: str, spec: dict[str, Any], wanted: Any) -> Any:
-    try:
-        return msgspec.convert(spec, wanted)
-    except msgspec.ValidationError as exc:
-        raise SettingsError([f"{name}: {exc}"]) from exc
+    Raises
+    ------
+    SettingsError
+    """
+    return validated(spec, HostSpec, name)
 
 
 def build_catalogue(revision: int, items: Iterable[StoredObject]) -> Catalogue:
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -3,10 +3,10 @@
 from pathlib import Path
 from typing import Annotated
 
-import json5
 import msgspec
 
 from radishshift.errors import SettingsError
+from radishshift.validation import read_commented_json, validated
 
 __all__ = ["HostSettings", "load_settings", "read_settings"]
 
@@ -35,6 +35,45 @@
     call_timeout_s: Positive = 2.0
 
 
+class PeerSettings(Section, frozen=True):
+    """How the host meets the other entry hosts.
+
+    The key file holds the keys that all hosts share, one a line, the first to sign
+    with; without it the host acts alone. The seeds are addresses of peer ports that
+    a host asks when it knows no other.
+    """
+
+    key_file: str = ""
+    heartbeat_s: Positive = 2.0
+    seeds: tuple[str, ...] = ()
+
+
+class ServerKeySettings(Section, frozen=True):
+    """Key of a port that listens; see `tls.KeyFiles`."""
+
+    certificate_file: str
+    key_file: str
+    client_ca_file: str = ""
+
+
+class ClientKeySettings(Section, frozen=True):
+    """How the other end of a connection is checked, and what we show it."""
+
+    ca_file: str
+    certificate_file: str = ""
+    key_file: str = ""
+
+
+class TlsSettings(Section, frozen=True):
+    """TLS by kind of connection; without a part, those connections are plain."""
+
+    callers: ServerKeySettings | None = None
+    peers: ServerKeySettings | None = None
+    to_peers: ClientKeySettings | None = None
+    to_platform: ClientKeySettings | None = None
+    to_endpoints: ClientKeySettings | None = None
+
+
 class BoundSettings(Section, frozen=True):
     """Bounds on what the host holds."""
 
@@ -51,10 +90,14 @@
     """Times the host keeps, in seconds."""
 
     stop_s: Positive = 30.0
+    unready_s: Positive = 2.0
     stream_idle_s: Positive = 5.0
     connect_s: Positive = 1.0
     answer_kept_s: Positive = 600.0
     bill_batch_s: Positive = 1.0
+    receive_s: Positive = 10.0
+    caller_stall_s: Positive = 10.0
+    deadline_max_s: Positive = 3600.0
 
 
 class HostSettings(Section, frozen=True, kw_only=True):
@@ -68,6 +111,8 @@
     region: str
     platform: PlatformSettings
     address: AddressSettings = AddressSettings()
+    peers: PeerSettings = PeerSettings()
+    tls: TlsSettings = TlsSettings()
     bounds: BoundSettings = BoundSettings()
     times: TimeSettings = TimeSettings()
 
@@ -86,14 +131,7 @@
     ------
     SettingsError
     """
-    try:
-        values = json5.loads(text)
-    except ValueError as exc:
-        raise SettingsError([f"{source}: {exc}"]) from exc
-    try:
-        return msgspec.convert(values, HostSettings)
-    except msgspec.ValidationError as exc:
-        raise SettingsError([f"{source}: {exc}"]) from exc
+    return validated(read_commented_json(text, source), HostSettings, source)
 
 
 def load_settings(path: str) -> HostSettings:
