--- a/radishshift/admission.py
+++ b/radishshift/admission.py
@@ -1,46 +1,154 @@
 """Admission of requests to an entry host."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
+from radishshift.clocks import Clock, SystemClock
+from radishshift.contracts import Contract, TaskClass
 from radishshift.errors import OverloadedError, ShuttingDownError
+from radishshift.room import Room
+from radishshift.waiting import Ticket, WaitingRoom
 
-__all__ = ["Admission"]
+__all__ = ["Admission", "Place"]
+
+FULL_RETRY_AFTER_S = 1.0
+
+
+@dataclass(slots=True)
+class Place:
+    """A place that a request holds while it runs.
+
+    Attributes
+    ----------
+    cost : float
+        What the request has cost, in tokens; the estimate until it is set.
+    """
+
+    cost: float
 
 
 class Admission:
-    """Lets requests in while there is room.
+    """Lets requests in while there is room, and lets the rest wait or go.
 
     Parameters
     ----------
     bound : int
-        Requests that may be running at once.
+        Requests that the host holds at once, running or waiting.
+    clock : Clock, optional
     """
 
-    def __init__(self, bound: int) -> None:
+    def __init__(self, bound: int, clock: Clock | None = None) -> None:
         self._bound = bound
+        self._clock = SystemClock() if clock is None else clock
+        self._pools: dict[str, WaitingRoom] = {}
         self.running = 0
         self.closed = False
 
     def close(self) -> None:
-        """Let no more requests in."""
+        """Let no more requests in; those that wait still get their turn."""
         self.closed = True
 
-    @contextmanager
-    def entered(self) -> Iterator[None]:
-        """Hold a place for a request.
+    def pool(self, name: str) -> WaitingRoom:
+        """Return the places of the requests for one model or service."""
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = WaitingRoom(Room(self._bound))
+            self._pools[name] = pool
+        return pool
+
+    def first_token(self, pool: str, task_class: TaskClass, wait_s: float) -> None:
+        """Note how long an endpoint took to the first token, in seconds."""
+        self.pool(pool).room.first_token(task_class, wait_s)
+
+    def refused(self, pool: str) -> None:
+        """Note that an endpoint had no room for a request."""
+        self.pool(pool).room.refused()
+
+    @asynccontextmanager
+    async def entered(
+        self,
+        task_class: TaskClass,
+        contract: Contract,
+        cost: float,
+        deadline: float,
+        pool: str = "",
+    ) -> AsyncIterator[Place]:
+        """Hold a place for a request, after a wait if need be.
+
+        What was checked before is to be checked again inside: the wait may have
+        been long.
 
         Raises
         ------
         ShuttingDownError
         OverloadedError
+            The request has not run and its deadline could not be met.
         """
         if self.closed:
             raise ShuttingDownError("the host is leaving", retry_after_s=0.0)
         if self.running >= self._bound:
-            raise OverloadedError("the host is full", retry_after_s=1.0)
+            raise OverloadedError(
+                "the host is full", retry_after_s=FULL_RETRY_AFTER_S
+            )
         self.running += 1
         try:
-            yield
+            async with self._waited(
+                self.pool(pool), task_class, contract, cost, deadline
+            ) as place:
+                yield place
         finally:
             self.running -= 1
+
+    @asynccontextmanager
+    async def _waited(
+        self,
+        pool: WaitingRoom,
+        task_class: TaskClass,
+        contract: Contract,
+        cost: float,
+        deadline: float,
+    ) -> AsyncIterator[Place]:
+        now = self._clock.now()
+        decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        def decide(error: OverloadedError | None) -> None:
+            if decided.done():
+                return
+            if error is None:
+                decided.set_result(None)
+            else:
+                decided.set_exception(error)
+
+        ticket = Ticket(task_class, contract, cost, now, deadline, decide)
+        pool.offer(ticket, now)
+        try:
+            await self._decision(pool, ticket, decided)
+        except asyncio.CancelledError:
+            if ticket.started is None:
+                pool.withdraw(ticket)
+            else:
+                pool.finish(ticket, 0.0, self._clock.now())
+            raise
+        place = Place(cost)
+        try:
+            yield place
+        finally:
+            pool.finish(ticket, place.cost, self._clock.now())
+
+    async def _decision(
+        self, pool: WaitingRoom, ticket: Ticket, decided: asyncio.Future[None]
+    ) -> None:
+        if not decided.done():
+            loop = asyncio.get_running_loop()
+            wait_s = max(0.0, ticket.latest_start - self._clock.now())
+            timer = loop.call_later(
+                wait_s, lambda: pool.expire(max(self._clock.now(), ticket.latest_start))
+            )
+            try:
+                await decided
+            finally:
+                timer.cancel()
+        else:
+            decided.result()
--- a/radishshift/contracts.py
+++ b/radishshift/contracts.py
@@ -1,5 +1,6 @@
 """What a customer has agreed: versions, quality, limits and objectives."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -72,6 +73,8 @@
     cascade : bool
         Whether a request may be tried on one version and then on a dearer one.
     objectives : Objectives
+    queue_s : float
+        Longest wait for room before a request is refused, in seconds.
     """
 
     name: str
@@ -79,6 +82,7 @@
     deadline_s: float
     cascade: bool
     objectives: Objectives
+    queue_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -93,7 +93,7 @@
             biller=Biller(platform, cfg.name, int(clock.now() * 1000)),
             answers=Answers(cfg.bounds.answers_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
-            admission=Admission(cfg.bounds.requests),
+            admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
         )
         tasks = [
--- /dev/null
+++ b/radishshift/fairness.py
@@ -0,0 +1,114 @@
+"""Fair queueing of work between customers, by weight and by cost in tokens."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+__all__ = ["FairQueue"]
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class _Line(Generic[T]):
+    """Items of one customer, and the virtual time at which its next one starts."""
+
+    weight: float
+    start: float
+    items: deque[tuple[float, T]]
+    cost: float = 0.0
+
+
+class FairQueue(Generic[T]):
+    """Start-time fair queue: customers that wait are served by their weights.
+
+    A customer's place moves on only by what was taken out for it, so an item that
+    gives up costs it nothing.
+    """
+
+    def __init__(self) -> None:
+        self._lines: dict[str, _Line[T]] = {}
+        self._virtual = 0.0
+        self.cost = 0.0
+        self.length = 0
+
+    def push(self, customer: str, weight: float, cost: float, item: T) -> None:
+        """Add an item behind the customer's others."""
+        line = self._lines.get(customer)
+        if line is None:
+            line = _Line(weight, self._virtual, deque())
+            self._lines[customer] = line
+        elif not line.items:
+            line.start = max(line.start, self._virtual)
+        line.weight = max(weight, 1e-9)
+        line.items.append((cost, item))
+        line.cost += cost
+        self.cost += cost
+        self.length += 1
+
+    def head(self) -> tuple[float, T] | None:
+        """Return the cost and the item that is next, or None."""
+        line = self._next_line()
+        return None if line is None else line.items[0]
+
+    def pop(self) -> T:
+        """Take out the item that is next."""
+        line = self._next_line()
+        if line is None:
+            raise IndexError("the queue is empty")
+        cost, item = line.items.popleft()
+        self._drop(line, cost)
+        self._virtual = line.start
+        line.start += cost / line.weight
+        self._forget()
+        return item
+
+    def remove(self, customer: str, item: T) -> bool:
+        """Take out an item that gave up; tell whether it was there."""
+        line = self._lines.get(customer)
+        if line is None:
+            return False
+        for entry in line.items:
+            if entry[1] is item:
+                line.items.remove(entry)
+                self._drop(line, entry[0])
+                return True
+        return False
+
+    def charge(self, customer: str, cost: float) -> None:
+        """Correct a customer's place for what its work really cost."""
+        line = self._lines.get(customer)
+        if line is not None:
+            line.start += cost / line.weight
+
+    def cost_ahead(self, customer: str, weight: float) -> float:
+        """Return the cost that is served before a new item of a customer."""
+        line = self._lines.get(customer)
+        own = line.cost if line is not None else 0.0
+        waiting = [other for other in self._lines.values() if other.items]
+        total_weight = sum(other.weight for other in waiting)
+        if line is None or not line.items:
+            total_weight += weight
+        return min(self.cost, own * total_weight / max(weight, 1e-9))
+
+    def items(self) -> list[T]:
+        """Return everything that waits."""
+        return [item for line in self._lines.values() for _, item in line.items]
+
+    def _next_line(self) -> _Line[T] | None:
+        waiting = (line for line in self._lines.values() if line.items)
+        return min(waiting, key=lambda line: line.start, default=None)
+
+    def _drop(self, line: _Line[T], cost: float) -> None:
+        line.cost -= cost
+        self.cost -= cost
+        self.length -= 1
+
+    def _forget(self) -> None:
+        idle = [
+            customer
+            for customer, line in self._lines.items()
+            if not line.items and line.start <= self._virtual
+        ]
+        for customer in idle:
+            del self._lines[customer]
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -41,6 +41,8 @@
     "read_entry",
 ]
 
+QUEUE_SHARE = 0.1
+
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
 Price = Annotated[int, msgspec.Meta(ge=0)]
@@ -195,12 +197,16 @@
 class ClassSpec(
     EntryBase, frozen=True, kw_only=True, tag_field="type", tag="task-class"
 ):
-    """A task class; see `contracts.TaskClass`."""
+    """A task class; see `contracts.TaskClass`.
+
+    Without `queue_s` a request may wait a tenth of the class's usual deadline.
+    """
 
     priority: Count
     deadline_s: Amount
     cascade: bool = False
     objectives: ObjectivesSpec = ObjectivesSpec()
+    queue_s: Amount | None = None
 
     def task_class(self, name: str) -> TaskClass:
         """Return the data class."""
@@ -210,6 +216,7 @@
             self.deadline_s,
             self.cascade,
             self.objectives.objectives(),
+            QUEUE_SHARE * self.deadline_s if self.queue_s is None else self.queue_s,
         )
 
 
--- /dev/null
+++ b/radishshift/room.py
@@ -0,0 +1,90 @@
+"""How many requests may run at once, learnt from the wait for the first token.
+
+Several hosts share the endpoints, so no host can work out its room from their
+slots. Each raises its bound while it is used up and first tokens come in time, and
+cuts it when too many come late.
+"""
+
+from radishshift.contracts import TaskClass
+
+__all__ = ["Room"]
+
+START = 16.0
+FLOOR = 2.0
+WINDOW = 20
+LATE_SHARE = 0.1
+CUT = 0.85
+QUICK_GROWTH = 1.5
+OBJECTIVE_SHARE = 0.5
+USUAL_FACTOR = 2.0
+USUAL_DRIFT = 1.001
+
+
+class Room:
+    """Adaptive bound on concurrency.
+
+    Parameters
+    ----------
+    ceiling : int
+        Highest bound.
+    start : float
+        Bound before anything is known.
+
+    Attributes
+    ----------
+    limit : float
+        Requests that may run at once.
+    running : int
+    """
+
+    def __init__(self, ceiling: int, start: float = START) -> None:
+        self._ceiling = float(ceiling)
+        self.limit = min(start, self._ceiling)
+        self.running = 0
+        self._usual_s: dict[str, float] = {}
+        self._samples = 0
+        self._late = 0
+        self._was_full = False
+        self._cut_before = False
+
+    @property
+    def free(self) -> int:
+        """Return the places that are free."""
+        return max(0, int(self.limit) - self.running)
+
+    def enter(self) -> None:
+        """Take a place."""
+        self.running += 1
+        self._was_full |= self.free == 0
+
+    def leave(self) -> None:
+        """Give a place back."""
+        self.running -= 1
+
+    def first_token(self, task_class: TaskClass, wait_s: float) -> None:
+        """Note how long an endpoint took to the first token, in seconds."""
+        usual_s = self._usual_s.get(task_class.name, wait_s)
+        usual_s = min(wait_s, usual_s * USUAL_DRIFT)
+        self._usual_s[task_class.name] = usual_s
+        wanted_s = OBJECTIVE_SHARE * task_class.objectives.first_token_s
+        self._take(wait_s > max(wanted_s, USUAL_FACTOR * usual_s))
+
+    def refused(self) -> None:
+        """Note that an endpoint had no room."""
+        self._take(True)
+
+    def _take(self, late: bool) -> None:
+        self._samples += 1
+        self._late += late
+        if self._samples < max(WINDOW, self.limit):
+            return
+        if self._late > LATE_SHARE * self._samples:
+            self.limit *= CUT
+            self._cut_before = True
+        elif self._was_full:
+            grown = self.limit + 1 if self._cut_before else self.limit * QUICK_GROWTH
+            self.limit = grown
+        self.limit = min(max(self.limit, FLOOR), self._ceiling)
+        self._samples = 0
+        self._late = 0
+        self._was_full = self.free == 0
