--- a/radishshift/admission.py
+++ b/radishshift/admission.py
@@ -62,6 +62,10 @@
         """Note how long an endpoint took to the first token, in seconds."""
         self.pool(pool).room.first_token(task_class, wait_s)
 
+    def whole_answer(self, pool: str, task_class: TaskClass, whole_s: float) -> None:
+        """Note how long an answer that comes in one piece took, in seconds."""
+        self.pool(pool).room.whole_answer(task_class, whole_s)
+
     def refused(self, pool: str) -> None:
         """Note that an endpoint had no room for a request."""
         self.pool(pool).room.refused()
@@ -89,9 +93,7 @@
         if self.closed:
             raise ShuttingDownError("the host is leaving", retry_after_s=0.0)
         if self.running >= self._bound:
-            raise OverloadedError(
-                "the host is full", retry_after_s=FULL_RETRY_AFTER_S
-            )
+            raise OverloadedError("the host is full", retry_after_s=FULL_RETRY_AFTER_S)
         self.running += 1
         try:
             async with self._waited(
--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -88,7 +88,7 @@
                 if self.req.stream:
                     usage = await self._relay(endpoint, stream, began)
                 else:
-                    usage = await self._collect(stream)
+                    usage = await self._collect(stream, began)
         except EndpointError:
             self._note(endpoint, began, Usage(), ok=False)
             raise
@@ -107,7 +107,7 @@
                 continue
             if not self.started:
                 wait_s = self.router.clock.now() - began
-                self.router.loads.first_token(endpoint, wait_s)
+                self.router.first_token(endpoint, self.req, wait_s)
                 await self._start(stream)
             self.answer.append(events)
             await self.sink.write(events)
@@ -115,11 +115,12 @@
             raise EndpointError("the stream ended too soon")
         return scanner.usage or Usage()
 
-    async def _collect(self, stream: EngineStream) -> Usage:
+    async def _collect(self, stream: EngineStream, began: float) -> Usage:
         body = b"".join([data async for data in stream.chunks()])
         usage = read_usage(body)
         if usage is None:
             raise EndpointError("the endpoint's answer is not whole")
+        self.router.whole_answer(self.req, self.router.clock.now() - began)
         await self._start(stream)
         self.answer.append(body)
         return usage
--- a/radishshift/fairness.py
+++ b/radishshift/fairness.py
@@ -7,6 +7,8 @@
 __all__ = ["FairQueue"]
 
 T = TypeVar("T")
+WEIGHT_MIN = 1e-9
+FORGET_CREDITS = 4.0
 
 
 @dataclass(slots=True)
@@ -23,10 +25,19 @@
     """Start-time fair queue: customers that wait are served by their weights.
 
     A customer's place moves on only by what was taken out for it, so an item that
-    gives up costs it nothing.
+    gives up costs it nothing. One that had nothing waiting for a while keeps a
+    bounded credit: without it, a customer whose few requests come one at a time
+    would lose its share to one that always has some waiting.
+
+    Parameters
+    ----------
+    credit_items : int
+        Bound on the credit, in items of the largest cost.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, credit_items: int = 20) -> None:
+        self._credit_items = credit_items
+        self._largest = 0.0
         self._lines: dict[str, _Line[T]] = {}
         self._virtual = 0.0
         self.cost = 0.0
@@ -34,13 +45,14 @@
 
     def push(self, customer: str, weight: float, cost: float, item: T) -> None:
         """Add an item behind the customer's others."""
+        self._largest = max(self._largest, cost)
         line = self._lines.get(customer)
         if line is None:
             line = _Line(weight, self._virtual, deque())
             self._lines[customer] = line
-        elif not line.items:
-            line.start = max(line.start, self._virtual)
-        line.weight = max(weight, 1e-9)
+        line.weight = max(weight, WEIGHT_MIN)
+        if not line.items:
+            line.start = max(line.start, self._oldest_start())
         line.items.append((cost, item))
         line.cost += cost
         self.cost += cost
@@ -58,7 +70,7 @@
             raise IndexError("the queue is empty")
         cost, item = line.items.popleft()
         self._drop(line, cost)
-        self._virtual = line.start
+        self._virtual = max(self._virtual, line.start)
         line.start += cost / line.weight
         self._forget()
         return item
@@ -81,34 +93,49 @@
         if line is not None:
             line.start += cost / line.weight
 
-    def cost_ahead(self, customer: str, weight: float) -> float:
-        """Return the cost that is served before a new item of a customer."""
-        line = self._lines.get(customer)
-        own = line.cost if line is not None else 0.0
-        waiting = [other for other in self._lines.values() if other.items]
-        total_weight = sum(other.weight for other in waiting)
-        if line is None or not line.items:
-            total_weight += weight
-        return min(self.cost, own * total_weight / max(weight, 1e-9))
+    def tail(self) -> tuple[float, T] | None:
+        """Return the cost and the item that is served last, or None."""
+        line = self._last_line()
+        return None if line is None else line.items[-1]
+
+    def drop_tail(self) -> T:
+        """Take out the item that would be served last."""
+        line = self._last_line()
+        if line is None:
+            raise IndexError("the queue is empty")
+        cost, item = line.items.pop()
+        self._drop(line, cost)
+        return item
 
     def items(self) -> list[T]:
         """Return everything that waits."""
         return [item for line in self._lines.values() for _, item in line.items]
 
+    def _oldest_start(self, credits: float = 1.0) -> float:
+        weight = sum(line.weight for line in self._lines.values()) / len(self._lines)
+        return self._virtual - credits * self._credit_items * self._largest / weight
+
     def _next_line(self) -> _Line[T] | None:
         waiting = (line for line in self._lines.values() if line.items)
         return min(waiting, key=lambda line: line.start, default=None)
 
+    def _last_line(self) -> _Line[T] | None:
+        waiting = (line for line in self._lines.values() if line.items)
+        return max(
+            waiting, key=lambda line: line.start + line.cost / line.weight, default=None
+        )
+
     def _drop(self, line: _Line[T], cost: float) -> None:
         line.cost -= cost
         self.cost -= cost
         self.length -= 1
 
     def _forget(self) -> None:
+        long_idle = self._oldest_start(FORGET_CREDITS)
         idle = [
             customer
             for customer, line in self._lines.items()
-            if not line.items and line.start <= self._virtual
+            if not line.items and line.start <= long_idle
         ]
         for customer in idle:
             del self._lines[customer]
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -41,7 +41,8 @@
     "read_entry",
 ]
 
-QUEUE_SHARE = 0.1
+QUEUE_SHARE = 0.25
+URGENT_QUEUE_SHARE = 2 / 3
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
@@ -199,7 +200,8 @@
 ):
     """A task class; see `contracts.TaskClass`.
 
-    Without `queue_s` a request may wait a tenth of the class's usual deadline.
+    Without `queue_s` a request may wait a quarter of the class's usual deadline,
+    or, in a class of priority 0, two thirds of its bound on the first token.
     """
 
     priority: Count
@@ -216,9 +218,14 @@
             self.deadline_s,
             self.cascade,
             self.objectives.objectives(),
-            QUEUE_SHARE * self.deadline_s if self.queue_s is None else self.queue_s,
+            self._usual_queue_s() if self.queue_s is None else self.queue_s,
         )
 
+    def _usual_queue_s(self) -> float:
+        if self.priority == 0:
+            return URGENT_QUEUE_SHARE * self.objectives.first_token_s
+        return QUEUE_SHARE * self.deadline_s
+
 
 class PolicySpec(EntryBase, frozen=True, kw_only=True, tag_field="type", tag="policy"):
     """The policies in use; see `catalogue.Policies`."""
--- a/radishshift/room.py
+++ b/radishshift/room.py
@@ -13,7 +13,9 @@
 FLOOR = 2.0
 WINDOW = 20
 LATE_SHARE = 0.1
-CUT = 0.85
+CUT = 0.96
+DEEP_CUT = 0.8
+DEEP_LATE_SHARE = 0.5
 QUICK_GROWTH = 1.5
 OBJECTIVE_SHARE = 0.5
 USUAL_FACTOR = 2.0
@@ -44,7 +46,7 @@
         self._usual_s: dict[str, float] = {}
         self._samples = 0
         self._late = 0
-        self._was_full = False
+        self._was_wanted = False
         self._cut_before = False
 
     @property
@@ -55,7 +57,10 @@
     def enter(self) -> None:
         """Take a place."""
         self.running += 1
-        self._was_full |= self.free == 0
+
+    def wanted(self) -> None:
+        """Note that a request waits for a place."""
+        self._was_wanted = True
 
     def leave(self) -> None:
         """Give a place back."""
@@ -63,11 +68,19 @@
 
     def first_token(self, task_class: TaskClass, wait_s: float) -> None:
         """Note how long an endpoint took to the first token, in seconds."""
-        usual_s = self._usual_s.get(task_class.name, wait_s)
-        usual_s = min(wait_s, usual_s * USUAL_DRIFT)
-        self._usual_s[task_class.name] = usual_s
-        wanted_s = OBJECTIVE_SHARE * task_class.objectives.first_token_s
-        self._take(wait_s > max(wanted_s, USUAL_FACTOR * usual_s))
+        objectives = task_class.objectives
+        self._note(task_class.name, objectives.first_token_s, wait_s)
+
+    def whole_answer(self, task_class: TaskClass, whole_s: float) -> None:
+        """Note how long an answer that comes in one piece took, in seconds."""
+        objectives = task_class.objectives
+        self._note(f"{task_class.name}/whole", objectives.whole_answer_s, whole_s)
+
+    def _note(self, key: str, objective_s: float, took_s: float) -> None:
+        usual_s = self._usual_s.get(key, took_s)
+        usual_s = min(took_s, usual_s * USUAL_DRIFT)
+        self._usual_s[key] = usual_s
+        self._take(took_s > max(OBJECTIVE_SHARE * objective_s, USUAL_FACTOR * usual_s))
 
     def refused(self) -> None:
         """Note that an endpoint had no room."""
@@ -79,12 +92,13 @@
         if self._samples < max(WINDOW, self.limit):
             return
         if self._late > LATE_SHARE * self._samples:
-            self.limit *= CUT
+            deep = self._late > DEEP_LATE_SHARE * self._samples
+            self.limit *= DEEP_CUT if deep else CUT
             self._cut_before = True
-        elif self._was_full:
+        elif self._was_wanted:
             grown = self.limit + 1 if self._cut_before else self.limit * QUICK_GROWTH
             self.limit = grown
         self.limit = min(max(self.limit, FLOOR), self._ceiling)
         self._samples = 0
         self._late = 0
-        self._was_full = self.free == 0
+        self._was_wanted = False
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -15,10 +15,11 @@
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
-from radishshift.contracts import QualityTarget
+from radishshift.contracts import Contract, QualityTarget
 from radishshift.endpoints import Endpoint
 from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
+    DeadlineError,
     NoEndpointError,
     NotAllowedError,
     NotFoundError,
@@ -32,11 +33,13 @@
 from radishshift.retries import RetryBudget
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
+from radishshift.verdicts import Verdict
 
 __all__ = ["Router"]
 
 PREFIX_BYTES = 1024
 ANY_MODEL = "auto"
+CALL_COST_TOKENS = 100
 
 
 @dataclass(slots=True)
@@ -87,16 +90,41 @@
         RadishshiftError
             Nothing has been written; the error is the answer.
         """
-        with self.admission.entered():
-            self.poison.check(req.fingerprint, self.clock.now())
-            tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
-            grant = self.limiter.take(req.contract, tokens, self.clock.now())
-            self.retry_budget.request_came()
-            bill = Bill(req.request_id, req.contract.customer)
-            try:
-                await self._run_plan(req, bill, sink)
-            finally:
-                self.limiter.settle(grant, _tokens_of(bill))
+        tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
+        pool = self._pool_of(req.model)
+        bill = Bill(req.request_id, req.contract.customer)
+        grant = self.limiter.take(req.contract, tokens, self.clock.now())
+        try:
+            async with self.admission.entered(
+                req.task_class, req.contract, tokens, req.deadline, pool
+            ) as place:
+                req.contract = self._contract_now(req.contract, req.deadline)
+                self.poison.check(req.fingerprint, self.clock.now())
+                self.retry_budget.request_came()
+                try:
+                    await self._run_plan(req, bill, sink)
+                finally:
+                    place.cost = _tokens_of(bill)
+        finally:
+            self.limiter.settle(grant, _tokens_of(bill))
+
+    def _pool_of(self, model: str) -> str:
+        version = self.catalogue.versions.get(model)
+        if version is not None:
+            return version.model
+        known = {version.model for version in self.catalogue.versions.values()}
+        if model not in known | {ANY_MODEL}:
+            raise NotFoundError(f"no model {model}")
+        return model
+
+    def _contract_now(self, contract: Contract, deadline: float) -> Contract:
+        """Return the contract in force after a wait for room."""
+        if self.clock.now() >= deadline:
+            raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
+        current = self.catalogue.contracts.get(contract.customer)
+        if current is None:
+            raise NotAllowedError("the customer's contract has ended")
+        return current
 
     async def _run_plan(self, req: ModelRequest, bill: Bill, sink: AnswerSink) -> None:
         steps = self._steps(req)
@@ -199,6 +227,17 @@
         balancer_name = self.catalogue.policies.balancer
         return choose(balancer_name, question, self.loads.candidates(endpoints))
 
+    def first_token(self, endpoint: Endpoint, req: ModelRequest, wait_s: float) -> None:
+        """Note how long an endpoint took to the first token, in seconds."""
+        self.loads.first_token(endpoint, wait_s)
+        pool = self._pool_of(req.model)
+        self.admission.first_token(pool, req.task_class, wait_s)
+
+    def whole_answer(self, req: ModelRequest, whole_s: float) -> None:
+        """Note how long an answer in one piece took, in seconds."""
+        pool = self._pool_of(req.model)
+        self.admission.whole_answer(pool, req.task_class, whole_s)
+
     async def call_service(self, call: ServiceCall) -> ServiceReply:
         """Answer a call of a plain service.
 
@@ -206,13 +245,26 @@
         ------
         RadishshiftError
         """
-        with self.admission.entered():
-            self.poison.check(call.fingerprint, self.clock.now())
-            grant = self.limiter.take(call.contract, 0, self.clock.now())
-            try:
-                return await run_call(self, call)
-            finally:
-                self.limiter.settle(grant, 0)
+        grant = self.limiter.take(call.contract, 0, self.clock.now())
+        try:
+            async with self.admission.entered(
+                call.task_class,
+                call.contract,
+                CALL_COST_TOKENS,
+                call.deadline,
+                call.service,
+            ):
+                call.contract = self._contract_now(call.contract, call.deadline)
+                if call.service not in call.contract.allowed:
+                    raise NotAllowedError(f"the contract does not allow {call.service}")
+                self.poison.check(call.fingerprint, self.clock.now())
+                began = self.clock.now()
+                reply = await run_call(self, call)
+                took_s = self.clock.now() - began
+                self.admission.whole_answer(call.service, call.task_class, took_s)
+                return reply
+        finally:
+            self.limiter.settle(grant, 0)
 
 
 def _tokens_of(bill: Bill) -> int:
--- a/radishshift/waiting.py
+++ b/radishshift/waiting.py
@@ -21,10 +21,15 @@
 __all__ = ["Ticket", "WaitingRoom"]
 
 CLASS_FLOOR = 0.08
-RESERVED_SHARE = 0.1
+RESERVED_SHARE = 0.3
+ENTRY_SHARE = 0.5
 SEEN_S = 60.0
 SMOOTHING = 0.05
 MEMORY_S = 5.0
+CAUTION_MIN = 1.0
+CAUTION_MAX = 4.0
+CAUTION_UP = 1.2
+CAUTION_DOWN = 0.998
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 60.0
 
@@ -63,6 +68,7 @@
     begun: float = 0.0
     begun_at: float = 0.0
     held_s: float = 0.0
+    caution: float = CAUTION_MIN
     seen_at: float = 0.0
 
     def recently_begun(self, now: float) -> float:
@@ -102,22 +108,36 @@
         line = self._line(ticket.task_class, now)
         ticket.latest_start = min(
             ticket.arrived + ticket.task_class.queue_s,
-            ticket.deadline - line.held_s,
+            ticket.deadline - min(line.held_s, (ticket.deadline - now) / 2),
         )
-        wait_s = self.expected_wait_s(ticket, now)
-        if now + wait_s > ticket.latest_start:
-            raise self._refusal(now + wait_s - ticket.latest_start)
+        if now > ticket.latest_start:
+            raise self._refusal(self._wait_s(line, line.queue.cost, now))
         contract = ticket.contract
         line.queue.push(contract.customer, contract.weight, ticket.cost, ticket)
         self.pump(now)
+        if ticket.started is None:
+            self.room.wanted()
+            self._shed(line, ticket, now)
 
-    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
-        """Return how long a new request of that kind would wait, in seconds."""
-        line = self._lines[ticket.task_class.name]
-        contract = ticket.contract
-        ahead = line.queue.cost_ahead(contract.customer, contract.weight)
-        if ahead == 0 and self._places(line, now) > 0:
-            return 0.0
+    def _shed(self, line: _ClassLine, newest: Ticket, now: float) -> None:
+        """Refuse those served last whose wait has grown too long.
+
+        A new one is held to a stricter bound than those which wait already, so
+        that few of those let in have to be refused later.
+        """
+        while (last := line.queue.tail()) is not None:
+            cost, ticket = last
+            wait_s = self._wait_s(line, line.queue.cost - cost, now)
+            slack_s = ticket.latest_start - now
+            if ticket is newest:
+                slack_s *= ENTRY_SHARE
+            if wait_s <= slack_s:
+                return
+            line.queue.drop_tail()
+            ticket.decide(self._refusal(wait_s - slack_s))
+
+    def _wait_s(self, line: _ClassLine, ahead: float, now: float) -> float:
+        """Return how long a request waits that has some cost ahead of it."""
         if not self._mean_held_s:
             return 0.0
         rate = self.room.limit * self._mean_cost / self._mean_held_s
@@ -129,7 +149,7 @@
         begun = sum(other.recently_begun(now) for other in self._lines.values())
         share = 1.0 - above / begun if begun else 1.0
         slot_s = self._mean_held_s / self.room.limit
-        return slot_s + ahead / (rate * max(share, CLASS_FLOOR))
+        return slot_s + line.caution * ahead / (rate * max(share, CLASS_FLOOR))
 
     def withdraw(self, ticket: Ticket) -> None:
         """Forget a request whose caller has gone while it waited."""
@@ -154,7 +174,7 @@
             for ticket in line.queue.items():
                 if ticket.latest_start <= now:
                     line.queue.remove(ticket.contract.customer, ticket)
-                    ticket.decide(self._refusal(self._line_wait_s(line, now)))
+                    self._give_up(line, ticket, now)
 
     def pump(self, now: float) -> None:
         """Start what there is room for."""
@@ -164,8 +184,9 @@
                 return
             ticket = line.queue.pop()
             if ticket.latest_start < now:
-                ticket.decide(self._refusal(self._line_wait_s(line, now)))
+                self._give_up(line, ticket, now)
                 continue
+            line.caution = max(CAUTION_MIN, line.caution * CAUTION_DOWN)
             self._account(line, ticket.cost, now)
             self.room.enter()
             ticket.started = now
@@ -180,30 +201,31 @@
         line.seen_at = now
         return line
 
-    def _line_wait_s(self, line: _ClassLine, now: float) -> float:
-        items = line.queue.items()
-        return self.expected_wait_s(items[-1], now) if items else 0.0
+    def _give_up(self, line: _ClassLine, ticket: Ticket, now: float) -> None:
+        """Refuse what was let in on an estimate that proved too low."""
+        line.caution = min(CAUTION_MAX, line.caution * CAUTION_UP)
+        ticket.decide(self._refusal(self._wait_s(line, line.queue.cost, now)))
 
     def _next_line(self, now: float) -> _ClassLine | None:
-        able = [
-            line
-            for line in self._lines.values()
-            if line.queue.length and self._places(line, now) > 0
-        ]
-        for line in able:
+        if not self.room.free:
+            return None
+        waiting = [line for line in self._lines.values() if line.queue.length]
+        for line in waiting:
             head = line.queue.head()
             if head is not None and line.owed >= head[0]:
                 return line
+        able = [line for line in waiting if self.room.free > self._reserved(line, now)]
         return min(able, key=lambda line: line.task_class.priority, default=None)
 
-    def _places(self, line: _ClassLine, now: float) -> int:
+    def _reserved(self, line: _ClassLine, now: float) -> int:
+        """Return the places that a class leaves to those above it."""
         priority = line.task_class.priority
         above = any(
             other.task_class.priority < priority and now - other.seen_at < SEEN_S
             for other in self._lines.values()
         )
-        reserved = math.ceil(RESERVED_SHARE * self.room.limit) if above else 0
-        return self.room.free - min(reserved, int(self.room.limit) - 1)
+        limit = int(self.room.limit)
+        return min(math.ceil(RESERVED_SHARE * limit), limit - 1) if above else 0
 
     def _account(self, begun: _ClassLine, cost: float, now: float) -> None:
         begun.begin(cost, now)
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,142 @@
+"""Tests of the queues before the endpoints."""
+
+import math
+
+from radishshift.contracts import Contract, Limits, Objectives, TaskClass
+from radishshift.errors import OverloadedError
+from radishshift.room import Room
+from radishshift.waiting import Ticket, WaitingRoom
+from tests.cases import TestCase
+
+OBJECTIVES = Objectives(0.75, 0.058, 60.0, 0.95)
+QUICK = TaskClass("quick-check", 0, 5.0, False, OBJECTIVES, 0.5)
+PLAN = TaskClass("season-plan", 2, 120.0, False, OBJECTIVES, 30.0)
+
+
+def contract(customer="uyole-ring", weight=1.0):
+    limits = Limits(math.inf, math.inf, 10**6)
+    return Contract(customer, (), frozenset(), weight, limits, {}, "quick-check")
+
+
+class WaitingRoomTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.room = Room(ceiling=4, start=4)
+        self.waiting = WaitingRoom(self.room)
+        self.decisions = []
+
+    def offer(self, task_class, now, customer="uyole-ring", cost=100.0):
+        decide = self.decisions.append
+        ticket = Ticket(
+            task_class,
+            contract(customer),
+            cost,
+            now,
+            now + task_class.deadline_s,
+            decide,
+        )
+        self.waiting.offer(ticket, now)
+        return ticket
+
+    def test_room_is_taken_at_once_and_given_back(self):
+        ticket = self.offer(QUICK, 0.0)
+        self.assertEqual([None], self.decisions)
+        self.waiting.finish(ticket, 100.0, 1.0)
+        self.assertEqual(0, self.room.running)
+
+    def test_a_quick_check_goes_before_plans_that_came_first(self):
+        running = [self.offer(PLAN, 0.0) for _ in range(4)]
+        plan = self.offer(PLAN, 0.0)
+        quick = self.offer(QUICK, 0.1)
+        self.waiting.finish(running[0], 100.0, 0.2)
+        self.assertIsNotNone(quick.started)
+        self.assertIsNone(plan.started)
+
+    def test_a_class_that_waits_is_served_now_and_then_under_any_flood(self):
+        """Strict priority would starve plans while quick checks keep coming."""
+        running = [self.offer(QUICK, 0.0) for _ in range(4)]
+        plan = self.offer(PLAN, 0.0)
+        now = 0.0
+        for _ in range(40):
+            now += 0.1
+            running.append(self.offer(QUICK, now))
+            self.waiting.finish(running.pop(0), 100.0, now)
+        self.assertIsNotNone(plan.started)
+
+    def test_plans_leave_places_to_quick_checks(self):
+        self.offer(QUICK, 0.0)
+        plans = [self.offer(PLAN, 0.0) for _ in range(4)]
+        started = [plan for plan in plans if plan.started is not None]
+        self.assertEqual(1, len(started))
+        self.assertIsNotNone(self.offer(QUICK, 0.1).started)
+
+    def test_what_cannot_start_in_time_is_refused_at_that_moment(self):
+        for _ in range(4):
+            self.offer(PLAN, 0.0)
+        quick = self.offer(QUICK, 1.0)
+        self.waiting.expire(1.4)
+        self.assertEqual(4, len(self.decisions))
+        self.waiting.expire(quick.latest_start)
+        error = self.decisions[-1]
+        self.assertEqual(("overloaded", "not-run"), (error.code, error.verdict.value))
+        self.assertGreater(error.retry_after_s, 0)
+
+    def test_a_hopeless_wait_is_refused_when_it_comes(self):
+        """Waiting in vain would cost the caller the time to go elsewhere."""
+        first = [self.offer(QUICK, 0.0) for _ in range(4)]
+        for ticket in first:
+            self.waiting.finish(ticket, 100.0, 10.0)
+        for _ in range(4):
+            self.offer(QUICK, 20.0)
+        late = self.offer(QUICK, 20.0)
+        self.assertIsNone(late.started)
+        self.assertEqual("overloaded", self.decisions[-1].code)
+
+    def test_a_customer_that_floods_is_shed_before_another(self):
+        first = [self.offer(QUICK, 0.0) for _ in range(4)]
+        for ticket in first:
+            self.waiting.finish(ticket, 100.0, 0.2)
+        for _ in range(4):
+            self.offer(QUICK, 1.0, "flood")
+        for _ in range(40):
+            self.offer(QUICK, 1.0, "flood")
+        small = self.offer(QUICK, 1.0, "small")
+        running = self.decisions.count(None)
+        self.waiting.room.leave()
+        self.waiting.pump(1.1)
+        self.assertEqual(running + 1, self.decisions.count(None))
+        self.assertIsNotNone(small.started)
+
+    def test_a_deadline_that_has_passed_is_refused(self):
+        ticket = Ticket(QUICK, contract(), 1.0, 5.0, 4.0, self.decisions.append)
+        error = self.assertRaises(OverloadedError, self.waiting.offer, ticket, 5.0)
+        self.assertEqual("overloaded", error.code)
+
+
+class RoomTest(TestCase):
+    def test_it_grows_while_used_up_and_in_time(self):
+        room = Room(ceiling=100, start=4)
+        for _ in range(200):
+            room.wanted()
+            room.first_token(QUICK, 0.1)
+        self.assertGreater(room.limit, 4)
+
+    def test_it_does_not_grow_unused(self):
+        room = Room(ceiling=100, start=4)
+        for _ in range(200):
+            room.first_token(QUICK, 0.1)
+        self.assertEqual(4, room.limit)
+
+    def test_late_first_tokens_cut_it_down_to_a_floor(self):
+        room = Room(ceiling=100, start=64)
+        room.first_token(QUICK, 0.1)
+        for _ in range(2000):
+            room.first_token(QUICK, 1.0)
+        self.assertEqual(2.0, room.limit)
+
+    def test_work_that_is_always_slow_is_not_late(self):
+        """A class with long prompts is compared with itself."""
+        room = Room(ceiling=100, start=16)
+        for _ in range(200):
+            room.first_token(PLAN, 2.0)
+        self.assertEqual(16, room.limit)
