--- a/radishshift/experiments/admission.py
+++ b/radishshift/experiments/admission.py
@@ -45,7 +45,9 @@
     def made(name, priority, deadline_s, share, prompt, completion):
         objectives = Objectives(0.75, 0.058, deadline_s, 0.95)
         queue_s = 0.5 if priority == 0 else 0.25 * deadline_s
-        task_class = TaskClass(name, priority, deadline_s, False, objectives, queue_s)
+        task_class = TaskClass(
+            name, priority, deadline_s, False, objectives, queue_s=queue_s
+        )
         return _Kind(task_class, share, prompt, completion)
 
     return [
--- a/radishshift/fairness.py
+++ b/radishshift/fairness.py
@@ -93,6 +93,11 @@
         if line is not None:
             line.start += cost / line.weight
 
+    def leads(self, customer: str) -> bool:
+        """Tell whether a customer has had more than the others' mean."""
+        mean = sum(line.start for line in self._lines.values()) / len(self._lines)
+        return self._lines[customer].start > mean
+
     def tail(self) -> tuple[float, T] | None:
         """Return the cost and the item that is served last, or None."""
         line = self._last_line()
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -1,12 +1,15 @@
 """The path of a request through an entry host, from admission to bill."""
 
-from collections.abc import Iterator
+import asyncio
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import xxhash
 
 from radishshift.admission import Admission
-from radishshift.answers import Answers, AnswerSink
+from radishshift.answers import Answer, Answers, AnswerSink
 from radishshift.attempts import VersionRun
 from radishshift.balance import BalanceQuestion, EndpointLoads, choose
 from radishshift.bills import Bill, Biller
@@ -20,6 +23,7 @@
 from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
     DeadlineError,
+    InternalError,
     NoEndpointError,
     NotAllowedError,
     NotFoundError,
@@ -28,11 +32,15 @@
 )
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
+from radishshift.observation import Observer
 from radishshift.poison import PoisonWatch
+from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
+from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
+from radishshift.timeouts import IdleSweep
 from radishshift.verdicts import Verdict
 
 __all__ = ["Router"]
@@ -59,6 +67,10 @@
     admission : Admission
     answer_kept_s : float
         Time that an answer is held after its request came, in seconds.
+    remote_answers : RemoteAnswers, optional
+        Answers of the other hosts.
+    leaving : bool
+        Whether the host is to be sent no new work.
     """
 
     data_centre: str
@@ -76,20 +88,98 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
+    observer: Observer | None = None
+    remote_answers: RemoteAnswers | None = None
+    leaving: bool = False
+    running: RunningRequests = field(default_factory=RunningRequests)
+    sweep: IdleSweep = field(init=False)
+    _background: set[asyncio.Task[None]] = field(default_factory=set, init=False)
 
     @property
     def catalogue(self) -> Catalogue:
         """Return the catalogue in force."""
         return self.configuration.catalogue
 
+    def __post_init__(self) -> None:
+        self.sweep = IdleSweep(self.clock)
+
+    def in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Carry out work that no caller is to wait for."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    @property
+    def busy(self) -> int:
+        """Return how much would be cut if the host stopped now."""
+        return len(self.running) + len(self._background)
+
     async def answer_model(self, req: ModelRequest, sink: AnswerSink) -> None:
         """Answer a model request into a sink.
 
+        A resend, known by its idempotency key or request id, gets the answer of the
+        first sending, also while that runs.
+
         Raises
         ------
         RadishshiftError
-            Nothing has been written; the error is the answer.
+            Nothing has been written, or the answer broke off.
         """
+        customer = req.contract.customer
+        self.answers.trim(self.clock.now())
+        held = self.answers.find_resent(
+            customer, req.request_id, req.idempotency_key, req.fingerprint
+        )
+        if held is not None:
+            await self.replay(held, sink, 0, req.deadline)
+            return
+        answer = self._open_answer(req)
+        with self._observed(req):
+            try:
+                with self.running.entered(
+                    req.request_id, customer, lambda: answer.verdict
+                ):
+                    await self._run_admitted(req, answer, sink)
+            except RadishshiftError as exc:
+                exc.verdict = exc.verdict.worst(answer.verdict)
+                self.answers.fail(answer, exc)
+                raise
+            except BaseException:
+                self.answers.fail(answer, InternalError("the answer broke off"))
+                raise
+            answer.end()
+
+    def _open_answer(self, req: ModelRequest) -> Answer:
+        kept_until = max(req.deadline, self.clock.now() + self.answer_kept_s)
+        return self.answers.open(
+            req.request_id,
+            req.contract.customer,
+            kept_until,
+            req.idempotency_key,
+            req.fingerprint,
+        )
+
+    async def replay(
+        self, answer: Answer, sink: AnswerSink, position: int, deadline: float
+    ) -> None:
+        """Send an answer that is held, as it grows, from a position on.
+
+        Raises
+        ------
+        RadishshiftError
+        """
+        with self.running.entered(
+            answer.request_id, answer.customer, lambda: answer.verdict
+        ):
+            try:
+                async with asyncio.timeout(deadline - self.clock.now()):
+                    await answer.replay(sink, position)
+            except TimeoutError as exc:
+                raise DeadlineError("the answer is not whole yet") from exc
+
+    async def _run_admitted(
+        self, req: ModelRequest, answer: Answer, sink: AnswerSink
+    ) -> None:
         tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
         pool = self._pool_of(req.model)
         bill = Bill(req.request_id, req.contract.customer)
@@ -102,7 +192,7 @@
                 self.poison.check(req.fingerprint, self.clock.now())
                 self.retry_budget.request_came()
                 try:
-                    await self._run_plan(req, bill, sink)
+                    await self._run_plan(req, bill, answer, sink)
                 finally:
                     place.cost = _tokens_of(bill)
         finally:
@@ -126,21 +216,37 @@
             raise NotAllowedError("the customer's contract has ended")
         return current
 
-    async def _run_plan(self, req: ModelRequest, bill: Bill, sink: AnswerSink) -> None:
+    @contextmanager
+    def _observed(self, req: ModelRequest | ServiceCall) -> Iterator[None]:
+        error = None
+        try:
+            yield
+        except RadishshiftError as exc:
+            error = exc
+            raise
+        finally:
+            if self.observer is not None:
+                self.observer.ended(
+                    req.contract.customer,
+                    req.task_class,
+                    req.arrived,
+                    req.observation,
+                    error,
+                )
+
+    async def _run_plan(
+        self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
+    ) -> None:
         steps = self._steps(req)
-        kept_until = self.clock.now() + self.answer_kept_s
-        answer = self.answers.open(req.request_id, req.contract.customer, kept_until)
         try:
             for step in steps:
                 self._check_version(step.version.name)
                 run = VersionRun(self, req, step.version, bill, answer, sink)
                 await run.until_done()
-        except RadishshiftError as exc:
+        except (RadishshiftError, asyncio.CancelledError):
             if bill.items:
                 await self.biller.secure(bill)
-            answer.end(exc)
             raise
-        answer.end()
 
     def _steps(self, req: ModelRequest) -> tuple[PlanStep, ...]:
         if req.session_token:
@@ -233,11 +339,6 @@
         pool = self._pool_of(req.model)
         self.admission.first_token(pool, req.task_class, wait_s)
 
-    def whole_answer(self, req: ModelRequest, whole_s: float) -> None:
-        """Note how long an answer in one piece took, in seconds."""
-        pool = self._pool_of(req.model)
-        self.admission.whole_answer(pool, req.task_class, whole_s)
-
     async def call_service(self, call: ServiceCall) -> ServiceReply:
         """Answer a call of a plain service.
 
@@ -245,6 +346,13 @@
         ------
         RadishshiftError
         """
+        running = self.running.entered(
+            call.request_id, call.contract.customer, lambda: Verdict.MAY_HAVE_RUN
+        )
+        with self._observed(call), running:
+            return await self._call_service(call)
+
+    async def _call_service(self, call: ServiceCall) -> ServiceReply:
         grant = self.limiter.take(call.contract, 0, self.clock.now())
         try:
             async with self.admission.entered(
@@ -260,6 +368,7 @@
                 self.poison.check(call.fingerprint, self.clock.now())
                 began = self.clock.now()
                 reply = await run_call(self, call)
+                call.observation.version = call.service
                 took_s = self.clock.now() - began
                 self.admission.whole_answer(call.service, call.task_class, took_s)
                 return reply
--- a/radishshift/standins/deployment.py
+++ b/radishshift/standins/deployment.py
@@ -82,7 +82,7 @@
         },
         "uyole-ring": _customer(KEY),
         "igurusi-ring": _customer(OTHER_KEY),
-        "quick-check": _task_class(0, 5.0, False),
+        "quick-check": _task_class(0, 5.0, False) | {"cancelOnHangUp": True},
         "season-plan": _task_class(2, 120.0, True),
         "booking": _task_class(1, 20.0, False),
         "policies": {"type": "policy", "owner": "shamba-pamoja", "class": "policy"},
--- a/radishshift/waiting.py
+++ b/radishshift/waiting.py
@@ -22,7 +22,8 @@
 
 CLASS_FLOOR = 0.08
 RESERVED_SHARE = 0.3
-ENTRY_SHARE = 0.5
+ENTRY_SHARE = 0.7
+LEADER_ENTRY_SHARE = 0.1
 SEEN_S = 60.0
 SMOOTHING = 0.05
 MEMORY_S = 5.0
@@ -123,14 +124,16 @@
         """Refuse those served last whose wait has grown too long.
 
         A new one is held to a stricter bound than those which wait already, so
-        that few of those let in have to be refused later.
+        that few of those let in have to be refused later; stricter still if its
+        customer has had more than others, or it would win the quiet moments.
         """
         while (last := line.queue.tail()) is not None:
             cost, ticket = last
             wait_s = self._wait_s(line, line.queue.cost - cost, now)
             slack_s = ticket.latest_start - now
             if ticket is newest:
-                slack_s *= ENTRY_SHARE
+                leads = line.queue.leads(ticket.contract.customer)
+                slack_s *= LEADER_ENTRY_SHARE if leads else ENTRY_SHARE
             if wait_s <= slack_s:
                 return
             line.queue.drop_tail()
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -9,8 +9,8 @@
 from tests.cases import TestCase
 
 OBJECTIVES = Objectives(0.75, 0.058, 60.0, 0.95)
-QUICK = TaskClass("quick-check", 0, 5.0, False, OBJECTIVES, 0.5)
-PLAN = TaskClass("season-plan", 2, 120.0, False, OBJECTIVES, 30.0)
+QUICK = TaskClass("quick-check", 0, 5.0, False, OBJECTIVES, queue_s=0.5)
+PLAN = TaskClass("season-plan", 2, 120.0, False, OBJECTIVES, queue_s=30.0)
 
 
 def contract(customer="uyole-ring", weight=1.0):
