--- a/radishshift/experiments/admission.py
+++ b/radishshift/experiments/admission.py
@@ -17,7 +17,7 @@
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("admission_hosts", 6, "Entry hosts that share the endpoints.")
 flags.DEFINE_integer("admission_endpoints", 5, "Model endpoints.")
-flags.DEFINE_float("admission_duration_s", 60.0, "Measured virtual time.")
+flags.DEFINE_float("admission_duration_s", 120.0, "Measured virtual time.")
 flags.DEFINE_float("admission_quick_share", 0.5, "Share of quick checks in requests.")
 flags.DEFINE_float("admission_slow", 1.0, "Factor on the time of every step.")
 flags.DEFINE_list(
