Test attempts against engines that fail on command

Each fault of the stand-in engine (silent at the start, in the middle and before the headers, truncated, duplicate, missing and crossed events, garbage, crash, refused resume) is caused and the caller's stream is compared with the engine's words.

--- a/radishshift/demo.py
+++ b/radishshift/demo.py
@@ -10,7 +10,13 @@
 
 from radishshift.entry import EntryHost, running
 from radishshift.logs import log_to
-from radishshift.settings import AddressSettings, HostSettings, PlatformSettings
+from radishshift.settings import (
+    AddressSettings,
+    BoundSettings,
+    HostSettings,
+    PlatformSettings,
+    TimeSettings,
+)
 from radishshift.standins.deployment import KEY, Deployment, deployed
 
 __all__ = ["demonstrate", "run", "small_host"]
@@ -20,9 +26,15 @@
 
 
 @asynccontextmanager
-async def small_host(deployment: Deployment) -> AsyncIterator[EntryHost]:
+async def small_host(
+    deployment: Deployment,
+    bounds: BoundSettings | None = None,
+    times: TimeSettings | None = None,
+) -> AsyncIterator[EntryHost]:
     """Run an entry host before a deployment, ready to serve."""
     cfg = HostSettings(
+        bounds=bounds or BoundSettings(),
+        times=times or TimeSettings(),
         name="mbeya-entry-1",
         data_centre="mbeya",
         region="tz-south",
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,130 @@
+"""Tests of attempts at engines that fail on command."""
+
+import asyncio
+import time
+
+import msgspec
+
+from tests.cases import TestCase
+from tests.served import served
+
+WORDS = "".join(f"word{number} " for number in range(6))
+
+
+def words_of(text):
+    events = [line[6:] for line in text.splitlines() if line.startswith("data: ")]
+    chunks = [msgspec.json.decode(event) for event in events if event != "[DONE]"]
+    choices = [choice for chunk in chunks for choice in chunk.get("choices", ())]
+    return "".join(choice["delta"]["content"] for choice in choices)
+
+
+def error_of(text):
+    last = [line for line in text.splitlines() if line.startswith("data: ")][-1]
+    return msgspec.json.decode(last[6:])["error"]
+
+
+class AttemptsTest(TestCase):
+    async def check_whole(self, resumes, runs=1, **faults):
+        """Assert that a stream comes whole, and how the engines were used."""
+        async with served() as entry:
+            entry.set_faults(**faults)
+            text = await entry.chat_text()
+            self.assertEqual(WORDS, words_of(text))
+            self.assertEqual(1, text.count("data: [DONE]"))
+            self.assertEqual(runs, entry.ran())
+            resumed = sum(len(engine.resumed) for engine in entry.engines)
+            self.assertEqual(resumes, resumed)
+
+    async def test_a_silent_stream_is_resumed_and_not_run_again(self):
+        await self.check_whole(1, silent_after=3)
+
+    async def test_a_stream_that_is_silent_from_its_start_is_resumed(self):
+        await self.check_whole(1, silent_after=0)
+
+    async def test_a_connection_without_headers_is_resumed(self):
+        await self.check_whole(1, late_s=30)
+
+    async def test_a_truncated_stream_is_resumed(self):
+        await self.check_whole(1, truncate_after=2)
+
+    async def test_duplicate_events_appear_once(self):
+        await self.check_whole(0, duplicate=True)
+
+    async def test_a_missing_event_is_fetched(self):
+        await self.check_whole(1, skip_after=2)
+
+    async def test_another_streams_event_does_not_reach_the_caller(self):
+        await self.check_whole(1, crossed_after=3)
+
+    async def test_garbage_does_not_reach_the_caller(self):
+        await self.check_whole(1, garbage=True)
+
+    async def test_a_whole_answer_survives_a_silent_connection(self):
+        async with served() as entry:
+            entry.set_faults(silent_after=3)
+            async with entry.chat(stream=False) as resp:
+                answer = await resp.json()
+            self.assertEqual(WORDS, answer["choices"][0]["message"]["content"])
+            self.assertEqual("chat.completion", answer["object"])
+            self.assertEqual(6, answer["usage"]["completion_tokens"])
+            self.assertEqual(1, entry.ran())
+
+    async def test_nothing_runs_again_once_a_token_has_reached_the_caller(self):
+        async with served() as entry:
+            entry.set_faults(crash_after=2)
+            error = error_of(await entry.chat_text())
+            self.assertEqual("ran", error["verdict"])
+            self.assertEqual(1, entry.ran())
+
+    async def test_a_refused_resume_before_the_first_token_runs_elsewhere(self):
+        async with served() as entry:
+            entry.set_faults(silent_after=0, refuse_resume=True)
+            whole, silent = entry.engines[0], entry.engines[2]
+            whole.faults = type(whole.faults)()
+            for _ in range(3):
+                self.assertEqual(WORDS, words_of(await entry.chat_text()))
+            self.assertEqual(len(silent.ran), len(silent.cancelled))
+
+    async def test_a_verdict_remembers_earlier_attempts(self):
+        """A refusal after a crashed attempt said not-run."""
+        async with served() as entry:
+            entry.set_faults(refuse=True)
+            entry.engines[0].faults = type(entry.engines[0].faults)(crash_on="Hello")
+            verdicts = set()
+            for _ in range(4):
+                async with entry.chat(stream=False) as resp:
+                    verdicts.add((await resp.json())["error"]["verdict"])
+            self.assertNotIn("ran", verdicts)
+            self.assertIn("may-have-run", verdicts)
+
+    async def test_the_deadline_ends_a_request_and_its_attempt(self):
+        async with served(token_s=5.0) as entry:
+            entry.set_faults(on_resume=True)
+            deadline = time.time() + 0.3
+            async with entry.chat(stream=False, X_Deadline=str(deadline)) as resp:
+                error = (await resp.json())["error"]
+            self.assertEqual((504, "deadline"), (resp.status, error["code"]))
+            self.assertEqual("may-have-run", error["verdict"])
+            await asyncio.sleep(0.05)
+            self.assertEqual(1, sum(len(engine.cancelled) for engine in entry.engines))
+
+    async def test_a_quick_check_whose_caller_hung_up_is_cancelled(self):
+        async with served(tokens=200, token_s=0.01) as entry:
+            async with entry.chat(X_Task_Class="quick-check") as resp:
+                await resp.content.readany()
+                resp.close()
+            await asyncio.sleep(0.25)
+            self.assertEqual(1, sum(len(engine.cancelled) for engine in entry.engines))
+            self.assertEqual(0, len(entry.host.router.running))
+
+    async def test_long_work_goes_on_after_the_caller_hung_up(self):
+        async with served(tokens=20) as entry:
+            async with entry.chat(X_Request_Id="plan-1") as resp:
+                await resp.content.readany()
+                resp.close()
+            async with entry.get("answers/plan-1") as resp:
+                text = (await resp.read()).decode()
+            self.assertEqual(20, len(words_of(text).split()))
+            async with entry.get("answers/plan-1", Last_Event_ID="15") as resp:
+                text = (await resp.read()).decode()
+            self.assertEqual("word16 word17 word18 word19 ", words_of(text))
