--- a/radishshift/events.py
+++ b/radishshift/events.py
@@ -1,10 +1,9 @@
-"""Server-sent events of a stream, told apart without parsing the tokens.
+"""Server-sent events of a stream, checked one by one before they are passed on.
 
 An engine sends blocks that end in an empty line: `data: {...}`, with its own `id`
 of the stream in the JSON object, and before it, if the engine numbers its events,
 a line `id: N` that counts from 0. The last block but one holds the usage, the last
-is `data: [DONE]`. JSON escapes quotes and newlines in text, so the byte patterns
-below occur only where the protocol puts them.
+is `data: [DONE]`. JSON escapes newlines in text, so an empty line is a border.
 """
 
 from dataclasses import dataclass
@@ -16,10 +15,7 @@
 __all__ = ["BORDER", "DONE", "EventScanner", "Usage", "read_usage", "skip_events"]
 
 BORDER = b"\n\n"
-EVENT_END = b"}" + BORDER
 DONE = b"data: [DONE]\n\n"
-USAGE_MARK = b'"usage":{'
-SPACED_USAGE_MARK = b'"usage": {'
 NUMBER_FIELD = b"id: "
 DATA_FIELD = b"data: "
 EVENT_BYTES_MAX = 1 << 20
@@ -100,7 +96,6 @@
         self._keep_usage = keep_usage
         self._stream_id = stream_id
         self._numbered = False
-        self._head = b""
         self._rest = b""
 
     def restart(self) -> None:
@@ -123,27 +118,8 @@
         if self._rest:
             data = self._rest + data
             self._rest = b""
-        if self._is_next(data):
-            self.events += 1
-            return data
-        return self._feed_slowly(data)
-
-    def _is_next(self, data: bytes) -> bool:
-        """Tell whether `data` is just the one event that is expected."""
-        head = self._head
-        if not head or self.done:
-            return False
-        if self._numbered:
-            head = b"id: %d\n%b" % (self.events, head)
-        return (
-            data.startswith(head)
-            and data.endswith(EVENT_END)
-            and data.find(BORDER) == len(data) - 2
-            and USAGE_MARK not in data
-            and SPACED_USAGE_MARK not in data
-        )
-
-    def _feed_slowly(self, data: bytes) -> bytes:
+        if data.find(BORDER) == len(data) - 2 > 0 and not self.done:
+            return data if self._take(data[:-2]) else b""
         *blocks, rest = data.split(BORDER)
         if len(rest) > EVENT_BYTES_MAX:
             raise StreamBrokenError("the endpoint sent an event without an end")
@@ -156,6 +132,7 @@
         return b"".join(passed)
 
     def _take(self, block: bytes) -> bool:
+        """Check an event; tell whether it goes to the caller."""
         if block.startswith(b":"):
             return False
         number, body = self._split(block)
@@ -169,11 +146,12 @@
         if number is None and self._numbered:
             raise StreamBrokenError("an event of the stream has no number")
         event = self._decode(body)
-        self._check_id(event, body)
         self._numbered = number is not None
         self.events += 1
-        self.usage = _usage_of(event) or self.usage
-        return bool(event.choices) or event.usage is None or self._keep_usage
+        if event.usage is None:
+            return True
+        self.usage = _usage_of(event)
+        return bool(event.choices) or self._keep_usage
 
     def _split(self, block: bytes) -> tuple[int | None, bytes]:
         number = None
@@ -190,15 +168,12 @@
     def _decode(self, body: bytes) -> _EventModel:
         try:
             event = _decoder.decode(body)
+            if not body.isascii():
+                body.decode()
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             raise StreamBrokenError("the endpoint sent a malformed event") from exc
         if event.error is not None:
             raise EndpointError("the endpoint gave up the stream")
-        return event
-
-    def _check_id(self, event: _EventModel, body: bytes) -> None:
         if not event.id.endswith(self._stream_id):
             raise StreamBrokenError("the endpoint sent another stream's event")
-        head = b'{"id":' + msgspec.json.encode(event.id)
-        if not self._head and body.startswith(head):
-            self._head = DATA_FIELD + head
+        return event
