--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -20,8 +20,10 @@
 from radishshift.clocks import Clock, SystemClock
 from radishshift.configuration import Configuration
 from radishshift.control import controlled, met_peers
+from radishshift.duties import Duties
 from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
+from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
@@ -66,6 +68,7 @@
     address: str
     peers: Peers
     monitoring_address: str
+    duties: Duties
 
     async def stop(
         self, hurry: asyncio.Event | None = None, unready_s: float = 0.0
@@ -165,20 +168,23 @@
         _platform_session(cfg.tls.to_platform) as platform_session,
         met_peers(cfg, clock) as peers,
     ):
-        platform = HttpPlatform(
+        http_platform = HttpPlatform(
             platform_session,
             cfg.platform.address,
             cfg.name,
             cfg.platform.call_timeout_s,
         )
+        platform = GuardedPlatform(http_platform, clock)
+        duties = Duties(platform, peers, clock)
         configuration = Configuration(clock)
+        process = f"{cfg.name}-{peers.me.incarnation}"
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
             configuration=configuration,
             engines=engines,
-            claims=Claims(platform, cfg.name),
-            biller=Biller(platform, cfg.name, int(clock.now() * 1000)),
+            claims=Claims(platform, clock, process, peers),
+            biller=Biller(platform, cfg.name, peers.me.incarnation),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
             admission=Admission(cfg.bounds.requests),
@@ -199,7 +205,7 @@
         following = nullcontext()
         if control:
             following = controlled(
-                configuration, platform, peers, clock, cfg.peers.seeds
+                configuration, platform, peers, duties, clock, cfg.peers.seeds
             )
         async with (
             following,
@@ -213,7 +219,7 @@
                 caller_tls,
             ) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url)
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
             try:
                 yield host
             finally:
@@ -222,6 +228,7 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
+                await router.claims.close()
 
 
 async def _serve(cfg: HostSettings) -> int:
