--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -177,13 +177,14 @@
         platform = GuardedPlatform(http_platform, clock)
         duties = Duties(platform, peers, clock)
         configuration = Configuration(clock)
+        process = f"{cfg.name}-{peers.me.incarnation}"
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
             configuration=configuration,
             engines=engines,
-            claims=Claims(platform, cfg.name),
-            biller=Biller(platform, cfg.name, int(clock.now() * 1000)),
+            claims=Claims(platform, clock, process, peers),
+            biller=Biller(platform, cfg.name, peers.me.incarnation),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
             admission=Admission(cfg.bounds.requests, clock),
@@ -227,6 +228,7 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
+                await router.claims.close()
 
 
 async def _serve(cfg: HostSettings) -> int:
