--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -223,7 +223,7 @@
     def _first_token(self, endpoint: Endpoint, attempt: _Attempt) -> None:
         attempt.first_token_at = self.router.clock.now()
         wait_s = attempt.first_token_at - attempt.began
-        self.router.loads.first_token(endpoint, wait_s)
+        self.router.first_token(endpoint, self.req, wait_s)
 
     async def _pass_on(self, events: bytes) -> None:
         if not self.started:
--- a/radishshift/contracts.py
+++ b/radishshift/contracts.py
@@ -1,5 +1,6 @@
 """What a customer has agreed: versions, quality, limits and objectives."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -75,6 +76,8 @@
     cancel_on_hang_up : bool
         Whether a request is given up when its caller hangs up; otherwise it goes on
         and the caller can come back for the answer.
+    queue_s : float
+        Longest wait for room before a request is refused, in seconds.
     """
 
     name: str
@@ -83,6 +86,7 @@
     cascade: bool
     objectives: Objectives
     cancel_on_hang_up: bool = False
+    queue_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -187,7 +187,7 @@
             biller=Biller(platform, cfg.name, peers.me.incarnation),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
-            admission=Admission(cfg.bounds.requests),
+            admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
         )
         tasks = [
