Bill each request once through dead hosts, outages and lost replies

Cause: bills lay in one host's memory until settled, a retried batch whose reply was lost swallowed bills added since, memory was unbounded, and one customer's request id overwrote another's. Change: copies go to a peer before an answer ends; peers settle for hosts that are gone, under the same names; the ledger charges the first run of a request; unsettled bills are bounded and new work is then refused as not-run; failed attempts are itemised at no cost to the customer. Measured: in tests/test_bills.py 700 bills of an outage settle in fewer than 5 writes. Conclusion: a killed, paused or restarted host loses and doubles no bill while a peer or the platform is in reach; with neither the bill is counted as unsecured.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -269,6 +269,8 @@
         if attempt.scanner.events:
             verdict = Verdict.RAN
         self.answer.ran = self.answer.ran.worst(verdict)
+        if verdict is not Verdict.NOT_RUN:
+            self._bill_unpaid(endpoint, attempt)
         if isinstance(exc, EndpointError | DeadlineError):
             self._note(endpoint, attempt, Usage(), ok=False)
         if verdict is not Verdict.NOT_RUN:
@@ -276,6 +278,20 @@
                 self.router.engines.cancel(endpoint, attempt.attempt_id)
             )
 
+    def _bill_unpaid(self, endpoint: Endpoint, attempt: _Attempt) -> None:
+        """Itemise what a failed attempt may have cost, at no cost to the customer."""
+        prompt_tokens = self.req.prompt_tokens_estimate
+        completion_tokens = attempt.scanner.events
+        item = BillItem(
+            self.version.name,
+            endpoint.name,
+            prompt_tokens,
+            completion_tokens,
+            0,
+            self.version.cost(prompt_tokens, completion_tokens),
+        )
+        self.bill.items.append(item)
+
     def _note(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage, ok: bool
     ) -> None:
--- a/radishshift/callers.py
+++ b/radishshift/callers.py
@@ -139,8 +139,8 @@
 async def _bill(request: web.Request) -> web.Response:
     contract = read_contract(request)
     request_id = request.match_info["request_id"]
-    bill = request.app[ROUTER].biller.find(request_id)
-    if bill is None or bill.customer != contract.customer:
+    bill = request.app[ROUTER].biller.find(request_id, contract.customer)
+    if bill is None:
         raise NotFoundError("no such bill")
     body = msgspec.json.encode(msgspec.to_builtins(bill) | {"cost": bill.cost})
     return web.Response(body=body, content_type="application/json")
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -13,6 +13,7 @@
 
 from radishshift.admission import Admission
 from radishshift.answers import Answers
+from radishshift.bill_copies import BillCopies
 from radishshift.bills import Biller
 from radishshift.caller_connections import listening_to_callers
 from radishshift.callers import make_caller_app
@@ -184,16 +185,27 @@
             configuration=configuration,
             engines=engines,
             claims=Claims(platform, clock, process, peers),
-            biller=Biller(platform, cfg.name, peers.me.incarnation),
+            biller=Biller(
+                platform,
+                clock,
+                cfg.name,
+                peers.me.incarnation,
+                peers,
+                cfg.bounds.open_bills,
+            ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
             admission=Admission(cfg.bounds.requests),
             answer_kept_s=cfg.times.answer_kept_s,
         )
+        copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
+            asyncio.create_task(
+                _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
+            ),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
         caller_app = make_caller_app(router, cfg.bounds, cfg.times)
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -181,6 +181,7 @@
     ) -> None:
         with self.admission.entered():
             self.poison.check(req.fingerprint, self.clock.now())
+            self.biller.check_room()
             tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
             grant = self.limiter.take(req.contract, tokens, self.clock.now())
             self.retry_budget.request_came()
--- a/radishshift/service_calls.py
+++ b/radishshift/service_calls.py
@@ -47,19 +47,36 @@
 
 
 async def _attempt(router: "Router", call: ServiceCall) -> ServiceReply:
+    router.biller.check_room()
     tried: set[str] = set()
     verdict = Verdict.NOT_RUN
+    bill = Bill(call.request_id, call.contract.customer)
+    price = router.catalogue.services[call.service].call_price
     while True:
         try:
             endpoint = router.choose_endpoint(call.service, call.body, tried)
             tried.add(endpoint.name)
-            return await _run_at(router, call, endpoint)
+            reply = await _run_at(router, call, endpoint)
         except RadishshiftError as exc:
+            if exc.verdict is not Verdict.NOT_RUN:
+                bill.items.append(_item(call, endpoint, 0, price))
             verdict = exc.verdict = verdict.worst(exc.verdict)
             if not isinstance(exc, EndpointError) or not router.retry_budget.allows(
                 exc, call.idempotent, call.deadline, router.clock.now()
             ):
+                if bill.items:
+                    await router.biller.secure(bill)
                 raise
+        else:
+            bill.items.append(_item(call, endpoint, price, 0))
+            await router.biller.secure(bill)
+            return reply
+
+
+def _item(
+    call: ServiceCall, endpoint: Endpoint, cost: int, operator_cost: int
+) -> BillItem:
+    return BillItem(call.service, endpoint.name, 0, 0, cost, operator_cost)
 
 
 async def _run_at(
@@ -76,9 +93,4 @@
         raise DeadlineError("the service did not answer in time") from exc
     finally:
         router.loads.ended(endpoint)
-    service = router.catalogue.services[call.service]
-    bill = Bill(call.request_id, call.contract.customer)
-    item = BillItem(call.service, endpoint.name, 0, 0, service.call_price)
-    bill.items.append(item)
-    await router.biller.secure(bill)
     return reply
--- /dev/null
+++ b/tests/test_bills.py
@@ -0,0 +1,172 @@
+"""Tests that each request is billed once, whatever fails."""
+
+from radishshift.bill_copies import BillCopies
+from radishshift.bills import Bill, Biller, BillItem
+from radishshift.errors import BillsFullError, PlatformUnavailableError
+from radishshift.ledger import merge_batches, read_ledger
+from radishshift.objects import Kind
+from radishshift.verdicts import Verdict
+from tests.cases import VirtualTestCase
+from tests.holding import CLOCK, Fleet
+
+ITEM = BillItem("farm-advice-small.v1", "engine-1", 10, 20, 4_500)
+
+
+def new_bill(request_id="request-1", *items):
+    return Bill(request_id, "uyole-ring", list(items or (ITEM,)))
+
+
+class BillingFleet(Fleet):
+    """Hosts that bill and hold copies for each other."""
+
+    def __init__(self, *names):
+        self.billers = {}
+        self.copies = {}
+        super().__init__(*names)
+
+    def add(self, name, incarnation=1):
+        super().add(name, incarnation)
+        way = self.ways[name]
+        peers = self.network[name]
+        self.billers[name] = Biller(way, CLOCK, name, incarnation, peers)
+        self.copies[name] = BillCopies(way, CLOCK, peers)
+
+    def kill(self, name):
+        del self.network[name]
+        del self.billers[name]
+
+    async def settle(self):
+        await CLOCK.sleep_until(CLOCK.now() + 60.0)
+        for name, biller in self.billers.items():
+            await biller.flush()
+            await self.copies[name].settle_gone()
+
+    async def charged(self):
+        ledger = await read_ledger(self.platform)
+        return sorted(request_id for _, request_id in ledger.bills)
+
+
+class BillerTest(VirtualTestCase):
+    async def test_a_killed_host_loses_no_bill(self):
+        fleet = BillingFleet()
+        await fleet.billers["mbeya-1"].secure(new_bill())
+        fleet.kill("mbeya-1")
+        await fleet.settle()
+        self.assertEqual(["request-1"], await fleet.charged())
+
+    async def test_a_paused_host_goes_on_after_a_peer_settled_for_it(self):
+        fleet = BillingFleet()
+        biller = fleet.billers["mbeya-1"]
+        await biller.secure(new_bill())
+        me = fleet.network.pop("mbeya-1")
+        await CLOCK.sleep_until(CLOCK.now() + 60.0)
+        await fleet.copies["mbeya-2"].settle_gone()
+        fleet.network["mbeya-1"] = me
+        await biller.secure(new_bill("request-2"))
+        await fleet.settle()
+        ledger = await read_ledger(fleet.platform)
+        self.assertEqual(["request-1", "request-2"], await fleet.charged())
+        self.assertEqual([], ledger.duplicates)
+        self.assertEqual(0, biller.unsettled)
+
+    async def test_a_restarted_host_is_another_incarnation(self):
+        fleet = BillingFleet()
+        await fleet.billers["mbeya-1"].secure(new_bill())
+        fleet.add("mbeya-1", incarnation=9)
+        await fleet.settle()
+        self.assertEqual(["request-1"], await fleet.charged())
+
+    async def test_without_a_near_peer_the_bill_goes_to_the_platform_first(self):
+        fleet = BillingFleet("mbeya-1", "iringa-1")
+        await fleet.billers["mbeya-1"].secure(new_bill())
+        self.assertEqual(["request-1"], await fleet.charged())
+
+    async def test_without_peer_and_platform_the_answer_leaves_and_is_counted(self):
+        fleet = BillingFleet("mbeya-1")
+        fleet.fault(down=True)
+        biller = fleet.billers["mbeya-1"]
+        await biller.secure(new_bill())
+        self.assertEqual(1, biller.unsecured)
+        fleet.add("mbeya-2", incarnation=2)
+        await self.assert_raises_async(PlatformUnavailableError, biller.flush())
+        await CLOCK.sleep_until(CLOCK.now() + 1.0)
+        self.assertEqual(1, fleet.copies["mbeya-2"].held)
+        fleet.fault(down=False)
+        await fleet.settle()
+        self.assertEqual(["request-1"], await fleet.charged())
+
+    async def test_a_long_outage_ends_in_refusals_and_no_bill_is_lost(self):
+        fleet = BillingFleet()
+        fleet.fault(down=True)
+        biller = fleet.billers["mbeya-1"]
+        biller._bound = 700
+        for number in range(700):
+            biller.check_room()
+            await biller.secure(new_bill(f"request-{number}"))
+        exc = self.assertRaises(BillsFullError, biller.check_room)
+        self.assertIs(Verdict.NOT_RUN, exc.verdict)
+        await self.assert_raises_async(PlatformUnavailableError, biller.flush())
+        fleet.fault(down=False)
+        await biller.flush()
+        biller.check_room()
+        self.assertEqual(700, len(await fleet.charged()))
+        self.assertLess(fleet.platform.writes, 5)
+
+    async def test_lost_replies_settle_each_bill_once(self):
+        fleet = BillingFleet()
+        biller = fleet.billers["mbeya-1"]
+        fleet.fault(lost_replies=1)
+        await biller.secure(new_bill())
+        await biller.flush()
+        fleet.fault(lost_replies=0, lost_writes=1)
+        await biller.secure(new_bill("request-2"))
+        await self.assert_raises_async(PlatformUnavailableError, biller.flush())
+        await biller.flush()
+        ledger = await read_ledger(fleet.platform)
+        self.assertEqual(["request-1", "request-2"], await fleet.charged())
+        self.assertEqual([], ledger.duplicates)
+
+    async def test_a_bill_that_grew_after_it_was_settled_is_charged_whole(self):
+        fleet = BillingFleet()
+        biller = fleet.billers["mbeya-1"]
+        bill = new_bill()
+        await biller.secure(bill)
+        await biller.flush()
+        bill.items.append(ITEM)
+        await biller.secure(bill)
+        await biller.flush()
+        ledger = await read_ledger(fleet.platform)
+        self.assertEqual(9_000, ledger.owed("uyole-ring"))
+        self.assertEqual([], ledger.duplicates)
+
+    async def test_two_hosts_that_ran_one_request_bill_it_once(self):
+        fleet = BillingFleet()
+        await fleet.billers["mbeya-1"].secure(new_bill())
+        await fleet.billers["iringa-1"].secure(new_bill())
+        await fleet.settle()
+        listing = await fleet.platform.list_all(Kind.BILL_BATCH)
+        ledger = merge_batches(listing.items)
+        again = merge_batches(reversed(listing.items))
+        self.assertEqual(4_500, ledger.owed("uyole-ring"))
+        self.assertEqual(1, len(ledger.duplicates))
+        self.assertEqual(ledger, again)
+
+    async def test_two_customers_may_use_the_same_request_id(self):
+        fleet = BillingFleet()
+        biller = fleet.billers["mbeya-1"]
+        other = Bill("request-1", "igurusi-ring", [ITEM])
+        await biller.secure(new_bill())
+        await biller.secure(other)
+        self.assertIs(other, biller.find("request-1", "igurusi-ring"))
+        await biller.flush()
+        self.assertEqual(2, len(await fleet.charged()))
+
+    async def test_peers_that_hold_different_copies_settle_all_of_them(self):
+        fleet = BillingFleet("mbeya-1", "mbeya-2", "mbeya-3")
+        biller = fleet.billers["mbeya-1"]
+        await biller.secure(new_bill())
+        fleet.network["mbeya-1"].cut = {"mbeya-2"}
+        await biller.secure(new_bill("request-2"))
+        fleet.kill("mbeya-1")
+        await fleet.settle()
+        self.assertEqual(["request-1", "request-2"], await fleet.charged())
