--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -195,7 +195,7 @@
             ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=SessionKeys({"start": os.urandom(32)}),
-            admission=Admission(cfg.bounds.requests),
+            admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
         )
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
