--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -192,6 +192,7 @@
             ) as place:
                 req.contract = self._contract_now(req.contract, req.deadline)
                 self.poison.check(req.fingerprint, self.clock.now())
+                self.biller.check_room()
                 self.retry_budget.request_came()
                 try:
                     await self._run_plan(req, bill, answer, sink)
