Judge cheap answers, keep them back until accepted, and take late ratings

Cause: a plan of more than one step ran every step and streamed each; nothing asked the rating service.

Change: PlanRun holds an answer until its score is high enough, else goes on to the next step, all on one bill; a held step must end in time for the later ones. RatingsClient asks for scores within the deadline and fetches late ratings; while the service is away nothing waits for it and plans have one step. Planner cheap-first is the fixed cascade. The stand-in rating service can be away, slow or late.

The judge is the rating service asked at once. The mean log-probability of the engine was weighed: it needs no call, but it must be asked of every engine, makes each event several times as long, and says nothing across versions.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -81,9 +81,13 @@
         Each attempt that gave an answer adds an item.
     answer : Answer
     sink : AnswerSink
+    hold : bool
+        Whether the answer is kept back until `release`.
 
     Attributes
     ----------
+    deadline : float
+        Instant by which the answer must be whole.
     started : bool
         Whether a part of the answer may have reached the caller; nothing is run
         again from then on.
@@ -97,6 +101,7 @@
         bill: Bill,
         answer: Answer,
         sink: AnswerSink,
+        hold: bool = False,
     ) -> None:
         self.router = router
         self.req = req
@@ -104,7 +109,15 @@
         self.bill = bill
         self.answer = answer
         self.sink = sink
+        self.hold = hold
+        self.deadline = req.deadline
         self.started = False
+        self._collected = b""
+
+    @property
+    def events(self) -> bytes:
+        """Return the whole events that the answer is made of."""
+        return self._collected or bytes(self.answer.data).removesuffix(DONE)
 
     async def until_done(self) -> None:
         """Try endpoints until one has given the whole answer."""
@@ -120,7 +133,7 @@
                 return
             except EndpointError as exc:
                 if self.started or not router.retry_budget.allows(
-                    exc, True, self.req.deadline, router.clock.now()
+                    exc, True, self.deadline, router.clock.now()
                 ):
                     raise
                 logger.info("attempt failed at {}: {}", endpoint.name, exc.message)
@@ -152,7 +165,7 @@
     async def _guarded(self) -> AsyncIterator[None]:
         """Bound what is done by the deadline, and by the caller's patience."""
         req = self.req
-        remaining_s = req.deadline - self.router.clock.now()
+        remaining_s = self.deadline - self.router.clock.now()
         if remaining_s <= 0:
             raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
         timeout = asyncio.timeout(remaining_s)
@@ -210,7 +223,7 @@
                 if events:
                     if attempt.first_token_at is None:
                         self._first_token(endpoint, attempt)
-                    if self.req.stream:
+                    if self.req.stream and not self.hold:
                         await self._pass_on(events)
                     else:
                         self._collect(attempt, events)
@@ -297,6 +310,7 @@
     ) -> None:
         now = self.router.clock.now()
         first_token_at = attempt.first_token_at or now
+        objectives = self.req.task_class.objectives
         outcome = Outcome(
             version=self.version.name,
             endpoint=endpoint.name,
@@ -308,13 +322,14 @@
             / max(1, usage.completion_tokens - 1),
             whole_s=now - attempt.began,
             cost=self.version.cost(usage.prompt_tokens, usage.completion_tokens),
+            slow=first_token_at - attempt.began > objectives.first_token_s,
         )
-        self.router.evidence.record(outcome)
+        self.router.evidence.record(outcome, now)
 
     async def _finish(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage
     ) -> None:
-        """Make the bill safe, then let the end of the answer go."""
+        """Put the attempt on the bill, and let the answer go unless it is held."""
         cost = self.version.cost(usage.prompt_tokens, usage.completion_tokens)
         item = BillItem(
             self.version.name,
@@ -325,13 +340,19 @@
         )
         self.bill.items.append(item)
         self.req.observation.completion_tokens = usage.completion_tokens
+        self._collected = bytes(attempt.collected)
+        if not self.hold:
+            await self.release()
+
+    async def release(self) -> None:
+        """Make the bill safe, then let what was kept back go."""
         await self.router.biller.secure(self.bill)
         if self.req.stream:
-            last = DONE
+            last = self._collected + DONE
             if not self.started:
                 await self._start("text/event-stream")
         else:
-            last = assemble(bytes(attempt.collected), self.req.operation)
+            last = assemble(self._collected, self.req.operation)
             await self._start("application/json")
         self.answer.append(last)
         await self.sink.write(last)
--- a/radishshift/demo.py
+++ b/radishshift/demo.py
@@ -15,6 +15,7 @@
     BoundSettings,
     HostSettings,
     PlatformSettings,
+    RatingSettings,
     TimeSettings,
 )
 from radishshift.standins.deployment import KEY, Deployment, deployed
@@ -40,6 +41,7 @@
         region="tz-south",
         platform=PlatformSettings(address=deployment.platform_address),
         address=AddressSettings(caller_port=0, peer_port=0, metrics_port=0),
+        ratings=RatingSettings(address=deployment.ratings_address, fetch_s=0.1),
     )
     async with running(cfg) as host:
         while host.router.catalogue.revision < deployment.platform.revision:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -24,11 +24,13 @@
 from radishshift.duties import Duties
 from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
+from radishshift.evidence import Evidence
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
+from radishshift.ratings import connected_ratings
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.router import Router
 from radishshift.running import RunningRequest
@@ -168,6 +170,13 @@
         ) as engines,
         _platform_session(cfg.tls.to_platform) as platform_session,
         met_peers(cfg, clock) as peers,
+        connected_ratings(
+            clock,
+            cfg.ratings.address,
+            f"{cfg.name}-{peers.me.incarnation}",
+            cfg.ratings.score_timeout_s,
+            cfg.ratings.fetch_s,
+        ) as ratings,
     ):
         http_platform = HttpPlatform(
             platform_session,
@@ -197,6 +206,8 @@
             session_keys=SessionKeys({"start": os.urandom(32)}),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
+            evidence=Evidence(process),
+            ratings=ratings,
         )
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
--- a/radishshift/experiments/cascade.py
+++ b/radishshift/experiments/cascade.py
@@ -39,6 +39,7 @@
 flags.DEFINE_float("cascade_rating_lag_s", 300.0, "Mean lag of a rating, in seconds.")
 flags.DEFINE_float("cascade_rating_lost", 0.2, "Share of ratings that never come.")
 flags.DEFINE_float("cascade_judge_cost", 0.2, "Price of a score over the cheapest's.")
+flags.DEFINE_list("cascade_parameters", [], "Planner's parameters, NAME=VALUE.")
 flags.DEFINE_string("cascade_planner", "target-mix", "Planner to measure.")
 
 VERSIONS = 8
@@ -196,6 +197,8 @@
         self.waiting: list[tuple[float, int, Cell, float, float | None]] = []
         self.corrections: dict[int, tuple[str, float]] = {}
         self.judge_costs = _judge_costs(work)
+        pairs = [item.partition("=") for item in FLAGS.cascade_parameters]
+        self.parameters = {name: float(value) for name, _, value in pairs}
         count = len(work.times)
         self.given = Given(*(np.zeros(count) for _ in range(3)), np.zeros(count, bool))
 
@@ -229,6 +232,7 @@
             parameters={
                 "judge.cost-nano": float(self.judge_costs[index]),
                 "judge.time-s": JUDGE_S,
+                **self.parameters,
             },
         )
 
--- a/radishshift/mixing.py
+++ b/radishshift/mixing.py
@@ -30,7 +30,14 @@
 )
 from radishshift.quality import QualityAccount, QualityAccounts
 
-__all__ = ["PlanTable", "Prospect", "account_for", "build_table", "find_table"]
+__all__ = [
+    "PlanTable",
+    "Prospect",
+    "account_for",
+    "build_table",
+    "expected_whole_s",
+    "find_table",
+]
 
 ACCEPT_BINS = np.arange(3, SCORE_BINS)
 ACCEPT_SCORES = tuple((ACCEPT_BINS / SCORE_BINS).tolist())
@@ -179,6 +186,20 @@
         return lower
 
 
+def expected_whole_s(
+    version: ModelVersion, question: PlanQuestion, evidence: Evidence
+) -> float:
+    """Return the time that an answer of a version hardly ever exceeds, in seconds.
+
+    With none seen yet it is the objective of the class.
+    """
+    task_class = question.task_class
+    duration = evidence.durations.get((version.name, task_class.name))
+    if duration is None:
+        return task_class.objectives.whole_answer_s
+    return duration.bound_s(TIME_DEVIATIONS)
+
+
 def _know(
     version: ModelVersion,
     question: PlanQuestion,
@@ -190,7 +211,6 @@
     counts = known.counts
     prior = version.quality.get(class_name, 0.5)
     quality = estimate(known, prior, evidence.score_offset(class_name))
-    duration = evidence.durations.get((version.name, class_name))
     bin_quality = None
     thresholds = None
     if counts[SCORED].sum() >= SCORES_MIN:
@@ -200,7 +220,7 @@
     return _Known(
         version=version,
         cost=version.cost(*size),
-        whole_s=math.inf if duration is None else duration.bound_s(TIME_DEVIATIONS),
+        whole_s=expected_whole_s(version, question, evidence),
         quality=quality,
         bin_quality=bin_quality,
         thresholds=thresholds,
@@ -402,6 +422,29 @@
     return Plan(plan.steps, rate=rate, score=score)
 
 
+@planner("cheap-first")
+def cheap_first(
+    question: PlanQuestion, evidence: Evidence, accounts: QualityAccounts
+) -> Plan:
+    """Try the cheapest version, and the dearest if a fixed score is not reached."""
+
+    def cost(version: ModelVersion) -> int:
+        return version.cost(question.prompt_tokens, question.completion_tokens)
+
+    cheap = min(question.candidates, key=cost)
+    dear = max(question.candidates, key=cost)
+    time_s = expected_whole_s(cheap, question, evidence)
+    time_s += (
+        expected_whole_s(dear, question, evidence) + _Settings.of(question).judge_s
+    )
+    in_time = question.now + time_s <= question.deadline
+    may_judge = question.can_judge and question.task_class.cascade
+    if cheap is dear or not in_time or not may_judge:
+        return Plan((PlanStep(dear),))
+    score = question.parameters.get("cheap-first.accept-score", 0.7)
+    return Plan((PlanStep(cheap, score), PlanStep(dear)))
+
+
 def account_for(
     question: PlanQuestion,
     plan: Plan,
@@ -445,6 +488,6 @@
     second = table.known[plan.steps[answered_by].version.name]
     if first.thresholds is None or score is None:
         return second.quality.mean
-    number = ACCEPT_SCORES.index(plan.steps[0].accept_score)
+    number = int(np.abs(np.array(ACCEPT_SCORES) - plan.steps[0].accept_score).argmin())
     rejected = float(first.thresholds.rejected[number])
     return float(second_quality(first, second, rejected, class_name, evidence))
--- /dev/null
+++ b/radishshift/plan_runs.py
@@ -0,0 +1,169 @@
+"""One request's way through its plan: try, judge, accept or go on, account."""
+
+from typing import TYPE_CHECKING
+
+import logbook
+
+from radishshift.answers import Answer, AnswerSink
+from radishshift.assembly import assemble
+from radishshift.attempts import VersionRun
+from radishshift.bills import Bill
+from radishshift.cascade import Plan, PlanQuestion, PlanStep
+from radishshift.errors import DeadlineError, EndpointError, NoEndpointError
+from radishshift.evidence import Cell
+from radishshift.mixing import account_for, expected_whole_s
+from radishshift.ratings import RatedAnswer
+from radishshift.requests import ModelRequest
+
+if TYPE_CHECKING:
+    from radishshift.router import Router
+
+__all__ = ["PlanRun"]
+
+SCORE_WAIT_S = 1.0
+
+logger = logbook.Logger("plans")
+
+
+class PlanRun:
+    """A request's way through the steps of its plan.
+
+    An answer that has yet to be judged is held back; the one that is accepted goes
+    to the caller. All attempts are items of the one bill.
+
+    Parameters
+    ----------
+    router : Router
+    req : ModelRequest
+    question : PlanQuestion
+    plan : Plan
+    bill : Bill
+    answer : Answer
+    sink : AnswerSink
+    """
+
+    def __init__(
+        self,
+        router: "Router",
+        req: ModelRequest,
+        question: PlanQuestion,
+        plan: Plan,
+        bill: Bill,
+        answer: Answer,
+        sink: AnswerSink,
+    ) -> None:
+        self.router = router
+        self.req = req
+        self.question = question
+        self.plan = plan
+        self.bill = bill
+        self.answer = answer
+        self.sink = sink
+        self._score: float | None = None
+        self._rejected: VersionRun | None = None
+
+    async def until_done(self) -> None:
+        """Run the plan until an answer has been given whole."""
+        steps = self.plan.steps
+        for number, step in enumerate(steps):
+            self.router.check_version(step.version.name)
+            last = number == len(steps) - 1
+            run = self._version_run(step, hold=not last)
+            try:
+                await run.until_done()
+            except (EndpointError, NoEndpointError, DeadlineError) as exc:
+                if last or self.router.clock.now() >= self.req.deadline:
+                    raise
+                logger.info("{} gave no answer: {}", step.version.name, exc.message)
+                continue
+            if last or await self._is_accepted(run, step):
+                if not last:
+                    await run.release()
+                self._account(run, number)
+                return
+            self._rejected = run
+
+    def _version_run(self, step: PlanStep, hold: bool) -> VersionRun:
+        run = VersionRun(
+            self.router, self.req, step.version, self.bill, self.answer, self.sink, hold
+        )
+        if hold:
+            later = self.plan.steps[self.plan.steps.index(step) + 1 :]
+            later_s = sum(
+                expected_whole_s(item.version, self.question, self.router.evidence)
+                for item in later
+            )
+            run.deadline = max(self.router.clock.now(), self.req.deadline - later_s)
+        return run
+
+    async def _is_accepted(self, run: VersionRun, step: PlanStep) -> bool:
+        rated = self._rated(run)
+        score = await self.router.ratings.score(rated, run.deadline)
+        if score is None:
+            return False
+        self._score = score
+        cell = Cell(step.version.name, self.req.task_class.name)
+        self.router.evidence.score(cell, score, self.router.clock.now())
+        return score >= step.accept_score
+
+    def _rated(self, run: VersionRun) -> RatedAnswer:
+        return RatedAnswer(
+            request_id=self.req.request_id,
+            customer=self.req.contract.customer,
+            task_class=self.req.task_class.name,
+            version=run.version.name,
+            prompt=self.req.body_bytes,
+            answer=assemble(run.events, self.req.operation),
+        )
+
+    def _account(self, run: VersionRun, number: int) -> None:
+        """Note the answer's expected quality, and have it scored and rated."""
+        router = self.router
+        score = self._score
+        if number > 0 and self._rejected is None:
+            number_for = 0
+            plan = Plan((self.plan.steps[number],))
+        else:
+            number_for = number
+            plan = self.plan
+        expected = account_for(
+            self.question, plan, number_for, score, router.evidence, router.accounts
+        )
+        if self.plan.rate or self.plan.score:
+            router.in_background(self._learn(run, expected))
+
+    async def _learn(self, run: VersionRun, expected: float) -> None:
+        """Ask for the score and the ratings that the plan wants."""
+        router = self.router
+        first = self._rejected or run
+        score = self._score
+        events = getattr(first, "events", b"")
+        if score is None and events:
+            deadline = router.clock.now() + SCORE_WAIT_S
+            score = await router.ratings.score(self._rated(first), deadline)
+            if score is not None:
+                cell = Cell(first.version.name, self.req.task_class.name)
+                router.evidence.score(cell, score, router.clock.now())
+        if not self.plan.rate:
+            return
+        await self._ask(first, "", score, expected if first is run else None)
+        if first is not run:
+            await self._ask(run, first.version.name, None, expected)
+
+    async def _ask(
+        self,
+        run: VersionRun,
+        after: str,
+        score: float | None,
+        expected: float | None,
+    ) -> None:
+        router = self.router
+        class_name = self.req.task_class.name
+        cell = Cell(run.version.name, class_name, after)
+
+        def take(rating: float) -> None:
+            router.evidence.rate(cell, rating, score, router.clock.now())
+            if expected is not None and not self.plan.explores:
+                router.accounts.rated(class_name, rating - expected)
+
+        await router.ratings.ask(self._rated(run), take)
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -10,10 +10,9 @@
 
 from radishshift.admission import Admission
 from radishshift.answers import Answer, Answers, AnswerSink
-from radishshift.attempts import VersionRun
 from radishshift.balance import BalanceQuestion, EndpointLoads, choose
 from radishshift.bills import Bill, Biller
-from radishshift.cascade import PlanQuestion, PlanStep, make_plan
+from radishshift.cascade import Plan, PlanQuestion, PlanStep, make_plan
 from radishshift.catalogue import Catalogue, ModelVersion
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
@@ -33,8 +32,10 @@
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
 from radishshift.observation import Observer
+from radishshift.plan_runs import PlanRun
 from radishshift.poison import PoisonWatch
 from radishshift.quality import QualityAccounts
+from radishshift.ratings import Ratings
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
@@ -90,6 +91,7 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
+    ratings: Ratings = field(default_factory=Ratings)
     observer: Observer | None = None
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
@@ -240,41 +242,50 @@
     async def _run_plan(
         self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
     ) -> None:
-        steps = self._steps(req)
+        question = self._question(req)
+        plan = self._plan(req, question)
+        run = PlanRun(self, req, question, plan, bill, answer, sink)
         try:
-            for step in steps:
-                self._check_version(step.version.name)
-                run = VersionRun(self, req, step.version, bill, answer, sink)
-                await run.until_done()
+            await run.until_done()
         except (RadishshiftError, asyncio.CancelledError):
             if bill.items:
                 await self.biller.secure(bill)
             raise
 
-    def _steps(self, req: ModelRequest) -> tuple[PlanStep, ...]:
+    def _question(self, req: ModelRequest) -> PlanQuestion:
+        now = self.clock.now()
+        return PlanQuestion(
+            customer=req.contract.customer,
+            task_class=req.task_class,
+            quality=self._quality(req),
+            candidates=self._choices(req),
+            prompt_tokens=req.prompt_tokens_estimate,
+            completion_tokens=req.completion_tokens_bound,
+            deadline=req.deadline,
+            now=now,
+            can_judge=self.ratings.can_judge(now),
+            parameters=self.catalogue.policies.parameters,
+        )
+
+    def _plan(self, req: ModelRequest, question: PlanQuestion) -> Plan:
+        if req.session_token:
+            return Plan((PlanStep(question.candidates[0]),))
+        planner_name = self.catalogue.policies.planner
+        return make_plan(planner_name, question, self.evidence, self.accounts)
+
+    def _choices(self, req: ModelRequest) -> tuple[ModelVersion, ...]:
         if req.session_token:
             now = self.clock.now()
             customer = req.contract.customer
             session = self.session_keys.read(req.session_token, customer, now)
-            return (PlanStep(self._session_version(req, session)),)
+            return (self._session_version(req, session),)
         named = self.catalogue.versions.get(req.model)
         if named is not None and named.state.keeps_sessions is False:
             raise WithdrawnError(f"{req.model} takes no work: it is {named.state}")
         candidates = tuple(self._candidates(req))
         if not candidates:
             self._refuse_model(req)
-        question = PlanQuestion(
-            customer=req.contract.customer,
-            task_class=req.task_class,
-            quality=self._quality(req),
-            candidates=candidates,
-            prompt_tokens=req.prompt_tokens_estimate,
-            completion_tokens=req.completion_tokens_bound,
-            deadline=req.deadline,
-            now=self.clock.now(),
-        )
-        planner_name = self.catalogue.policies.planner
-        return make_plan(planner_name, question, self.evidence, self.accounts).steps
+        return candidates
 
     def _session_version(self, req: ModelRequest, session: Session) -> ModelVersion:
         version = self.catalogue.versions.get(session.version)
@@ -310,7 +321,13 @@
         usual = QualityTarget(0.0, 0.0)
         return req.contract.quality.get(req.task_class.name, usual)
 
-    def _check_version(self, name: str) -> None:
+    def check_version(self, name: str) -> None:
+        """Check that a version still takes work.
+
+        Raises
+        ------
+        WithdrawnError
+        """
         version = self.catalogue.versions.get(name)
         if version is None or not version.state.keeps_sessions:
             raise WithdrawnError(f"{name} was withdrawn")
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -48,6 +48,14 @@
     seeds: tuple[str, ...] = ()
 
 
+class RatingSettings(Section, frozen=True):
+    """Where the rating service is; without an address no answer is judged."""
+
+    address: str = ""
+    score_timeout_s: Positive = 1.0
+    fetch_s: Positive = 5.0
+
+
 class ServerKeySettings(Section, frozen=True):
     """Key of a port that listens; see `tls.KeyFiles`."""
 
@@ -112,6 +120,7 @@
     platform: PlatformSettings
     address: AddressSettings = AddressSettings()
     peers: PeerSettings = PeerSettings()
+    ratings: RatingSettings = RatingSettings()
     tls: TlsSettings = TlsSettings()
     bounds: BoundSettings = BoundSettings()
     times: TimeSettings = TimeSettings()
--- a/radishshift/standins/deployment.py
+++ b/radishshift/standins/deployment.py
@@ -11,6 +11,7 @@
 from radishshift.platform import MemoryPlatform
 from radishshift.standins.engine import StandinEngine
 from radishshift.standins.platform import make_platform_app
+from radishshift.standins.ratings import StandinRatings
 from radishshift.standins.service import StandinService
 
 __all__ = ["Deployment", "deployed", "key_digest", "small_catalogue"]
@@ -83,7 +84,8 @@
         "uyole-ring": _customer(KEY),
         "igurusi-ring": _customer(OTHER_KEY),
         "quick-check": _task_class(0, 5.0, False) | {"cancelOnHangUp": True},
-        "season-plan": _task_class(2, 120.0, True),
+        "season-plan": _task_class(2, 120.0, True)
+        | {"objectives": {"wholeAnswerS": 30.0}},
         "booking": _task_class(1, 20.0, False),
         "policies": {"type": "policy", "owner": "shamba-pamoja", "class": "policy"},
     }
@@ -99,12 +101,16 @@
     platform_address : str
     engines : dict of str to StandinEngine
     desk : StandinService
+    ratings : StandinRatings
+    ratings_address : str
     """
 
     platform: MemoryPlatform
     platform_address: str
     engines: dict[str, StandinEngine] = field(default_factory=dict)
     desk: StandinService = field(default_factory=lambda: StandinService("desk-1"))
+    ratings: StandinRatings = field(default_factory=StandinRatings)
+    ratings_address: str = ""
 
 
 def _engines() -> list[StandinEngine]:
@@ -139,6 +145,10 @@
             url = await stack.enter_async_context(listening(app, **options))
             deployment.engines[engine.name] = engine
             await _store_endpoint(platform, engine.name, url, list(engine.versions))
+        ratings_app = deployment.ratings.app()
+        deployment.ratings_address = await stack.enter_async_context(
+            listening(ratings_app, **options)
+        )
         desk = deployment.desk
         url = await stack.enter_async_context(listening(desk.app(), **options))
         await _store_endpoint(platform, desk.name, url, ["booking-desk"])
--- /dev/null
+++ b/tests/test_plan_runs.py
@@ -0,0 +1,108 @@
+"""Tests of a request's way through a cascade, over loopback."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import msgspec
+
+from radishshift.evidence import RATINGS, SCORES, Cell
+from radishshift.objects import Kind
+from radishshift.standins.engine import EngineFaults
+from tests.cases import TestCase
+from tests.served import served
+
+SMALL = "farm-advice-small.v1"
+LARGE = "farm-advice-large.v1"
+POLL_S = 0.01
+
+
+@asynccontextmanager
+async def cascading(**parameters):
+    """Serve with the planner that tries the cheapest version first."""
+    async with served() as case:
+        platform = case.deployment.platform
+        item = await platform.get(Kind.ENTRY, "policies")
+        spec = item.spec | {"planner": "cheap-first", "parameters": parameters}
+        stored = await platform.update(replace(item, spec=spec))
+        while case.host.router.catalogue.revision < stored.revision:
+            await asyncio.sleep(POLL_S)
+        yield case
+
+
+async def _ask(case, stream=True, task_class="season-plan"):
+    headers = {"X_Task_Class": task_class}
+    async with case.chat(stream=stream, body={"model": "auto"}, **headers) as resp:
+        body = await resp.read()
+        assert resp.status == 200, body
+        request_id = resp.headers["X-Request-Id"]
+        version = resp.headers["X-Radishshift-Version"]
+    async with case.get(f"answers/{request_id}/bill") as resp:
+        bill = msgspec.json.decode(await resp.read())
+    return version, body, [item["served_by"] for item in bill["items"]]
+
+
+class PlanRunTest(TestCase):
+    async def test_a_rejected_answer_is_kept_back_and_billed_with_the_next(self):
+        async with cascading() as case:
+            case.deployment.ratings.scores = {SMALL: 0.2}
+            for stream in (True, False):
+                version, body, items = await _ask(case, stream)
+                self.assertEqual(LARGE, version)
+                self.assertEqual([SMALL, LARGE], items)
+                self.assertNotIn(SMALL.encode(), body)
+
+    async def test_an_accepted_answer_comes_whole_and_alone(self):
+        async with cascading() as case:
+            case.deployment.ratings.scores = {SMALL: 0.8}
+            for stream in (True, False):
+                version, body, items = await _ask(case, stream)
+                self.assertEqual(SMALL, version)
+                self.assertEqual([SMALL], items)
+                self.assertEqual(stream, body.endswith(b"data: [DONE]\n\n"))
+
+    async def test_without_the_rating_service_requests_are_answered(self):
+        """The service is away: first a call fails, then nothing asks it."""
+        async with cascading() as case:
+            case.deployment.ratings.away = True
+            version, _, items = await _ask(case)
+            self.assertEqual((LARGE, [SMALL, LARGE]), (version, items))
+            version, _, items = await _ask(case)
+            self.assertEqual((LARGE, [LARGE]), (version, items))
+
+    async def test_a_cheap_endpoint_that_fails_leaves_the_dear_one(self):
+        async with cascading() as case:
+            for engine in case.engines:
+                if SMALL in engine.versions:
+                    engine.faults = EngineFaults(truncate_after=2, refuse=True)
+            case.deployment.engines["engine-3"].faults = EngineFaults()
+            case.deployment.engines["engine-3"].versions -= {SMALL}
+            version, _, items = await _ask(case)
+            self.assertEqual(LARGE, version)
+            self.assertEqual([LARGE], items)
+
+    async def test_a_quick_check_does_not_cascade(self):
+        async with cascading() as case:
+            case.deployment.ratings.scores = {SMALL: 0.2}
+            _, _, items = await _ask(case, task_class="quick-check")
+            self.assertEqual([LARGE], items)
+
+    async def test_late_ratings_are_taken_when_they_come(self):
+        """The service keeps ratings back while requests go on."""
+        async with cascading(**{"target-mix.rated-share": 1.0}) as case:
+            platform = case.deployment.platform
+            item = await platform.get(Kind.ENTRY, "policies")
+            spec = item.spec | {"planner": "target-mix"}
+            stored = await platform.update(replace(item, spec=spec))
+            router = case.host.router
+            while router.catalogue.revision < stored.revision:
+                await asyncio.sleep(POLL_S)
+            case.deployment.ratings.hold_ratings = True
+            version, _, _ = await _ask(case)
+            cell = Cell(version, "season-plan")
+            while not router.evidence.known(cell).counts[SCORES]:
+                await asyncio.sleep(POLL_S)
+            self.assertEqual(0, router.evidence.known(cell).counts[RATINGS])
+            case.deployment.ratings.hold_ratings = False
+            while not router.evidence.known(cell).counts[RATINGS]:
+                await asyncio.sleep(POLL_S)
