Pool evidence over heartbeats; try only versions that could cheapen the mix

Cause: each host learned alone; tries of unknown versions went to any that were hopeful at their own cost, also to dear ones that no mix would take; versions whose estimate could be below the floor entered the mix at once.

Change: EvidencePool carries each host's counts of the present and last epoch as a row that spreads within the data centre and merges without harm when copies come late, twice or after a loss. A try must be able to make the mix in use cheaper; a version that may be below the floor is tried within its bound only.

--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -25,6 +25,7 @@
 from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
 from radishshift.evidence import Evidence
+from radishshift.evidence_pool import EvidencePool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.logs import log_to
@@ -209,6 +210,12 @@
             evidence=Evidence(process),
             ratings=ratings,
         )
+        pool = EvidencePool(router.evidence, peers.me)
+        peers.carry(pool.section)
+
+        async def publish_evidence() -> None:
+            pool.publish(clock.now())
+
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(
@@ -217,6 +224,7 @@
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
             ),
+            asyncio.create_task(_every(clock, cfg.times.evidence_s, publish_evidence)),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
         caller_app = make_caller_app(router, cfg.bounds, cfg.times)
--- a/radishshift/evidence.py
+++ b/radishshift/evidence.py
@@ -30,7 +30,7 @@
 SCORE_VARIANCE = 0.09
 OFFSET_VARIANCE = 0.0009
 DIFFERENCE_VARIANCE = 0.035
-DRIFT_VARIANCE_PER_S = 0.0006 / 3600
+DRIFT_VARIANCE_PER_S = 0.0002 / 3600
 SCORES_MIN = 15
 OFFSET_PRIOR_WEIGHT = 5.0
 EPOCH_S = 600.0
@@ -186,7 +186,7 @@
     _others: dict[tuple[str, Cell, int], np.ndarray] = field(default_factory=dict)
     _pooled: dict[Cell, dict[int, np.ndarray]] = field(default_factory=dict)
     _offsets: dict[str, tuple[int, float]] = field(default_factory=dict)
-    _epoch: int = 0
+    epoch: int = 0
 
     def record(self, outcome: Outcome, now: float = 0.0) -> None:
         """Take in how an attempt went."""
@@ -228,14 +228,14 @@
 
     def _add(self, cell: Cell, added: np.ndarray, now: float) -> None:
         self.forget(now)
-        key = (cell, self._epoch)
+        key = (cell, self.epoch)
         held = self._own.get(key)
         if held is None:
             if len(self._own) >= CELLS_MAX:
                 return
             held = self._own[key] = np.zeros(COUNTS)
         held += added
-        self._pool(cell, self._epoch, added)
+        self._pool(cell, self.epoch, added)
 
     def _pool(self, cell: Cell, epoch: int, added: np.ndarray) -> None:
         epochs = self._pooled.setdefault(cell, {})
@@ -252,9 +252,9 @@
     def forget(self, now: float) -> None:
         """Drop epochs that are too old at `now`; a step back drops nothing."""
         epoch = int(now // EPOCH_S)
-        if epoch <= self._epoch:
+        if epoch <= self.epoch:
             return
-        self._epoch = epoch
+        self.epoch = epoch
         oldest = epoch - EPOCHS
         for key in [key for key in self._own if key[1] <= oldest]:
             del self._own[key]
@@ -269,9 +269,9 @@
 
     def merge(self, origin: str, cell: Cell, epoch: int, counts: np.ndarray) -> bool:
         """Take in the counts of another origin; return whether they were news."""
-        if origin == self.origin or epoch <= self._epoch - EPOCHS:
+        if origin == self.origin or epoch <= self.epoch - EPOCHS:
             return False
-        if epoch > self._epoch + 1:
+        if epoch > self.epoch + 1:
             return False
         key = (origin, cell, epoch)
         held = self._others.get(key)
@@ -303,7 +303,7 @@
         samples = rows[start:, SCORES] + rows[start:, RATINGS]
         age = 0.0
         if samples.any():
-            ages = self._epoch - np.array(numbers[start:])
+            ages = self.epoch - np.array(numbers[start:])
             age = float(samples @ ages / samples.sum()) * EPOCH_S
         return CellCounts(rows[start:].sum(axis=0), start > 0, age)
 
--- a/radishshift/mixing.py
+++ b/radishshift/mixing.py
@@ -47,6 +47,7 @@
 BIN_WEIGHT = 10.0
 PAIR_WEIGHT = 20.0
 HOPE = 2.5
+RISK_DEVIATIONS = 2.0
 TIME_DEVIATIONS = 3.5
 TABLE_CHANGES = 40
 TABLE_S = 60.0
@@ -165,25 +166,34 @@
     changes: int
     expires: float
 
-    def quality_at(self, cost: float) -> float:
-        """Return the mean quality that mixes of a cost give."""
-        costs = [prospect.cost for prospect in self.prospects]
-        return float(
-            np.interp(cost, costs, [prospect.quality for prospect in self.prospects])
-        )
-
-    def mix(self, wanted: float, draw: float) -> Prospect:
-        """Return a plan such that the mean over draws is `wanted`, if it can be."""
+    def bracket(self, wanted: float) -> tuple[Prospect, Prospect]:
+        """Return the corners whose mix gives `wanted`; twice one if it is outside."""
         lower = self.prospects[0]
         if lower.cautious >= wanted:
-            return lower
+            return lower, lower
         for upper in self.prospects[1:]:
             if upper.cautious >= wanted:
-                span = upper.cautious - lower.cautious
-                share = (wanted - lower.cautious) / span
-                return upper if draw < share else lower
+                return lower, upper
             lower = upper
-        return lower
+        return lower, lower
+
+    def mix(self, wanted: float, draw: float) -> Prospect:
+        """Return a plan such that the mean over draws is `wanted`, if it can be."""
+        lower, upper = self.bracket(wanted)
+        if lower is upper:
+            return lower
+        share = (wanted - lower.cautious) / (upper.cautious - lower.cautious)
+        return upper if draw < share else lower
+
+    def improves(self, wanted: float, cost: float, quality: float) -> bool:
+        """Tell whether a plan of that cost and quality would make the mix cheaper."""
+        lower, upper = self.bracket(wanted)
+        if upper is not lower:
+            slope = (upper.cautious - lower.cautious) / (upper.cost - lower.cost)
+            return quality > lower.cautious + slope * (cost - lower.cost)
+        if lower.cautious >= wanted:
+            return cost < lower.cost and quality >= wanted
+        return quality > lower.cautious
 
 
 def expected_whole_s(
@@ -235,6 +245,10 @@
     return np.clip(by_bin + mean - float(shares @ by_bin), 0.0, 1.0)
 
 
+def _low(quality: QualityEstimate) -> float:
+    return quality.mean - RISK_DEVIATIONS * quality.error
+
+
 def _direct(known: _Known, settings: _Settings) -> Prospect:
     quality = known.quality
     cautious = quality.mean - settings.caution * quality.error
@@ -326,9 +340,8 @@
         version.name: _know(version, question, evidence, size)
         for version in question.candidates
     }
-    usable = [
-        item for item in known.values() if item.quality.mean >= question.quality.floor
-    ]
+    floor = question.quality.floor
+    usable = [item for item in known.values() if _low(item.quality) >= floor]
     usable = usable or [max(known.values(), key=lambda item: item.quality.mean)]
     prospects = [_direct(item, settings) for item in usable]
     if question.can_judge and question.task_class.cascade:
@@ -376,8 +389,9 @@
     question: PlanQuestion,
     account: QualityAccount,
     settings: _Settings,
+    wanted: float,
 ) -> ModelVersion | None:
-    """Return the least known version that may be better than the plans in use."""
+    """Return the least known version that may make the mix cheaper."""
     floor = question.quality.floor
     budget = settings.floor_share * (account.answers + 1)
     found = None
@@ -386,18 +400,15 @@
         if quality.error <= settings.explore_error or quality.mean < floor:
             continue
         hopeful = quality.mean + HOPE * quality.error
-        if item.cost > table.prospects[0].cost and hopeful < table.quality_at(
-            item.cost
-        ):
+        if not table.improves(wanted, item.cost, hopeful):
             continue
-        risky = quality.mean - 2 * quality.error < floor
-        if risky and account.risky_tries + 1 > budget:
+        if _low(quality) < floor and account.risky_tries + 1 > budget:
             continue
         if found is None or quality.error > found.quality.error:
             found = item
     if found is None:
         return None
-    account.risky_tries += found.quality.mean - 2 * found.quality.error < floor
+    account.risky_tries += _low(found.quality) < floor
     return found.version
 
 
@@ -410,12 +421,12 @@
     table = find_table(question, evidence, accounts)
     account = accounts.account(question.customer, question.task_class.name)
     draw, explore_draw, rate_draw, score_draw = accounts.rng.random(4)
+    wanted = account.wanted(question.quality.target, settings.margin)
+    wanted -= accounts.bias(question.task_class.name)
     if explore_draw < settings.explore_share:
-        version = _to_explore(table, question, account, settings)
+        version = _to_explore(table, question, account, settings, wanted)
         if version is not None:
             return Plan((PlanStep(version),), rate=True, score=True, explores=True)
-    wanted = account.wanted(question.quality.target, settings.margin)
-    wanted -= accounts.bias(question.task_class.name)
     plan = table.mix(wanted, draw).plan
     rate = rate_draw < settings.rated_share
     score = rate or score_draw < settings.scored_share
