--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EXPERIMENT ?= relay
 KEEP ?= 0
 
-.PHONY: run test check tests bench fuzz format
+.PHONY: run test check spec tests bench fuzz format
 
 $(STAMP): constraints.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -26,10 +26,13 @@
 tests: $(STAMP)
 	$(PY) -m pytest -n 6 tests
 
-test: check tests
+test: check spec tests
 
 bench: $(STAMP)
 	$(VENV)/bin/radishshift-bench --experiment=$(EXPERIMENT) --seed=$(SEED) $(FLAGS)
 
 fuzz: $(STAMP)
 	RADISHSHIFT_FUZZ=1 $(PY) -m pytest tests -k fuzz
+
+spec: $(STAMP)
+	$(PY) -m spec
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol, checked by a model checker."""
