Take session keys from the platform and rotate them

Cause: each host signed with a random key of its own start, so a session broke at every other host and at every restart. Change: keys are objects of periods, created if absent, half a period ahead; hosts list them each minute and when a token names one they lack. Conclusion: any host keeps any session; in an outage keys work from memory.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -26,7 +26,7 @@
 from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
 from radishshift.requests import ModelRequest
-from radishshift.sessions import Session
+from radishshift.sessions import SESSION_S, Session
 from radishshift.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -34,7 +34,6 @@
 
 __all__ = ["VersionRun"]
 
-SESSION_S = 3600.0
 ATTEMPT_ID_BYTES = 6
 RESUMES_MAX = 4
 RESUME_PAUSE_S = 0.05
@@ -246,18 +245,20 @@
         if self.req.session_token:
             answer.headers["X-Session"] = self.req.session_token
         elif self.req.wants_session:
-            answer.headers["X-Session"] = self._new_session()
+            token = self._new_session()
+            if token is not None:
+                answer.headers["X-Session"] = token
         answer.start()
         await self.sink.start(answer)
 
-    def _new_session(self) -> str:
+    def _new_session(self) -> str | None:
         session = Session(
             session_id=self.req.request_id,
             customer=self.req.contract.customer,
             version=self.version.name,
             expires=self.router.clock.now() + SESSION_S,
         )
-        return self.router.session_keys.issue(session)
+        return self.router.session_keys.issue(session, self.router.clock.now())
 
     def _give_up(
         self, endpoint: Endpoint, attempt: _Attempt, exc: BaseException
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -1,7 +1,6 @@
 """The daemon on an entry host."""
 
 import asyncio
-import os
 import signal
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, nullcontext
@@ -32,7 +31,7 @@
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.router import Router
 from radishshift.running import RunningRequest
-from radishshift.sessions import SessionKeys
+from radishshift.session_keys import KeyKeeper
 from radishshift.settings import ClientKeySettings, HostSettings, load_settings
 from radishshift.tls import client_context_of, server_tls_of
 
@@ -179,6 +178,8 @@
         duties = Duties(platform, peers, clock)
         configuration = Configuration(clock)
         process = f"{cfg.name}-{peers.me.incarnation}"
+        keeper = KeyKeeper(platform, clock)
+        await keeper.try_refresh()
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
@@ -194,12 +195,13 @@
                 cfg.bounds.open_bills,
             ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
-            session_keys=SessionKeys({"start": os.urandom(32)}),
+            session_keys=keeper,
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
         )
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
+            asyncio.create_task(keeper.follow()),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -238,6 +238,7 @@
     async def _run_plan(
         self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
     ) -> None:
+        await self.session_keys.prepare(req.session_token)
         steps = self._steps(req)
         try:
             for step in steps:
