--- a/radishshift/catalogue_checks.py
+++ b/radishshift/catalogue_checks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
+import radishshift.mixing  # noqa: F401 - registers its planner
 from radishshift.balance import balancer_names
 from radishshift.cascade import planner_names
 from radishshift.catalogue import Catalogue, VersionState
