--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -25,6 +25,7 @@
     TaskClass,
 )
 from radishshift.endpoints import Endpoint, EndpointState
+from radishshift.hosts import HostState
 from radishshift.objects import Kind, StoredObject
 from radishshift.validation import validated
 
@@ -33,14 +34,19 @@
     "CustomerSpec",
     "EndpointSpec",
     "EntrySpec",
+    "HostSpec",
     "PolicySpec",
     "ServiceSpec",
     "VersionSpec",
     "build_catalogue",
     "read_endpoint",
     "read_entry",
+    "read_host",
 ]
 
+QUEUE_SHARE = 0.25
+URGENT_QUEUE_SHARE = 2 / 3
+
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
 Price = Annotated[int, msgspec.Meta(ge=0)]
@@ -195,12 +201,18 @@
 class ClassSpec(
     EntryBase, frozen=True, kw_only=True, tag_field="type", tag="task-class"
 ):
-    """A task class; see `contracts.TaskClass`."""
+    """A task class; see `contracts.TaskClass`.
+
+    Without `queue_s` a request may wait a quarter of the class's usual deadline,
+    or, in a class of priority 0, two thirds of its bound on the first token.
+    """
 
     priority: Count
     deadline_s: Amount
     cascade: bool = False
+    cancel_on_hang_up: bool = False
     objectives: ObjectivesSpec = ObjectivesSpec()
+    queue_s: Amount | None = None
 
     def task_class(self, name: str) -> TaskClass:
         """Return the data class."""
@@ -210,8 +222,15 @@
             self.deadline_s,
             self.cascade,
             self.objectives.objectives(),
+            self.cancel_on_hang_up,
+            self._usual_queue_s() if self.queue_s is None else self.queue_s,
         )
 
+    def _usual_queue_s(self) -> float:
+        if self.priority == 0:
+            return URGENT_QUEUE_SHARE * self.objectives.first_token_s
+        return QUEUE_SHARE * self.deadline_s
+
 
 class PolicySpec(EntryBase, frozen=True, kw_only=True, tag_field="type", tag="policy"):
     """The policies in use; see `catalogue.Policies`."""
@@ -248,6 +267,15 @@
         )
 
 
+class HostSpec(Manifest, frozen=True, kw_only=True):
+    """An entry host in the platform's list; see `hosts.Host`."""
+
+    data_centre: Name
+    region: str
+    peer_address: str
+    state: HostState = HostState.LIVE
+
+
 EntrySpec = VersionSpec | ServiceSpec | CustomerSpec | ClassSpec | PolicySpec
 
 
@@ -271,6 +299,16 @@
     return validated(spec, EndpointSpec, name)
 
 
+def read_host(name: str, spec: dict[str, Any]) -> HostSpec:
+    """Validate the spec of an entry host.
+
+    Raises
+    ------
+    SettingsError
+    """
+    return validated(spec, HostSpec, name)
+
+
 def build_catalogue(revision: int, items: Iterable[StoredObject]) -> Catalogue:
     """Return the catalogue that a set of entries and endpoints makes.
 
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -1,13 +1,15 @@
 """The path of a request through an entry host, from admission to bill."""
 
-from collections.abc import Iterator
+import asyncio
+from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import xxhash
 
 from radishshift.admission import Admission
-from radishshift.answers import Answers, AnswerSink
+from radishshift.answers import Answer, Answers, AnswerSink
 from radishshift.attempts import VersionRun
 from radishshift.balance import BalanceQuestion, EndpointLoads, choose
 from radishshift.bills import Bill, Biller
@@ -16,10 +18,12 @@
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
-from radishshift.contracts import QualityTarget
+from radishshift.contracts import Contract, QualityTarget
 from radishshift.endpoints import Endpoint
 from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
+    DeadlineError,
+    InternalError,
     NoEndpointError,
     NotAllowedError,
     NotFoundError,
@@ -30,15 +34,21 @@
 from radishshift.limits import Limiter
 from radishshift.observation import Observer
 from radishshift.poison import PoisonWatch
+from radishshift.quality import QualityAccounts
+from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
+from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
+from radishshift.timeouts import IdleSweep
+from radishshift.verdicts import Verdict
 
 __all__ = ["Router"]
 
 PREFIX_BYTES = 1024
 ANY_MODEL = "auto"
+CALL_COST_TOKENS = 100
 
 
 @dataclass(slots=True)
@@ -58,6 +68,10 @@
     admission : Admission
     answer_kept_s : float
         Time that an answer is held after its request came, in seconds.
+    remote_answers : RemoteAnswers, optional
+        Answers of the other hosts.
+    leaving : bool
+        Whether the host is to be sent no new work.
     """
 
     data_centre: str
@@ -72,38 +86,138 @@
     answer_kept_s: float
     limiter: Limiter = field(default_factory=Limiter)
     evidence: Evidence = field(default_factory=Evidence)
+    accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
     observer: Observer | None = None
+    remote_answers: RemoteAnswers | None = None
+    leaving: bool = False
+    running: RunningRequests = field(default_factory=RunningRequests)
+    sweep: IdleSweep = field(init=False)
+    _background: set[asyncio.Task[None]] = field(default_factory=set, init=False)
 
     @property
     def catalogue(self) -> Catalogue:
         """Return the catalogue in force."""
         return self.configuration.catalogue
 
+    def __post_init__(self) -> None:
+        self.sweep = IdleSweep(self.clock)
+
+    def in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Carry out work that no caller is to wait for."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    @property
+    def busy(self) -> int:
+        """Return how much would be cut if the host stopped now."""
+        return len(self.running) + len(self._background)
+
     async def answer_model(self, req: ModelRequest, sink: AnswerSink) -> None:
         """Answer a model request into a sink.
 
+        A resend, known by its idempotency key or request id, gets the answer of the
+        first sending, also while that runs.
+
         Raises
         ------
         RadishshiftError
-            Nothing has been written; the error is the answer.
+            Nothing has been written, or the answer broke off.
         """
+        customer = req.contract.customer
+        self.answers.trim(self.clock.now())
+        held = self.answers.find_resent(
+            customer, req.request_id, req.idempotency_key, req.fingerprint
+        )
+        if held is not None:
+            await self.replay(held, sink, 0, req.deadline)
+            return
+        answer = self._open_answer(req)
         with self._observed(req):
-            await self._answer_model(req, sink)
-
-    async def _answer_model(self, req: ModelRequest, sink: AnswerSink) -> None:
-        with self.admission.entered():
-            self.poison.check(req.fingerprint, self.clock.now())
-            tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
-            grant = self.limiter.take(req.contract, tokens, self.clock.now())
-            self.retry_budget.request_came()
-            bill = Bill(req.request_id, req.contract.customer)
             try:
-                await self._run_plan(req, bill, sink)
-            finally:
-                self.limiter.settle(grant, _tokens_of(bill))
+                with self.running.entered(
+                    req.request_id, customer, lambda: answer.verdict
+                ):
+                    await self._run_admitted(req, answer, sink)
+            except RadishshiftError as exc:
+                exc.verdict = exc.verdict.worst(answer.verdict)
+                self.answers.fail(answer, exc)
+                raise
+            except BaseException:
+                self.answers.fail(answer, InternalError("the answer broke off"))
+                raise
+            answer.end()
+
+    def _open_answer(self, req: ModelRequest) -> Answer:
+        kept_until = max(req.deadline, self.clock.now() + self.answer_kept_s)
+        return self.answers.open(
+            req.request_id,
+            req.contract.customer,
+            kept_until,
+            req.idempotency_key,
+            req.fingerprint,
+        )
+
+    async def replay(
+        self, answer: Answer, sink: AnswerSink, position: int, deadline: float
+    ) -> None:
+        """Send an answer that is held, as it grows, from a position on.
+
+        Raises
+        ------
+        RadishshiftError
+        """
+        with self.running.entered(
+            answer.request_id, answer.customer, lambda: answer.verdict
+        ):
+            try:
+                async with asyncio.timeout(deadline - self.clock.now()):
+                    await answer.replay(sink, position)
+            except TimeoutError as exc:
+                raise DeadlineError("the answer is not whole yet") from exc
+
+    async def _run_admitted(
+        self, req: ModelRequest, answer: Answer, sink: AnswerSink
+    ) -> None:
+        tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
+        pool = self._pool_of(req.model)
+        bill = Bill(req.request_id, req.contract.customer)
+        grant = self.limiter.take(req.contract, tokens, self.clock.now())
+        try:
+            async with self.admission.entered(
+                req.task_class, req.contract, tokens, req.deadline, pool
+            ) as place:
+                req.contract = self._contract_now(req.contract, req.deadline)
+                self.poison.check(req.fingerprint, self.clock.now())
+                self.biller.check_room()
+                self.retry_budget.request_came()
+                try:
+                    await self._run_plan(req, bill, answer, sink)
+                finally:
+                    place.cost = _tokens_of(bill)
+        finally:
+            self.limiter.settle(grant, _tokens_of(bill))
+
+    def _pool_of(self, model: str) -> str:
+        version = self.catalogue.versions.get(model)
+        if version is not None:
+            return version.model
+        known = {version.model for version in self.catalogue.versions.values()}
+        if model not in known | {ANY_MODEL}:
+            raise NotFoundError(f"no model {model}")
+        return model
+
+    def _contract_now(self, contract: Contract, deadline: float) -> Contract:
+        """Return the contract in force after a wait for room."""
+        if self.clock.now() >= deadline:
+            raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
+        current = self.catalogue.contracts.get(contract.customer)
+        if current is None:
+            raise NotAllowedError("the customer's contract has ended")
+        return current
 
     @contextmanager
     def _observed(self, req: ModelRequest | ServiceCall) -> Iterator[None]:
@@ -123,21 +237,20 @@
                     error,
                 )
 
-    async def _run_plan(self, req: ModelRequest, bill: Bill, sink: AnswerSink) -> None:
+    async def _run_plan(
+        self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
+    ) -> None:
+        await self.session_keys.prepare(req.session_token)
         steps = self._steps(req)
-        kept_until = self.clock.now() + self.answer_kept_s
-        answer = self.answers.open(req.request_id, req.contract.customer, kept_until)
         try:
             for step in steps:
                 self._check_version(step.version.name)
                 run = VersionRun(self, req, step.version, bill, answer, sink)
                 await run.until_done()
-        except RadishshiftError as exc:
+        except (RadishshiftError, asyncio.CancelledError):
             if bill.items:
                 await self.biller.secure(bill)
-            answer.end(exc)
             raise
-        answer.end()
 
     def _steps(self, req: ModelRequest) -> tuple[PlanStep, ...]:
         if req.session_token:
@@ -162,7 +275,7 @@
             now=self.clock.now(),
         )
         planner_name = self.catalogue.policies.planner
-        return make_plan(planner_name, question, self.evidence).steps
+        return make_plan(planner_name, question, self.evidence, self.accounts).steps
 
     def _session_version(self, req: ModelRequest, session: Session) -> ModelVersion:
         version = self.catalogue.versions.get(session.version)
@@ -224,6 +337,12 @@
         balancer_name = self.catalogue.policies.balancer
         return choose(balancer_name, question, self.loads.candidates(endpoints))
 
+    def first_token(self, endpoint: Endpoint, req: ModelRequest, wait_s: float) -> None:
+        """Note how long an endpoint took to the first token, in seconds."""
+        self.loads.first_token(endpoint, wait_s)
+        pool = self._pool_of(req.model)
+        self.admission.first_token(pool, req.task_class, wait_s)
+
     async def call_service(self, call: ServiceCall) -> ServiceReply:
         """Answer a call of a plain service.
 
@@ -231,19 +350,34 @@
         ------
         RadishshiftError
         """
-        with self._observed(call):
+        running = self.running.entered(
+            call.request_id, call.contract.customer, lambda: Verdict.MAY_HAVE_RUN
+        )
+        with self._observed(call), running:
             return await self._call_service(call)
 
     async def _call_service(self, call: ServiceCall) -> ServiceReply:
-        with self.admission.entered():
-            self.poison.check(call.fingerprint, self.clock.now())
-            grant = self.limiter.take(call.contract, 0, self.clock.now())
-            try:
+        grant = self.limiter.take(call.contract, 0, self.clock.now())
+        try:
+            async with self.admission.entered(
+                call.task_class,
+                call.contract,
+                CALL_COST_TOKENS,
+                call.deadline,
+                call.service,
+            ):
+                call.contract = self._contract_now(call.contract, call.deadline)
+                if call.service not in call.contract.allowed:
+                    raise NotAllowedError(f"the contract does not allow {call.service}")
+                self.poison.check(call.fingerprint, self.clock.now())
+                began = self.clock.now()
                 reply = await run_call(self, call)
                 call.observation.version = call.service
+                took_s = self.clock.now() - began
+                self.admission.whole_answer(call.service, call.task_class, took_s)
                 return reply
-            finally:
-                self.limiter.settle(grant, 0)
+        finally:
+            self.limiter.settle(grant, 0)
 
 
 def _tokens_of(bill: Bill) -> int:
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -90,10 +90,14 @@
     """Times the host keeps, in seconds."""
 
     stop_s: Positive = 30.0
+    unready_s: Positive = 2.0
     stream_idle_s: Positive = 5.0
     connect_s: Positive = 1.0
     answer_kept_s: Positive = 600.0
     bill_batch_s: Positive = 1.0
+    receive_s: Positive = 10.0
+    caller_stall_s: Positive = 10.0
+    deadline_max_s: Positive = 3600.0
 
 
 class HostSettings(Section, frozen=True, kw_only=True):
