--- a/radishshift/burn.py
+++ b/radishshift/burn.py
@@ -234,7 +234,7 @@
     return [
         item.spec["monitoringAddress"]
         for item in listing.items
-        if "monitoringAddress" in item.spec
+        if item.spec.get("monitoringAddress")
     ]
 
 
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -273,6 +273,7 @@
     data_centre: Name
     region: str
     peer_address: str
+    monitoring_address: str = ""
     state: HostState = HostState.LIVE
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 
 from radishshift import cli
 from radishshift.listening import listening
+from radishshift.objects import Kind, StoredObject
 from radishshift.platform import MemoryPlatform
 from radishshift.standins.deployment import small_catalogue
 from radishshift.standins.platform import make_platform_app
@@ -59,6 +60,27 @@
             report = await self._run("diff", path, to)
             self.assertEqual(cli.ExitCode.DONE, report.code)
 
+    async def test_wait_names_the_hosts_that_hold_a_change_up(self):
+        """A host that has not confirmed must end the wait with a code of its own."""
+        platform = MemoryPlatform()
+        await platform.create(StoredObject(Kind.ENTRY, VERSION))
+        for name in ("mbeya-1", "mbeya-2"):
+            await platform.create(StoredObject(Kind.HOST, name))
+        status = {"hosts": {"mbeya-1": 1, "mbeya-2": 0}}
+        item = StoredObject(Kind.CONFIRMATION, "mbeya", {}, status)
+        held = await platform.create(item)
+        async with listening(make_platform_app(platform)) as url:
+            to = f"--platform={url}"
+            report = await self._run("wait", "--wait_s=0", to)
+            self.assertEqual(cli.ExitCode.NOT_IN_FORCE, report.code)
+            self.assertEqual(["mbeya-2"], report.value["behind"])
+            report = await self._run("status", to)
+            self.assertIn("behind", report.text)
+            held.status["hosts"]["mbeya-2"] = 1
+            await platform.update(held)
+            report = await self._run("wait", "1", "--wait_s=0", to)
+            self.assertEqual(cli.ExitCode.DONE, report.code)
+
     async def test_a_platform_out_of_reach_has_its_own_code(self):
         report = await self._run("show", "--platform=http://127.0.0.1:9")
         self.assertEqual(cli.ExitCode.UNAVAILABLE, report.code)
