--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -242,6 +242,7 @@
     async def _run_plan(
         self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
     ) -> None:
+        await self.session_keys.prepare(req.session_token)
         question = self._question(req)
         plan = self._plan(req, question)
         run = PlanRun(self, req, question, plan, bill, answer, sink)
