Refuse poison requests everywhere and retry suspects apart

Cause: no crash was ever noted, each host counted for itself, and an innocent beside a poison request would have counted the same crashes. Change: crashes are told to every live host before the request goes on; suspects run under trials granted by one host, apart from each other; a stream that broke is a crash only if the endpoint has lost it. A test crashed two endpoints by one request and then expected it to run again: that request is poison now. The test breaks its streams without a crash instead, and one more holds that after two crashes a resend is refused and not run. Measured (tests/test_poison.py): six hosts, 18 innocents, 2 crashes, all complete. Conclusion: at most two endpoints of hosts in reach of each other crash for a fingerprint, unless its first copies run in the same moment.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,6 +18,7 @@
 from radishshift.errors import (
     AnswerTooLargeError,
     DeadlineError,
+    EndpointCrashedError,
     EndpointError,
     HungUpError,
     ResumeRefusedError,
@@ -134,10 +135,12 @@
         router.loads.started(endpoint)
         self.answer.attempting = True
         try:
-            async with self._guarded():
+            async with self._guarded(), self._tried_apart(endpoint):
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
             self._give_up(endpoint, attempt, exc)
+            if _is_crash(exc, attempt):
+                await router.poison.tell_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempting = False
@@ -147,6 +150,11 @@
         self._note(endpoint, attempt, usage, ok=True)
         await self._finish(endpoint, attempt, usage)
 
+    def _tried_apart(self, endpoint: Endpoint) -> AbstractAsyncContextManager[None]:
+        req = self.req
+        poison = self.router.poison
+        return poison.tried_apart(req.fingerprint, endpoint.name, req.deadline)
+
     @asynccontextmanager
     async def _guarded(self) -> AsyncIterator[None]:
         """Bound what is done by the deadline, and by the caller's patience."""
@@ -336,3 +344,15 @@
             await self._start("application/json")
         self.answer.append(last)
         await self.sink.write(last)
+
+
+def _is_crash(exc: BaseException, attempt: _Attempt) -> bool:
+    """Tell a crash of the endpoint from a connection that broke.
+
+    A stream that broke is asked for on a new connection first. Only an endpoint
+    that has lost it, or takes no connection any more, is held to have crashed.
+    """
+    if isinstance(exc, EndpointCrashedError):
+        return True
+    lost = isinstance(exc, EndpointError) and exc.verdict is Verdict.NOT_RUN
+    return lost and attempt.dispatched
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -17,6 +17,7 @@
     AnswerTooLargeError,
     BadRequestError,
     DeadlineError,
+    EndpointCrashedError,
     EndpointError,
     ResumeRefusedError,
     StreamBrokenError,
@@ -315,11 +316,11 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise EndpointError(f"no connection: {exc}", verdict=NOT_RUN) from exc
         except aiohttp.ClientError as exc:
-            raise EndpointError(f"the connection broke: {exc}") from exc
+            raise EndpointCrashedError(f"the connection broke: {exc}") from exc
         except TimeoutError as exc:
             raise StreamBrokenError("the endpoint is silent") from exc
         except OSError as exc:
-            raise EndpointError(f"the connection broke: {exc}") from exc
+            raise EndpointCrashedError(f"the connection broke: {exc}") from exc
 
     async def _check(self, resp: aiohttp.ClientResponse) -> None:
         if resp.status == 200:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -28,6 +28,7 @@
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
+from radishshift.poison_trials import PoisonGuard
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.router import Router
 from radishshift.running import RunningRequest
@@ -196,6 +197,7 @@
             ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=keeper,
+            poison=PoisonGuard(clock, peers),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
         )
--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -16,6 +16,7 @@
     "BillsFullError",
     "ConflictError",
     "DeadlineError",
+    "EndpointCrashedError",
     "EndpointError",
     "GoneError",
     "HeadersTooLargeError",
@@ -304,6 +305,12 @@
     usual_verdict = Verdict.MAY_HAVE_RUN
 
 
+class EndpointCrashedError(EndpointError):
+    """An endpoint broke an attempt off as one does that crashes."""
+
+    code = "endpoint-crashed"
+
+
 class StreamBrokenError(EndpointError):
     """A stream went silent, broke, or held what is not its own.
 
@@ -313,8 +320,8 @@
     code = "stream-broken"
 
 
-class ResumeRefusedError(EndpointError):
-    """An endpoint does not go on with a stream that broke."""
+class ResumeRefusedError(EndpointCrashedError):
+    """An endpoint does not go on with a stream that broke: it has lost it."""
 
     code = "resume-refused"
 
--- a/radishshift/monitoring.py
+++ b/radishshift/monitoring.py
@@ -68,6 +68,7 @@
     metrics.watch("answers.refused", lambda: router.answers.refused)
     metrics.watch("bills.unsettled", lambda: router.biller.unsettled)
     metrics.watch("bills.unsecured", lambda: router.biller.unsecured)
+    metrics.watch("poison.suspects", lambda: len(router.poison))
     metrics.watch("claims.backlog", lambda: router.claims.backlog)
     metrics.watch("catalogue.revision", lambda: router.catalogue.revision)
     metrics.watch("catalogue.versions", lambda: len(router.catalogue.versions))
--- a/radishshift/poison.py
+++ b/radishshift/poison.py
@@ -1,42 +1,87 @@
-"""Requests that crash the endpoints which run them."""
+"""Requests that crash the endpoints which run them.
+
+When an endpoint crashes, every request that ran there is a suspect. A suspect is
+run again only apart from other suspects, see `poison_trials`, so a second crash
+tells which one it was; after that the request is refused by every host that has
+heard of it. Crashes are told to all live hosts at once, and ride on the heartbeats
+for those that missed it.
+"""
 
 from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
 
 from radishshift.errors import PoisonError
+from radishshift.hosts import Host
 
-__all__ = ["PoisonWatch"]
+__all__ = ["Crash", "PoisonWatch"]
 
 CRASHES_ALLOWED = 2
-MEMORY_S = 3600.0
+SUSPECT_S = 600.0
+POISON_S = 3600.0
+SUSPECTS_MAX = 10_000
+SENT_AT_ONCE_MAX = 20
+TIMES_SENT = 3
+
+
+class Crash(msgspec.Struct, frozen=True):
+    """An endpoint crashed while it ran a request."""
+
+    fingerprint: str
+    endpoint: str
+    at: float
 
 
 @dataclass(slots=True)
 class _Suspect:
-    endpoints: set[str] = field(default_factory=set)
+    endpoints: dict[str, float] = field(default_factory=dict)
     forget_at: float = 0.0
 
 
 class PoisonWatch:
     """Counts the endpoints that crashed while they ran a request.
 
+    It is a section that rides on the heartbeats.
+
     Parameters
     ----------
     bound : int
         Number of suspects held; the oldest go first.
     """
 
-    def __init__(self, bound: int = 10_000) -> None:
+    name = "poison"
+
+    def __init__(self, bound: int = SUSPECTS_MAX) -> None:
         self._bound = bound
         self._suspects: dict[str, _Suspect] = {}
+        self._sent: dict[tuple[str, int], dict[tuple[str, str], int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._suspects)
 
     def crashed(self, fingerprint: str, endpoint: str, now: float) -> None:
         """Note that an endpoint crashed while it ran a request."""
-        suspect = self._suspects.pop(fingerprint, None) or _Suspect()
-        suspect.endpoints.add(endpoint)
-        suspect.forget_at = now + MEMORY_S
-        self._suspects[fingerprint] = suspect
-        while len(self._suspects) > self._bound:
-            del self._suspects[next(iter(self._suspects))]
+        self.take(Crash(fingerprint, endpoint, now), now)
+
+    def take(self, crash: Crash, now: float) -> None:
+        """Take in a crash; one that is known already changes nothing."""
+        if crash.at + POISON_S <= now:
+            return
+        at = min(crash.at, now)
+        suspect = self._suspects.pop(crash.fingerprint, None) or _Suspect()
+        suspect.endpoints.setdefault(crash.endpoint, at)
+        kept_s = POISON_S if len(suspect.endpoints) >= CRASHES_ALLOWED else SUSPECT_S
+        suspect.forget_at = max(suspect.endpoints.values()) + kept_s
+        self._suspects[crash.fingerprint] = suspect
+        self._trim(now)
+
+    def crashes(self, fingerprint: str, now: float) -> int:
+        """Return how many endpoints a request has crashed."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.forget_at <= now:
+            return 0
+        return len(suspect.endpoints)
 
     def check(self, fingerprint: str, now: float) -> None:
         """Refuse a request that has crashed enough endpoints.
@@ -45,8 +90,40 @@
         ------
         PoisonError
         """
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.forget_at <= now:
-            return
-        if len(suspect.endpoints) >= CRASHES_ALLOWED:
+        if self.crashes(fingerprint, now) >= CRASHES_ALLOWED:
             raise PoisonError("the request has crashed the endpoints that ran it")
+
+    def outgoing(self, peer: Host, now: float) -> Any | None:
+        """Return crashes that a peer has not been sent often enough."""
+        self._trim(now)
+        counts = self._sent.setdefault((peer.name, peer.incarnation), {})
+        crashes = []
+        for fingerprint, suspect in reversed(self._suspects.items()):
+            for endpoint, at in suspect.endpoints.items():
+                key = (fingerprint, endpoint)
+                if counts.get(key, 0) < TIMES_SENT:
+                    counts[key] = counts.get(key, 0) + 1
+                    crashes.append([fingerprint, endpoint, at])
+            if len(crashes) >= SENT_AT_ONCE_MAX:
+                break
+        return crashes or None
+
+    def incoming(self, peer: Host, value: Any, now: float) -> None:
+        """Take the crashes that a peer has sent."""
+        for fingerprint, endpoint, at in value:
+            self.take(Crash(fingerprint, endpoint, at), now)
+
+    def _trim(self, now: float) -> None:
+        over = [
+            fingerprint
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.forget_at <= now
+        ]
+        excess = len(self._suspects) - len(over) - self._bound
+        if excess > 0:
+            over += [name for name in self._suspects if name not in over][:excess]
+        for fingerprint in over:
+            del self._suspects[fingerprint]
+        for counts in self._sent.values():
+            for key in [key for key in counts if key[0] not in self._suspects]:
+                del counts[key]
--- /dev/null
+++ b/radishshift/poison_trials.py
@@ -0,0 +1,198 @@
+"""Trials of suspects: requests that ran where an endpoint crashed.
+
+A suspect runs only under a trial. One host, the first live one by rendezvous rank,
+grants trials: at any time one for a suspect, so that it can't crash two endpoints
+at once, and one for an endpoint, so that a crash tells which suspect it was.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import logbook
+import msgspec
+
+from radishshift.clocks import Clock
+from radishshift.errors import DeadlineError, RadishshiftError
+from radishshift.hosts import rendezvous_order
+from radishshift.peers import Peers
+from radishshift.poison import CRASHES_ALLOWED, Crash, PoisonWatch
+from radishshift.verdicts import Verdict
+
+__all__ = ["PoisonGuard"]
+
+CRASH_TOPIC = "poison-crash"
+TRIAL_TOPIC = "poison-trial"
+PEER_ANSWER_S = 0.5
+ASK_AGAIN_S = 0.1
+TRIAL_S_MAX = 60.0
+TRIALS_MAX = 10_000
+GRANTERS_TRIED = 3
+
+logger = logbook.Logger("poison")
+
+
+class _TrialRequest(msgspec.Struct):
+    fingerprint: str
+    endpoint: str
+    holder: str
+    until: float
+    ended: bool = False
+
+
+class _TrialReply(msgspec.Struct):
+    granted: bool
+    crashes: list[Crash] = []
+
+
+@dataclass(slots=True)
+class _Trial:
+    fingerprint: str
+    endpoint: str
+    holder: str
+    until: float
+
+
+class PoisonGuard(PoisonWatch):
+    """Keeps suspects apart and tells the other hosts of crashes.
+
+    Parameters
+    ----------
+    clock : Clock
+    peers : Peers or None
+    """
+
+    def __init__(self, clock: Clock, peers: Peers | None = None) -> None:
+        super().__init__()
+        self._clock = clock
+        self._peers = peers
+        self._me = "" if peers is None else peers.me.name
+        self._trials: list[_Trial] = []
+        self._number = 0
+        if peers is not None:
+            peers.carry(self)
+            peers.handle(CRASH_TOPIC, self._hear_crash)
+            peers.handle(TRIAL_TOPIC, self._answer_trial)
+
+    async def tell_crash(self, fingerprint: str, endpoint: str) -> None:
+        """Note a crash and tell every live host before the request goes on."""
+        crash = Crash(fingerprint, endpoint, self._clock.now())
+        self.take(crash, crash.at)
+        logger.warning("{} crashed on a request", endpoint)
+        if self._peers is None:
+            return
+        data = msgspec.json.encode(crash)
+        calls = [
+            self._call(host.name, CRASH_TOPIC, data) for host in self._peers.live()
+        ]
+        await asyncio.gather(*calls)
+
+    @asynccontextmanager
+    async def tried_apart(
+        self, fingerprint: str, endpoint: str, deadline: float
+    ) -> AsyncIterator[None]:
+        """Hold a trial while a suspect runs; do nothing for other requests.
+
+        Raises
+        ------
+        PoisonError
+            It crashed another endpoint meanwhile.
+        DeadlineError
+            No trial was granted in time; the request has not run.
+        """
+        self.check(fingerprint, self._clock.now())
+        if not self.crashes(fingerprint, self._clock.now()):
+            yield
+            return
+        self._number += 1
+        holder = f"{self._me}-{self._number}"
+        until = min(deadline, self._clock.now() + TRIAL_S_MAX)
+        request = _TrialRequest(fingerprint, endpoint, holder, until)
+        granter = await self._wait_for_grant(request, deadline)
+        try:
+            self.check(fingerprint, self._clock.now())
+            yield
+        finally:
+            request.ended = True
+            await self._ask(granter, request)
+
+    async def _wait_for_grant(self, request: _TrialRequest, deadline: float) -> str:
+        while self._clock.now() < deadline:
+            self.check(request.fingerprint, self._clock.now())
+            for granter in self._granters():
+                reply = await self._ask(granter, request)
+                if reply is not None:
+                    break
+            if reply is not None and reply.granted:
+                return granter
+            await self._clock.sleep_until(self._clock.now() + ASK_AGAIN_S)
+        raise DeadlineError(
+            "the request ran where an endpoint crashed, and could not be tried apart "
+            "from others in time",
+            verdict=Verdict.NOT_RUN,
+        )
+
+    def _granters(self) -> list[str]:
+        names = [self._me]
+        if self._peers is not None:
+            names += [host.name for host in self._peers.live()]
+        order = rendezvous_order(names, TRIAL_TOPIC)
+        return [*order[:GRANTERS_TRIED], self._me]
+
+    async def _ask(self, granter: str, request: _TrialRequest) -> _TrialReply | None:
+        if granter == self._me:
+            return self._grant(request)
+        reply = await self._call(granter, TRIAL_TOPIC, msgspec.json.encode(request))
+        if reply is None:
+            return None
+        answer = msgspec.json.decode(reply, type=_TrialReply)
+        for crash in answer.crashes:
+            self.take(crash, self._clock.now())
+        return answer
+
+    def _grant(self, request: _TrialRequest) -> _TrialReply:
+        now = self._clock.now()
+        self._trials = [
+            trial
+            for trial in self._trials
+            if trial.until > now and trial.holder != request.holder
+        ]
+        if request.ended:
+            return _TrialReply(granted=False)
+        if self.crashes(request.fingerprint, now) >= CRASHES_ALLOWED:
+            return _TrialReply(False, self._crashes_of(request.fingerprint))
+        busy = len(self._trials) >= TRIALS_MAX or any(
+            trial.fingerprint == request.fingerprint
+            or trial.endpoint == request.endpoint
+            for trial in self._trials
+        )
+        if not busy:
+            trial = _Trial(
+                request.fingerprint,
+                request.endpoint,
+                request.holder,
+                min(request.until, now + TRIAL_S_MAX),
+            )
+            self._trials.append(trial)
+        return _TrialReply(granted=not busy)
+
+    def _crashes_of(self, fingerprint: str) -> list[Crash]:
+        endpoints = self._suspects[fingerprint].endpoints
+        return [Crash(fingerprint, name, at) for name, at in endpoints.items()]
+
+    async def _hear_crash(self, _: str, data: bytes) -> bytes:
+        self.take(msgspec.json.decode(data, type=Crash), self._clock.now())
+        return b"{}"
+
+    async def _answer_trial(self, _: str, data: bytes) -> bytes:
+        request = msgspec.json.decode(data, type=_TrialRequest)
+        return msgspec.json.encode(self._grant(request))
+
+    async def _call(self, host: str, topic: str, data: bytes) -> bytes | None:
+        deadline = self._clock.now() + PEER_ANSWER_S
+        try:
+            return await self._peers.call(host, topic, data, deadline)
+        except RadishshiftError as exc:
+            logger.info("{} gave no answer: {}", host, exc.message)
+            return None
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -33,7 +33,7 @@
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
 from radishshift.observation import Observer
-from radishshift.poison import PoisonWatch
+from radishshift.poison_trials import PoisonGuard
 from radishshift.quality import QualityAccounts
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall
@@ -89,7 +89,7 @@
     accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
-    poison: PoisonWatch = field(default_factory=PoisonWatch)
+    poison: PoisonGuard | None = None
     observer: Observer | None = None
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
@@ -104,6 +104,7 @@
 
     def __post_init__(self) -> None:
         self.sweep = IdleSweep(self.clock)
+        self.poison = self.poison or PoisonGuard(self.clock)
 
     def in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Carry out work that no caller is to wait for."""
--- a/radishshift/service_calls.py
+++ b/radishshift/service_calls.py
@@ -6,7 +6,12 @@
 from radishshift.clocks import finish_by
 from radishshift.endpoints import Endpoint
 from radishshift.engines import ServiceReply
-from radishshift.errors import DeadlineError, EndpointError, RadishshiftError
+from radishshift.errors import (
+    DeadlineError,
+    EndpointCrashedError,
+    EndpointError,
+    RadishshiftError,
+)
 from radishshift.requests import ServiceCall
 from radishshift.verdicts import Verdict
 
@@ -73,6 +78,18 @@
             return reply
 
 
+async def _run_apart(
+    router: "Router", call: ServiceCall, endpoint: Endpoint
+) -> ServiceReply:
+    poison = router.poison
+    async with poison.tried_apart(call.fingerprint, endpoint.name, call.deadline):
+        try:
+            return await router.engines.call(endpoint, call)
+        except EndpointCrashedError:
+            await poison.tell_crash(call.fingerprint, endpoint.name)
+            raise
+
+
 def _item(
     call: ServiceCall, endpoint: Endpoint, cost: int, operator_cost: int
 ) -> BillItem:
@@ -87,7 +104,7 @@
     router.loads.started(endpoint)
     try:
         reply = await finish_by(
-            router.clock, call.deadline, router.engines.call(endpoint, call)
+            router.clock, call.deadline, _run_apart(router, call, endpoint)
         )
     except TimeoutError as exc:
         raise DeadlineError("the service did not answer in time") from exc
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -103,12 +103,23 @@
 
     async def test_a_resend_after_a_failure_runs_again(self):
         async with served() as entry:
-            entry.set_faults(crash_after=0)
-            await entry.chat_text(X_Request_Id="id-1")
+            entry.set_faults(truncate_after=0, on_resume=True)
+            text = await entry.chat_text(X_Request_Id="id-1")
+            self.assertIn('"verdict":"may-have-run"', text)
             entry.set_faults()
             text = await entry.chat_text(X_Request_Id="id-1")
             self.assertEqual(WORDS, words_of(text))
 
+    async def test_a_resend_after_two_crashes_is_refused_and_not_run(self):
+        async with served() as entry:
+            entry.set_faults(crash_after=0)
+            await entry.chat_text(X_Request_Id="id-1")
+            self.assertEqual(2, entry.ran())
+            entry.set_faults()
+            text = await entry.chat_text(X_Request_Id="id-2")
+            self.assertIn('"code":"poison"', text)
+            self.assertEqual(2, entry.ran())
+
     async def test_customers_do_not_see_each_others_answers(self):
         async with served() as entry:
             await entry.chat_text("Ours", X_Request_Id="id-1", Idempotency_Key="k")
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,143 @@
+"""Tests that a request crashes at most two endpoints of the whole fleet."""
+
+import asyncio
+
+from radishshift.errors import DeadlineError, EndpointCrashedError, PoisonError
+from radishshift.hosts import Host
+from radishshift.peers import MemoryPeers
+from radishshift.poison import SUSPECTS_MAX, Crash, PoisonWatch
+from radishshift.poison_trials import PoisonGuard
+from radishshift.verdicts import Verdict
+from tests.cases import TestCase, VirtualTestCase
+from tests.holding import CLOCK
+
+NAMES = ("mbeya-1", "mbeya-2", "iringa-1", "iringa-2", "njombe-1", "njombe-2")
+
+
+class PoisonWatchTest(TestCase):
+    def test_the_state_is_bounded_and_expires(self):
+        watch = PoisonWatch()
+        for number in range(SUSPECTS_MAX + 50):
+            watch.take(Crash(f"request-{number}", "engine-1", float(number)), 1e5)
+        self.assertLessEqual(len(watch), SUSPECTS_MAX)
+        watch = PoisonWatch()
+        for endpoint in ("engine-1", "engine-2"):
+            watch.crashed("request-1", endpoint, 100.0)
+        self.assertRaises(PoisonError, watch.check, "request-1", 3000.0)
+        watch.check("request-1", 3800.0)
+
+    def test_crashes_of_one_endpoint_count_once(self):
+        watch = PoisonWatch()
+        for now in (1.0, 2.0, 3.0):
+            watch.crashed("request-1", "engine-1", now)
+        watch.check("request-1", 4.0)
+
+    def test_hosts_that_missed_a_crash_hear_of_it_by_heartbeats(self):
+        watches = [PoisonWatch(), PoisonWatch(), PoisonWatch()]
+        hosts = [Host(name, "mbeya", "tz-south", "") for name in NAMES[:3]]
+        for endpoint in ("engine-1", "engine-2"):
+            watches[0].crashed("request-1", endpoint, 1.0)
+        for sender, receiver in ((0, 1), (1, 2)):
+            value = watches[sender].outgoing(hosts[receiver], 2.0)
+            watches[receiver].incoming(hosts[sender], value, 2.0)
+        self.assertRaises(PoisonError, watches[2].check, "request-1", 3.0)
+        sizes = [len(watches[0].outgoing(hosts[1], 4.0) or ()) for _ in range(10)]
+        self.assertEqual(0, sizes[-1])
+
+
+class PoisonGuardTest(VirtualTestCase):
+    def setUp(self):
+        super().setUp()
+        self.crashed = []
+        self.running = {}
+
+    def fleet(self):
+        network = {}
+        hosts = [Host(name, name[:-2], "tz-south", "") for name in NAMES]
+        return [PoisonGuard(CLOCK, MemoryPeers(host, network)) for host in hosts]
+
+    async def run_at(self, guard, fingerprint, endpoint):
+        """Run a request at an endpoint; poison crashes all that run there."""
+        deadline = CLOCK.now() + 20.0
+        async with guard.tried_apart(fingerprint, endpoint, deadline):
+            there = self.running.setdefault(endpoint, [])
+            crash = asyncio.get_running_loop().create_future()
+            there.append((fingerprint, crash))
+            try:
+                async with asyncio.timeout(1.0):
+                    await crash
+            except TimeoutError:
+                if "poison" not in fingerprint:
+                    return "answer"
+                self.crash(endpoint)
+            finally:
+                there.remove((fingerprint, crash))
+        await guard.tell_crash(fingerprint, endpoint)
+        raise EndpointCrashedError("crashed")
+
+    def crash(self, endpoint):
+        self.crashed.append(endpoint)
+        for _, crash in self.running[endpoint]:
+            if not crash.done():
+                crash.set_result(None)
+
+    async def until_done(self, guard, fingerprint, endpoints):
+        for endpoint in endpoints:
+            try:
+                return await self.run_at(guard, fingerprint, endpoint)
+            except EndpointCrashedError:
+                continue
+        return None
+
+    async def test_resends_through_every_host_crash_two_endpoints_and_spare_others(
+        self,
+    ):
+        guards = self.fleet()
+        endpoints = [f"engine-{number}" for number in range(5)]
+        innocents = [
+            self.until_done(guard, f"innocent-{number}", ["engine-0", "engine-1"])
+            for number, guard in enumerate(guards * 3)
+        ]
+        answers = asyncio.gather(*innocents)
+        for guard in guards:
+            try:
+                await self.until_done(guard, "poison", endpoints)
+            except PoisonError as exc:
+                self.assertIs(Verdict.NOT_RUN, exc.verdict)
+        self.assertEqual(2, len(self.crashed))
+        self.assertEqual({"answer"}, set(await answers))
+
+    async def test_a_suspect_sent_through_all_hosts_at_once_is_tried_once(self):
+        guards = self.fleet()
+        await guards[0].tell_crash("poison", "engine-0")
+        self.crashed.append("engine-0")
+        tries = [
+            self.until_done(guard, "poison", [f"engine-{number}"])
+            for number, guard in enumerate(guards, start=1)
+        ]
+        results = await asyncio.gather(*tries, return_exceptions=True)
+        self.assertEqual(2, len(self.crashed))
+        refused = [item for item in results if isinstance(item, PoisonError)]
+        self.assertEqual(len(guards) - 1, len(refused))
+
+    async def test_two_suspects_never_share_an_endpoint(self):
+        guards = self.fleet()
+        for fingerprint in ("innocent-1", "poison"):
+            await guards[0].tell_crash(fingerprint, "engine-0")
+        results = await asyncio.gather(
+            self.until_done(guards[2], "poison", ["engine-1"]),
+            self.until_done(guards[3], "innocent-1", ["engine-1"]),
+        )
+        self.assertEqual([None, "answer"], results)
+
+    async def test_a_trial_whose_host_died_ends_by_itself(self):
+        guards = self.fleet()
+        await guards[0].tell_crash("innocent-1", "engine-0")
+        held = guards[1].tried_apart("innocent-1", "engine-1", CLOCK.now() + 30.0)
+        await held.__aenter__()
+        waiting = guards[2].tried_apart("innocent-1", "engine-2", CLOCK.now() + 20.0)
+        exc = await self.assert_raises_async(DeadlineError, waiting.__aenter__())
+        self.assertIs(Verdict.NOT_RUN, exc.verdict)
+        await CLOCK.sleep_until(CLOCK.now() + 15.0)
+        async with guards[2].tried_apart("innocent-1", "engine-2", CLOCK.now() + 20.0):
+            pass
