--- a/radishshift/mixing.py
+++ b/radishshift/mixing.py
@@ -74,7 +74,7 @@
         return cls(
             margin=get("target-mix.margin", 1.5),
             caution=get("target-mix.caution", 0.25),
-            explore_share=get("target-mix.explore-share", 0.02),
+            explore_share=get("target-mix.explore-share", 0.05),
             explore_error=get("target-mix.explore-error", 0.03),
             floor_share=get("target-mix.floor-share", 0.005),
             rated_share=get("target-mix.rated-share", 0.1),
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -33,7 +33,7 @@
 from radishshift.limits import Limiter
 from radishshift.observation import Observer
 from radishshift.plan_runs import PlanRun
-from radishshift.poison import PoisonWatch
+from radishshift.poison_trials import PoisonGuard
 from radishshift.quality import QualityAccounts
 from radishshift.ratings import Ratings
 from radishshift.remote_answers import RemoteAnswers
@@ -90,8 +90,8 @@
     accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
-    poison: PoisonWatch = field(default_factory=PoisonWatch)
     ratings: Ratings = field(default_factory=Ratings)
+    poison: PoisonGuard | None = None
     observer: Observer | None = None
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
@@ -106,6 +106,7 @@
 
     def __post_init__(self) -> None:
         self.sweep = IdleSweep(self.clock)
+        self.poison = self.poison or PoisonGuard(self.clock)
 
     def in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Carry out work that no caller is to wait for."""
