Roll versions out step by step under a guard that pools all hosts' counts

Cause: a canary's share was ignored, nothing compared a new version with the stable one, and no step followed another without an operator.

Change: a canary stands in for its stable version in the plans of its share of requests, so that both get the same kinds of work. A betting test on pooled sums, sound under any number of looks, stops a version that is worse in errors, latency or ratings; each host stops it for itself at once and records it as held. The driver takes the steps; its whole state is in the entries and each write is conditional, so any host goes on and a lost race skips no step.

The small deployment waited for the platform's newest revision, which leases now raise; it waits for the revision of its entries.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -334,6 +334,9 @@
             slow=first_token_at - attempt.began > objectives.first_token_s,
         )
         self.router.evidence.record(outcome, now)
+        guard = self.router.guard
+        if guard is not None and not self.req.session_token:
+            guard.pool.record(outcome)
 
     async def _finish(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage
--- a/radishshift/catalogue.py
+++ b/radishshift/catalogue.py
@@ -11,6 +11,7 @@
     "Catalogue",
     "ModelVersion",
     "Policies",
+    "RolloutPolicy",
     "Route",
     "Service",
     "VersionState",
@@ -61,6 +62,28 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutPolicy:
+    """How a version is rolled out in place of its stable one.
+
+    Attributes
+    ----------
+    steps : tuple of float
+        Shares of the stable version's new requests, rising.
+    step_s : float
+        Least time that a step is watched, in seconds.
+    step_attempts : int
+        Least number of attempts that a step is watched for.
+    retire_s : float
+        Time that the old version's sessions get, in seconds.
+    """
+
+    steps: tuple[float, ...]
+    step_s: float
+    step_attempts: int
+    retire_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ModelVersion:
     """One version of a model.
@@ -81,6 +104,8 @@
     quality : mapping of str to float
         Quality expected before ratings come in, by task class, from 0 to 1.
     limits : Limits
+    rollout : RolloutPolicy or None
+        None for a version that operators move by hand.
     """
 
     name: str
@@ -93,6 +118,7 @@
     completion_price: int
     quality: Mapping[str, float]
     limits: Limits
+    rollout: RolloutPolicy | None = None
 
     def cost(self, prompt_tokens: int, completion_tokens: int) -> int:
         """Return the price of one attempt in billionths of the currency unit."""
--- a/radishshift/demo.py
+++ b/radishshift/demo.py
@@ -43,8 +43,9 @@
         address=AddressSettings(caller_port=0, peer_port=0, metrics_port=0),
         ratings=RatingSettings(address=deployment.ratings_address, fetch_s=0.1),
     )
+    wanted = deployment.platform.revision
     async with running(cfg) as host:
-        while host.router.catalogue.revision < deployment.platform.revision:
+        while host.router.catalogue.revision < wanted:
             await asyncio.sleep(READY_POLL_S)
         yield host
 
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -25,6 +25,7 @@
 from radishshift.errors import RadishshiftError
 from radishshift.evidence import Evidence
 from radishshift.evidence_pool import EvidencePool
+from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.logs import log_to
@@ -33,6 +34,7 @@
 from radishshift.poison_trials import PoisonGuard
 from radishshift.ratings import connected_ratings
 from radishshift.remote_answers import RemoteAnswers
+from radishshift.rollout import RolloutDriver, RolloutGuard
 from radishshift.router import Router
 from radishshift.running import RunningRequest
 from radishshift.session_keys import KeyKeeper
@@ -46,6 +48,7 @@
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
+ROLLOUT_EVERY_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
 
 logger = logbook.Logger("entry")
@@ -215,6 +218,17 @@
         )
         pool = EvidencePool(router.evidence, peers.me)
         peers.carry(pool.section)
+        guard = RolloutGuard(GuardPool(process, peers.me))
+        router.guard = guard
+        peers.carry(guard.pool.section)
+        configuration.listeners.append(guard.follow)
+        driver = RolloutDriver(platform, clock, guard, lambda: router.catalogue)
+        duties.add("rollout", driver.advance, ROLLOUT_EVERY_S)
+
+        async def watch_rollouts() -> None:
+            guard.pool.publish(clock.now())
+            guard.look(router.catalogue)
+            await driver.record_stops()
 
         async def publish_evidence() -> None:
             pool.publish(clock.now())
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -13,6 +13,7 @@
     Catalogue,
     ModelVersion,
     Policies,
+    RolloutPolicy,
     Route,
     Service,
     VersionState,
@@ -83,6 +84,21 @@
     limits: LimitsSpec = LimitsSpec()
 
 
+class RolloutSpec(Manifest, frozen=True):
+    """How a version is rolled out; see `catalogue.RolloutPolicy`."""
+
+    steps: tuple[Share, ...] = (0.001, 0.01, 0.05, 0.2, 0.5)
+    step_s: Amount = 120.0
+    step_attempts: Count = 200
+    retire_s: Amount = 3600.0
+
+    def policy(self) -> RolloutPolicy:
+        """Return the data class."""
+        return RolloutPolicy(
+            tuple(sorted(self.steps)), self.step_s, self.step_attempts, self.retire_s
+        )
+
+
 class VersionSpec(
     EntryBase, frozen=True, kw_only=True, tag_field="type", tag="version"
 ):
@@ -95,6 +111,7 @@
     prompt_price_nano: Price
     completion_price_nano: Price
     quality: dict[str, Share] = {}
+    rollout: RolloutSpec | None = None
 
     def version(self, name: str) -> ModelVersion:
         """Return the data class."""
@@ -109,6 +126,7 @@
             completion_price=self.completion_price_nano,
             quality=self.quality,
             limits=self.limits.limits(),
+            rollout=None if self.rollout is None else self.rollout.policy(),
         )
 
 
--- a/radishshift/plan_runs.py
+++ b/radishshift/plan_runs.py
@@ -40,6 +40,11 @@
     bill : Bill
     answer : Answer
     sink : AnswerSink
+
+    Attributes
+    ----------
+    steps : tuple of PlanStep
+        Those of the plan; a canary may stand in for its stable version.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         self.req = req
         self.question = question
         self.plan = plan
+        self.steps = plan.steps
         self.bill = bill
         self.answer = answer
         self.sink = sink
@@ -64,7 +70,7 @@
 
     async def until_done(self) -> None:
         """Run the plan until an answer has been given whole."""
-        steps = self.plan.steps
+        steps = self.steps
         for number, step in enumerate(steps):
             self.router.check_version(step.version.name)
             last = number == len(steps) - 1
@@ -88,7 +94,7 @@
             self.router, self.req, step.version, self.bill, self.answer, self.sink, hold
         )
         if hold:
-            later = self.plan.steps[self.plan.steps.index(step) + 1 :]
+            later = self.steps[self.steps.index(step) + 1 :]
             later_s = sum(
                 expected_whole_s(item.version, self.question, self.router.evidence)
                 for item in later
@@ -163,6 +169,8 @@
 
         def take(rating: float) -> None:
             router.evidence.rate(cell, rating, score, router.clock.now())
+            if router.guard is not None and not self.req.session_token:
+                router.guard.pool.rate(run.version.name, rating)
             if expected is not None and not self.plan.explores:
                 router.accounts.rated(class_name, rating - expected)
 
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import xxhash
@@ -13,7 +13,7 @@
 from radishshift.balance import BalanceQuestion, EndpointLoads, choose
 from radishshift.bills import Bill, Biller
 from radishshift.cascade import Plan, PlanQuestion, PlanStep, make_plan
-from radishshift.catalogue import Catalogue, ModelVersion
+from radishshift.catalogue import Catalogue, ModelVersion, VersionState
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
@@ -39,6 +39,7 @@
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
+from radishshift.rollout import RolloutGuard, takes_canary
 from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
@@ -91,6 +92,7 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     ratings: Ratings = field(default_factory=Ratings)
+    guard: RolloutGuard | None = None
     poison: PoisonGuard | None = None
     observer: Observer | None = None
     remote_answers: RemoteAnswers | None = None
@@ -247,6 +249,7 @@
         question = self._question(req)
         plan = self._plan(req, question)
         run = PlanRun(self, req, question, plan, bill, answer, sink)
+        run.steps = self._with_canaries(req, plan)
         try:
             await run.until_done()
         except (RadishshiftError, asyncio.CancelledError):
@@ -275,6 +278,33 @@
         planner_name = self.catalogue.policies.planner
         return make_plan(planner_name, question, self.evidence, self.accounts)
 
+    def _with_canaries(self, req: ModelRequest, plan: Plan) -> tuple[PlanStep, ...]:
+        """Put a canary in its stable version's place, for its share of requests.
+
+        The plan is made first, so that both versions get the same kinds of work.
+        """
+        if req.session_token:
+            return plan.steps
+        canaries = {
+            version.stable: version
+            for version in self.catalogue.allowed_versions(req.contract)
+            if self._runs_as_canary(version) and takes_canary(req.request_id, version)
+        }
+        return tuple(
+            replace(step, version=canaries.get(step.version.name, step.version))
+            for step in plan.steps
+        )
+
+    def _runs_as_canary(self, version: ModelVersion) -> bool:
+        return (
+            version.state is VersionState.CANARY
+            and not self._is_stopped(version)
+            and any(self.catalogue.endpoints_of(version.name))
+        )
+
+    def _is_stopped(self, version: ModelVersion) -> bool:
+        return self.guard is not None and version.name in self.guard.stopped
+
     def _choices(self, req: ModelRequest) -> tuple[ModelVersion, ...]:
         if req.session_token:
             now = self.clock.now()
@@ -284,7 +314,7 @@
         named = self.catalogue.versions.get(req.model)
         if named is not None and named.state.keeps_sessions is False:
             raise WithdrawnError(f"{req.model} takes no work: it is {named.state}")
-        candidates = tuple(self._candidates(req))
+        candidates = tuple(self._without_canaries(req, self._candidates(req)))
         if not candidates:
             self._refuse_model(req)
         return candidates
@@ -306,6 +336,21 @@
             if any(self.catalogue.endpoints_of(version.name)):
                 yield version
 
+    def _without_canaries(
+        self, req: ModelRequest, candidates: Iterator[ModelVersion]
+    ) -> list[ModelVersion]:
+        """Leave out canaries: those with a stable version come in its place."""
+        found = [version for version in candidates if not self._is_stopped(version)]
+        if req.model in {version.name for version in found}:
+            return found
+        names = {version.name for version in found}
+        return [
+            version
+            for version in found
+            if version.state is not VersionState.CANARY
+            or (version.stable not in names and takes_canary(req.request_id, version))
+        ] or [version for version in found if version.stable not in names]
+
     def _refuse_model(self, req: ModelRequest) -> None:
         known = {version.model for version in self.catalogue.versions.values()}
         if req.model not in known | set(self.catalogue.versions) | {ANY_MODEL}:
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -104,6 +104,7 @@
     answer_kept_s: Positive = 600.0
     bill_batch_s: Positive = 1.0
     evidence_s: Positive = 60.0
+    guard_s: Positive = 1.0
     receive_s: Positive = 10.0
     caller_stall_s: Positive = 10.0
     deadline_max_s: Positive = 3600.0
