Put the request's id on every line that is logged for it

Cause: only the border's lines had it; what attempts and claims logged could not be found by request. Change: a processor bound to the request's context. Shown by: two requests side by side keep their own ids; keys and prompts are in no line.

--- a/radishshift/logs.py
+++ b/radishshift/logs.py
@@ -1,12 +1,14 @@
 """Logs as JSON lines."""
 
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TextIO
 
 import logbook
 import msgspec
 
-__all__ = ["JsonLinesHandler", "log_to"]
+__all__ = ["JsonLinesHandler", "log_to", "logged_request"]
 
 
 class JsonLinesHandler(logbook.StreamHandler):
@@ -31,3 +33,14 @@
     handler = JsonLinesHandler(stream, level=level)
     handler.push_application()
     return handler
+
+
+@contextmanager
+def logged_request(request_id: str) -> Iterator[None]:
+    """Put a request's id on all that is logged in its task and the tasks it makes."""
+
+    def add(record: logbook.LogRecord) -> None:
+        record.extra["request_id"] = request_id
+
+    with logbook.Processor(add).contextbound():
+        yield
