--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -23,12 +23,15 @@
 from radishshift.duties import Duties
 from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
+from radishshift.evidence import Evidence
+from radishshift.evidence_pool import EvidencePool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
 from radishshift.poison_trials import PoisonGuard
+from radishshift.ratings import connected_ratings
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.router import Router
 from radishshift.running import RunningRequest
@@ -168,6 +171,13 @@
         ) as engines,
         _platform_session(cfg.tls.to_platform) as platform_session,
         met_peers(cfg, clock) as peers,
+        connected_ratings(
+            clock,
+            cfg.ratings.address,
+            f"{cfg.name}-{peers.me.incarnation}",
+            cfg.ratings.score_timeout_s,
+            cfg.ratings.fetch_s,
+        ) as ratings,
     ):
         http_platform = HttpPlatform(
             platform_session,
@@ -200,7 +210,15 @@
             poison=PoisonGuard(clock, peers),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
+            evidence=Evidence(process),
+            ratings=ratings,
         )
+        pool = EvidencePool(router.evidence, peers.me)
+        peers.carry(pool.section)
+
+        async def publish_evidence() -> None:
+            pool.publish(clock.now())
+
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(keeper.follow()),
@@ -210,6 +228,7 @@
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
             ),
+            asyncio.create_task(_every(clock, cfg.times.evidence_s, publish_evidence)),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
         caller_app = make_caller_app(router, cfg.bounds, cfg.times)
