Read text files in one place

Cause: three modules each read a file and turned its errors into settings errors. Change: validation.read_text_file.

--- a/radishshift/cli.py
+++ b/radishshift/cli.py
@@ -28,7 +28,8 @@
 from radishshift.http_platform import HttpPlatform
 from radishshift.platform import Platform
 from radishshift.tls import client_context
-from radishshift.verbs import LOCAL_VERBS, VERBS, ExitCode, Report, read_text
+from radishshift.validation import read_text_file
+from radishshift.verbs import LOCAL_VERBS, VERBS, ExitCode, Report
 
 __all__ = ["exit_code_of", "main", "run"]
 
@@ -66,7 +67,7 @@
         raise app.UsageError(f"give --platform or set {PLATFORM_VARIABLE}")
     headers = {}
     if FLAGS.token_file:
-        token = read_text(FLAGS.token_file).strip()
+        token = read_text_file(FLAGS.token_file).strip()
         headers["Authorization"] = f"Bearer {token}"
     context = client_context(FLAGS.ca_file) if FLAGS.ca_file else True
     connector = aiohttp.TCPConnector(ssl=context)
--- a/radishshift/operators.py
+++ b/radishshift/operators.py
@@ -7,7 +7,6 @@
 import enum
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
-from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -26,7 +25,7 @@
 from radishshift.manifests import build_catalogue, read_entry
 from radishshift.objects import Kind, StoredObject
 from radishshift.platform import Platform
-from radishshift.validation import read_commented_json
+from radishshift.validation import read_commented_json, read_text_file
 from radishshift.verdicts import Verdict
 
 __all__ = [
@@ -98,11 +97,7 @@
     ------
     SettingsError
     """
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsError([f"{path}: {exc}"]) from exc
-    values = read_commented_json(text, path)
+    values = read_commented_json(read_text_file(path), path)
     if not isinstance(values, dict) or not isinstance(values.get("entries"), dict):
         raise SettingsError([f"{path}: expected an object with `entries`"])
     return values["entries"]
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -1,12 +1,10 @@
 """Settings of an entry host, read from JSON with comments."""
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
-from radishshift.errors import SettingsError
-from radishshift.validation import read_commented_json, validated
+from radishshift.validation import read_commented_json, read_text_file, validated
 
 __all__ = ["HostSettings", "load_settings", "read_settings"]
 
@@ -151,8 +149,4 @@
     ------
     SettingsError
     """
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsError([f"{path}: {exc}"]) from exc
-    return read_settings(text, path)
+    return read_settings(read_text_file(path), path)
--- a/radishshift/validation.py
+++ b/radishshift/validation.py
@@ -2,6 +2,7 @@
 
 import types
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Annotated, Any, Union, get_args, get_origin
 
 import json5
@@ -9,7 +10,20 @@
 
 from radishshift.errors import SettingsError
 
-__all__ = ["problems", "read_commented_json", "validated"]
+__all__ = ["problems", "read_commented_json", "read_text_file", "validated"]
+
+
+def read_text_file(path: str) -> str:
+    """Return what a file of UTF-8 text holds.
+
+    Raises
+    ------
+    SettingsError
+    """
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError([f"{path}: {exc}"]) from exc
 
 
 def read_commented_json(text: str, source: str) -> Any:
--- a/radishshift/verbs.py
+++ b/radishshift/verbs.py
@@ -3,7 +3,6 @@
 import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 from absl import app, flags
@@ -11,7 +10,6 @@
 from radishshift.catalogue import VersionState
 from radishshift.clocks import SystemClock
 from radishshift.confirmations import in_force
-from radishshift.errors import SettingsError
 from radishshift.objects import Kind, StoredObject
 from radishshift.operators import (
     Difference,
@@ -26,9 +24,9 @@
 from radishshift.platform import Platform
 from radishshift.settings import load_settings
 from radishshift.tables import table
-from radishshift.validation import read_commented_json
+from radishshift.validation import read_commented_json, read_text_file
 
-__all__ = ["LOCAL_VERBS", "VERBS", "ExitCode", "Report", "read_text", "verb"]
+__all__ = ["LOCAL_VERBS", "VERBS", "ExitCode", "Report", "verb"]
 
 FLAGS = flags.FLAGS
 POLL_S = 0.5
@@ -91,7 +89,7 @@
 async def _check(_: Platform, args: list[str]) -> Report:
     """Check FILE: check a file of settings or a catalogue."""
     path = _one(args, "one file")
-    values = read_commented_json(read_text(path), path)
+    values = read_commented_json(read_text_file(path), path)
     if isinstance(values, dict) and "entries" in values:
         specs = load_catalogue(path)
         check_catalogue(specs)
@@ -100,19 +98,6 @@
     return Report({"host": cfg.name}, f"{path}: valid settings of {cfg.name}")
 
 
-def read_text(path: str) -> str:
-    """Return what a file holds.
-
-    Raises
-    ------
-    SettingsError
-    """
-    try:
-        return Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsError([f"{path}: {exc}"]) from exc
-
-
 def _difference_rows(differences: list[Difference]) -> list[tuple[str, ...]]:
     rows = []
     for difference in differences:
@@ -159,7 +144,9 @@
     if len(args) != 2:
         raise app.UsageError("this verb takes a name and a file")
     name, path = args
-    stored = await add_entry(platform, name, read_commented_json(read_text(path), path))
+    stored = await add_entry(
+        platform, name, read_commented_json(read_text_file(path), path)
+    )
     return _entry_report([stored])
 
 
