--- a/radishshift/bill_copies.py
+++ b/radishshift/bill_copies.py
@@ -7,7 +7,7 @@
 
 from radishshift.bills import BILL_TOPIC, Bill, CopyMessage, store_bills
 from radishshift.clocks import Clock
-from radishshift.errors import BillsFullError
+from radishshift.errors import BillsFullError, RadishshiftError
 from radishshift.hosts import HostState
 from radishshift.peers import Peers
 from radishshift.platform import Platform
@@ -15,19 +15,24 @@
 __all__ = ["BillCopies"]
 
 COPIES_MAX = 50_000
-GONE_S = 10.0
+GONE_S = 2.0
+PASS_ON_S = 0.5
 
 logger = logbook.Logger("bills")
 
 
 @dataclass(slots=True)
 class _Owner:
-    """Bills of one incarnation of a host, by the number of their batch."""
+    """Bills of one incarnation of a host, by the number of their batch.
+
+    `other_holder` is a host that holds them too, with its incarnation.
+    """
 
     host: str
     incarnation: int
     heard_at: float
     settled_below: int = 0
+    other_holder: tuple[str, int] | None = None
     batches: dict[int, dict[str, Bill]] = field(default_factory=dict)
 
 
@@ -62,7 +67,7 @@
             for batch in owner.batches.values()
         )
 
-    async def _take(self, _: str, data: bytes) -> bytes:
+    async def _take(self, sender: str, data: bytes) -> bytes:
         message = msgspec.json.decode(data, type=CopyMessage)
         now = self._clock.now()
         key = (message.host, message.incarnation)
@@ -74,6 +79,8 @@
         coming = sum(len(bills) for bills in message.bills.values())
         if self.held + coming > self._bound:
             raise BillsFullError("no room for copies of bills")
+        if sender != message.host:
+            owner.other_holder = self._incarnation_of(sender)
         for number, bills in message.bills.items():
             batch = owner.batches.setdefault(number, {})
             batch.update((bill.run, bill) for bill in bills)
@@ -90,18 +97,50 @@
         for key, owner in list(self._owners.items()):
             if not self._gone(owner):
                 continue
-            for number in sorted(owner.batches):
-                await self._settle(owner, number)
-            if not owner.batches:
-                self._owners.pop(key, None)
+            try:
+                for number in sorted(owner.batches):
+                    await self._settle(owner, number)
+            except RadishshiftError:
+                await self._pass_on(owner)
+                raise
+            self._owners.pop(key, None)
 
     def _gone(self, owner: _Owner) -> bool:
-        if self._clock.now() - owner.heard_at < GONE_S:
-            return False
         for host in self._peers.hosts():
-            if host.name == owner.host and host.incarnation == owner.incarnation:
-                return host.state is HostState.DEAD
-        return True
+            if host.name == owner.host:
+                is_same = host.incarnation == owner.incarnation
+                return not is_same or host.state is HostState.DEAD
+        return self._clock.now() - owner.heard_at >= GONE_S
+
+    def _incarnation_of(self, name: str) -> tuple[str, int] | None:
+        for host in self._peers.live():
+            if host.name == name:
+                return name, host.incarnation
+        return None
+
+    async def _pass_on(self, owner: _Owner) -> None:
+        """See to it that one more live host holds the bills of one that is gone."""
+        if owner.other_holder is not None:
+            name, _ = owner.other_holder
+            if self._incarnation_of(name) == owner.other_holder:
+                return
+        bills = {
+            number: list(batch.values()) for number, batch in owner.batches.items()
+        }
+        message = CopyMessage(owner.host, owner.incarnation, owner.settled_below, bills)
+        data = msgspec.json.encode(message)
+        me = self._peers.me
+        hosts = [host for host in self._peers.live() if host.name != owner.host]
+        hosts.sort(key=lambda host: host.data_centre != me.data_centre)
+        for host in hosts:
+            try:
+                deadline = self._clock.now() + PASS_ON_S
+                await self._peers.call(host.name, BILL_TOPIC, data, deadline)
+            except RadishshiftError as exc:
+                logger.warning("{} took no copy of bills: {}", host.name, exc.message)
+            else:
+                owner.other_holder = (host.name, host.incarnation)
+                return
 
     async def _settle(self, owner: _Owner, number: int) -> None:
         """Store a batch; what another has not stored goes under a further name."""
--- a/radishshift/bills.py
+++ b/radishshift/bills.py
@@ -166,10 +166,6 @@
     bound : int
         Bills that may be unsettled before work that must be billed is refused.
 
-    Attributes
-    ----------
-    unsecured : int
-        Bills that were in this host's memory alone when their answer left.
     """
 
     def __init__(
@@ -181,7 +177,6 @@
         peers: Peers | None = None,
         bound: int = OPEN_BILLS_MAX,
     ) -> None:
-        self.unsecured = 0
         self._platform = platform
         self._clock = clock
         self._host_name = host_name
@@ -194,7 +189,7 @@
         self._settling = asyncio.Lock()
         self._uncopied: list[tuple[int, Bill, asyncio.Future[None]]] = []
         self._copying: asyncio.Task[None] | None = None
-        self._exposed: list[Bill] = []
+        self._holders: dict[str, tuple[str, int] | None] = {}
         self._avoided: dict[str, float] = {}
 
     @property
@@ -202,6 +197,11 @@
         """Return the number of bills that are not yet at the platform."""
         return sum(len(batch) for batch in self._batches.values())
 
+    @property
+    def unsecured(self) -> int:
+        """Return the number of bills that are in this host's memory alone."""
+        return sum(holder is None for holder in self._holders.values())
+
     def check_room(self) -> None:
         """Refuse work that must be billed while too many bills are unsettled.
 
@@ -228,13 +228,16 @@
 
         A copy goes to a peer of the data centre, else the batch to the platform,
         else a copy to a peer elsewhere. With none of them in reach the bill stays
-        in this host's memory, the answer leaves, and `unsecured` counts it.
+        in this host's memory, the answer leaves, and `unsecured` counts it until
+        that changes.
         """
         fut = self._add(bill)
         await asyncio.shield(fut)
 
     def _add(self, bill: Bill) -> asyncio.Future[None]:
-        number = self._place(bill)
+        return self._queue_copy(self._place(bill), bill)
+
+    def _queue_copy(self, number: int, bill: Bill) -> asyncio.Future[None]:
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._uncopied.append((number, bill, fut))
         if self._copying is None or self._copying.done():
@@ -247,6 +250,7 @@
         if bill.run not in open_batch and len(open_batch) >= BATCH_BILLS_MAX:
             self._open_next()
         self._batches[self._number][bill.run] = bill
+        self._holders.setdefault(bill.run, None)
         return self._number
 
     def _open_next(self) -> None:
@@ -258,10 +262,10 @@
             part = self._uncopied[:COPY_BILLS_MAX]
             del self._uncopied[:COPY_BILLS_MAX]
             try:
-                if not await self._make_safe(self._message(part)):
-                    self.unsecured += len(part)
-                    self._exposed.extend(bill for _, bill, _ in part)
-                    logger.error("{} bills are in this host's memory alone", len(part))
+                holder = await self._make_safe(self._message(part))
+                for _, bill, _ in part:
+                    if bill.run in self._holders:
+                        self._holders[bill.run] = holder
             finally:
                 for _, _, fut in part:
                     if not fut.done():
@@ -277,39 +281,46 @@
             self._host_name, self._incarnation, min(self._batches), bills
         )
 
-    async def _make_safe(self, message: CopyMessage) -> bool:
-        if await self._copy_to_peer(message, near=True):
-            return True
+    async def _make_safe(self, message: CopyMessage) -> tuple[str, int] | None:
+        """Copy or settle bills; return the host that holds the copies, if any."""
+        holder = await self._copy_to_peer(message, near=True)
+        if holder is not None:
+            return holder
         try:
             await self._settle_all()
         except RadishshiftError as exc:
             logger.warning("bills were not settled: {}", exc.message)
         else:
-            return True
-        return await self._copy_to_peer(message, near=False)
-
-    async def _copy_to_peer(self, message: CopyMessage, near: bool) -> bool:
+            return None
+        holder = await self._copy_to_peer(message, near=False)
+        if holder is None:
+            logger.error("bills are in this host's memory alone")
+        return holder
+
+    async def _copy_to_peer(
+        self, message: CopyMessage, near: bool
+    ) -> tuple[str, int] | None:
         if self._peers is None:
-            return False
+            return None
         me = self._peers.me
         now = self._clock.now()
-        names = [
-            host.name
+        hosts = [
+            host
             for host in self._peers.live()
             if (host.data_centre == me.data_centre) is near
             and self._avoided.get(host.name, 0.0) <= now
         ]
-        names.sort(key=lambda name: (name <= me.name, name))
+        hosts.sort(key=lambda host: (host.name <= me.name, host.name))
         data = msgspec.json.encode(message)
-        for name in names[:PEERS_TRIED]:
+        for host in hosts[:PEERS_TRIED]:
             try:
                 deadline = self._clock.now() + COPY_ANSWER_S
-                await self._peers.call(name, BILL_TOPIC, data, deadline)
-                return True
+                await self._peers.call(host.name, BILL_TOPIC, data, deadline)
+                return host.name, host.incarnation
             except RadishshiftError as exc:
-                logger.warning("{} took no copy of bills: {}", name, exc.message)
-                self._avoided[name] = self._clock.now() + PEER_AVOIDED_S
-        return False
+                logger.warning("{} took no copy of bills: {}", host.name, exc.message)
+                self._avoided[host.name] = self._clock.now() + PEER_AVOIDED_S
+        return None
 
     async def flush(self) -> None:
         """Settle the bills of this moment, and copy those that have no copy.
@@ -319,11 +330,25 @@
         PlatformUnavailableError
             Nothing is lost; the next call goes on.
         """
-        exposed, self._exposed = self._exposed, []
-        for bill in exposed:
-            if any(bill.run in batch for batch in self._batches.values()):
-                self._add(bill)
-        await self._settle_all()
+        try:
+            await self._settle_all()
+        except RadishshiftError:
+            self._copy_again()
+            raise
+
+    def _copy_again(self) -> None:
+        """Copy the bills whose holder is gone."""
+        waiting = {bill.run for _, bill, _ in self._uncopied}
+        for number, batch in self._batches.items():
+            for run, bill in batch.items():
+                if run not in waiting and not self._is_held(run):
+                    self._queue_copy(number, bill)
+
+    def _is_held(self, run: str) -> bool:
+        holder = self._holders.get(run)
+        return self._peers is not None and any(
+            (host.name, host.incarnation) == holder for host in self._peers.live()
+        )
 
     async def _settle_all(self) -> None:
         async with self._settling:
@@ -357,6 +382,7 @@
         return carried
 
     def _show(self, bill: Bill) -> None:
+        self._holders.pop(bill.run, None)
         self._settled[bill.run] = bill
         while len(self._settled) > SETTLED_SHOWN_MAX:
             self._settled.popitem(last=False)
--- a/radishshift/virtual_time.py
+++ b/radishshift/virtual_time.py
@@ -11,7 +11,7 @@
 
 from radishshift.clocks import Clock
 
-__all__ = ["LoopClock", "run_virtually"]
+__all__ = ["LoopClock", "VirtualLoop", "run_virtually"]
 
 START_S = 1_000_000.0
 
@@ -31,7 +31,9 @@
         return []
 
 
-class _VirtualLoop(asyncio.SelectorEventLoop):
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time jumps to the next timer."""
+
     def __init__(self) -> None:
         self._jumping = _JumpingSelector()
         super().__init__(self._jumping)
@@ -55,5 +57,5 @@
 
 def run_virtually(main: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine to its end in virtual time and return its result."""
-    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(main)
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -34,6 +34,7 @@
     def kill(self, name):
         del self.network[name]
         del self.billers[name]
+        del self.copies[name]
 
     async def settle(self):
         await CLOCK.sleep_until(CLOCK.now() + 60.0)
@@ -91,10 +92,43 @@
         await self.assert_raises_async(PlatformUnavailableError, biller.flush())
         await CLOCK.sleep_until(CLOCK.now() + 1.0)
         self.assertEqual(1, fleet.copies["mbeya-2"].held)
+        self.assertEqual(0, biller.unsecured)
         fleet.fault(down=False)
         await fleet.settle()
         self.assertEqual(["request-1"], await fleet.charged())
 
+    async def test_bills_are_copied_again_when_their_holder_dies_in_an_outage(self):
+        fleet = BillingFleet("mbeya-1", "mbeya-2", "mbeya-3")
+        fleet.fault(down=True)
+        biller = fleet.billers["mbeya-1"]
+        await biller.secure(new_bill())
+        fleet.kill("mbeya-2")
+        await self.assert_raises_async(PlatformUnavailableError, biller.flush())
+        await CLOCK.sleep_until(CLOCK.now() + 1.0)
+        fleet.kill("mbeya-1")
+        fleet.fault(down=False)
+        await fleet.settle()
+        self.assertEqual(["request-1"], await fleet.charged())
+
+    async def test_bills_outlive_owner_and_holder_that_die_in_one_outage(self):
+        fleet = BillingFleet("mbeya-1", "mbeya-2", "mbeya-3")
+        fleet.fault(down=True)
+        await fleet.billers["mbeya-1"].secure(new_bill())
+        for name in ("mbeya-1", "mbeya-2"):
+            fleet.kill(name)
+            await CLOCK.sleep_until(CLOCK.now() + 60.0)
+            for copies in fleet.copies.values():
+                await self.try_to_settle(copies)
+        fleet.fault(down=False)
+        await fleet.settle()
+        self.assertEqual(["request-1"], await fleet.charged())
+
+    async def try_to_settle(self, copies):
+        try:
+            await copies.settle_gone()
+        except PlatformUnavailableError:
+            return
+
     async def test_a_long_outage_ends_in_refusals_and_no_bill_is_lost(self):
         fleet = BillingFleet()
         fleet.fault(down=True)
