Choose endpoints by the prefix's home, bounded by corrected loads

Cause: least outstanding knows neither other hosts' work nor caches, and keeps sending to endpoints that fail. Conclusion: now the default. Load reports and cache events of engines are read.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -132,17 +132,19 @@
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
         attempt = _Attempt(attempt_id, router.clock.now(), scanner)
-        router.loads.started(endpoint)
+        router.loads.started(endpoint, router.clock.now())
         self.answer.attempting = True
+        failed = False
         try:
             async with self._guarded():
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
+            failed = isinstance(exc, EndpointError)
             self._give_up(endpoint, attempt, exc)
             raise
         finally:
             self.answer.attempting = False
-            router.loads.ended(endpoint)
+            router.loads.ended(endpoint, router.clock.now(), not failed)
         self.answer.ran = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
         self._note(endpoint, attempt, usage, ok=True)
--- a/radishshift/balance.py
+++ b/radishshift/balance.py
@@ -1,39 +1,29 @@
 """Choice of the endpoint that runs an attempt."""
 
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from statistics import median
+
+import xxhash
 
 from radishshift.endpoints import Endpoint
 from radishshift.errors import NoEndpointError
+from radishshift.loads import Candidate
 
 __all__ = [
     "BalanceQuestion",
     "Candidate",
-    "EndpointLoads",
     "balancer",
     "balancer_names",
     "choose",
 ]
 
-SMOOTHING = 0.2
-
-
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """An endpoint as one entry host sees it.
-
-    Attributes
-    ----------
-    endpoint : Endpoint
-    in_flight : int
-        Attempts of this host that have not ended.
-    expected_wait_s : float
-        Estimate of the time to the first token, in seconds.
-    """
-
-    endpoint: Endpoint
-    in_flight: int
-    expected_wait_s: float
+SUBSET = 12
+SHARED_BOUND = 1.4
+NEW_BOUND = 1.0
+BOUND_SLACK = 0.1
+SLOW_FACTOR = 2.5
+SLOW_MIN_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,12 +40,18 @@
         Hash of the start of the prompt; requests that share it share a cache.
     now : float
         Instant.
+    host : str
+        Name of the entry host that decides.
+    prefix_shared : bool
+        Whether the prefix has come before.
     """
 
     served: str
     data_centre: str
     prefix_digest: int
     now: float
+    host: str = ""
+    prefix_shared: bool = False
 
 
 Balancer = Callable[[BalanceQuestion, list[Candidate]], Candidate]
@@ -96,38 +92,6 @@
     return _BALANCERS[name](question, found).endpoint
 
 
-@dataclass(slots=True)
-class _Load:
-    in_flight: int = 0
-    wait_s: float = 0.0
-
-
-@dataclass(slots=True)
-class EndpointLoads:
-    """View that one host has of how busy endpoints are."""
-
-    _loads: dict[str, _Load] = field(default_factory=dict)
-
-    def started(self, endpoint: Endpoint) -> None:
-        """Note that an attempt was sent."""
-        self._loads.setdefault(endpoint.name, _Load()).in_flight += 1
-
-    def first_token(self, endpoint: Endpoint, wait_s: float) -> None:
-        """Note how long an attempt waited for its first token, in seconds."""
-        load = self._loads.setdefault(endpoint.name, _Load())
-        load.wait_s += SMOOTHING * (wait_s - load.wait_s)
-
-    def ended(self, endpoint: Endpoint) -> None:
-        """Note that an attempt has ended."""
-        self._loads[endpoint.name].in_flight -= 1
-
-    def candidates(self, endpoints: Iterable[Endpoint]) -> Iterator[Candidate]:
-        """Yield endpoints with what is known of their load."""
-        for endpoint in endpoints:
-            load = self._loads.get(endpoint.name, _Load())
-            yield Candidate(endpoint, load.in_flight, load.wait_s)
-
-
 @balancer("least-outstanding")
 def least_outstanding(
     question: BalanceQuestion, candidates: list[Candidate]
@@ -140,3 +104,65 @@
         return (candidate.in_flight / endpoint.slots, away, endpoint.name)
 
     return min(candidates, key=order)
+
+
+@balancer("bounded-affinity")
+def bounded_affinity(
+    question: BalanceQuestion, candidates: list[Candidate]
+) -> Candidate:
+    """Take the prefix's own endpoint, or the next one that is not too busy.
+
+    All hosts rank endpoints by the same hash of the prefix, so they agree on its
+    home without a message. An endpoint is passed over while its load is well over
+    the mean or its first tokens come far later than the others'.
+    """
+    near = _at_home(question, candidates)
+    usual_s = median(candidate.expected_wait_s for candidate in near)
+    slow_s = max(SLOW_MIN_S, SLOW_FACTOR * usual_s)
+    mean = sum(candidate.load for candidate in near) / len(near)
+    factor = SHARED_BOUND if question.prefix_shared else NEW_BOUND
+    bound = factor * mean + BOUND_SLACK
+    able = [
+        candidate
+        for candidate in near
+        if candidate.load <= bound and candidate.expected_wait_s <= slow_s
+    ]
+    if not able:
+        return min(_subset(question, near), key=_cost)
+    order = sorted(near, key=lambda candidate: _affinity(question, candidate))
+    if order[0] in able:
+        return order[0]
+    return min(
+        able, key=lambda candidate: (not candidate.cached, order.index(candidate))
+    )
+
+
+def _at_home(question: BalanceQuestion, candidates: list[Candidate]) -> list[Candidate]:
+    near = [
+        candidate
+        for candidate in candidates
+        if candidate.endpoint.data_centre == question.data_centre
+    ]
+    return near or candidates
+
+
+def _subset(question: BalanceQuestion, candidates: list[Candidate]) -> list[Candidate]:
+    """Return the few endpoints that this host turns to when all are busy."""
+    return sorted(
+        candidates,
+        key=lambda candidate: _rank(question.host, candidate.endpoint.name),
+    )[:SUBSET]
+
+
+def _affinity(question: BalanceQuestion, candidate: Candidate) -> int:
+    prefix = question.prefix_digest.to_bytes(8)
+    return xxhash.xxh3_64_intdigest(prefix + candidate.endpoint.name.encode())
+
+
+def _rank(host: str, endpoint: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{host} {endpoint}".encode())
+
+
+def _cost(candidate: Candidate) -> tuple[float, float, str]:
+    wait_s = max(candidate.expected_wait_s, SLOW_MIN_S)
+    return (wait_s * (candidate.load + 0.1), candidate.load, candidate.endpoint.name)
--- a/radishshift/catalogue.py
+++ b/radishshift/catalogue.py
@@ -165,7 +165,7 @@
     """
 
     planner: str = "cheapest-sufficient"
-    balancer: str = "least-outstanding"
+    balancer: str = "bounded-affinity"
     parameters: Mapping[str, float] = field(default_factory=dict)
 
 
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -21,7 +21,7 @@
     ResumeRefusedError,
     StreamBrokenError,
 )
-from radishshift.requests import ModelRequest, ServiceCall
+from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.timeouts import IdleSweep, IdleWatch
 from radishshift.verdicts import Verdict
 
@@ -200,6 +200,11 @@
         self._answer_bytes = answer_bytes
         self._sweep = IdleSweep(self._clock)
 
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the connections to endpoints, for what is not a request."""
+        return self._session
+
     @asynccontextmanager
     async def open(
         self, endpoint: Endpoint, req: ModelRequest, version: str, attempt_id: str
@@ -216,7 +221,11 @@
             f"{endpoint.address}/v1/{req.operation}",
             req.deadline,
             headers_s=self._idle_s,
-            headers={"X-Request-Id": attempt_id, "Content-Type": "application/json"},
+            headers={
+                "X-Request-Id": attempt_id,
+                "X-Prefix-Digest": f"{prefix_digest(req.body_bytes):016x}",
+                "Content-Type": "application/json",
+            },
             data=msgspec.json.encode(body),
         ) as resp:
             await self._check(resp)
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -26,6 +26,7 @@
 from radishshift.errors import RadishshiftError
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
+from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
@@ -43,6 +44,7 @@
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
+HOSTS_COUNTED_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
 
 logger = logbook.Logger("entry")
@@ -142,6 +144,13 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
+async def _count_hosts(clock: Clock, router: Router, peers: Peers) -> None:
+    """Tell the estimates of load how many hosts send to the same endpoints."""
+    while True:
+        router.loads.hosts = 1 + len(peers.live(router.data_centre))
+        await clock.sleep_until(clock.now() + HOSTS_COUNTED_S)
+
+
 def _platform_session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
     return aiohttp.ClientSession(connector=connector)
@@ -197,12 +206,27 @@
             session_keys=SessionKeys({"start": os.urandom(32)}),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
+            host_name=cfg.name,
+        )
+        load_reports = LoadReports(
+            engines.session,
+            clock,
+            cfg.name,
+            router.loads,
+            router.prefix_caches,
+            lambda: (
+                endpoint
+                for endpoint in router.catalogue.endpoints.values()
+                if endpoint.data_centre == cfg.data_centre
+            ),
         )
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
+            asyncio.create_task(load_reports.follow()),
+            asyncio.create_task(_count_hosts(clock, router, peers)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
             ),
--- a/radishshift/requests.py
+++ b/radishshift/requests.py
@@ -9,11 +9,17 @@
 from radishshift.contracts import Contract, TaskClass
 from radishshift.observation import Observation
 
-__all__ = ["ModelRequest", "ServiceCall", "new_request_id"]
+__all__ = ["ModelRequest", "ServiceCall", "new_request_id", "prefix_digest"]
 
+PREFIX_BYTES = 1024
 PROMPT_BYTES_PER_TOKEN = 4
 
 
+def prefix_digest(prompt: bytes) -> int:
+    """Return a hash of the start of a prompt; equal ones can share a cache."""
+    return xxhash.xxh3_64_intdigest(prompt[:PREFIX_BYTES])
+
+
 def new_request_id() -> str:
     """Return a request id that no other host makes."""
     return uuid.uuid4().hex
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -6,12 +6,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import xxhash
-
 from radishshift.admission import Admission
 from radishshift.answers import Answer, Answers, AnswerSink
 from radishshift.attempts import VersionRun
-from radishshift.balance import BalanceQuestion, EndpointLoads, choose
+from radishshift.balance import BalanceQuestion, choose
 from radishshift.bills import Bill, Biller
 from radishshift.cascade import PlanQuestion, PlanStep, make_plan
 from radishshift.catalogue import Catalogue, ModelVersion
@@ -32,10 +30,12 @@
 )
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
+from radishshift.loads import EndpointLoads
 from radishshift.observation import Observer
 from radishshift.poison import PoisonWatch
+from radishshift.prefix_caches import PrefixCaches
 from radishshift.remote_answers import RemoteAnswers
-from radishshift.requests import ModelRequest, ServiceCall
+from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.retries import RetryBudget
 from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
@@ -45,7 +45,6 @@
 
 __all__ = ["Router"]
 
-PREFIX_BYTES = 1024
 ANY_MODEL = "auto"
 CALL_COST_TOKENS = 100
 
@@ -86,6 +85,8 @@
     limiter: Limiter = field(default_factory=Limiter)
     evidence: Evidence = field(default_factory=Evidence)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
+    prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
+    host_name: str = ""
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     poison: PoisonWatch = field(default_factory=PoisonWatch)
     observer: Observer | None = None
@@ -320,23 +321,33 @@
         ------
         NoEndpointError
         """
+        now = self.clock.now()
+        digest = prefix_digest(prefix)
         question = BalanceQuestion(
             served=served,
             data_centre=self.data_centre,
-            prefix_digest=xxhash.xxh3_64_intdigest(prefix[:PREFIX_BYTES]),
-            now=self.clock.now(),
+            prefix_digest=digest,
+            now=now,
+            host=self.host_name,
+            prefix_shared=self.prefix_caches.shared(digest),
         )
         endpoints = [
             endpoint
             for endpoint in self.catalogue.endpoints_of(served)
             if endpoint.name not in tried
         ]
-        balancer_name = self.catalogue.policies.balancer
-        return choose(balancer_name, question, self.loads.candidates(endpoints))
+        holders = self.prefix_caches.holders(digest)
+        chosen = choose(
+            self.catalogue.policies.balancer,
+            question,
+            self.loads.candidates(endpoints, now, holders),
+        )
+        self.prefix_caches.sent(digest, chosen.name)
+        return chosen
 
     def first_token(self, endpoint: Endpoint, req: ModelRequest, wait_s: float) -> None:
         """Note how long an endpoint took to the first token, in seconds."""
-        self.loads.first_token(endpoint, wait_s)
+        self.loads.first_token(endpoint, wait_s, self.clock.now())
         pool = self._pool_of(req.model)
         self.admission.first_token(pool, req.task_class, wait_s)
 
--- a/radishshift/service_calls.py
+++ b/radishshift/service_calls.py
@@ -84,13 +84,17 @@
 ) -> ServiceReply:
     if router.clock.now() >= call.deadline:
         raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
-    router.loads.started(endpoint)
+    router.loads.started(endpoint, router.clock.now())
+    failed = False
     try:
         reply = await finish_by(
             router.clock, call.deadline, router.engines.call(endpoint, call)
         )
     except TimeoutError as exc:
         raise DeadlineError("the service did not answer in time") from exc
+    except EndpointError:
+        failed = True
+        raise
     finally:
-        router.loads.ended(endpoint)
+        router.loads.ended(endpoint, router.clock.now(), not failed)
     return reply
--- a/radishshift/standins/engine.py
+++ b/radishshift/standins/engine.py
@@ -7,6 +7,8 @@
 import msgspec
 from aiohttp import web
 
+from radishshift.standins.prefix_cache import StandinPrefixCache
+
 __all__ = ["EngineFaults", "StandinEngine"]
 
 
@@ -104,12 +106,15 @@
     resumed: list[tuple[str, int]] = field(default_factory=list)
     generations: dict[str, Generation] = field(default_factory=dict)
     transports: set[asyncio.Transport] = field(default_factory=set)
+    cache: StandinPrefixCache = field(default_factory=StandinPrefixCache)
+    in_flight: int = 0
 
     def app(self) -> web.Application:
         """Return the application that serves the engine."""
         app = web.Application(client_max_size=1 << 24, middlewares=[self._tracked])
         app.router.add_post("/v1/chat/completions", self._chat)
         app.router.add_post("/v1/completions", self._complete)
+        app.router.add_get("/v1/load", self._load)
         app.router.add_get("/v1/streams/{attempt_id}", self._resume)
         app.router.add_delete("/v1/streams/{attempt_id}", self._cancel)
         return app
@@ -122,6 +127,10 @@
         finally:
             self.transports.discard(request.transport)
 
+    async def _load(self, request: web.Request) -> web.Response:
+        since = int(request.query.get("cache_since", "0"))
+        return web.json_response(self.cache.report(self.in_flight, since))
+
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         return await self._run(request, "chat.completion")
 
@@ -129,6 +138,14 @@
         return await self._run(request, "text_completion")
 
     async def _run(self, request: web.Request, kind: str) -> web.StreamResponse:
+        self.cache.use(request.headers.get("X-Prefix-Digest", ""))
+        self.in_flight += 1
+        try:
+            return await self._answer(request, kind)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(self, request: web.Request, kind: str) -> web.StreamResponse:
         body = msgspec.json.decode(await request.read())
         if self.faults.refuse or body["model"] not in self.versions:
             return web.json_response({"error": {"message": "full"}}, status=503)
