--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,6 +18,7 @@
 from radishshift.errors import (
     AnswerTooLargeError,
     DeadlineError,
+    EndpointCrashedError,
     EndpointError,
     HungUpError,
     ResumeRefusedError,
@@ -26,7 +27,7 @@
 from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
 from radishshift.requests import ModelRequest
-from radishshift.sessions import Session
+from radishshift.sessions import SESSION_S, Session
 from radishshift.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -34,7 +35,6 @@
 
 __all__ = ["VersionRun"]
 
-SESSION_S = 3600.0
 ATTEMPT_ID_BYTES = 6
 RESUMES_MAX = 4
 RESUME_PAUSE_S = 0.05
@@ -136,11 +136,13 @@
         self.answer.attempting = True
         failed = False
         try:
-            async with self._guarded():
+            async with self._guarded(), self._tried_apart(endpoint):
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
             failed = isinstance(exc, EndpointError)
             self._give_up(endpoint, attempt, exc)
+            if _is_crash(exc, attempt):
+                await router.poison.tell_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempting = False
@@ -150,6 +152,11 @@
         self._note(endpoint, attempt, usage, ok=True)
         await self._finish(endpoint, attempt, usage)
 
+    def _tried_apart(self, endpoint: Endpoint) -> AbstractAsyncContextManager[None]:
+        req = self.req
+        poison = self.router.poison
+        return poison.tried_apart(req.fingerprint, endpoint.name, req.deadline)
+
     @asynccontextmanager
     async def _guarded(self) -> AsyncIterator[None]:
         """Bound what is done by the deadline, and by the caller's patience."""
@@ -248,18 +255,20 @@
         if self.req.session_token:
             answer.headers["X-Session"] = self.req.session_token
         elif self.req.wants_session:
-            answer.headers["X-Session"] = self._new_session()
+            token = self._new_session()
+            if token is not None:
+                answer.headers["X-Session"] = token
         answer.start()
         await self.sink.start(answer)
 
-    def _new_session(self) -> str:
+    def _new_session(self) -> str | None:
         session = Session(
             session_id=self.req.request_id,
             customer=self.req.contract.customer,
             version=self.version.name,
             expires=self.router.clock.now() + SESSION_S,
         )
-        return self.router.session_keys.issue(session)
+        return self.router.session_keys.issue(session, self.router.clock.now())
 
     def _give_up(
         self, endpoint: Endpoint, attempt: _Attempt, exc: BaseException
@@ -337,3 +346,15 @@
             await self._start("application/json")
         self.answer.append(last)
         await self.sink.write(last)
+
+
+def _is_crash(exc: BaseException, attempt: _Attempt) -> bool:
+    """Tell a crash of the endpoint from a connection that broke.
+
+    A stream that broke is asked for on a new connection first. Only an endpoint
+    that has lost it, or takes no connection any more, is held to have crashed.
+    """
+    if isinstance(exc, EndpointCrashedError):
+        return True
+    lost = isinstance(exc, EndpointError) and exc.verdict is Verdict.NOT_RUN
+    return lost and attempt.dispatched
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -32,8 +32,9 @@
 from radishshift.limits import Limiter
 from radishshift.loads import EndpointLoads
 from radishshift.observation import Observer
-from radishshift.poison import PoisonWatch
+from radishshift.poison_trials import PoisonGuard
 from radishshift.prefix_caches import PrefixCaches
+from radishshift.quality import QualityAccounts
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.retries import RetryBudget
@@ -84,11 +85,12 @@
     answer_kept_s: float
     limiter: Limiter = field(default_factory=Limiter)
     evidence: Evidence = field(default_factory=Evidence)
+    accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
     host_name: str = ""
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
-    poison: PoisonWatch = field(default_factory=PoisonWatch)
+    poison: PoisonGuard | None = None
     observer: Observer | None = None
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
@@ -103,6 +105,7 @@
 
     def __post_init__(self) -> None:
         self.sweep = IdleSweep(self.clock)
+        self.poison = self.poison or PoisonGuard(self.clock)
 
     def in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Carry out work that no caller is to wait for."""
@@ -239,6 +242,7 @@
     async def _run_plan(
         self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
     ) -> None:
+        await self.session_keys.prepare(req.session_token)
         steps = self._steps(req)
         try:
             for step in steps:
@@ -273,7 +277,7 @@
             now=self.clock.now(),
         )
         planner_name = self.catalogue.policies.planner
-        return make_plan(planner_name, question, self.evidence).steps
+        return make_plan(planner_name, question, self.evidence, self.accounts).steps
 
     def _session_version(self, req: ModelRequest, session: Session) -> ModelVersion:
         version = self.catalogue.versions.get(session.version)
