--- a/radishshift/mixing.py
+++ b/radishshift/mixing.py
@@ -30,7 +30,14 @@
 )
 from radishshift.quality import QualityAccount, QualityAccounts
 
-__all__ = ["PlanTable", "Prospect", "account_for", "build_table", "find_table"]
+__all__ = [
+    "PlanTable",
+    "Prospect",
+    "account_for",
+    "build_table",
+    "expected_whole_s",
+    "find_table",
+]
 
 ACCEPT_BINS = np.arange(3, SCORE_BINS)
 ACCEPT_SCORES = tuple((ACCEPT_BINS / SCORE_BINS).tolist())
@@ -40,6 +47,7 @@
 BIN_WEIGHT = 10.0
 PAIR_WEIGHT = 20.0
 HOPE = 2.5
+RISK_DEVIATIONS = 2.0
 TIME_DEVIATIONS = 3.5
 TABLE_CHANGES = 40
 TABLE_S = 60.0
@@ -66,7 +74,7 @@
         return cls(
             margin=get("target-mix.margin", 1.5),
             caution=get("target-mix.caution", 0.25),
-            explore_share=get("target-mix.explore-share", 0.02),
+            explore_share=get("target-mix.explore-share", 0.05),
             explore_error=get("target-mix.explore-error", 0.03),
             floor_share=get("target-mix.floor-share", 0.005),
             rated_share=get("target-mix.rated-share", 0.1),
@@ -158,25 +166,48 @@
     changes: int
     expires: float
 
-    def quality_at(self, cost: float) -> float:
-        """Return the mean quality that mixes of a cost give."""
-        costs = [prospect.cost for prospect in self.prospects]
-        return float(
-            np.interp(cost, costs, [prospect.quality for prospect in self.prospects])
-        )
-
-    def mix(self, wanted: float, draw: float) -> Prospect:
-        """Return a plan such that the mean over draws is `wanted`, if it can be."""
+    def bracket(self, wanted: float) -> tuple[Prospect, Prospect]:
+        """Return the corners whose mix gives `wanted`; twice one if it is outside."""
         lower = self.prospects[0]
         if lower.cautious >= wanted:
-            return lower
+            return lower, lower
         for upper in self.prospects[1:]:
             if upper.cautious >= wanted:
-                span = upper.cautious - lower.cautious
-                share = (wanted - lower.cautious) / span
-                return upper if draw < share else lower
+                return lower, upper
             lower = upper
-        return lower
+        return lower, lower
+
+    def mix(self, wanted: float, draw: float) -> Prospect:
+        """Return a plan such that the mean over draws is `wanted`, if it can be."""
+        lower, upper = self.bracket(wanted)
+        if lower is upper:
+            return lower
+        share = (wanted - lower.cautious) / (upper.cautious - lower.cautious)
+        return upper if draw < share else lower
+
+    def improves(self, wanted: float, cost: float, quality: float) -> bool:
+        """Tell whether a plan of that cost and quality would make the mix cheaper."""
+        lower, upper = self.bracket(wanted)
+        if upper is not lower:
+            slope = (upper.cautious - lower.cautious) / (upper.cost - lower.cost)
+            return quality > lower.cautious + slope * (cost - lower.cost)
+        if lower.cautious >= wanted:
+            return cost < lower.cost and quality >= wanted
+        return quality > lower.cautious
+
+
+def expected_whole_s(
+    version: ModelVersion, question: PlanQuestion, evidence: Evidence
+) -> float:
+    """Return the time that an answer of a version hardly ever exceeds, in seconds.
+
+    With none seen yet it is the objective of the class.
+    """
+    task_class = question.task_class
+    duration = evidence.durations.get((version.name, task_class.name))
+    if duration is None:
+        return task_class.objectives.whole_answer_s
+    return duration.bound_s(TIME_DEVIATIONS)
 
 
 def _know(
@@ -190,7 +221,6 @@
     counts = known.counts
     prior = version.quality.get(class_name, 0.5)
     quality = estimate(known, prior, evidence.score_offset(class_name))
-    duration = evidence.durations.get((version.name, class_name))
     bin_quality = None
     thresholds = None
     if counts[SCORED].sum() >= SCORES_MIN:
@@ -200,7 +230,7 @@
     return _Known(
         version=version,
         cost=version.cost(*size),
-        whole_s=math.inf if duration is None else duration.bound_s(TIME_DEVIATIONS),
+        whole_s=expected_whole_s(version, question, evidence),
         quality=quality,
         bin_quality=bin_quality,
         thresholds=thresholds,
@@ -215,6 +245,10 @@
     return np.clip(by_bin + mean - float(shares @ by_bin), 0.0, 1.0)
 
 
+def _low(quality: QualityEstimate) -> float:
+    return quality.mean - RISK_DEVIATIONS * quality.error
+
+
 def _direct(known: _Known, settings: _Settings) -> Prospect:
     quality = known.quality
     cautious = quality.mean - settings.caution * quality.error
@@ -306,9 +340,8 @@
         version.name: _know(version, question, evidence, size)
         for version in question.candidates
     }
-    usable = [
-        item for item in known.values() if item.quality.mean >= question.quality.floor
-    ]
+    floor = question.quality.floor
+    usable = [item for item in known.values() if _low(item.quality) >= floor]
     usable = usable or [max(known.values(), key=lambda item: item.quality.mean)]
     prospects = [_direct(item, settings) for item in usable]
     if question.can_judge and question.task_class.cascade:
@@ -356,8 +389,9 @@
     question: PlanQuestion,
     account: QualityAccount,
     settings: _Settings,
+    wanted: float,
 ) -> ModelVersion | None:
-    """Return the least known version that may be better than the plans in use."""
+    """Return the least known version that may make the mix cheaper."""
     floor = question.quality.floor
     budget = settings.floor_share * (account.answers + 1)
     found = None
@@ -366,18 +400,15 @@
         if quality.error <= settings.explore_error or quality.mean < floor:
             continue
         hopeful = quality.mean + HOPE * quality.error
-        if item.cost > table.prospects[0].cost and hopeful < table.quality_at(
-            item.cost
-        ):
+        if not table.improves(wanted, item.cost, hopeful):
             continue
-        risky = quality.mean - 2 * quality.error < floor
-        if risky and account.risky_tries + 1 > budget:
+        if _low(quality) < floor and account.risky_tries + 1 > budget:
             continue
         if found is None or quality.error > found.quality.error:
             found = item
     if found is None:
         return None
-    account.risky_tries += found.quality.mean - 2 * found.quality.error < floor
+    account.risky_tries += _low(found.quality) < floor
     return found.version
 
 
@@ -390,18 +421,41 @@
     table = find_table(question, evidence, accounts)
     account = accounts.account(question.customer, question.task_class.name)
     draw, explore_draw, rate_draw, score_draw = accounts.rng.random(4)
+    wanted = account.wanted(question.quality.target, settings.margin)
+    wanted -= accounts.bias(question.task_class.name)
     if explore_draw < settings.explore_share:
-        version = _to_explore(table, question, account, settings)
+        version = _to_explore(table, question, account, settings, wanted)
         if version is not None:
             return Plan((PlanStep(version),), rate=True, score=True, explores=True)
-    wanted = account.wanted(question.quality.target, settings.margin)
-    wanted -= accounts.bias(question.task_class.name)
     plan = table.mix(wanted, draw).plan
     rate = rate_draw < settings.rated_share
     score = rate or score_draw < settings.scored_share
     return Plan(plan.steps, rate=rate, score=score)
 
 
+@planner("cheap-first")
+def cheap_first(
+    question: PlanQuestion, evidence: Evidence, accounts: QualityAccounts
+) -> Plan:
+    """Try the cheapest version, and the dearest if a fixed score is not reached."""
+
+    def cost(version: ModelVersion) -> int:
+        return version.cost(question.prompt_tokens, question.completion_tokens)
+
+    cheap = min(question.candidates, key=cost)
+    dear = max(question.candidates, key=cost)
+    time_s = expected_whole_s(cheap, question, evidence)
+    time_s += (
+        expected_whole_s(dear, question, evidence) + _Settings.of(question).judge_s
+    )
+    in_time = question.now + time_s <= question.deadline
+    may_judge = question.can_judge and question.task_class.cascade
+    if cheap is dear or not in_time or not may_judge:
+        return Plan((PlanStep(dear),))
+    score = question.parameters.get("cheap-first.accept-score", 0.7)
+    return Plan((PlanStep(cheap, score), PlanStep(dear)))
+
+
 def account_for(
     question: PlanQuestion,
     plan: Plan,
@@ -445,6 +499,6 @@
     second = table.known[plan.steps[answered_by].version.name]
     if first.thresholds is None or score is None:
         return second.quality.mean
-    number = ACCEPT_SCORES.index(plan.steps[0].accept_score)
+    number = int(np.abs(np.array(ACCEPT_SCORES) - plan.steps[0].accept_score).argmin())
     rejected = float(first.thresholds.rejected[number])
     return float(second_quality(first, second, rejected, class_name, evidence))
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -48,6 +48,14 @@
     seeds: tuple[str, ...] = ()
 
 
+class RatingSettings(Section, frozen=True):
+    """Where the rating service is; without an address no answer is judged."""
+
+    address: str = ""
+    score_timeout_s: Positive = 1.0
+    fetch_s: Positive = 5.0
+
+
 class ServerKeySettings(Section, frozen=True):
     """Key of a port that listens; see `tls.KeyFiles`."""
 
@@ -95,6 +103,7 @@
     connect_s: Positive = 1.0
     answer_kept_s: Positive = 600.0
     bill_batch_s: Positive = 1.0
+    evidence_s: Positive = 60.0
     receive_s: Positive = 10.0
     caller_stall_s: Positive = 10.0
     deadline_max_s: Positive = 3600.0
@@ -112,6 +121,7 @@
     platform: PlatformSettings
     address: AddressSettings = AddressSettings()
     peers: PeerSettings = PeerSettings()
+    ratings: RatingSettings = RatingSettings()
     tls: TlsSettings = TlsSettings()
     bounds: BoundSettings = BoundSettings()
     times: TimeSettings = TimeSettings()
