--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -145,19 +145,21 @@
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
         attempt = _Attempt(attempt_id, router.clock.now(), scanner)
-        router.loads.started(endpoint)
+        router.loads.started(endpoint, router.clock.now())
         self.answer.attempting = True
+        failed = False
         try:
             async with self._guarded(), self._tried_apart(endpoint):
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
+            failed = isinstance(exc, EndpointError)
             self._give_up(endpoint, attempt, exc)
             if _is_crash(exc, attempt):
                 await router.poison.tell_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempting = False
-            router.loads.ended(endpoint)
+            router.loads.ended(endpoint, router.clock.now(), not failed)
         self.answer.ran = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
         self._note(endpoint, attempt, usage, ok=True)
