Show in make run KEEP=1 how to try the operators' programs

Cause: the hints named only callers' paths. Change: lines for metrics, the client and the burn report; the caller library's own log lines are left out.

--- a/radishshift/demo.py
+++ b/radishshift/demo.py
@@ -1,8 +1,11 @@
 """The embedded default: stand-ins and one entry host in one process."""
 
 import asyncio
+import logging
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import aiohttp
 import openai
@@ -24,6 +27,7 @@
 
 FLAGS = flags.FLAGS
 READY_POLL_S = 0.02
+PROGRAMS = Path(sys.executable).parent
 
 
 @asynccontextmanager
@@ -101,7 +105,8 @@
     await _show_bill(address, request_id)
 
 
-def _print_hints(address: str) -> None:
+def _print_hints(host: EntryHost, deployment: Deployment) -> None:
+    address = host.address
     print("\nThe deployment stays up; end it with Ctrl-C. Try:")
     print(f"  curl -s {address}/v1/models -H 'Authorization: Bearer {KEY}'")
     body = '{"model":"auto","messages":[{"role":"user","content":"Hello"}]}'
@@ -109,18 +114,24 @@
         f"  curl -s {address}/v1/chat/completions -H 'Authorization: Bearer {KEY}' \\"
     )
     print(f"    -d '{body}'")
+    print(f"  curl -s {host.monitoring_address}/metrics")
+    to = f"--platform={deployment.platform_address}"
+    print(f"  {PROGRAMS}/radishshift show {to}")
+    print(f"  {PROGRAMS}/radishshift withdraw farm-advice-large.v1 {to}")
+    print(f"  {PROGRAMS}/radishshift-burn --hosts={host.monitoring_address} {to}")
 
 
 async def _run() -> None:
     async with deployed() as deployment, small_host(deployment) as host:
         await demonstrate(host.address)
         if FLAGS.keep:
-            _print_hints(host.address)
+            _print_hints(host, deployment)
             await asyncio.Event().wait()
 
 
 def _main(_: list[str]) -> None:
     log_to()
+    logging.getLogger().setLevel(logging.WARNING)
     try:
         asyncio.run(_run())
     except KeyboardInterrupt:
