Mark on each plot of the burn page the alerts that its window takes part in

Cause: the page alert's rate was drawn on every window. Change: each window shows the rates of its own alerts. Looked at: the plot over 3 d, which now shows the ticket.

--- a/radishshift/burn_page.py
+++ b/radishshift/burn_page.py
@@ -20,7 +20,6 @@
 tr.ticket td { background: #fff3cd; }
 """
 BAR_HEIGHT_IN = 0.32
-PAGE_RATE = ALERTS[0].rate
 
 
 def _plot(rows: list[BurnRow], window: Window) -> str:
@@ -34,7 +33,10 @@
     rates = [row.rates[window] for row in shown]
     axes.barh(names, rates, color="#4c78a8")
     axes.axvline(1.0, color="#888888", linestyle="--", label="allowance")
-    axes.axvline(PAGE_RATE, color="#c0392b", linestyle="--", label="page")
+    for alert in ALERTS:
+        if window in (alert.long_window, alert.short_window):
+            label = f"{alert.severity} with {alert.long_window}"
+            axes.axvline(alert.rate, color="#c0392b", linestyle="--", label=label)
     axes.set_xlabel(f"burn rate over {window}")
     axes.invert_yaxis()
     axes.legend(loc="lower right")
