--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -18,7 +18,7 @@
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
-from radishshift.contracts import QualityTarget
+from radishshift.contracts import Contract, QualityTarget
 from radishshift.endpoints import Endpoint
 from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
@@ -47,6 +47,7 @@
 
 PREFIX_BYTES = 1024
 ANY_MODEL = "auto"
+CALL_COST_TOKENS = 100
 
 
 @dataclass(slots=True)
@@ -179,16 +180,41 @@
     async def _run_admitted(
         self, req: ModelRequest, answer: Answer, sink: AnswerSink
     ) -> None:
-        with self.admission.entered():
-            self.poison.check(req.fingerprint, self.clock.now())
-            tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
-            grant = self.limiter.take(req.contract, tokens, self.clock.now())
-            self.retry_budget.request_came()
-            bill = Bill(req.request_id, req.contract.customer)
-            try:
-                await self._run_plan(req, bill, answer, sink)
-            finally:
-                self.limiter.settle(grant, _tokens_of(bill))
+        tokens = req.prompt_tokens_estimate + req.completion_tokens_bound
+        pool = self._pool_of(req.model)
+        bill = Bill(req.request_id, req.contract.customer)
+        grant = self.limiter.take(req.contract, tokens, self.clock.now())
+        try:
+            async with self.admission.entered(
+                req.task_class, req.contract, tokens, req.deadline, pool
+            ) as place:
+                req.contract = self._contract_now(req.contract, req.deadline)
+                self.poison.check(req.fingerprint, self.clock.now())
+                self.retry_budget.request_came()
+                try:
+                    await self._run_plan(req, bill, answer, sink)
+                finally:
+                    place.cost = _tokens_of(bill)
+        finally:
+            self.limiter.settle(grant, _tokens_of(bill))
+
+    def _pool_of(self, model: str) -> str:
+        version = self.catalogue.versions.get(model)
+        if version is not None:
+            return version.model
+        known = {version.model for version in self.catalogue.versions.values()}
+        if model not in known | {ANY_MODEL}:
+            raise NotFoundError(f"no model {model}")
+        return model
+
+    def _contract_now(self, contract: Contract, deadline: float) -> Contract:
+        """Return the contract in force after a wait for room."""
+        if self.clock.now() >= deadline:
+            raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
+        current = self.catalogue.contracts.get(contract.customer)
+        if current is None:
+            raise NotAllowedError("the customer's contract has ended")
+        return current
 
     @contextmanager
     def _observed(self, req: ModelRequest | ServiceCall) -> Iterator[None]:
@@ -307,6 +333,12 @@
         balancer_name = self.catalogue.policies.balancer
         return choose(balancer_name, question, self.loads.candidates(endpoints))
 
+    def first_token(self, endpoint: Endpoint, req: ModelRequest, wait_s: float) -> None:
+        """Note how long an endpoint took to the first token, in seconds."""
+        self.loads.first_token(endpoint, wait_s)
+        pool = self._pool_of(req.model)
+        self.admission.first_token(pool, req.task_class, wait_s)
+
     async def call_service(self, call: ServiceCall) -> ServiceReply:
         """Answer a call of a plain service.
 
@@ -321,15 +353,27 @@
             return await self._call_service(call)
 
     async def _call_service(self, call: ServiceCall) -> ServiceReply:
-        with self.admission.entered():
-            self.poison.check(call.fingerprint, self.clock.now())
-            grant = self.limiter.take(call.contract, 0, self.clock.now())
-            try:
+        grant = self.limiter.take(call.contract, 0, self.clock.now())
+        try:
+            async with self.admission.entered(
+                call.task_class,
+                call.contract,
+                CALL_COST_TOKENS,
+                call.deadline,
+                call.service,
+            ):
+                call.contract = self._contract_now(call.contract, call.deadline)
+                if call.service not in call.contract.allowed:
+                    raise NotAllowedError(f"the contract does not allow {call.service}")
+                self.poison.check(call.fingerprint, self.clock.now())
+                began = self.clock.now()
                 reply = await run_call(self, call)
                 call.observation.version = call.service
+                took_s = self.clock.now() - began
+                self.admission.whole_answer(call.service, call.task_class, took_s)
                 return reply
-            finally:
-                self.limiter.settle(grant, 0)
+        finally:
+            self.limiter.settle(grant, 0)
 
 
 def _tokens_of(bill: Bill) -> int:
