--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -182,7 +182,10 @@
             try:
                 async with opening as stream:
                     attempt.dispatched = True
-                    await self._relay(endpoint, attempt, stream)
+                    # A task of its own: the loop then wakes it for each token
+                    # without passing through all that waits for the answer.
+                    relay = self._relay(endpoint, attempt, stream)
+                    await asyncio.create_task(relay)
                     return
             except ResumeRefusedError:
                 raise
@@ -204,18 +207,22 @@
     ) -> None:
         """Pass on what comes over one connection, up to the end mark."""
         scanner = attempt.scanner
-        async with aclosing(stream.chunks()) as chunks:
-            async for data in chunks:
-                events = scanner.feed(data)
-                if events:
-                    if attempt.first_token_at is None:
-                        self._first_token(endpoint, attempt)
-                    if self.req.stream:
-                        await self._pass_on(events)
-                    else:
-                        self._collect(attempt, events)
-                if scanner.done:
-                    break
+        while not scanner.done:
+            data = await stream.read()
+            if not data:
+                break
+            events = scanner.feed(data)
+            if not events:
+                continue
+            if attempt.first_token_at is None:
+                self._first_token(endpoint, attempt)
+            if not self.req.stream:
+                self._collect(attempt, events)
+                continue
+            if not self.started:
+                await self._start("text/event-stream")
+            self.answer.append(events)
+            await self.sink.write(events)
         if not scanner.done:
             raise StreamBrokenError("the stream ended too soon")
         await stream.end()
@@ -225,12 +232,6 @@
         wait_s = attempt.first_token_at - attempt.began
         self.router.first_token(endpoint, self.req, wait_s)
 
-    async def _pass_on(self, events: bytes) -> None:
-        if not self.started:
-            await self._start("text/event-stream")
-        self.answer.append(events)
-        await self.sink.write(events)
-
     def _collect(self, attempt: _Attempt, events: bytes) -> None:
         attempt.collected += events
         if len(attempt.collected) > self.router.answers.answer_bytes:
--- a/radishshift/caller_connections.py
+++ b/radishshift/caller_connections.py
@@ -7,7 +7,7 @@
 
 import logbook
 import msgspec
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import LineTooLong
 
 from radishshift.answers import Answer
@@ -51,6 +51,7 @@
         self._transport = request.transport
         self._writer = None
         self._gone = False
+        self._framed = False
         self.resp: web.StreamResponse | None = None
 
     @property
@@ -63,6 +64,8 @@
         self.resp = web.StreamResponse(status=answer.status, headers=answer.headers)
         self.resp.content_type = answer.content_type
         self.resp.headers["Cache-Control"] = "no-store"
+        if self._request.version >= HttpVersion11:
+            self.resp.enable_chunked_encoding()
         try:
             self._writer = await self.resp.prepare(self._request)
         except ConnectionError:
@@ -70,15 +73,24 @@
 
     async def write(self, data: bytes) -> None:
         """Send a part; a caller that has hung up is passed over."""
-        if self._gone or self._writer is None:
+        if self._writer is None or self.gone:
             return
+        transport = self._transport
+        if self._framed:
+            # The writer's own way to the transport is several calls longer.
+            transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            await self._write_first(data)
+        if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+            await self._drain()
+
+    async def _write_first(self, data: bytes) -> None:
+        """Send a part with the headers before it, if they have not left yet."""
         try:
             await self._writer.write(data, drain=False)
         except ConnectionError:
             self._gone = True
-            return
-        if self._transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
-            await self._drain()
+        self._framed = self.resp.chunked
 
     async def _drain(self) -> None:
         try:
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -3,13 +3,14 @@
 import asyncio
 import math
 import ssl
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 
 import aiohttp
 import msgspec
 import yarl
+from aiohttp.connector import Connection
 
 from radishshift.clocks import Clock, SystemClock
 from radishshift.endpoints import Endpoint
@@ -41,6 +42,7 @@
 ANSWER_BYTES_MAX = 4_000_000
 CANCEL_S = 2.0
 END_S = 0.05
+RECEIVE_BYTES = 16_384
 CONNECT_MARGIN_S = 0.02
 CONNECT_S_MIN = 0.001
 
@@ -60,8 +62,8 @@
     status: int = 200
     content_type: str = ""
 
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the bytes as they come.
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end.
 
         Raises
         ------
@@ -119,28 +121,32 @@
         self.status = resp.status
         self.content_type = resp.content_type
         self._resp = resp
+        self._readany = resp.content.readany
         self._sweep = sweep
         self._watch = IdleWatch(idle_s, resp.close)
+        _read_small(resp.connection)
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the bytes as they come."""
-        read = self._resp.content.readany
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end."""
         watch = self._watch
-        self._sweep.add(watch)
+        watch.wait()
         try:
-            while True:
-                watch.wait()
-                data = await read()
-                watch.got()
-                if not data:
-                    return
-                yield data
+            return await self._readany()
         except (aiohttp.ClientError, OSError) as exc:
             if watch.expired:
                 raise StreamBrokenError("the stream went silent") from exc
             raise StreamBrokenError(f"the stream broke: {exc}") from exc
         finally:
-            self._sweep.discard(watch)
+            watch.got()
+
+    @contextmanager
+    def watched(self) -> Iterator["_HttpStream"]:
+        """Keep the idle deadline for as long as the context lasts."""
+        self._sweep.add(self._watch)
+        try:
+            yield self
+        finally:
+            self._sweep.discard(self._watch)
 
     async def end(self) -> None:
         """Read up to the end, so that the connection can be used again."""
@@ -151,6 +157,16 @@
             return
 
 
+def _read_small(conn: Connection | None) -> None:
+    """Receive into small buffers: events are short, and a large one costs a mapping.
+
+    The event loop's own size is 256 KiB, which the C library maps and unmaps for
+    each read of a few bytes.
+    """
+    if conn is not None and hasattr(conn.transport, "max_size"):
+        conn.transport.max_size = RECEIVE_BYTES
+
+
 class _LostReplyError(aiohttp.ClientError):
     """A connection broke after a call may have been sent."""
 
@@ -220,7 +236,8 @@
             data=msgspec.json.encode(body),
         ) as resp:
             await self._check(resp)
-            yield _HttpStream(resp, self._idle_s, self._sweep)
+            with _HttpStream(resp, self._idle_s, self._sweep).watched() as stream:
+                yield stream
 
     @asynccontextmanager
     async def resume(
@@ -239,7 +256,8 @@
                 raise ResumeRefusedError("the endpoint does not have the stream")
             if resp.status != 200:
                 raise StreamBrokenError(f"the endpoint answered {resp.status}")
-            yield _HttpStream(resp, self._idle_s, self._sweep)
+            with _HttpStream(resp, self._idle_s, self._sweep).watched() as stream:
+                yield stream
 
     async def cancel(self, endpoint: Endpoint, attempt_id: str) -> None:
         """Tell an endpoint that no one waits for an attempt any more."""
--- a/radishshift/events.py
+++ b/radishshift/events.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 
@@ -19,6 +20,7 @@
 NUMBER_FIELD = b"id: "
 DATA_FIELD = b"data: "
 EVENT_BYTES_MAX = 1 << 20
+MALFORMED = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,17 +40,26 @@
     id: str = ""
     choices: list[msgspec.Raw] | None = None
     usage: _UsageModel | None = None
-    error: msgspec.Raw | None = None
+    error: Any = None
+
+
+class _PlainEventModel(msgspec.Struct):
+    """What tells an event of tokens from all others."""
+
+    id: str = ""
+    usage: _UsageModel | None = None
+    error: Any = None
 
 
 _decoder = msgspec.json.Decoder(_EventModel)
+_decode_plain = msgspec.json.Decoder(_PlainEventModel).decode
 
 
 def read_usage(data: bytes) -> Usage | None:
     """Return the usage that a JSON answer or event holds, or None."""
     try:
         event = _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except MALFORMED:
         return None
     return _usage_of(event)
 
@@ -59,6 +70,16 @@
     return Usage(event.usage.prompt_tokens, event.usage.completion_tokens)
 
 
+def _is_utf8(data: bytes) -> bool:
+    if data.isascii():
+        return True
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def skip_events(data: bytes | bytearray, events: int) -> int:
     """Return the position behind the first `events` events, or the end."""
     position = 0
@@ -96,6 +117,7 @@
         self._keep_usage = keep_usage
         self._stream_id = stream_id
         self._numbered = False
+        self._whole_id: str | None = None
         self._rest = b""
 
     def restart(self) -> None:
@@ -118,8 +140,9 @@
         if self._rest:
             data = self._rest + data
             self._rest = b""
-        if data.find(BORDER) == len(data) - 2 > 0 and not self.done:
-            return data if self._take(data[:-2]) else b""
+        if self._is_plain(data):
+            self.events += 1
+            return data
         *blocks, rest = data.split(BORDER)
         if len(rest) > EVENT_BYTES_MAX:
             raise StreamBrokenError("the endpoint sent an event without an end")
@@ -131,6 +154,25 @@
             self._rest = rest
         return b"".join(passed)
 
+    def _is_plain(self, data: bytes) -> bool:
+        """Tell whether `data` is just the next event of tokens."""
+        head = DATA_FIELD
+        if self._numbered:
+            head = b"id: %d\ndata: " % self.events
+        if not data.startswith(head) or data.find(BORDER) != len(data) - 2:
+            return False
+        try:
+            event = _decode_plain(data[len(head) :])
+        except MALFORMED:
+            return False
+        return (
+            event.usage is None
+            and event.error is None
+            and event.id == self._whole_id
+            and _is_utf8(data)
+            and not self.done
+        )
+
     def _take(self, block: bytes) -> bool:
         """Check an event; tell whether it goes to the caller."""
         if block.startswith(b":"):
@@ -147,6 +189,7 @@
             raise StreamBrokenError("an event of the stream has no number")
         event = self._decode(body)
         self._numbered = number is not None
+        self._whole_id = event.id
         self.events += 1
         if event.usage is None:
             return True
@@ -168,9 +211,8 @@
     def _decode(self, body: bytes) -> _EventModel:
         try:
             event = _decoder.decode(body)
-            if not body.isascii():
-                body.decode()
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            body.decode()
+        except MALFORMED as exc:
             raise StreamBrokenError("the endpoint sent a malformed event") from exc
         if event.error is not None:
             raise EndpointError("the endpoint gave up the stream")
