--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,6 +18,7 @@
 from radishshift.errors import (
     AnswerTooLargeError,
     DeadlineError,
+    EndpointCrashedError,
     EndpointError,
     HungUpError,
     ResumeRefusedError,
@@ -26,7 +27,7 @@
 from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
 from radishshift.requests import ModelRequest
-from radishshift.sessions import Session
+from radishshift.sessions import SESSION_S, Session
 from radishshift.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -34,7 +35,6 @@
 
 __all__ = ["VersionRun"]
 
-SESSION_S = 3600.0
 ATTEMPT_ID_BYTES = 6
 RESUMES_MAX = 4
 RESUME_PAUSE_S = 0.05
@@ -81,9 +81,13 @@
         Each attempt that gave an answer adds an item.
     answer : Answer
     sink : AnswerSink
+    hold : bool
+        Whether the answer is kept back until `release`.
 
     Attributes
     ----------
+    deadline : float
+        Instant by which the answer must be whole.
     started : bool
         Whether a part of the answer may have reached the caller; nothing is run
         again from then on.
@@ -97,6 +101,7 @@
         bill: Bill,
         answer: Answer,
         sink: AnswerSink,
+        hold: bool = False,
     ) -> None:
         self.router = router
         self.req = req
@@ -104,7 +109,15 @@
         self.bill = bill
         self.answer = answer
         self.sink = sink
+        self.hold = hold
+        self.deadline = req.deadline
         self.started = False
+        self._collected = b""
+
+    @property
+    def events(self) -> bytes:
+        """Return the whole events that the answer is made of."""
+        return self._collected or bytes(self.answer.data).removesuffix(DONE)
 
     async def until_done(self) -> None:
         """Try endpoints until one has given the whole answer."""
@@ -120,7 +133,7 @@
                 return
             except EndpointError as exc:
                 if self.started or not router.retry_budget.allows(
-                    exc, True, self.req.deadline, router.clock.now()
+                    exc, True, self.deadline, router.clock.now()
                 ):
                     raise
                 logger.info("attempt failed at {}: {}", endpoint.name, exc.message)
@@ -132,27 +145,36 @@
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
         attempt = _Attempt(attempt_id, router.clock.now(), scanner)
-        router.loads.started(endpoint)
+        router.loads.started(endpoint, router.clock.now())
         self.answer.attempting = True
+        failed = False
         try:
-            async with self._guarded():
+            async with self._guarded(), self._tried_apart(endpoint):
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
+            failed = isinstance(exc, EndpointError)
             self._give_up(endpoint, attempt, exc)
+            if _is_crash(exc, attempt):
+                await router.poison.tell_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempting = False
-            router.loads.ended(endpoint)
+            router.loads.ended(endpoint, router.clock.now(), not failed)
         self.answer.ran = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
         self._note(endpoint, attempt, usage, ok=True)
         await self._finish(endpoint, attempt, usage)
 
+    def _tried_apart(self, endpoint: Endpoint) -> AbstractAsyncContextManager[None]:
+        req = self.req
+        poison = self.router.poison
+        return poison.tried_apart(req.fingerprint, endpoint.name, req.deadline)
+
     @asynccontextmanager
     async def _guarded(self) -> AsyncIterator[None]:
         """Bound what is done by the deadline, and by the caller's patience."""
         req = self.req
-        remaining_s = req.deadline - self.router.clock.now()
+        remaining_s = self.deadline - self.router.clock.now()
         if remaining_s <= 0:
             raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
         timeout = asyncio.timeout(remaining_s)
@@ -216,7 +238,7 @@
                 continue
             if attempt.first_token_at is None:
                 self._first_token(endpoint, attempt)
-            if not self.req.stream:
+            if self.hold or not self.req.stream:
                 self._collect(attempt, events)
                 continue
             if not self.started:
@@ -247,18 +269,20 @@
         if self.req.session_token:
             answer.headers["X-Session"] = self.req.session_token
         elif self.req.wants_session:
-            answer.headers["X-Session"] = self._new_session()
+            token = self._new_session()
+            if token is not None:
+                answer.headers["X-Session"] = token
         answer.start()
         await self.sink.start(answer)
 
-    def _new_session(self) -> str:
+    def _new_session(self) -> str | None:
         session = Session(
             session_id=self.req.request_id,
             customer=self.req.contract.customer,
             version=self.version.name,
             expires=self.router.clock.now() + SESSION_S,
         )
-        return self.router.session_keys.issue(session)
+        return self.router.session_keys.issue(session, self.router.clock.now())
 
     def _give_up(
         self, endpoint: Endpoint, attempt: _Attempt, exc: BaseException
@@ -270,6 +294,8 @@
         if attempt.scanner.events:
             verdict = Verdict.RAN
         self.answer.ran = self.answer.ran.worst(verdict)
+        if verdict is not Verdict.NOT_RUN:
+            self._bill_unpaid(endpoint, attempt)
         if isinstance(exc, EndpointError | DeadlineError):
             self._note(endpoint, attempt, Usage(), ok=False)
         if verdict is not Verdict.NOT_RUN:
@@ -277,11 +303,26 @@
                 self.router.engines.cancel(endpoint, attempt.attempt_id)
             )
 
+    def _bill_unpaid(self, endpoint: Endpoint, attempt: _Attempt) -> None:
+        """Itemise what a failed attempt may have cost, at no cost to the customer."""
+        prompt_tokens = self.req.prompt_tokens_estimate
+        completion_tokens = attempt.scanner.events
+        item = BillItem(
+            self.version.name,
+            endpoint.name,
+            prompt_tokens,
+            completion_tokens,
+            0,
+            self.version.cost(prompt_tokens, completion_tokens),
+        )
+        self.bill.items.append(item)
+
     def _note(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage, ok: bool
     ) -> None:
         now = self.router.clock.now()
         first_token_at = attempt.first_token_at or now
+        objectives = self.req.task_class.objectives
         outcome = Outcome(
             version=self.version.name,
             endpoint=endpoint.name,
@@ -293,13 +334,14 @@
             / max(1, usage.completion_tokens - 1),
             whole_s=now - attempt.began,
             cost=self.version.cost(usage.prompt_tokens, usage.completion_tokens),
+            slow=first_token_at - attempt.began > objectives.first_token_s,
         )
-        self.router.evidence.record(outcome)
+        self.router.evidence.record(outcome, now)
 
     async def _finish(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage
     ) -> None:
-        """Make the bill safe, then let the end of the answer go."""
+        """Put the attempt on the bill, and let the answer go unless it is held."""
         cost = self.version.cost(usage.prompt_tokens, usage.completion_tokens)
         item = BillItem(
             self.version.name,
@@ -310,13 +352,32 @@
         )
         self.bill.items.append(item)
         self.req.observation.completion_tokens = usage.completion_tokens
+        self._collected = bytes(attempt.collected)
+        if not self.hold:
+            await self.release()
+
+    async def release(self) -> None:
+        """Make the bill safe, then let what was kept back go."""
         await self.router.biller.secure(self.bill)
         if self.req.stream:
-            last = DONE
-            if not self.started:
-                await self._start("text/event-stream")
+            last = self._collected + DONE
+            content_type = "text/event-stream"
         else:
-            last = assemble(bytes(attempt.collected), self.req.operation)
-            await self._start("application/json")
+            last = assemble(self._collected, self.req.operation)
+            content_type = "application/json"
         self.answer.append(last)
+        if not self.started:
+            await self._start(content_type)
         await self.sink.write(last)
+
+
+def _is_crash(exc: BaseException, attempt: _Attempt) -> bool:
+    """Tell a crash of the endpoint from a connection that broke.
+
+    A stream that broke is asked for on a new connection first. Only an endpoint
+    that has lost it, or takes no connection any more, is held to have crashed.
+    """
+    if isinstance(exc, EndpointCrashedError):
+        return True
+    lost = isinstance(exc, EndpointError) and exc.verdict is Verdict.NOT_RUN
+    return lost and attempt.dispatched
--- /dev/null
+++ b/radishshift/bill_copies.py
@@ -0,0 +1,162 @@
+"""Copies of other hosts' bills, settled when their host is gone."""
+
+from dataclasses import dataclass, field
+
+import logbook
+import msgspec
+
+from radishshift.bills import BILL_TOPIC, Bill, CopyMessage, store_bills
+from radishshift.clocks import Clock
+from radishshift.errors import BillsFullError, RadishshiftError
+from radishshift.hosts import HostState
+from radishshift.peers import Peers
+from radishshift.platform import Platform
+
+__all__ = ["BillCopies"]
+
+COPIES_MAX = 50_000
+GONE_S = 2.0
+PASS_ON_S = 0.5
+
+logger = logbook.Logger("bills")
+
+
+@dataclass(slots=True)
+class _Owner:
+    """Bills of one incarnation of a host, by the number of their batch.
+
+    `other_holder` is a host that holds them too, with its incarnation.
+    """
+
+    host: str
+    incarnation: int
+    heard_at: float
+    settled_below: int = 0
+    other_holder: tuple[str, int] | None = None
+    batches: dict[int, dict[str, Bill]] = field(default_factory=dict)
+
+
+class BillCopies:
+    """Copies that this host holds for its peers.
+
+    Parameters
+    ----------
+    platform : Platform
+    clock : Clock
+    peers : Peers
+    bound : int
+        Copies held; a peer that would go over it must find another place.
+    """
+
+    def __init__(
+        self, platform: Platform, clock: Clock, peers: Peers, bound: int = COPIES_MAX
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._peers = peers
+        self._bound = bound
+        self._owners: dict[tuple[str, int], _Owner] = {}
+        peers.handle(BILL_TOPIC, self._take)
+
+    @property
+    def held(self) -> int:
+        """Return the number of copies."""
+        return sum(
+            len(batch)
+            for owner in self._owners.values()
+            for batch in owner.batches.values()
+        )
+
+    async def _take(self, sender: str, data: bytes) -> bytes:
+        message = msgspec.json.decode(data, type=CopyMessage)
+        now = self._clock.now()
+        key = (message.host, message.incarnation)
+        owner = self._owners.setdefault(key, _Owner(*key, now))
+        owner.heard_at = now
+        owner.settled_below = max(owner.settled_below, message.settled_below)
+        for number in [n for n in owner.batches if n < owner.settled_below]:
+            del owner.batches[number]
+        coming = sum(len(bills) for bills in message.bills.values())
+        if self.held + coming > self._bound:
+            raise BillsFullError("no room for copies of bills")
+        if sender != message.host:
+            owner.other_holder = self._incarnation_of(sender)
+        for number, bills in message.bills.items():
+            batch = owner.batches.setdefault(number, {})
+            batch.update((bill.run, bill) for bill in bills)
+        return b"{}"
+
+    async def settle_gone(self) -> None:
+        """Write the batches of hosts that are gone, under their own names.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            Nothing is lost; the next call goes on.
+        """
+        for key, owner in list(self._owners.items()):
+            if not self._gone(owner):
+                continue
+            try:
+                for number in sorted(owner.batches):
+                    await self._settle(owner, number)
+            except RadishshiftError:
+                await self._pass_on(owner)
+                raise
+            self._owners.pop(key, None)
+
+    def _gone(self, owner: _Owner) -> bool:
+        for host in self._peers.hosts():
+            if host.name == owner.host:
+                is_same = host.incarnation == owner.incarnation
+                return not is_same or host.state is HostState.DEAD
+        return self._clock.now() - owner.heard_at >= GONE_S
+
+    def _incarnation_of(self, name: str) -> tuple[str, int] | None:
+        for host in self._peers.live():
+            if host.name == name:
+                return name, host.incarnation
+        return None
+
+    async def _pass_on(self, owner: _Owner) -> None:
+        """See to it that one more live host holds the bills of one that is gone."""
+        if owner.other_holder is not None:
+            name, _ = owner.other_holder
+            if self._incarnation_of(name) == owner.other_holder:
+                return
+        bills = {
+            number: list(batch.values()) for number, batch in owner.batches.items()
+        }
+        message = CopyMessage(owner.host, owner.incarnation, owner.settled_below, bills)
+        data = msgspec.json.encode(message)
+        me = self._peers.me
+        hosts = [host for host in self._peers.live() if host.name != owner.host]
+        hosts.sort(key=lambda host: host.data_centre != me.data_centre)
+        for host in hosts:
+            try:
+                deadline = self._clock.now() + PASS_ON_S
+                await self._peers.call(host.name, BILL_TOPIC, data, deadline)
+            except RadishshiftError as exc:
+                logger.warning("{} took no copy of bills: {}", host.name, exc.message)
+            else:
+                owner.other_holder = (host.name, host.incarnation)
+                return
+
+    async def _settle(self, owner: _Owner, number: int) -> None:
+        """Store a batch; what another has not stored goes under a further name."""
+        batch = owner.batches[number]
+        first_name = f"{owner.host}-{owner.incarnation}-{number}"
+        name = first_name
+        further = 0
+        missing = dict(batch)
+        while missing:
+            stored = await store_bills(self._platform, name, missing.values())
+            missing = {
+                run: bill
+                for run, bill in missing.items()
+                if stored.get(run, -1) < len(bill.items)
+            }
+            further += 1
+            name = f"{first_name}.{self._peers.me.name}.{further}"
+        logger.info("settled {} bills of {}", len(batch), owner.host)
+        owner.batches.pop(number, None)
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -18,11 +18,12 @@
     AnswerTooLargeError,
     BadRequestError,
     DeadlineError,
+    EndpointCrashedError,
     EndpointError,
     ResumeRefusedError,
     StreamBrokenError,
 )
-from radishshift.requests import ModelRequest, ServiceCall
+from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.timeouts import IdleSweep, IdleWatch
 from radishshift.verdicts import Verdict
 
@@ -216,6 +217,11 @@
         self._answer_bytes = answer_bytes
         self._sweep = IdleSweep(self._clock)
 
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the connections to endpoints, for what is not a request."""
+        return self._session
+
     @asynccontextmanager
     async def open(
         self, endpoint: Endpoint, req: ModelRequest, version: str, attempt_id: str
@@ -232,7 +238,11 @@
             f"{endpoint.address}/v1/{req.operation}",
             req.deadline,
             headers_s=self._idle_s,
-            headers={"X-Request-Id": attempt_id, "Content-Type": "application/json"},
+            headers={
+                "X-Request-Id": attempt_id,
+                "X-Prefix-Digest": f"{prefix_digest(req.body_bytes):016x}",
+                "Content-Type": "application/json",
+            },
             data=msgspec.json.encode(body),
         ) as resp:
             await self._check(resp)
@@ -333,11 +343,11 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise EndpointError(f"no connection: {exc}", verdict=NOT_RUN) from exc
         except aiohttp.ClientError as exc:
-            raise EndpointError(f"the connection broke: {exc}") from exc
+            raise EndpointCrashedError(f"the connection broke: {exc}") from exc
         except TimeoutError as exc:
             raise StreamBrokenError("the endpoint is silent") from exc
         except OSError as exc:
-            raise EndpointError(f"the connection broke: {exc}") from exc
+            raise EndpointCrashedError(f"the connection broke: {exc}") from exc
 
     async def _check(self, resp: aiohttp.ClientResponse) -> None:
         if resp.status == 200:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -1,7 +1,6 @@
 """The daemon on an entry host."""
 
 import asyncio
-import os
 import signal
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, nullcontext
@@ -13,6 +12,7 @@
 
 from radishshift.admission import Admission
 from radishshift.answers import Answers
+from radishshift.bill_copies import BillCopies
 from radishshift.bills import Biller
 from radishshift.caller_connections import listening_to_callers
 from radishshift.callers import make_caller_app
@@ -23,15 +23,20 @@
 from radishshift.duties import Duties
 from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
+from radishshift.evidence import Evidence
+from radishshift.evidence_pool import EvidencePool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
+from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
+from radishshift.poison_trials import PoisonGuard
+from radishshift.ratings import connected_ratings
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.router import Router
 from radishshift.running import RunningRequest
-from radishshift.sessions import SessionKeys
+from radishshift.session_keys import KeyKeeper
 from radishshift.settings import ClientKeySettings, HostSettings, load_settings
 from radishshift.tls import client_context_of, server_tls_of
 
@@ -42,6 +47,7 @@
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
+HOSTS_COUNTED_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
 
 logger = logbook.Logger("entry")
@@ -141,6 +147,13 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
+async def _count_hosts(clock: Clock, router: Router, peers: Peers) -> None:
+    """Tell the estimates of load how many hosts send to the same endpoints."""
+    while True:
+        router.loads.hosts = 1 + len(peers.live(router.data_centre))
+        await clock.sleep_until(clock.now() + HOSTS_COUNTED_S)
+
+
 def _platform_session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
     return aiohttp.ClientSession(connector=connector)
@@ -167,6 +180,13 @@
         ) as engines,
         _platform_session(cfg.tls.to_platform) as platform_session,
         met_peers(cfg, clock) as peers,
+        connected_ratings(
+            clock,
+            cfg.ratings.address,
+            f"{cfg.name}-{peers.me.incarnation}",
+            cfg.ratings.score_timeout_s,
+            cfg.ratings.fetch_s,
+        ) as ratings,
     ):
         http_platform = HttpPlatform(
             platform_session,
@@ -178,22 +198,61 @@
         duties = Duties(platform, peers, clock)
         configuration = Configuration(clock)
         process = f"{cfg.name}-{peers.me.incarnation}"
+        keeper = KeyKeeper(platform, clock)
+        await keeper.try_refresh()
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
             configuration=configuration,
             engines=engines,
             claims=Claims(platform, clock, process, peers),
-            biller=Biller(platform, cfg.name, peers.me.incarnation),
+            biller=Biller(
+                platform,
+                clock,
+                cfg.name,
+                peers.me.incarnation,
+                peers,
+                cfg.bounds.open_bills,
+            ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
-            session_keys=SessionKeys({"start": os.urandom(32)}),
+            session_keys=keeper,
+            poison=PoisonGuard(clock, peers),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
+            host_name=cfg.name,
+            evidence=Evidence(process),
+            ratings=ratings,
         )
+        load_reports = LoadReports(
+            engines.session,
+            clock,
+            cfg.name,
+            router.loads,
+            router.prefix_caches,
+            lambda: (
+                endpoint
+                for endpoint in router.catalogue.endpoints.values()
+                if endpoint.data_centre == cfg.data_centre
+            ),
+        )
+        pool = EvidencePool(router.evidence, peers.me)
+        peers.carry(pool.section)
+
+        async def publish_evidence() -> None:
+            pool.publish(clock.now())
+
+        copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
+            asyncio.create_task(keeper.follow()),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
+            asyncio.create_task(load_reports.follow()),
+            asyncio.create_task(_count_hosts(clock, router, peers)),
+            asyncio.create_task(
+                _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
+            ),
+            asyncio.create_task(_every(clock, cfg.times.evidence_s, publish_evidence)),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
         caller_app = make_caller_app(router, cfg.bounds, cfg.times)
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -6,14 +6,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import xxhash
-
 from radishshift.admission import Admission
 from radishshift.answers import Answer, Answers, AnswerSink
-from radishshift.attempts import VersionRun
-from radishshift.balance import BalanceQuestion, EndpointLoads, choose
+from radishshift.balance import BalanceQuestion, choose
 from radishshift.bills import Bill, Biller
-from radishshift.cascade import PlanQuestion, PlanStep, make_plan
+from radishshift.cascade import Plan, PlanQuestion, PlanStep, make_plan
 from radishshift.catalogue import Catalogue, ModelVersion
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
@@ -32,10 +29,15 @@
 )
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
+from radishshift.loads import EndpointLoads
 from radishshift.observation import Observer
-from radishshift.poison import PoisonWatch
+from radishshift.plan_runs import PlanRun
+from radishshift.poison_trials import PoisonGuard
+from radishshift.prefix_caches import PrefixCaches
+from radishshift.quality import QualityAccounts
+from radishshift.ratings import Ratings
 from radishshift.remote_answers import RemoteAnswers
-from radishshift.requests import ModelRequest, ServiceCall
+from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.retries import RetryBudget
 from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
@@ -45,7 +47,6 @@
 
 __all__ = ["Router"]
 
-PREFIX_BYTES = 1024
 ANY_MODEL = "auto"
 CALL_COST_TOKENS = 100
 
@@ -85,9 +86,13 @@
     answer_kept_s: float
     limiter: Limiter = field(default_factory=Limiter)
     evidence: Evidence = field(default_factory=Evidence)
+    accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
+    prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
+    host_name: str = ""
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
-    poison: PoisonWatch = field(default_factory=PoisonWatch)
+    ratings: Ratings = field(default_factory=Ratings)
+    poison: PoisonGuard | None = None
     observer: Observer | None = None
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
@@ -102,6 +107,7 @@
 
     def __post_init__(self) -> None:
         self.sweep = IdleSweep(self.clock)
+        self.poison = self.poison or PoisonGuard(self.clock)
 
     def in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Carry out work that no caller is to wait for."""
@@ -190,6 +196,7 @@
             ) as place:
                 req.contract = self._contract_now(req.contract, req.deadline)
                 self.poison.check(req.fingerprint, self.clock.now())
+                self.biller.check_room()
                 self.retry_budget.request_came()
                 try:
                     await self._run_plan(req, bill, answer, sink)
@@ -237,41 +244,51 @@
     async def _run_plan(
         self, req: ModelRequest, bill: Bill, answer: Answer, sink: AnswerSink
     ) -> None:
-        steps = self._steps(req)
+        await self.session_keys.prepare(req.session_token)
+        question = self._question(req)
+        plan = self._plan(req, question)
+        run = PlanRun(self, req, question, plan, bill, answer, sink)
         try:
-            for step in steps:
-                self._check_version(step.version.name)
-                run = VersionRun(self, req, step.version, bill, answer, sink)
-                await run.until_done()
+            await run.until_done()
         except (RadishshiftError, asyncio.CancelledError):
             if bill.items:
                 await self.biller.secure(bill)
             raise
 
-    def _steps(self, req: ModelRequest) -> tuple[PlanStep, ...]:
+    def _question(self, req: ModelRequest) -> PlanQuestion:
+        now = self.clock.now()
+        return PlanQuestion(
+            customer=req.contract.customer,
+            task_class=req.task_class,
+            quality=self._quality(req),
+            candidates=self._choices(req),
+            prompt_tokens=req.prompt_tokens_estimate,
+            completion_tokens=req.completion_tokens_bound,
+            deadline=req.deadline,
+            now=now,
+            can_judge=self.ratings.can_judge(now),
+            parameters=self.catalogue.policies.parameters,
+        )
+
+    def _plan(self, req: ModelRequest, question: PlanQuestion) -> Plan:
+        if req.session_token:
+            return Plan((PlanStep(question.candidates[0]),))
+        planner_name = self.catalogue.policies.planner
+        return make_plan(planner_name, question, self.evidence, self.accounts)
+
+    def _choices(self, req: ModelRequest) -> tuple[ModelVersion, ...]:
         if req.session_token:
             now = self.clock.now()
             customer = req.contract.customer
             session = self.session_keys.read(req.session_token, customer, now)
-            return (PlanStep(self._session_version(req, session)),)
+            return (self._session_version(req, session),)
         named = self.catalogue.versions.get(req.model)
         if named is not None and named.state.keeps_sessions is False:
             raise WithdrawnError(f"{req.model} takes no work: it is {named.state}")
         candidates = tuple(self._candidates(req))
         if not candidates:
             self._refuse_model(req)
-        question = PlanQuestion(
-            customer=req.contract.customer,
-            task_class=req.task_class,
-            quality=self._quality(req),
-            candidates=candidates,
-            prompt_tokens=req.prompt_tokens_estimate,
-            completion_tokens=req.completion_tokens_bound,
-            deadline=req.deadline,
-            now=self.clock.now(),
-        )
-        planner_name = self.catalogue.policies.planner
-        return make_plan(planner_name, question, self.evidence).steps
+        return candidates
 
     def _session_version(self, req: ModelRequest, session: Session) -> ModelVersion:
         version = self.catalogue.versions.get(session.version)
@@ -307,7 +324,13 @@
         usual = QualityTarget(0.0, 0.0)
         return req.contract.quality.get(req.task_class.name, usual)
 
-    def _check_version(self, name: str) -> None:
+    def check_version(self, name: str) -> None:
+        """Check that a version still takes work.
+
+        Raises
+        ------
+        WithdrawnError
+        """
         version = self.catalogue.versions.get(name)
         if version is None or not version.state.keeps_sessions:
             raise WithdrawnError(f"{name} was withdrawn")
@@ -319,23 +342,33 @@
         ------
         NoEndpointError
         """
+        now = self.clock.now()
+        digest = prefix_digest(prefix)
         question = BalanceQuestion(
             served=served,
             data_centre=self.data_centre,
-            prefix_digest=xxhash.xxh3_64_intdigest(prefix[:PREFIX_BYTES]),
-            now=self.clock.now(),
+            prefix_digest=digest,
+            now=now,
+            host=self.host_name,
+            prefix_shared=self.prefix_caches.shared(digest),
         )
         endpoints = [
             endpoint
             for endpoint in self.catalogue.endpoints_of(served)
             if endpoint.name not in tried
         ]
-        balancer_name = self.catalogue.policies.balancer
-        return choose(balancer_name, question, self.loads.candidates(endpoints))
+        holders = self.prefix_caches.holders(digest)
+        chosen = choose(
+            self.catalogue.policies.balancer,
+            question,
+            self.loads.candidates(endpoints, now, holders),
+        )
+        self.prefix_caches.sent(digest, chosen.name)
+        return chosen
 
     def first_token(self, endpoint: Endpoint, req: ModelRequest, wait_s: float) -> None:
         """Note how long an endpoint took to the first token, in seconds."""
-        self.loads.first_token(endpoint, wait_s)
+        self.loads.first_token(endpoint, wait_s, self.clock.now())
         pool = self._pool_of(req.model)
         self.admission.first_token(pool, req.task_class, wait_s)
 
