Refuse policy parameters that no policy reads

Cause: a misspelt parameter in the catalogue was accepted and did nothing. Change: policies register their parameters with bounds and meaning; check names those that are unknown or out of bounds. Shown by: the new test, failing before.

--- a/radishshift/catalogue_checks.py
+++ b/radishshift/catalogue_checks.py
@@ -6,6 +6,7 @@
 from radishshift.balance import balancer_names
 from radishshift.cascade import planner_names
 from radishshift.catalogue import Catalogue, VersionState
+from radishshift.policy_parameters import parameter_problems
 
 __all__ = ["cross_problems"]
 
@@ -86,3 +87,8 @@
         yield f"planner: no planner {policies.planner}"
     if policies.balancer not in balancer_names():
         yield f"balancer: no balancer {policies.balancer}"
+
+
+@_check
+def _parameters_are_known(catalogue: Catalogue) -> Iterator[str]:
+    yield from parameter_problems(catalogue.policies.parameters)
--- a/radishshift/mixing.py
+++ b/radishshift/mixing.py
@@ -28,6 +28,7 @@
     estimate,
     score_bin,
 )
+from radishshift.policy_parameters import parameter
 from radishshift.quality import QualityAccount, QualityAccounts
 
 __all__ = [
@@ -53,6 +54,36 @@
 TABLE_S = 60.0
 TABLES_MAX = 1000
 BUDGET_STEP = 1.1
+MARGIN = parameter(
+    "target-mix.margin", 1.5, (0, 10), "Requests' worth of quality kept in hand."
+)
+CAUTION = parameter(
+    "target-mix.caution", 0.25, (0, 5), "Standard errors taken off an estimate."
+)
+EXPLORE_SHARE = parameter(
+    "target-mix.explore-share", 0.05, (0, 1), "Most requests used to learn."
+)
+EXPLORE_ERROR = parameter(
+    "target-mix.explore-error", 0.03, (0, 1), "Standard error that is small enough."
+)
+FLOOR_SHARE = parameter(
+    "target-mix.floor-share", 0.005, (0, 1), "Most requests near the floor."
+)
+RATED_SHARE = parameter(
+    "target-mix.rated-share", 0.1, (0, 1), "Share of answers that is rated."
+)
+SCORED_SHARE = parameter(
+    "target-mix.scored-share", 0.2, (0, 1), "Share of answers that is judged to learn."
+)
+JUDGE_COST = parameter(
+    "judge.cost-nano", 0.0, (0, 1e12), "Cost of judging an answer, in billionths."
+)
+JUDGE_TIME = parameter(
+    "judge.time-s", 0.1, (0, 60), "Time that judging an answer takes, in seconds."
+)
+ACCEPT_SCORE = parameter(
+    "cheap-first.accept-score", 0.7, (0, 1), "Score that ends the plan cheap-first."
+)
 BIN_MIDDLES = (np.arange(SCORE_BINS) + 0.5) / SCORE_BINS
 
 
@@ -70,17 +101,17 @@
 
     @classmethod
     def of(cls, question: PlanQuestion) -> "_Settings":
-        get = question.parameters.get
+        values = question.parameters
         return cls(
-            margin=get("target-mix.margin", 1.5),
-            caution=get("target-mix.caution", 0.25),
-            explore_share=get("target-mix.explore-share", 0.05),
-            explore_error=get("target-mix.explore-error", 0.03),
-            floor_share=get("target-mix.floor-share", 0.005),
-            rated_share=get("target-mix.rated-share", 0.1),
-            scored_share=get("target-mix.scored-share", 0.2),
-            judge_cost=get("judge.cost-nano", 0.0),
-            judge_s=get("judge.time-s", 0.1),
+            margin=MARGIN.of(values),
+            caution=CAUTION.of(values),
+            explore_share=EXPLORE_SHARE.of(values),
+            explore_error=EXPLORE_ERROR.of(values),
+            floor_share=FLOOR_SHARE.of(values),
+            rated_share=RATED_SHARE.of(values),
+            scored_share=SCORED_SHARE.of(values),
+            judge_cost=JUDGE_COST.of(values),
+            judge_s=JUDGE_TIME.of(values),
         )
 
 
@@ -452,7 +483,7 @@
     may_judge = question.can_judge and question.task_class.cascade
     if cheap is dear or not in_time or not may_judge:
         return Plan((PlanStep(dear),))
-    score = question.parameters.get("cheap-first.accept-score", 0.7)
+    score = ACCEPT_SCORE.of(question.parameters)
     return Plan((PlanStep(cheap, score), PlanStep(dear)))
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -44,6 +44,16 @@
         exc = self.assertRaises(SettingsError, check_catalogue, specs)
         self.assertEqual(3, len(exc.problems))
 
+    def test_a_parameter_that_no_policy_reads_is_refused(self):
+        """A misspelt name was taken and did nothing."""
+        specs = small_catalogue()
+        specs["policies"]["parameters"] = {
+            "target-mix.margn": 1.0,
+            "target-mix.explore-share": 5.0,
+        }
+        exc = self.assertRaises(SettingsError, check_catalogue, specs)
+        self.assertEqual(2, len(exc.problems))
+
 
 class ApplyTest(TestCase):
     async def test_apply_then_diff_is_empty(self):
