--- a/radishshift/bill_copies.py
+++ b/radishshift/bill_copies.py
@@ -67,6 +67,20 @@
             for batch in owner.batches.values()
         )
 
+    def runs_alone(self) -> set[str]:
+        """Return the runs of dead hosts' bills that no other live host holds."""
+        return {
+            run
+            for owner in self._owners.values()
+            if self._gone(owner) and not self._is_held_elsewhere(owner)
+            for batch in owner.batches.values()
+            for run in batch
+        }
+
+    def _is_held_elsewhere(self, owner: _Owner) -> bool:
+        other = owner.other_holder
+        return other is not None and self._incarnation_of(other[0]) == other
+
     async def _take(self, sender: str, data: bytes) -> bytes:
         message = msgspec.json.decode(data, type=CopyMessage)
         now = self._clock.now()
@@ -94,16 +108,38 @@
         PlatformUnavailableError
             Nothing is lost; the next call goes on.
         """
-        for key, owner in list(self._owners.items()):
-            if not self._gone(owner):
-                continue
+        for owner in list(self._owners.values()):
+            if self._gone(owner):
+                await self._settle_owner(owner)
+
+    async def leave(self) -> None:
+        """Settle or pass on all copies, as this host is about to end.
+
+        An owner may have died without anyone knowing; one that lives finds its
+        batch settled and carries on.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The copies were passed on, if a host was in reach.
+        """
+        failure = None
+        for owner in list(self._owners.values()):
             try:
-                for number in sorted(owner.batches):
-                    await self._settle(owner, number)
-            except RadishshiftError:
-                await self._pass_on(owner)
-                raise
-            self._owners.pop(key, None)
+                await self._settle_owner(owner)
+            except RadishshiftError as exc:
+                failure = exc
+        if failure is not None:
+            raise failure
+
+    async def _settle_owner(self, owner: _Owner) -> None:
+        try:
+            for number in sorted(owner.batches):
+                await self._settle(owner, number)
+        except RadishshiftError:
+            await self._pass_on(owner)
+            raise
+        self._owners.pop((owner.host, owner.incarnation), None)
 
     def _gone(self, owner: _Owner) -> bool:
         for host in self._peers.hosts():
@@ -120,28 +156,30 @@
 
     async def _pass_on(self, owner: _Owner) -> None:
         """See to it that one more live host holds the bills of one that is gone."""
-        if owner.other_holder is not None:
-            name, _ = owner.other_holder
-            if self._incarnation_of(name) == owner.other_holder:
-                return
-        bills = {
-            number: list(batch.values()) for number, batch in owner.batches.items()
-        }
-        message = CopyMessage(owner.host, owner.incarnation, owner.settled_below, bills)
-        data = msgspec.json.encode(message)
+        if self._is_held_elsewhere(owner):
+            return
         me = self._peers.me
         hosts = [host for host in self._peers.live() if host.name != owner.host]
         hosts.sort(key=lambda host: host.data_centre != me.data_centre)
         for host in hosts:
             try:
-                deadline = self._clock.now() + PASS_ON_S
-                await self._peers.call(host.name, BILL_TOPIC, data, deadline)
+                await self._send(host.name, owner)
             except RadishshiftError as exc:
                 logger.warning("{} took no copy of bills: {}", host.name, exc.message)
             else:
                 owner.other_holder = (host.name, host.incarnation)
                 return
 
+    async def _send(self, host: str, owner: _Owner) -> None:
+        for number, batch in list(owner.batches.items()):
+            bills = {number: list(batch.values())}
+            message = CopyMessage(
+                owner.host, owner.incarnation, owner.settled_below, bills
+            )
+            data = msgspec.json.encode(message)
+            deadline = self._clock.now() + PASS_ON_S
+            await self._peers.call(host, BILL_TOPIC, data, deadline)
+
     async def _settle(self, owner: _Owner, number: int) -> None:
         """Store a batch; what another has not stored goes under a further name."""
         batch = owner.batches[number]
--- a/radishshift/bills.py
+++ b/radishshift/bills.py
@@ -202,6 +202,10 @@
         """Return the number of bills that are in this host's memory alone."""
         return sum(holder is None for holder in self._holders.values())
 
+    def runs_alone(self) -> set[str]:
+        """Return the runs whose bills would be lost if this host died now."""
+        return {run for run in self._holders if not self._is_held(run)}
+
     def check_room(self) -> None:
         """Refuse work that must be billed while too many bills are unsettled.
 
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
 from dataclasses import dataclass
 
@@ -67,6 +67,8 @@
         The other entry hosts.
     monitoring_address : str
         Base URL of metrics, indicators and health.
+    copies : BillCopies
+        Bills of other hosts.
     """
 
     cfg: HostSettings
@@ -75,6 +77,7 @@
     peers: Peers
     monitoring_address: str
     duties: Duties
+    copies: BillCopies
 
     async def stop(
         self, hurry: asyncio.Event | None = None, unready_s: float = 0.0
@@ -106,7 +109,8 @@
             )
         if left:
             await _until(lambda: not self.router.busy, clock, clock.now() + CUT_S)
-        await self._flush_bills(clock.now() + FLUSH_S)
+        await self._settle_bills(self.router.biller.flush, clock.now() + FLUSH_S)
+        await self._settle_bills(self.copies.leave, clock.now() + FLUSH_S)
         return left
 
     async def drain(self, deadline: float, hurry: asyncio.Event | None = None) -> int:
@@ -120,11 +124,13 @@
         )
         return router.busy
 
-    async def _flush_bills(self, deadline: float) -> None:
+    async def _settle_bills(
+        self, settle: Callable[[], Awaitable[None]], deadline: float
+    ) -> None:
         clock = self.router.clock
         while True:
             try:
-                await self.router.biller.flush()
+                await settle()
                 return
             except RadishshiftError as exc:
                 if clock.now() >= deadline:
@@ -278,7 +284,7 @@
                 caller_tls,
             ) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties, copies)
             try:
                 yield host
             finally:
--- a/radishshift/poison.py
+++ b/radishshift/poison.py
@@ -26,7 +26,7 @@
 
 
 class Crash(msgspec.Struct, frozen=True):
-    """An endpoint crashed while it ran a request."""
+    """An endpoint crashed while it ran a request; one event, told many times."""
 
     fingerprint: str
     endpoint: str
@@ -35,12 +35,12 @@
 
 @dataclass(slots=True)
 class _Suspect:
-    endpoints: dict[str, float] = field(default_factory=dict)
+    crashes: set[Crash] = field(default_factory=set)
     forget_at: float = 0.0
 
 
 class PoisonWatch:
-    """Counts the endpoints that crashed while they ran a request.
+    """Counts the crashes of endpoints while they ran a request.
 
     It is a section that rides on the heartbeats.
 
@@ -55,7 +55,7 @@
     def __init__(self, bound: int = SUSPECTS_MAX) -> None:
         self._bound = bound
         self._suspects: dict[str, _Suspect] = {}
-        self._sent: dict[tuple[str, int], dict[tuple[str, str], int]] = {}
+        self._sent: dict[tuple[str, int], dict[Crash, int]] = {}
 
     def __len__(self) -> int:
         return len(self._suspects)
@@ -68,20 +68,20 @@
         """Take in a crash; one that is known already changes nothing."""
         if crash.at + POISON_S <= now:
             return
-        at = min(crash.at, now)
         suspect = self._suspects.pop(crash.fingerprint, None) or _Suspect()
-        suspect.endpoints.setdefault(crash.endpoint, at)
-        kept_s = POISON_S if len(suspect.endpoints) >= CRASHES_ALLOWED else SUSPECT_S
-        suspect.forget_at = max(suspect.endpoints.values()) + kept_s
+        if len(suspect.crashes) < CRASHES_ALLOWED:
+            suspect.crashes.add(crash)
+        kept_s = POISON_S if len(suspect.crashes) >= CRASHES_ALLOWED else SUSPECT_S
+        suspect.forget_at = max(known.at for known in suspect.crashes) + kept_s
         self._suspects[crash.fingerprint] = suspect
         self._trim(now)
 
     def crashes(self, fingerprint: str, now: float) -> int:
-        """Return how many endpoints a request has crashed."""
+        """Return how often an endpoint crashed on a request."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None or suspect.forget_at <= now:
             return 0
-        return len(suspect.endpoints)
+        return len(suspect.crashes)
 
     def check(self, fingerprint: str, now: float) -> None:
         """Refuse a request that has crashed enough endpoints.
@@ -98,12 +98,11 @@
         self._trim(now)
         counts = self._sent.setdefault((peer.name, peer.incarnation), {})
         crashes = []
-        for fingerprint, suspect in reversed(self._suspects.items()):
-            for endpoint, at in suspect.endpoints.items():
-                key = (fingerprint, endpoint)
-                if counts.get(key, 0) < TIMES_SENT:
-                    counts[key] = counts.get(key, 0) + 1
-                    crashes.append([fingerprint, endpoint, at])
+        for suspect in reversed(self._suspects.values()):
+            for crash in suspect.crashes:
+                if counts.get(crash, 0) < TIMES_SENT:
+                    counts[crash] = counts.get(crash, 0) + 1
+                    crashes.append([crash.fingerprint, crash.endpoint, crash.at])
             if len(crashes) >= SENT_AT_ONCE_MAX:
                 break
         return crashes or None
@@ -125,5 +124,8 @@
         for fingerprint in over:
             del self._suspects[fingerprint]
         for counts in self._sent.values():
-            for key in [key for key in counts if key[0] not in self._suspects]:
-                del counts[key]
+            forgotten = [
+                crash for crash in counts if crash.fingerprint not in self._suspects
+            ]
+            for crash in forgotten:
+                del counts[crash]
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -107,7 +107,8 @@
 
     def __post_init__(self) -> None:
         self.sweep = IdleSweep(self.clock)
-        self.poison = self.poison or PoisonGuard(self.clock)
+        if self.poison is None:
+            self.poison = PoisonGuard(self.clock)
 
     def in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Carry out work that no caller is to wait for."""
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -123,6 +123,23 @@
         await fleet.settle()
         self.assertEqual(["request-1"], await fleet.charged())
 
+    async def test_a_holder_that_leaves_hands_over_what_it_holds(self):
+        """Its owner died a moment before, and no one knew."""
+        for down in (False, True):
+            fleet = BillingFleet("mbeya-1", "mbeya-2", "mbeya-3")
+            fleet.fault(down=down)
+            await fleet.billers["mbeya-1"].secure(new_bill())
+            fleet.kill("mbeya-1")
+            leaving = fleet.copies["mbeya-2"].leave()
+            if down:
+                await self.assert_raises_async(PlatformUnavailableError, leaving)
+            else:
+                await leaving
+            fleet.kill("mbeya-2")
+            fleet.fault(down=False)
+            await fleet.settle()
+            self.assertEqual(["request-1"], await fleet.charged())
+
     async def try_to_settle(self, copies):
         try:
             await copies.settle_gone()
