--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -23,6 +23,7 @@
     HungUpError,
     ResumeRefusedError,
     StreamBrokenError,
+    StreamSilentError,
 )
 from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
@@ -66,6 +67,7 @@
     scanner: EventScanner
     first_token_at: float | None = None
     dispatched: bool = False
+    broke: bool = False
     collected: bytearray = field(default_factory=bytearray)
 
 
@@ -212,10 +214,11 @@
             except ResumeRefusedError:
                 raise
             except EndpointError as exc:
-                silent = isinstance(exc, StreamBrokenError)
-                if not attempt.dispatched and not silent:
+                broke = isinstance(exc, StreamBrokenError)
+                if not attempt.dispatched and not broke:
                     raise
                 attempt.dispatched = True
+                attempt.broke |= broke and not isinstance(exc, StreamSilentError)
                 failures = 1 if scanner.events > events_before else failures + 1
                 if failures >= RESUMES_MAX:
                     raise
@@ -372,12 +375,14 @@
 
 
 def _is_crash(exc: BaseException, attempt: _Attempt) -> bool:
-    """Tell a crash of the endpoint from a connection that broke.
+    """Tell a crash of the endpoint from a connection that failed.
 
     A stream that broke is asked for on a new connection first. Only an endpoint
     that has lost it, or takes no connection any more, is held to have crashed.
     """
+    if isinstance(exc, ResumeRefusedError):
+        return attempt.broke
     if isinstance(exc, EndpointCrashedError):
         return True
     lost = isinstance(exc, EndpointError) and exc.verdict is Verdict.NOT_RUN
-    return lost and attempt.dispatched
+    return lost and attempt.broke
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -22,6 +22,7 @@
     EndpointError,
     ResumeRefusedError,
     StreamBrokenError,
+    StreamSilentError,
 )
 from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.timeouts import IdleSweep, IdleWatch
@@ -135,7 +136,7 @@
             return await self._readany()
         except (aiohttp.ClientError, OSError) as exc:
             if watch.expired:
-                raise StreamBrokenError("the stream went silent") from exc
+                raise StreamSilentError("the stream went silent") from exc
             raise StreamBrokenError(f"the stream broke: {exc}") from exc
         finally:
             watch.got()
@@ -345,7 +346,7 @@
         except aiohttp.ClientError as exc:
             raise EndpointCrashedError(f"the connection broke: {exc}") from exc
         except TimeoutError as exc:
-            raise StreamBrokenError("the endpoint is silent") from exc
+            raise StreamSilentError("the endpoint is silent") from exc
         except OSError as exc:
             raise EndpointCrashedError(f"the connection broke: {exc}") from exc
 
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -44,6 +44,7 @@
 
 FLAGS = flags.FLAGS
 DRAIN_POLL_S = 0.05
+MEET_S = 3.0
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
@@ -250,6 +251,7 @@
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(keeper.follow()),
+            asyncio.create_task(router.poison.learn(clock.now() + MEET_S)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -40,6 +40,7 @@
     "ShuttingDownError",
     "StaleConfigurationError",
     "StreamBrokenError",
+    "StreamSilentError",
     "TooLargeError",
     "WithdrawnError",
     "rebuild_error",
@@ -320,8 +321,12 @@
     code = "stream-broken"
 
 
-class ResumeRefusedError(EndpointCrashedError):
-    """An endpoint does not go on with a stream that broke: it has lost it."""
+class StreamSilentError(StreamBrokenError):
+    """A connection went silent; its endpoint may well be alive."""
+
+
+class ResumeRefusedError(EndpointError):
+    """An endpoint does not go on with a stream that broke."""
 
     code = "resume-refused"
 
--- a/radishshift/experiments/fault_world.py
+++ b/radishshift/experiments/fault_world.py
@@ -29,6 +29,7 @@
     StreamBrokenError,
 )
 from radishshift.hosts import Host
+from radishshift.monitoring import is_ready
 from radishshift.objects import Kind, StoredObject
 from radishshift.peers import MemoryPeers
 from radishshift.platform import MemoryPlatform
@@ -176,10 +177,7 @@
         return [
             host
             for host in self.hosts.values()
-            if host.live
-            and host.configuration.revision
-            and not host.router.leaving
-            and not host.paused
+            if host.live and is_ready(host.router) and not host.paused
         ]
 
     def reachable(self, host: "MemoryHost", served: frozenset[str]) -> Iterator[str]:
@@ -280,9 +278,13 @@
         self._target = target
         self._attempt_id = attempt_id
         self._start = start
+        self._chunks = self._receive()
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the bytes as they come."""
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end."""
+        return await anext(self._chunks, b"")
+
+    async def _receive(self) -> AsyncIterator[bytes]:
         target = self._target
         opened = (target.starts, target.links)
         text, began = target.streams[self._attempt_id]
@@ -363,6 +365,7 @@
                     self.configuration.take(table.items.values(), [])
                 break
         self.spawn(self.configuration.follow(self.way))
+        self.spawn(self.router.poison.learn(CLOCK.now() + 3.0))
         self.spawn(self._keep_ticking())
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
--- a/radishshift/monitoring.py
+++ b/radishshift/monitoring.py
@@ -57,7 +57,8 @@
 
 def is_ready(router: Router) -> bool:
     """Tell whether a host should be sent new work."""
-    return router.catalogue.revision > 0 and not router.leaving
+    informed = router.catalogue.revision > 0 and router.poison.informed
+    return informed and not router.leaving
 
 
 def _watch_tables(metrics: Metrics, router: Router) -> None:
--- a/radishshift/poison_trials.py
+++ b/radishshift/poison_trials.py
@@ -24,10 +24,12 @@
 
 CRASH_TOPIC = "poison-crash"
 TRIAL_TOPIC = "poison-trial"
+KNOWN_TOPIC = "poison-known"
 PEER_ANSWER_S = 0.5
 ASK_AGAIN_S = 0.1
 TRIAL_S_MAX = 60.0
 TRIALS_MAX = 10_000
+KNOWN_TOLD_MAX = 2_000
 GRANTERS_TRIED = 3
 
 logger = logbook.Logger("poison")
@@ -61,10 +63,16 @@
     ----------
     clock : Clock
     peers : Peers or None
+
+    Attributes
+    ----------
+    informed : bool
+        Whether another host has told what it knows; no work is to come before.
     """
 
     def __init__(self, clock: Clock, peers: Peers | None = None) -> None:
         super().__init__()
+        self.informed = peers is None
         self._clock = clock
         self._peers = peers
         self._me = "" if peers is None else peers.me.name
@@ -74,6 +82,31 @@
             peers.carry(self)
             peers.handle(CRASH_TOPIC, self._hear_crash)
             peers.handle(TRIAL_TOPIC, self._answer_trial)
+            peers.handle(KNOWN_TOPIC, self._tell_known)
+
+    async def learn(self, deadline: float) -> None:
+        """Ask a live host for the crashes it knows; until then this one knows none.
+
+        A host that meets no other before `deadline` begins with nothing.
+        """
+        while self._clock.now() < deadline and not self.informed:
+            for host in self._peers.live()[:GRANTERS_TRIED]:
+                reply = await self._call(host.name, KNOWN_TOPIC, b"{}")
+                if reply is not None:
+                    self._take_all(msgspec.json.decode(reply, type=list[Crash]))
+                    self.informed = True
+            if not self.informed:
+                await self._clock.sleep_until(self._clock.now() + ASK_AGAIN_S)
+        self.informed = True
+
+    def _take_all(self, crashes: list[Crash]) -> None:
+        for crash in crashes:
+            self.take(crash, self._clock.now())
+
+    async def _tell_known(self, *_: object) -> bytes:
+        newest = list(self._suspects.values())[-KNOWN_TOLD_MAX:]
+        crashes = [crash for suspect in newest for crash in suspect.crashes]
+        return msgspec.json.encode(crashes)
 
     async def tell_crash(self, fingerprint: str, endpoint: str) -> None:
         """Note a crash and tell every live host before the request goes on."""
@@ -147,8 +180,7 @@
         if reply is None:
             return None
         answer = msgspec.json.decode(reply, type=_TrialReply)
-        for crash in answer.crashes:
-            self.take(crash, self._clock.now())
+        self._take_all(answer.crashes)
         return answer
 
     def _grant(self, request: _TrialRequest) -> _TrialReply:
