--- a/radishshift/claims.py
+++ b/radishshift/claims.py
@@ -117,7 +117,7 @@
     platform : Platform
     clock : Clock
     process : str
-        Name of this process that no other has or had: host and incarnation.
+        Name of this process that no other has or had: `HOST-INCARNATION`.
     peers : Peers or None
         Hosts that share the writing of the shards.
     kept_s : float
@@ -258,7 +258,7 @@
         if held.fingerprint != fingerprint:
             raise BadRequestError("this idempotency key was used for another call")
         now = self._clock.now()
-        if not held.over(now):
+        if not held.over(now) and not self._is_runner_gone(held):
             wait_s = min(POLL_S, held.deadline - now)
             raise InProgressError("the call is running", retry_after_s=wait_s)
         if held.result is None:
@@ -272,6 +272,16 @@
             )
         return reply
 
+    def _is_runner_gone(self, held: ClaimRecord) -> bool:
+        """Tell whether the host that ran a call has been started anew since."""
+        if self._peers is None:
+            return False
+        name, incarnation, _ = held.token.rsplit("-", 2)
+        return any(
+            host.name == name and host.incarnation > int(incarnation)
+            for host in (self._peers.me, *self._peers.hosts())
+        )
+
     async def _finish(self, what: str, key: str, record: ClaimRecord) -> None:
         task = asyncio.create_task(self._finish_somewhere(what, key, record))
         self._background.add(task)
--- a/radishshift/experiments/claims.py
+++ b/radishshift/experiments/claims.py
@@ -86,7 +86,8 @@
         peers = _LinkedPeers(Host(name, data_centre, "tz-south", ""), network)
         way = FaultyPlatform(platform, CLOCK)
         way.faults.slow_s = FLAGS.claims_platform_s
-        hosts.append(Claims(way, CLOCK, name, peers if shared else None))
+        process = f"{name}-0"
+        hosts.append(Claims(way, CLOCK, process, peers if shared else None))
     return hosts
 
 
--- /dev/null
+++ b/tests/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the experiments."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -53,6 +53,13 @@
         exc = self.assertRaises(DeadlineError, claim.check, CLOCK.now())
         self.assertIs(Verdict.NOT_RUN, exc.verdict)
 
+    async def test_when_the_runner_has_restarted_the_resend_is_told_at_once(self):
+        fleet = Fleet()
+        await fleet.claims["mbeya-1"].claim(booking())
+        fleet.add("mbeya-1", incarnation=9)
+        for claims in fleet.claims.values():
+            await self.assert_raises_async(ResultLostError, claims.claim(booking()))
+
     async def test_the_same_key_at_every_host_at_once_is_run_by_one(self):
         for cut in (False, True):
             fleet = Fleet()
