--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
 from dataclasses import dataclass
 
@@ -44,6 +44,7 @@
 
 FLAGS = flags.FLAGS
 DRAIN_POLL_S = 0.05
+MEET_S = 3.0
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
@@ -67,6 +68,8 @@
         The other entry hosts.
     monitoring_address : str
         Base URL of metrics, indicators and health.
+    copies : BillCopies
+        Bills of other hosts.
     """
 
     cfg: HostSettings
@@ -75,6 +78,7 @@
     peers: Peers
     monitoring_address: str
     duties: Duties
+    copies: BillCopies
 
     async def stop(
         self, hurry: asyncio.Event | None = None, unready_s: float = 0.0
@@ -106,7 +110,8 @@
             )
         if left:
             await _until(lambda: not self.router.busy, clock, clock.now() + CUT_S)
-        await self._flush_bills(clock.now() + FLUSH_S)
+        await self._settle_bills(self.router.biller.flush, clock.now() + FLUSH_S)
+        await self._settle_bills(self.copies.leave, clock.now() + FLUSH_S)
         return left
 
     async def drain(self, deadline: float, hurry: asyncio.Event | None = None) -> int:
@@ -120,11 +125,13 @@
         )
         return router.busy
 
-    async def _flush_bills(self, deadline: float) -> None:
+    async def _settle_bills(
+        self, settle: Callable[[], Awaitable[None]], deadline: float
+    ) -> None:
         clock = self.router.clock
         while True:
             try:
-                await self.router.biller.flush()
+                await settle()
                 return
             except RadishshiftError as exc:
                 if clock.now() >= deadline:
@@ -244,6 +251,7 @@
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(keeper.follow()),
+            asyncio.create_task(router.poison.learn(clock.now() + MEET_S)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
@@ -278,7 +286,7 @@
                 caller_tls,
             ) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties, copies)
             try:
                 yield host
             finally:
