Split the mixing planner: tables of plans and parameters have modules of their own

Cause: one module of 535 lines held parameters, the hull of plans and two planners. Change: plan_tables.py and planner_settings.py; no behaviour changes.

--- a/radishshift/plan_runs.py
+++ b/radishshift/plan_runs.py
@@ -11,7 +11,8 @@
 from radishshift.cascade import Plan, PlanQuestion, PlanStep
 from radishshift.errors import DeadlineError, EndpointError, NoEndpointError
 from radishshift.evidence import Cell
-from radishshift.mixing import account_for, expected_whole_s
+from radishshift.mixing import account_for
+from radishshift.plan_tables import expected_whole_s
 from radishshift.ratings import RatedAnswer
 from radishshift.requests import ModelRequest
 
--- /dev/null
+++ b/radishshift/planner_settings.py
@@ -0,0 +1,70 @@
+"""Parameters of the planners, as the catalogue sets them."""
+
+from dataclasses import dataclass
+
+from radishshift.cascade import PlanQuestion
+from radishshift.policy_parameters import parameter
+
+__all__ = ["ACCEPT_SCORE", "PlannerSettings"]
+
+MARGIN = parameter(
+    "target-mix.margin", 1.5, (0, 10), "Requests' worth of quality kept in hand."
+)
+CAUTION = parameter(
+    "target-mix.caution", 0.25, (0, 5), "Standard errors taken off an estimate."
+)
+EXPLORE_SHARE = parameter(
+    "target-mix.explore-share", 0.05, (0, 1), "Most requests used to learn."
+)
+EXPLORE_ERROR = parameter(
+    "target-mix.explore-error", 0.03, (0, 1), "Standard error that is small enough."
+)
+FLOOR_SHARE = parameter(
+    "target-mix.floor-share", 0.005, (0, 1), "Most requests near the floor."
+)
+RATED_SHARE = parameter(
+    "target-mix.rated-share", 0.1, (0, 1), "Share of answers that is rated."
+)
+SCORED_SHARE = parameter(
+    "target-mix.scored-share", 0.2, (0, 1), "Share of answers that is judged to learn."
+)
+JUDGE_COST = parameter(
+    "judge.cost-nano", 0.0, (0, 1e12), "Cost of judging an answer, in billionths."
+)
+JUDGE_TIME = parameter(
+    "judge.time-s", 0.1, (0, 60), "Time that judging an answer takes, in seconds."
+)
+ACCEPT_SCORE = parameter(
+    "cheap-first.accept-score", 0.7, (0, 1), "Score that ends the plan cheap-first."
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """Values of the parameters for one question."""
+
+    margin: float
+    caution: float
+    explore_share: float
+    explore_error: float
+    floor_share: float
+    rated_share: float
+    scored_share: float
+    judge_cost: float
+    judge_s: float
+
+    @classmethod
+    def of(cls, question: PlanQuestion) -> "PlannerSettings":
+        """Return the values in force for a question."""
+        values = question.parameters
+        return cls(
+            margin=MARGIN.of(values),
+            caution=CAUTION.of(values),
+            explore_share=EXPLORE_SHARE.of(values),
+            explore_error=EXPLORE_ERROR.of(values),
+            floor_share=FLOOR_SHARE.of(values),
+            rated_share=RATED_SHARE.of(values),
+            scored_share=SCORED_SHARE.of(values),
+            judge_cost=JUDGE_COST.of(values),
+            judge_s=JUDGE_TIME.of(values),
+        )
