--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
-from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -23,6 +23,7 @@
     HungUpError,
     ResumeRefusedError,
     StreamBrokenError,
+    StreamSilentError,
 )
 from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
@@ -66,6 +67,7 @@
     scanner: EventScanner
     first_token_at: float | None = None
     dispatched: bool = False
+    broke: bool = False
     collected: bytearray = field(default_factory=bytearray)
 
 
@@ -145,19 +147,21 @@
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
         attempt = _Attempt(attempt_id, router.clock.now(), scanner)
-        router.loads.started(endpoint)
+        router.loads.started(endpoint, router.clock.now())
         self.answer.attempting = True
+        failed = False
         try:
             async with self._guarded(), self._tried_apart(endpoint):
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
+            failed = isinstance(exc, EndpointError)
             self._give_up(endpoint, attempt, exc)
             if _is_crash(exc, attempt):
                 await router.poison.tell_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempting = False
-            router.loads.ended(endpoint)
+            router.loads.ended(endpoint, router.clock.now(), not failed)
         self.answer.ran = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
         self._note(endpoint, attempt, usage, ok=True)
@@ -202,15 +206,19 @@
             try:
                 async with opening as stream:
                     attempt.dispatched = True
-                    await self._relay(endpoint, attempt, stream)
+                    # A task of its own: the loop then wakes it for each token
+                    # without passing through all that waits for the answer.
+                    relay = self._relay(endpoint, attempt, stream)
+                    await asyncio.create_task(relay)
                     return
             except ResumeRefusedError:
                 raise
             except EndpointError as exc:
-                silent = isinstance(exc, StreamBrokenError)
-                if not attempt.dispatched and not silent:
+                broke = isinstance(exc, StreamBrokenError)
+                if not attempt.dispatched and not broke:
                     raise
                 attempt.dispatched = True
+                attempt.broke |= broke and not isinstance(exc, StreamSilentError)
                 failures = 1 if scanner.events > events_before else failures + 1
                 if failures >= RESUMES_MAX:
                     raise
@@ -224,18 +232,22 @@
     ) -> None:
         """Pass on what comes over one connection, up to the end mark."""
         scanner = attempt.scanner
-        async with aclosing(stream.chunks()) as chunks:
-            async for data in chunks:
-                events = scanner.feed(data)
-                if events:
-                    if attempt.first_token_at is None:
-                        self._first_token(endpoint, attempt)
-                    if self.req.stream and not self.hold:
-                        await self._pass_on(events)
-                    else:
-                        self._collect(attempt, events)
-                if scanner.done:
-                    break
+        while not scanner.done:
+            data = await stream.read()
+            if not data:
+                break
+            events = scanner.feed(data)
+            if not events:
+                continue
+            if attempt.first_token_at is None:
+                self._first_token(endpoint, attempt)
+            if self.hold or not self.req.stream:
+                self._collect(attempt, events)
+                continue
+            if not self.started:
+                await self._start("text/event-stream")
+            self.answer.append(events)
+            await self.sink.write(events)
         if not scanner.done:
             raise StreamBrokenError("the stream ended too soon")
         await stream.end()
@@ -245,12 +257,6 @@
         wait_s = attempt.first_token_at - attempt.began
         self.router.first_token(endpoint, self.req, wait_s)
 
-    async def _pass_on(self, events: bytes) -> None:
-        if not self.started:
-            await self._start("text/event-stream")
-        self.answer.append(events)
-        await self.sink.write(events)
-
     def _collect(self, attempt: _Attempt, events: bytes) -> None:
         attempt.collected += events
         if len(attempt.collected) > self.router.answers.answer_bytes:
@@ -361,22 +367,25 @@
         await self.router.biller.secure(self.bill)
         if self.req.stream:
             last = self._collected + DONE
-            if not self.started:
-                await self._start("text/event-stream")
+            content_type = "text/event-stream"
         else:
             last = assemble(self._collected, self.req.operation)
-            await self._start("application/json")
+            content_type = "application/json"
         self.answer.append(last)
+        if not self.started:
+            await self._start(content_type)
         await self.sink.write(last)
 
 
 def _is_crash(exc: BaseException, attempt: _Attempt) -> bool:
-    """Tell a crash of the endpoint from a connection that broke.
+    """Tell a crash of the endpoint from a connection that failed.
 
     A stream that broke is asked for on a new connection first. Only an endpoint
     that has lost it, or takes no connection any more, is held to have crashed.
     """
+    if isinstance(exc, ResumeRefusedError):
+        return attempt.broke
     if isinstance(exc, EndpointCrashedError):
         return True
     lost = isinstance(exc, EndpointError) and exc.verdict is Verdict.NOT_RUN
-    return lost and attempt.dispatched
+    return lost and attempt.broke
--- a/radishshift/catalogue.py
+++ b/radishshift/catalogue.py
@@ -191,7 +191,7 @@
     """
 
     planner: str = "cheapest-sufficient"
-    balancer: str = "least-outstanding"
+    balancer: str = "bounded-affinity"
     parameters: Mapping[str, float] = field(default_factory=dict)
 
 
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
 from dataclasses import dataclass
 
@@ -28,6 +28,7 @@
 from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
+from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
@@ -45,10 +46,12 @@
 
 FLAGS = flags.FLAGS
 DRAIN_POLL_S = 0.05
+MEET_S = 3.0
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
 ROLLOUT_EVERY_S = 1.0
+HOSTS_COUNTED_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
 
 logger = logbook.Logger("entry")
@@ -68,6 +71,8 @@
         The other entry hosts.
     monitoring_address : str
         Base URL of metrics, indicators and health.
+    copies : BillCopies
+        Bills of other hosts.
     """
 
     cfg: HostSettings
@@ -76,6 +81,7 @@
     peers: Peers
     monitoring_address: str
     duties: Duties
+    copies: BillCopies
 
     async def stop(
         self, hurry: asyncio.Event | None = None, unready_s: float = 0.0
@@ -107,7 +113,8 @@
             )
         if left:
             await _until(lambda: not self.router.busy, clock, clock.now() + CUT_S)
-        await self._flush_bills(clock.now() + FLUSH_S)
+        await self._settle_bills(self.router.biller.flush, clock.now() + FLUSH_S)
+        await self._settle_bills(self.copies.leave, clock.now() + FLUSH_S)
         return left
 
     async def drain(self, deadline: float, hurry: asyncio.Event | None = None) -> int:
@@ -121,11 +128,13 @@
         )
         return router.busy
 
-    async def _flush_bills(self, deadline: float) -> None:
+    async def _settle_bills(
+        self, settle: Callable[[], Awaitable[None]], deadline: float
+    ) -> None:
         clock = self.router.clock
         while True:
             try:
-                await self.router.biller.flush()
+                await settle()
                 return
             except RadishshiftError as exc:
                 if clock.now() >= deadline:
@@ -148,6 +157,13 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
+async def _count_hosts(clock: Clock, router: Router, peers: Peers) -> None:
+    """Tell the estimates of load how many hosts send to the same endpoints."""
+    while True:
+        router.loads.hosts = 1 + len(peers.live(router.data_centre))
+        await clock.sleep_until(clock.now() + HOSTS_COUNTED_S)
+
+
 def _platform_session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
     return aiohttp.ClientSession(connector=connector)
@@ -213,9 +229,22 @@
             poison=PoisonGuard(clock, peers),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
+            host_name=cfg.name,
             evidence=Evidence(process),
             ratings=ratings,
         )
+        load_reports = LoadReports(
+            engines.session,
+            clock,
+            cfg.name,
+            router.loads,
+            router.prefix_caches,
+            lambda: (
+                endpoint
+                for endpoint in router.catalogue.endpoints.values()
+                if endpoint.data_centre == cfg.data_centre
+            ),
+        )
         pool = EvidencePool(router.evidence, peers.me)
         peers.carry(pool.section)
         guard = RolloutGuard(GuardPool(process, peers.me))
@@ -236,9 +265,12 @@
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(keeper.follow()),
+            asyncio.create_task(router.poison.learn(clock.now() + MEET_S)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
+            asyncio.create_task(load_reports.follow()),
+            asyncio.create_task(_count_hosts(clock, router, peers)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
             ),
@@ -268,7 +300,7 @@
                 caller_tls,
             ) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties, copies)
             try:
                 yield host
             finally:
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -6,11 +6,9 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-import xxhash
-
 from radishshift.admission import Admission
 from radishshift.answers import Answer, Answers, AnswerSink
-from radishshift.balance import BalanceQuestion, EndpointLoads, choose
+from radishshift.balance import BalanceQuestion, choose
 from radishshift.bills import Bill, Biller
 from radishshift.cascade import Plan, PlanQuestion, PlanStep, make_plan
 from radishshift.catalogue import Catalogue, ModelVersion, VersionState
@@ -31,13 +29,15 @@
 )
 from radishshift.evidence import Evidence
 from radishshift.limits import Limiter
+from radishshift.loads import EndpointLoads
 from radishshift.observation import Observer
 from radishshift.plan_runs import PlanRun
 from radishshift.poison_trials import PoisonGuard
+from radishshift.prefix_caches import PrefixCaches
 from radishshift.quality import QualityAccounts
 from radishshift.ratings import Ratings
 from radishshift.remote_answers import RemoteAnswers
-from radishshift.requests import ModelRequest, ServiceCall
+from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.retries import RetryBudget
 from radishshift.rollout import RolloutGuard, takes_canary
 from radishshift.running import RunningRequests
@@ -48,7 +48,6 @@
 
 __all__ = ["Router"]
 
-PREFIX_BYTES = 1024
 ANY_MODEL = "auto"
 CALL_COST_TOKENS = 100
 
@@ -90,6 +89,8 @@
     evidence: Evidence = field(default_factory=Evidence)
     accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
+    prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
+    host_name: str = ""
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     ratings: Ratings = field(default_factory=Ratings)
     guard: RolloutGuard | None = None
@@ -108,7 +109,8 @@
 
     def __post_init__(self) -> None:
         self.sweep = IdleSweep(self.clock)
-        self.poison = self.poison or PoisonGuard(self.clock)
+        if self.poison is None:
+            self.poison = PoisonGuard(self.clock)
 
     def in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Carry out work that no caller is to wait for."""
@@ -386,23 +388,33 @@
         ------
         NoEndpointError
         """
+        now = self.clock.now()
+        digest = prefix_digest(prefix)
         question = BalanceQuestion(
             served=served,
             data_centre=self.data_centre,
-            prefix_digest=xxhash.xxh3_64_intdigest(prefix[:PREFIX_BYTES]),
-            now=self.clock.now(),
+            prefix_digest=digest,
+            now=now,
+            host=self.host_name,
+            prefix_shared=self.prefix_caches.shared(digest),
         )
         endpoints = [
             endpoint
             for endpoint in self.catalogue.endpoints_of(served)
             if endpoint.name not in tried
         ]
-        balancer_name = self.catalogue.policies.balancer
-        return choose(balancer_name, question, self.loads.candidates(endpoints))
+        holders = self.prefix_caches.holders(digest)
+        chosen = choose(
+            self.catalogue.policies.balancer,
+            question,
+            self.loads.candidates(endpoints, now, holders),
+        )
+        self.prefix_caches.sent(digest, chosen.name)
+        return chosen
 
     def first_token(self, endpoint: Endpoint, req: ModelRequest, wait_s: float) -> None:
         """Note how long an endpoint took to the first token, in seconds."""
-        self.loads.first_token(endpoint, wait_s)
+        self.loads.first_token(endpoint, wait_s, self.clock.now())
         pool = self._pool_of(req.model)
         self.admission.first_token(pool, req.task_class, wait_s)
 
