--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -223,7 +223,7 @@
             ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=keeper,
-            poison=PoisonGuard(clock, peers),
+            poison=PoisonGuard(clock, peers, platform),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
             host_name=cfg.name,
@@ -251,6 +251,7 @@
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(keeper.follow()),
+            asyncio.create_task(router.poison.follow()),
             asyncio.create_task(router.poison.learn(clock.now() + MEET_S)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
--- a/radishshift/experiments/faults.py
+++ b/radishshift/experiments/faults.py
@@ -108,7 +108,7 @@
     session_moves: int = 0
     cut_by_shutdown: int = 0
     withdrawn_at: float = float("inf")
-    platform_down_until: dict[str, float] = field(default_factory=dict)
+    away_until: dict[str, float] = field(default_factory=dict)
 
 
 class _Callers:
@@ -334,6 +334,7 @@
         self._world.join_links()
         await asyncio.sleep(self._rng.choice([1.0, 4.0, 12.0]))
         host.paused = False
+        self._audit.away_until[host.name] = CLOCK.now()
         host.way.faults.slow_s = 0.005
         self._world.join_links()
 
@@ -353,7 +354,7 @@
         await asyncio.sleep(self._rng.uniform(1.0, 8.0))
         for host in hosts:
             host.way.faults.down = not host.live
-            self._audit.platform_down_until[host.name] = CLOCK.now()
+            self._audit.away_until[host.name] = CLOCK.now()
 
     async def _lose_replies(self) -> None:
         for host in self._world.live_hosts():
@@ -380,8 +381,8 @@
     count = 0
     for endpoint in world.endpoints.values():
         for run in endpoint.runs:
-            down_until = audit.platform_down_until.get(run.host, 0.0)
-            known_at = max(audit.withdrawn_at, down_until) + IN_FORCE_S
+            away_until = audit.away_until.get(run.host, 0.0)
+            known_at = max(audit.withdrawn_at, away_until) + IN_FORCE_S
             down = world.hosts[run.host].way.faults.down
             count += run.served == WITHDRAWN and run.at > known_at and not down
     return count
--- a/radishshift/poison.py
+++ b/radishshift/poison.py
@@ -76,6 +76,13 @@
         self._suspects[crash.fingerprint] = suspect
         self._trim(now)
 
+    def knows(self, crash: Crash) -> bool:
+        """Tell whether a crash changes nothing any more."""
+        suspect = self._suspects.get(crash.fingerprint)
+        if suspect is None:
+            return False
+        return crash in suspect.crashes or len(suspect.crashes) >= CRASHES_ALLOWED
+
     def crashes(self, fingerprint: str, now: float) -> int:
         """Return how often an endpoint crashed on a request."""
         suspect = self._suspects.get(fingerprint)
