--- a/radishshift/demo.py
+++ b/radishshift/demo.py
@@ -11,6 +11,7 @@
 import openai
 from absl import app, flags
 
+from radishshift.demo_decisions import show_cascade, show_rollout
 from radishshift.entry import EntryHost, running
 from radishshift.logs import log_to
 from radishshift.settings import (
@@ -125,6 +126,8 @@
 async def _run() -> None:
     async with deployed() as deployment, small_host(deployment) as host:
         await demonstrate(host.address)
+        await show_cascade(deployment, host, _ask, _show_bill)
+        await show_rollout(deployment, host)
         if FLAGS.keep:
             _print_hints(host, deployment)
             await asyncio.Event().wait()
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -276,6 +276,7 @@
                 _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
             ),
             asyncio.create_task(_every(clock, cfg.times.evidence_s, publish_evidence)),
+            asyncio.create_task(_every(clock, cfg.times.guard_s, watch_rollouts)),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
         caller_app = make_caller_app(router, cfg.bounds, cfg.times)
--- a/radishshift/guard.py
+++ b/radishshift/guard.py
@@ -27,6 +27,7 @@
 RATE_MAX = 0.95
 CENTRE_WEIGHT = 20.0
 START_WEIGHT = 0.5
+BALANCE = 0.5
 LOG_VALUE_MIN = -700.0
 
 
@@ -121,12 +122,16 @@
         self._due += START_WEIGHT / max(1, steps) / 2
 
     def look(self, canary: Arm, stable: Arm) -> np.ndarray:
-        """Take in what came since the last look; return the log of the value."""
+        """Take in what came since the last look; return the log of the value.
+
+        Counts wait until the stable version has enough to compare with; whether they
+        do is decided by the numbers of answers, not by how good they were.
+        """
         self._looks += 1
         self._due += START_WEIGHT / 2 / (self._looks * (self._looks + 1))
         canary = self._new_canary = self._new_canary.plus(canary)
         stable = self._new_stable = self._new_stable.plus(stable)
-        both = (canary.count > 0) & (stable.count > 0)
+        both = (canary.count > 0) & (stable.count >= BALANCE * canary.count)
         started = np.logaddexp(self._log_value, math.log(self._due))
         step = self._step(canary, stable, both)
         moved = np.maximum(started + step, LOG_VALUE_MIN)
--- a/radishshift/rollout.py
+++ b/radishshift/rollout.py
@@ -43,7 +43,8 @@
 
 def takes_canary(request_id: str, canary: ModelVersion) -> bool:
     """Tell whether a request is one of the canary's share, the same on any host."""
-    drawn = xxhash.xxh64_intdigest(f"{canary.name}/{request_id}") / 2**64
+    name = f"{canary.name}/{request_id}".encode()
+    drawn = xxhash.xxh64_intdigest(name) / 2**64
     return drawn < canary.canary_share
 
 
--- /dev/null
+++ b/tests/test_demo_decisions.py
@@ -0,0 +1,21 @@
+"""Tests of the demonstration of a cascade and of a stopped roll-out."""
+
+from radishshift.demo import _ask, _show_bill, small_host
+from radishshift.demo_decisions import show_cascade, show_rollout
+from radishshift.settings import TimeSettings
+from radishshift.standins.deployment import deployed
+from tests.cases import TestCase
+
+
+class DemoDecisionsTest(TestCase):
+    async def test_a_cascade_is_billed_and_a_bad_version_is_held(self):
+        times = TimeSettings(guard_s=0.05)
+        async with (
+            deployed() as deployment,
+            small_host(deployment, times=times) as host,
+        ):
+            for engine in deployment.engines.values():
+                engine.token_s = 0.001
+            await show_cascade(deployment, host, _ask, _show_bill)
+            entry = await show_rollout(deployment, host)
+            self.assertIn("quality", entry.status["rollout"]["reason"])
