Settle copies beside an owner that settles them too; follow the configuration as hosts do

Change: a batch that is gone is skipped; a leaving host takes no copies; the experiment uses the hosts' own follower, and its guard-off test stops the catalogue instead of one way into it.

--- a/radishshift/bill_copies.py
+++ b/radishshift/bill_copies.py
@@ -56,6 +56,7 @@
         self._peers = peers
         self._bound = bound
         self._owners: dict[tuple[str, int], _Owner] = {}
+        self._leaving = False
         peers.handle(BILL_TOPIC, self._take)
 
     @property
@@ -91,7 +92,7 @@
         for number in [n for n in owner.batches if n < owner.settled_below]:
             del owner.batches[number]
         coming = sum(len(bills) for bills in message.bills.values())
-        if self.held + coming > self._bound:
+        if self._leaving or self.held + coming > self._bound:
             raise BillsFullError("no room for copies of bills")
         if sender != message.host:
             owner.other_holder = self._incarnation_of(sender)
@@ -123,6 +124,7 @@
         PlatformUnavailableError
             The copies were passed on, if a host was in reach.
         """
+        self._leaving = True
         failure = None
         for owner in list(self._owners.values()):
             try:
@@ -139,7 +141,8 @@
         except RadishshiftError:
             await self._pass_on(owner)
             raise
-        self._owners.pop((owner.host, owner.incarnation), None)
+        if not owner.batches:
+            self._owners.pop((owner.host, owner.incarnation), None)
 
     def _gone(self, owner: _Owner) -> bool:
         for host in self._peers.hosts():
@@ -182,7 +185,10 @@
 
     async def _settle(self, owner: _Owner, number: int) -> None:
         """Store a batch; what another has not stored goes under a further name."""
-        batch = owner.batches[number]
+        batch = owner.batches.get(number)
+        if batch is None:
+            # Its owner has told meanwhile that it is settled.
+            return
         first_name = f"{owner.host}-{owner.incarnation}-{number}"
         name = first_name
         further = 0
--- a/radishshift/experiments/fault_world.py
+++ b/radishshift/experiments/fault_world.py
@@ -28,6 +28,7 @@
     ResumeRefusedError,
     StreamBrokenError,
 )
+from radishshift.following import ConfigurationFollower
 from radishshift.hosts import Host
 from radishshift.monitoring import is_ready
 from radishshift.objects import Kind, StoredObject
@@ -365,7 +366,10 @@
                 for table in other.configuration.tables.values():
                     self.configuration.take(table.items.values(), [])
                 break
-        self.spawn(self.configuration.follow(self.way))
+        follower = ConfigurationFollower(
+            self.configuration, self.way, self.peers, CLOCK, 0.0
+        )
+        self.spawn(follower.run())
         self.spawn(self.router.poison.learn(CLOCK.now() + 3.0))
         self.spawn(self.router.poison.follow())
         self.spawn(self._keep_ticking())
--- a/tests/experiments/test_faults.py
+++ b/tests/experiments/test_faults.py
@@ -80,7 +80,14 @@
         self.assert_rises("billed_twice", seconds=15.0)
 
     def test_a_configuration_that_stands_still_runs_withdrawn_versions(self):
-        self.patch(Configuration, "take_change", lambda *_: None)
+        rebuild = Configuration._rebuild
+
+        def rebuild_at_first(configuration):
+            catalogue = configuration.catalogue
+            if not (catalogue.versions and catalogue.endpoints):
+                rebuild(configuration)
+
+        self.patch(Configuration, "_rebuild", rebuild_at_first)
         self.assert_rises("withdrawn_runs", seed=2, seconds=18.0, gap_s=2.0)
 
     def test_a_session_token_that_is_not_heeded_moves_sessions(self):
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -1,5 +1,7 @@
 """Tests that each request is billed once, whatever fails."""
 
+import asyncio
+
 from radishshift.bill_copies import BillCopies
 from radishshift.bills import Bill, Biller, BillItem
 from radishshift.errors import BillsFullError, PlatformUnavailableError
@@ -140,6 +142,21 @@
             await fleet.settle()
             self.assertEqual(["request-1"], await fleet.charged())
 
+    async def test_an_owner_that_settles_while_its_holder_does_is_left_alone(self):
+        """The holder looked for a batch that its owner had just done with."""
+        fleet = BillingFleet("mbeya-1", "mbeya-2")
+        fleet.fault(slow_s=0.1)
+        biller = fleet.billers["mbeya-1"]
+        for number in range(3):
+            await biller.secure(new_bill(f"request-{number}"))
+            biller._open_next()
+        leaving = asyncio.create_task(fleet.copies["mbeya-2"].leave())
+        await CLOCK.sleep_until(CLOCK.now() + 0.05)
+        fleet.copies["mbeya-2"]._owners["mbeya-1", 0].batches.clear()
+        await leaving
+        await biller.flush()
+        self.assertEqual(3, len(await fleet.charged()))
+
     async def try_to_settle(self, copies):
         try:
             await copies.settle_gone()
