--- a/radishshift/experiments/relay_processes.py
+++ b/radishshift/experiments/relay_processes.py
@@ -124,6 +124,7 @@
         profiler.disable()
         stats = pstats.Stats(profiler, stream=sys.stderr)
         stats.sort_stats("tottime").print_stats(PROFILE_LINES)
+        stats.sort_stats("cumtime").print_stats("radishshift", PROFILE_LINES)
 
 
 async def _serve_entry(pipe: Connection, cfg: HostSettings, streams: int) -> None:
