Let events gather for two milliseconds while a host is busy

Cause: each byte of hundreds of streams woke the loop alone; a pass of the loop costs more than the byte. Change: the daemon's loop has a selector that polls at most once in 2 ms while more than 2,000 events a second come, and as before otherwise.

--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -30,6 +30,7 @@
 from radishshift.http_platform import HttpPlatform
 from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
+from radishshift.loops import gathering_loop
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
 from radishshift.poison_trials import PoisonGuard
@@ -328,7 +329,8 @@
         print("settings are valid")
         return 0
     log_to()
-    return asyncio.run(_serve(cfg))
+    with asyncio.Runner(loop_factory=gathering_loop) as runner:
+        return runner.run(_serve(cfg))
 
 
 def run() -> None:
--- a/radishshift/experiments/relay_processes.py
+++ b/radishshift/experiments/relay_processes.py
@@ -21,6 +21,7 @@
 
 from radishshift.entry import running, settle_memory
 from radishshift.listening import listening
+from radishshift.loops import gathering_loop
 from radishshift.settings import HostSettings
 
 __all__ = ["Load", "run_bare", "run_engine", "run_entry", "run_load"]
@@ -119,7 +120,8 @@
     profiler = cProfile.Profile()
     if profile:
         profiler.enable()
-    asyncio.run(_serve_entry(pipe, cfg, streams))
+    with asyncio.Runner(loop_factory=gathering_loop) as runner:
+        runner.run(_serve_entry(pipe, cfg, streams))
     if profile:
         profiler.disable()
         stats = pstats.Stats(profiler, stream=sys.stderr)
--- /dev/null
+++ b/tests/test_loops.py
@@ -0,0 +1,50 @@
+"""Tests of the event loop that lets events gather."""
+
+import socket
+from unittest import mock
+
+from radishshift import loops
+from tests.cases import TestCase
+
+
+class GatheringSelectorTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.slept = []
+        clock = mock.Mock(monotonic=lambda: self.now, sleep=self.sleep)
+        patcher = mock.patch.object(loops, "time", clock)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.selector = loops.GatheringSelector()
+        self.addCleanup(self.selector.close)
+
+    def sleep(self, seconds):
+        self.slept.append(seconds)
+        self.now += seconds
+
+    def open_ready(self, count):
+        for _ in range(count):
+            near, far = socket.socketpair()
+            self.addCleanup(near.close)
+            self.addCleanup(far.close)
+            far.send(b"x")
+            self.selector.register(near, loops.selectors.EVENT_READ)
+
+    def test_a_busy_loop_polls_once_in_a_while(self):
+        self.open_ready(20)
+        for _ in range(200):
+            self.now += 0.0005
+            self.assertEqual(20, len(self.selector.select(0.1)))
+        self.assertGreater(len(self.slept), 10)
+        self.assertLessEqual(max(self.slept), loops.GATHER_S)
+
+    def test_a_quiet_loop_and_one_with_work_to_do_do_not_wait(self):
+        self.open_ready(1)
+        for _ in range(20):
+            self.now += 0.05
+            self.selector.select(0.1)
+        self.open_ready(20)
+        for _ in range(200):
+            self.selector.select(0)
+        self.assertEqual([], self.slept)
