--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -22,6 +22,7 @@
     EndpointError,
     ResumeRefusedError,
     StreamBrokenError,
+    StreamSilentError,
 )
 from radishshift.pump import StreamPump
 from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
@@ -327,7 +328,7 @@
         except aiohttp.ClientError as exc:
             raise EndpointCrashedError(f"the connection broke: {exc}") from exc
         except TimeoutError as exc:
-            raise StreamBrokenError("the endpoint is silent") from exc
+            raise StreamSilentError("the endpoint is silent") from exc
         except OSError as exc:
             raise EndpointCrashedError(f"the connection broke: {exc}") from exc
 
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -3,7 +3,7 @@
 import asyncio
 import gc
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
 from dataclasses import dataclass
 
@@ -26,6 +26,7 @@
 from radishshift.errors import RadishshiftError
 from radishshift.evidence import Evidence
 from radishshift.evidence_pool import EvidencePool
+from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.load_reports import LoadReports
@@ -36,6 +37,7 @@
 from radishshift.poison_trials import PoisonGuard
 from radishshift.ratings import connected_ratings
 from radishshift.remote_answers import RemoteAnswers
+from radishshift.rollout import RolloutDriver, RolloutGuard
 from radishshift.router import Router
 from radishshift.running import RunningRequest
 from radishshift.session_keys import KeyKeeper
@@ -46,9 +48,11 @@
 
 FLAGS = flags.FLAGS
 DRAIN_POLL_S = 0.05
+MEET_S = 3.0
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
+ROLLOUT_EVERY_S = 1.0
 HOSTS_COUNTED_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
 YOUNG_OBJECTS_MAX = 20_000
@@ -70,6 +74,8 @@
         The other entry hosts.
     monitoring_address : str
         Base URL of metrics, indicators and health.
+    copies : BillCopies
+        Bills of other hosts.
     """
 
     cfg: HostSettings
@@ -78,6 +84,7 @@
     peers: Peers
     monitoring_address: str
     duties: Duties
+    copies: BillCopies
 
     async def stop(
         self, hurry: asyncio.Event | None = None, unready_s: float = 0.0
@@ -109,7 +116,8 @@
             )
         if left:
             await _until(lambda: not self.router.busy, clock, clock.now() + CUT_S)
-        await self._flush_bills(clock.now() + FLUSH_S)
+        await self._settle_bills(self.router.biller.flush, clock.now() + FLUSH_S)
+        await self._settle_bills(self.copies.leave, clock.now() + FLUSH_S)
         return left
 
     async def drain(self, deadline: float, hurry: asyncio.Event | None = None) -> int:
@@ -123,11 +131,13 @@
         )
         return router.busy
 
-    async def _flush_bills(self, deadline: float) -> None:
+    async def _settle_bills(
+        self, settle: Callable[[], Awaitable[None]], deadline: float
+    ) -> None:
         clock = self.router.clock
         while True:
             try:
-                await self.router.biller.flush()
+                await settle()
                 return
             except RadishshiftError as exc:
                 if clock.now() >= deadline:
@@ -219,7 +229,7 @@
             ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=keeper,
-            poison=PoisonGuard(clock, peers),
+            poison=PoisonGuard(clock, peers, platform),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
             host_name=cfg.name,
@@ -240,6 +250,17 @@
         )
         pool = EvidencePool(router.evidence, peers.me)
         peers.carry(pool.section)
+        guard = RolloutGuard(GuardPool(process, peers.me))
+        router.guard = guard
+        peers.carry(guard.pool.section)
+        configuration.listeners.append(guard.follow)
+        driver = RolloutDriver(platform, clock, guard, lambda: router.catalogue)
+        duties.add("rollout", driver.advance, ROLLOUT_EVERY_S)
+
+        async def watch_rollouts() -> None:
+            guard.pool.publish(clock.now())
+            guard.look(router.catalogue)
+            await driver.record_stops()
 
         async def publish_evidence() -> None:
             pool.publish(clock.now())
@@ -247,6 +268,8 @@
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(keeper.follow()),
+            asyncio.create_task(router.poison.follow()),
+            asyncio.create_task(router.poison.learn(clock.now() + MEET_S)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
@@ -281,7 +304,7 @@
                 caller_tls,
             ) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties, copies)
             try:
                 yield host
             finally:
