--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -64,8 +64,8 @@
     status: int = 200
     content_type: str = ""
 
-    async def forward(self, take: Callable[[bytes], bool]) -> None:
-        """Hand on the bytes as they come, until the end or until `take` says False.
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end.
 
         Raises
         ------
@@ -74,6 +74,17 @@
         """
         raise NotImplementedError
 
+    async def forward(self, take: Callable[[bytes], bool]) -> None:
+        """Hand on the bytes as they come, until the end or until `take` says False.
+
+        Raises
+        ------
+        StreamBrokenError
+        """
+        while data := await self.read():
+            if not take(data):
+                return
+
     async def end(self) -> None:
         """Let the connection come to its end, if it is quick to do so."""
 
@@ -127,6 +138,12 @@
         self._pump = pump
         _read_small(resp.connection)
 
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end."""
+        parts: list[bytes] = []
+        await self.forward(lambda data: bool(parts.append(data)))
+        return b"".join(parts)
+
     async def forward(self, take: Callable[[bytes], bool]) -> None:
         """Hand on the bytes as they come."""
         try:
--- a/radishshift/experiments/faults.py
+++ b/radishshift/experiments/faults.py
@@ -68,6 +68,14 @@
         """Take a part."""
         self.data += data
 
+    def push(self, data: bytes) -> bool:
+        """Take a part; there is always room."""
+        self.data += data
+        return True
+
+    async def drain(self) -> None:
+        """Return at once: there is always room."""
+
     @property
     def whole(self) -> bool:
         """Tell whether the end mark came."""
