--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -43,7 +43,7 @@
 from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
-from radishshift.timeouts import IdleSweep
+from radishshift.timeouts import Sweep
 from radishshift.verdicts import Verdict
 
 __all__ = ["Router"]
@@ -99,7 +99,7 @@
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
     running: RunningRequests = field(default_factory=RunningRequests)
-    sweep: IdleSweep = field(init=False)
+    sweep: Sweep = field(init=False)
     _background: set[asyncio.Task[None]] = field(default_factory=set, init=False)
 
     @property
@@ -108,7 +108,7 @@
         return self.configuration.catalogue
 
     def __post_init__(self) -> None:
-        self.sweep = IdleSweep(self.clock)
+        self.sweep = Sweep(self.clock)
         if self.poison is None:
             self.poison = PoisonGuard(self.clock)
 
