--- a/radishshift/experiments/rollout.py
+++ b/radishshift/experiments/rollout.py
@@ -177,11 +177,10 @@
         self.sums = {metric.name: [Arm.empty(shape)] * 2 for metric in METRICS}
 
     def worse(
-        self, canary: dict[str, Arm], stable: dict[str, Arm], step: bool
+        self, canary: dict[str, Arm], stable: dict[str, Arm], step: np.ndarray
     ) -> np.ndarray:
         """Take in a look's counts; tell which trials are to be stopped."""
-        if step:
-            self.guard.start_step(len(STEPS))
+        self.guard.start_step(len(STEPS), step[:, None])
         self.pending.append((canary, stable))
         if len(self.pending) <= self.delay:
             return np.zeros(canary["errors"].count.shape[0], bool)
@@ -213,11 +212,13 @@
         total = rng.binomial(counts, np.broadcast_to(mean, counts.shape))
         total = total.astype(float)
         return Arm(counts.astype(float), total, total)
-    variance = mean * (1 - mean) / (RATING_WEIGHT + 1)
-    total = counts * mean + rng.normal(size=counts.shape) * np.sqrt(counts * variance)
-    total = np.clip(total, 0, counts)
-    squares = np.clip(counts * (variance + mean * mean), 0, counts)
-    return Arm(counts.astype(float), total, np.broadcast_to(squares, counts.shape))
+    spread = np.sqrt(mean * (1 - mean) / (RATING_WEIGHT + 1))
+    low, high = mean - spread, mean + spread
+    upper = rng.binomial(counts, 0.5)
+    lower = counts - upper
+    total = lower * low + upper * high
+    squares = lower * low**2 + upper * high**2
+    return Arm(counts.astype(float), total, squares)
 
 
 def _usual(metric: str) -> float:
@@ -273,11 +274,9 @@
     return trials
 
 
-def _widen(trials: Trials, is_open: np.ndarray, now: float) -> bool:
+def _widen(trials: Trials, is_open: np.ndarray, now: float) -> np.ndarray:
     ready = is_open & (now - trials.step_began >= FLAGS.rollout_step_s)
     ready &= trials.step_attempts >= FLAGS.rollout_step_attempts
-    if not ready.any():
-        return False
     at = np.searchsorted(STEPS, trials.share)
     last = ready & (at == len(STEPS) - 1)
     trials.full_at[last] = now
@@ -285,7 +284,7 @@
     trials.share[on] = np.array(STEPS)[at[on] + 1]
     trials.step_began[on] = now
     trials.step_attempts[on] = 0
-    return True
+    return on
 
 
 def _exposure(trials: Trials) -> dict[str, Any]:
--- a/radishshift/guard.py
+++ b/radishshift/guard.py
@@ -29,6 +29,7 @@
 START_WEIGHT = 0.5
 BALANCE = 0.5
 LOG_VALUE_MIN = -700.0
+LEAST_WEIGHT = 1e-12
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,15 +112,27 @@
         self._usual = usual
         self._log_value = np.full((*shape, len(RATES)), -math.inf)
         self._looks = 0
-        self._due = START_WEIGHT
+        self._due = np.full(shape, START_WEIGHT)
+        self._starts = np.zeros(shape)
         self._canary = Arm.empty(shape)
         self._stable = Arm.empty(shape)
         self._new_canary = Arm.empty(shape)
         self._new_stable = Arm.empty(shape)
 
-    def start_step(self, steps: int) -> None:
-        """Let a new bet start here, as at each of `steps` steps of a roll-out."""
-        self._due += START_WEIGHT / max(1, steps) / 2
+    def start_step(self, steps: int, where: np.ndarray | bool = True) -> None:
+        """Let a new bet start here, as at each of `steps` steps of a roll-out.
+
+        Parameters
+        ----------
+        steps : int
+            Number of steps in all; starts over it are passed over, since all weights
+            together must not exceed 1.
+        where : ndarray of bool
+            Trials that take the step.
+        """
+        due = np.asarray(where) & (self._starts < steps)
+        self._starts = self._starts + due
+        self._due = self._due + START_WEIGHT / max(1, steps) / 2 * due
 
     def look(self, canary: Arm, stable: Arm) -> np.ndarray:
         """Take in what came since the last look; return the log of the value.
@@ -128,15 +141,15 @@
         do is decided by the numbers of answers, not by how good they were.
         """
         self._looks += 1
-        self._due += START_WEIGHT / 2 / (self._looks * (self._looks + 1))
+        self._due = self._due + START_WEIGHT / 2 / (self._looks * (self._looks + 1))
         canary = self._new_canary = self._new_canary.plus(canary)
         stable = self._new_stable = self._new_stable.plus(stable)
         both = (canary.count > 0) & (stable.count >= BALANCE * canary.count)
-        started = np.logaddexp(self._log_value, math.log(self._due))
+        started = np.logaddexp(self._log_value, np.log(self._due)[..., None])
         step = self._step(canary, stable, both)
         moved = np.maximum(started + step, LOG_VALUE_MIN)
         self._log_value = np.where(both[..., None], moved, started)
-        self._due = 1e-12
+        self._due = np.full(both.shape, LEAST_WEIGHT)
         self._take(canary, stable, both)
         highest = self._log_value.max(axis=-1)
         mean = np.exp(self._log_value - highest[..., None]).mean(axis=-1)
@@ -196,10 +209,10 @@
             metric.name: SequentialTest(metric.usual, self.shape) for metric in METRICS
         }
 
-    def start_step(self, steps: int) -> None:
+    def start_step(self, steps: int, where: np.ndarray | bool = True) -> None:
         """Note that the roll-out has taken one of its steps."""
         for test in self.tests.values():
-            test.start_step(steps)
+            test.start_step(steps, where)
 
     def look(self, canary: dict[str, Arm], stable: dict[str, Arm]) -> dict[str, bool]:
         """Take in what came since the last look; tell which metrics are worse."""
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -2,7 +2,7 @@
 
 import numpy as np
 
-from radishshift.guard import METRICS, Arm, Guard
+from radishshift.guard import METRICS, Arm, Guard, SequentialTest
 from tests.cases import TestCase
 
 TRIALS = 200
@@ -41,6 +41,15 @@
         stopped = _stopped(3, 0.3, looks=400, turns_at=300)
         self.assertTrue(np.all((stopped >= 300) & (stopped < 350)), stopped.max())
 
+    def test_starts_over_the_number_of_steps_do_not_weaken_the_guard(self):
+        """An operator moves the share to and fro."""
+        test = SequentialTest(0.02)
+        none = Arm.empty()
+        for _ in range(500):
+            test.start_step(5)
+            value = test.look(none, none)
+        self.assertTrue(value <= 0, value)
+
     def test_looks_without_new_counts_change_nothing(self):
         guard = Guard()
         none = {metric.name: Arm.empty() for metric in METRICS}
