--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -246,6 +246,8 @@
                 else:
                     first_events = events
                     paused = True
+                if scanner.broken is not None and not paused:
+                    raise scanner.broken
             return not (paused or scanner.done)
 
         while True:
@@ -256,6 +258,8 @@
                 first_events = b""
             if scanner.done or not paused:
                 break
+            if scanner.broken is not None:
+                raise scanner.broken
             await self.sink.drain()
         if not scanner.done:
             raise StreamBrokenError("the stream ended too soon")
--- a/radishshift/events.py
+++ b/radishshift/events.py
@@ -108,12 +108,15 @@
     usage : Usage or None
     done : bool
         Whether the end mark was seen.
+    broken : EndpointError or None
+        What was wrong behind the events that `feed` returned last.
     """
 
     def __init__(self, keep_usage: bool, stream_id: str = "") -> None:
         self.events = 0
         self.usage: Usage | None = None
         self.done = False
+        self.broken: EndpointError | None = None
         self._keep_usage = keep_usage
         self._stream_id = stream_id
         self._numbered = False
@@ -123,6 +126,7 @@
     def restart(self) -> None:
         """Forget a part of an event; the next bytes come from a new connection."""
         self._rest = b""
+        self.broken = None
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events of `data` that go to the caller.
@@ -137,6 +141,8 @@
         EndpointError
             The engine gave up the stream.
         """
+        if self.broken is not None:
+            raise self.broken
         if self._rest:
             data = self._rest + data
             self._rest = b""
@@ -150,9 +156,14 @@
         if len(rest) > EVENT_BYTES_MAX:
             raise StreamBrokenError("the endpoint sent an event without an end")
         passed = []
-        for block in blocks:
-            if not self.done and self._take(block):
-                passed.append(block + BORDER)
+        try:
+            for block in blocks:
+                if not self.done and self._take(block):
+                    passed.append(block + BORDER)
+        except EndpointError as exc:
+            if not passed:
+                raise
+            self.broken = exc
         if not self.done:
             self._rest = rest
         return b"".join(passed)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -74,6 +74,16 @@
             self.assertRaises(StreamBrokenError, scanner.feed, wrong)
             self.assertEqual(1, scanner.events)
 
+    def test_events_before_a_wrong_one_are_not_lost(self):
+        """They were counted and not passed on, so a resume left them out."""
+        scanner = EventScanner(False, "s-1")
+        good = event(0, "a") + event(1, "b")
+        self.assertEqual(good, scanner.feed(good + event(2, "c", stream="s-2")))
+        self.assertEqual(2, scanner.events)
+        self.assertRaises(StreamBrokenError, scanner.feed, event(2, "c"))
+        scanner.restart()
+        self.assertEqual(event(2, "c"), scanner.feed(event(2, "c")))
+
     def test_an_engines_error_ends_the_stream(self):
         scanner = EventScanner(False, "s-1")
         self.assertRaises(EndpointError, scanner.feed, b'data: {"error":{}}\n\n')
