Take a session's KV cache along when its endpoint leaves

Cause: a long session's next prompt was worked through anew at another endpoint. Change: the new endpoint is told to import the cache from the leaving one if the expected import, learned from earlier ones, is shorter.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -125,11 +125,14 @@
         """Try endpoints until one has given the whole answer."""
         router = self.router
         tried: set[str] = set()
+        kv_source = router.kv_source(self.req, self.version.name)
         while True:
             endpoint = router.choose_endpoint(
                 self.version.name, self.req.body_bytes, tried
             )
             tried.add(endpoint.name)
+            if kv_source is not None:
+                await router.bring_kv(self.req, kv_source, endpoint)
             try:
                 await self._attempt(endpoint)
                 return
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -27,6 +27,7 @@
 from radishshift.evidence_pool import EvidencePool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
+from radishshift.kv_moves import KvMover
 from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
@@ -229,6 +230,7 @@
             host_name=cfg.name,
             evidence=Evidence(process),
             ratings=ratings,
+            kv_mover=KvMover(engines.session, clock),
         )
         load_reports = LoadReports(
             engines.session,
--- a/radishshift/monitoring.py
+++ b/radishshift/monitoring.py
@@ -70,6 +70,10 @@
     metrics.watch("bills.unsettled", lambda: router.biller.unsettled)
     metrics.watch("bills.unsecured", lambda: router.biller.unsecured)
     metrics.watch("poison.suspects", lambda: len(router.poison))
+    if router.kv_mover is not None:
+        mover = router.kv_mover
+        metrics.watch("kv.moved", lambda: mover.moved)
+        metrics.watch("kv.failed", lambda: mover.failed)
     metrics.watch("claims.backlog", lambda: router.claims.backlog)
     metrics.watch("catalogue.revision", lambda: router.catalogue.revision)
     metrics.watch("catalogue.versions", lambda: len(router.catalogue.versions))
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -28,6 +28,7 @@
     WithdrawnError,
 )
 from radishshift.evidence import Evidence
+from radishshift.kv_moves import KvMover
 from radishshift.limits import Limiter
 from radishshift.loads import EndpointLoads
 from radishshift.observation import Observer
@@ -94,6 +95,7 @@
     ratings: Ratings = field(default_factory=Ratings)
     poison: PoisonGuard | None = None
     observer: Observer | None = None
+    kv_mover: KvMover | None = None
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
     running: RunningRequests = field(default_factory=RunningRequests)
@@ -336,6 +338,25 @@
         if version is None or not version.state.keeps_sessions:
             raise WithdrawnError(f"{name} was withdrawn")
 
+    def kv_source(self, req: ModelRequest, served: str) -> Endpoint | None:
+        """Return the leaving endpoint that alone holds a session's KV cache, if any."""
+        if self.kv_mover is None or not req.session_token:
+            return None
+        holders = self.prefix_caches.holders(prefix_digest(req.body_bytes))
+        return self.kv_mover.source(self.catalogue, served, holders)
+
+    async def bring_kv(
+        self, req: ModelRequest, source: Endpoint, endpoint: Endpoint
+    ) -> None:
+        """Have an endpoint fetch a session's KV cache, if that is worth it."""
+        await self.kv_mover.bring(
+            source,
+            endpoint,
+            prefix_digest(req.body_bytes),
+            req.prompt_tokens_estimate,
+            self.catalogue.policies.parameters,
+        )
+
     def choose_endpoint(self, served: str, prefix: bytes, tried: set[str]) -> Endpoint:
         """Return the endpoint for the next attempt.
 
--- a/radishshift/standins/engine.py
+++ b/radishshift/standins/engine.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from radishshift.standins.kv_cache import StandinKvCache
 from radishshift.standins.prefix_cache import StandinPrefixCache
 
 __all__ = ["EngineFaults", "StandinEngine"]
@@ -107,6 +108,7 @@
     generations: dict[str, Generation] = field(default_factory=dict)
     transports: set[asyncio.Transport] = field(default_factory=set)
     cache: StandinPrefixCache = field(default_factory=StandinPrefixCache)
+    kv: StandinKvCache = field(default_factory=StandinKvCache)
     in_flight: int = 0
 
     def app(self) -> web.Application:
@@ -115,6 +117,7 @@
         app.router.add_post("/v1/chat/completions", self._chat)
         app.router.add_post("/v1/completions", self._complete)
         app.router.add_get("/v1/load", self._load)
+        self.kv.add_to(app)
         app.router.add_get("/v1/streams/{attempt_id}", self._resume)
         app.router.add_delete("/v1/streams/{attempt_id}", self._cancel)
         return app
@@ -156,6 +159,9 @@
             self.crash()
         generation = self._generate(body, prompt, kind)
         self.generations[attempt_id] = generation
+        prefix = request.headers.get("X-Prefix-Digest", "")
+        await self.kv.prefill(prefix, generation.prompt_tokens)
+        generation.began = asyncio.get_running_loop().time()
         await asyncio.sleep(self.faults.late_s)
         if not body.get("stream"):
             await asyncio.sleep(self.token_s * len(generation.tokens))
--- /dev/null
+++ b/radishshift/standins/kv_cache.py
@@ -0,0 +1,60 @@
+"""A stand-in of an engine's export and import of KV caches."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+__all__ = ["StandinKvCache"]
+
+
+@dataclass(slots=True)
+class StandinKvCache:
+    """Caches by prefix, each as long as its prompt.
+
+    Parameters
+    ----------
+    prefill_token_s : float
+        Time to work through a token that is not cached, in seconds.
+    export_token_s : float
+        Time to send the cache of a token, in seconds.
+    refuse : bool
+        Know nothing of any cache that is asked for.
+    """
+
+    prefill_token_s: float = 0.0
+    export_token_s: float = 0.0
+    refuse: bool = False
+    held: dict[str, int] = field(default_factory=dict)
+    imported: list[str] = field(default_factory=list)
+
+    def add_to(self, app: web.Application) -> None:
+        """Serve exports and imports."""
+        app.router.add_get("/v1/kv/{prefix}", self._export)
+        app.router.add_post("/v1/kv/imports", self._import)
+
+    async def prefill(self, prefix: str, tokens: int) -> None:
+        """Work through a prompt, less what is cached of it."""
+        cached = self.held.get(prefix, 0)
+        await asyncio.sleep(self.prefill_token_s * max(0, tokens - cached))
+        self.held[prefix] = max(tokens, cached)
+
+    async def _export(self, request: web.Request) -> web.Response:
+        tokens = self.held.get(request.match_info["prefix"])
+        if tokens is None or self.refuse:
+            return web.json_response({}, status=404)
+        await asyncio.sleep(self.export_token_s * tokens)
+        return web.json_response({"tokens": tokens})
+
+    async def _import(self, request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read())
+        url = f"{order['source']}/v1/kv/{order['prefix']}"
+        async with aiohttp.ClientSession() as session, session.get(url) as resp:
+            if resp.status != 200:
+                return web.json_response({}, status=404)
+            cache = msgspec.json.decode(await resp.read())
+        self.held[order["prefix"]] = cache["tokens"]
+        self.imported.append(order["prefix"])
+        return web.json_response({})
--- /dev/null
+++ b/tests/test_kv_moves.py
@@ -0,0 +1,94 @@
+"""Tests of moves of KV caches from endpoints that leave."""
+
+import aiohttp
+
+from radishshift.catalogue import Catalogue
+from radishshift.clocks import SystemClock
+from radishshift.endpoints import Endpoint, EndpointState
+from radishshift.kv_moves import KvMover
+from radishshift.listening import listening
+from radishshift.standins.engine import StandinEngine
+from tests.cases import TestCase
+
+VERSION = "farm-advice-large.v1"
+SLOW_PREFILL = {"kv.prefill-token-s": 0.01}
+LONG = 1_000
+
+
+def _endpoint(name, address="http://127.0.0.1:9", state=EndpointState.LIVE):
+    return Endpoint(name, address, "mbeya", frozenset({VERSION}), 8, False, state)
+
+
+class KvMoverTest(TestCase):
+    async def _bring(self, tokens, values, refuse=False):
+        old = StandinEngine("old", frozenset({VERSION}))
+        new = StandinEngine("new", frozenset({VERSION}))
+        old.kv.held[f"{7:016x}"] = tokens
+        old.kv.refuse = refuse
+        async with (
+            listening(old.app()) as old_url,
+            listening(new.app()) as new_url,
+            aiohttp.ClientSession() as session,
+        ):
+            mover = KvMover(session, SystemClock())
+            source = _endpoint("old", old_url, EndpointState.LEAVING)
+            target = _endpoint("new", new_url)
+            for _ in range(2):
+                brought = await mover.bring(source, target, 7, tokens, values)
+        return brought, new.kv.imported, mover
+
+    async def test_a_long_prompt_is_moved_once(self):
+        brought, imported, mover = await self._bring(LONG, SLOW_PREFILL)
+        self.assertTrue(brought)
+        self.assertEqual([f"{7:016x}"], imported)
+        self.assertEqual(1, mover.moved)
+
+    async def test_a_short_prompt_is_worked_through(self):
+        brought, imported, _ = await self._bring(2, SLOW_PREFILL)
+        self.assertFalse(brought)
+        self.assertEqual([], imported)
+
+    async def test_a_source_without_the_cache_fails_no_request(self):
+        """The leaving endpoint has dropped the cache, or has gone already."""
+        brought, _, mover = await self._bring(LONG, SLOW_PREFILL, refuse=True)
+        self.assertFalse(brought)
+        self.assertGreaterEqual(mover.failed, 1)
+        catalogue = Catalogue(
+            endpoints={"old": _endpoint("old", state=EndpointState.LEAVING)}
+        )
+        self.assertIsNone(mover.source(catalogue, VERSION, frozenset({"old"})))
+
+    async def test_a_slow_link_is_given_up_for_a_while(self):
+        """Each import timed out, and each request waited for one all the same."""
+        old = StandinEngine("old", frozenset({VERSION}))
+        new = StandinEngine("new", frozenset({VERSION}))
+        old.kv.export_token_s = 1.0
+        clock = SystemClock()
+        values = {"kv.prefill-token-s": 0.0004, "kv.import-start-s": 0.0}
+        async with (
+            listening(old.app(), shutdown_timeout=0.1) as old_url,
+            listening(new.app(), shutdown_timeout=0.1) as new_url,
+            aiohttp.ClientSession() as session,
+        ):
+            mover = KvMover(session, clock)
+            source = _endpoint("old", old_url, EndpointState.LEAVING)
+            target = _endpoint("new", new_url)
+            for number in range(20):
+                old.kv.held[f"{number:016x}"] = 100
+                await mover.bring(source, target, number, 100, values)
+        self.assertLess(mover.failed, 10)
+        self.assertFalse(mover.is_worth(100, values))
+
+    def test_only_a_leaving_endpoint_is_a_source(self):
+        catalogue = Catalogue(
+            endpoints={
+                "live": _endpoint("live"),
+                "old": _endpoint("old", state=EndpointState.LEAVING),
+            }
+        )
+        mover = KvMover(None, SystemClock())
+        source = mover.source(catalogue, VERSION, frozenset({"old", "gone"}))
+        self.assertEqual("old", source.name)
+        both = frozenset({"old", "live"})
+        self.assertIsNone(mover.source(catalogue, VERSION, both))
+        self.assertIsNone(mover.source(catalogue, "other.v1", frozenset({"old"})))
