--- a/radishshift/demo.py
+++ b/radishshift/demo.py
@@ -11,6 +11,7 @@
 import openai
 from absl import app, flags
 
+from radishshift.demo_decisions import show_cascade, show_rollout
 from radishshift.entry import EntryHost, running
 from radishshift.logs import log_to
 from radishshift.settings import (
@@ -47,8 +48,9 @@
         address=AddressSettings(caller_port=0, peer_port=0, metrics_port=0),
         ratings=RatingSettings(address=deployment.ratings_address, fetch_s=0.1),
     )
+    wanted = deployment.platform.revision
     async with running(cfg) as host:
-        while host.router.catalogue.revision < deployment.platform.revision:
+        while host.router.catalogue.revision < wanted:
             await asyncio.sleep(READY_POLL_S)
         yield host
 
@@ -124,6 +126,8 @@
 async def _run() -> None:
     async with deployed() as deployment, small_host(deployment) as host:
         await demonstrate(host.address)
+        await show_cascade(deployment, host, _ask, _show_bill)
+        await show_rollout(deployment, host)
         if FLAGS.keep:
             _print_hints(host, deployment)
             await asyncio.Event().wait()
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -1,6 +1,7 @@
 """The daemon on an entry host."""
 
 import asyncio
+import gc
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
@@ -25,23 +26,26 @@
 from radishshift.errors import RadishshiftError
 from radishshift.evidence import Evidence
 from radishshift.evidence_pool import EvidencePool
+from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
 from radishshift.kv_moves import KvMover
 from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
+from radishshift.loops import gathering_loop
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
 from radishshift.poison_trials import PoisonGuard
 from radishshift.ratings import connected_ratings
 from radishshift.remote_answers import RemoteAnswers
+from radishshift.rollout import RolloutDriver, RolloutGuard
 from radishshift.router import Router
 from radishshift.running import RunningRequest
 from radishshift.session_keys import KeyKeeper
 from radishshift.settings import ClientKeySettings, HostSettings, load_settings
 from radishshift.tls import client_context_of, server_tls_of
 
-__all__ = ["EntryHost", "run", "running"]
+__all__ = ["EntryHost", "run", "running", "settle_memory"]
 
 FLAGS = flags.FLAGS
 DRAIN_POLL_S = 0.05
@@ -49,8 +53,10 @@
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
+ROLLOUT_EVERY_S = 1.0
 HOSTS_COUNTED_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
+YOUNG_OBJECTS_MAX = 20_000
 
 logger = logbook.Logger("entry")
 
@@ -224,7 +230,7 @@
             ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
             session_keys=keeper,
-            poison=PoisonGuard(clock, peers),
+            poison=PoisonGuard(clock, peers, platform),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
             host_name=cfg.name,
@@ -246,6 +252,17 @@
         )
         pool = EvidencePool(router.evidence, peers.me)
         peers.carry(pool.section)
+        guard = RolloutGuard(GuardPool(process, peers.me))
+        router.guard = guard
+        peers.carry(guard.pool.section)
+        configuration.listeners.append(guard.follow)
+        driver = RolloutDriver(platform, clock, guard, lambda: router.catalogue)
+        duties.add("rollout", driver.advance, ROLLOUT_EVERY_S)
+
+        async def watch_rollouts() -> None:
+            guard.pool.publish(clock.now())
+            guard.look(router.catalogue)
+            await driver.record_stops()
 
         async def publish_evidence() -> None:
             pool.publish(clock.now())
@@ -253,6 +270,7 @@
         copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
             asyncio.create_task(keeper.follow()),
+            asyncio.create_task(router.poison.follow()),
             asyncio.create_task(router.poison.learn(clock.now() + MEET_S)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
@@ -263,6 +281,7 @@
                 _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
             ),
             asyncio.create_task(_every(clock, cfg.times.evidence_s, publish_evidence)),
+            asyncio.create_task(_every(clock, cfg.times.guard_s, watch_rollouts)),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
         caller_app = make_caller_app(router, cfg.bounds, cfg.times)
@@ -300,6 +319,16 @@
                 await router.claims.close()
 
 
+def settle_memory() -> None:
+    """Leave what the start has made out of the collector's later passes.
+
+    A pass over all of it would hold up every stream for tens of milliseconds.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS_MAX, *gc.get_threshold()[1:])
+
+
 async def _serve(cfg: HostSettings) -> int:
     stop = asyncio.Event()
     hurry = asyncio.Event()
@@ -311,6 +340,7 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, signalled)
     async with running(cfg) as host:
+        settle_memory()
         logger.info("serving callers at {}", host.address)
         await stop.wait()
         logger.info("leaving: {} requests are running", len(host.router.running))
@@ -325,7 +355,8 @@
         print("settings are valid")
         return 0
     log_to()
-    return asyncio.run(_serve(cfg))
+    with asyncio.Runner(loop_factory=gathering_loop) as runner:
+        return runner.run(_serve(cfg))
 
 
 def run() -> None:
--- a/radishshift/experiments/relay_processes.py
+++ b/radishshift/experiments/relay_processes.py
@@ -19,8 +19,9 @@
 import numpy as np
 from aiohttp import web
 
-from radishshift.entry import running
+from radishshift.entry import running, settle_memory
 from radishshift.listening import listening
+from radishshift.loops import gathering_loop
 from radishshift.settings import HostSettings
 
 __all__ = ["Load", "run_bare", "run_engine", "run_entry", "run_load"]
@@ -119,17 +120,20 @@
     profiler = cProfile.Profile()
     if profile:
         profiler.enable()
-    asyncio.run(_serve_entry(pipe, cfg, streams))
+    with asyncio.Runner(loop_factory=gathering_loop) as runner:
+        runner.run(_serve_entry(pipe, cfg, streams))
     if profile:
         profiler.disable()
         stats = pstats.Stats(profiler, stream=sys.stderr)
         stats.sort_stats("tottime").print_stats(PROFILE_LINES)
+        stats.sort_stats("cumtime").print_stats("radishshift", PROFILE_LINES)
 
 
 async def _serve_entry(pipe: Connection, cfg: HostSettings, streams: int) -> None:
     async with running(cfg) as host:
         while not host.router.catalogue.endpoints:
             await asyncio.sleep(READY_POLL_S)
+        settle_memory()
         room = host.router.admission.pool(MODEL).room
         room.limit = float(2 * streams)
         pipe.send(host.address)
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from radishshift.admission import Admission
@@ -11,7 +11,7 @@
 from radishshift.balance import BalanceQuestion, choose
 from radishshift.bills import Bill, Biller
 from radishshift.cascade import Plan, PlanQuestion, PlanStep, make_plan
-from radishshift.catalogue import Catalogue, ModelVersion
+from radishshift.catalogue import Catalogue, ModelVersion, VersionState
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
@@ -40,10 +40,11 @@
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.retries import RetryBudget
+from radishshift.rollout import RolloutGuard, takes_canary
 from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
 from radishshift.sessions import Session, SessionKeys
-from radishshift.timeouts import IdleSweep
+from radishshift.timeouts import Sweep
 from radishshift.verdicts import Verdict
 
 __all__ = ["Router"]
@@ -93,13 +94,14 @@
     host_name: str = ""
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     ratings: Ratings = field(default_factory=Ratings)
+    guard: RolloutGuard | None = None
     poison: PoisonGuard | None = None
     observer: Observer | None = None
     kv_mover: KvMover | None = None
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
     running: RunningRequests = field(default_factory=RunningRequests)
-    sweep: IdleSweep = field(init=False)
+    sweep: Sweep = field(init=False)
     _background: set[asyncio.Task[None]] = field(default_factory=set, init=False)
 
     @property
@@ -108,7 +110,7 @@
         return self.configuration.catalogue
 
     def __post_init__(self) -> None:
-        self.sweep = IdleSweep(self.clock)
+        self.sweep = Sweep(self.clock)
         if self.poison is None:
             self.poison = PoisonGuard(self.clock)
 
@@ -251,6 +253,7 @@
         question = self._question(req)
         plan = self._plan(req, question)
         run = PlanRun(self, req, question, plan, bill, answer, sink)
+        run.steps = self._with_canaries(req, plan)
         try:
             await run.until_done()
         except (RadishshiftError, asyncio.CancelledError):
@@ -279,6 +282,33 @@
         planner_name = self.catalogue.policies.planner
         return make_plan(planner_name, question, self.evidence, self.accounts)
 
+    def _with_canaries(self, req: ModelRequest, plan: Plan) -> tuple[PlanStep, ...]:
+        """Put a canary in its stable version's place, for its share of requests.
+
+        The plan is made first, so that both versions get the same kinds of work.
+        """
+        if req.session_token:
+            return plan.steps
+        canaries = {
+            version.stable: version
+            for version in self.catalogue.allowed_versions(req.contract)
+            if self._runs_as_canary(version) and takes_canary(req.request_id, version)
+        }
+        return tuple(
+            replace(step, version=canaries.get(step.version.name, step.version))
+            for step in plan.steps
+        )
+
+    def _runs_as_canary(self, version: ModelVersion) -> bool:
+        return (
+            version.state is VersionState.CANARY
+            and not self._is_stopped(version)
+            and any(self.catalogue.endpoints_of(version.name))
+        )
+
+    def _is_stopped(self, version: ModelVersion) -> bool:
+        return self.guard is not None and version.name in self.guard.stopped
+
     def _choices(self, req: ModelRequest) -> tuple[ModelVersion, ...]:
         if req.session_token:
             now = self.clock.now()
@@ -288,7 +318,7 @@
         named = self.catalogue.versions.get(req.model)
         if named is not None and named.state.keeps_sessions is False:
             raise WithdrawnError(f"{req.model} takes no work: it is {named.state}")
-        candidates = tuple(self._candidates(req))
+        candidates = tuple(self._without_canaries(req, self._candidates(req)))
         if not candidates:
             self._refuse_model(req)
         return candidates
@@ -310,6 +340,21 @@
             if any(self.catalogue.endpoints_of(version.name)):
                 yield version
 
+    def _without_canaries(
+        self, req: ModelRequest, candidates: Iterator[ModelVersion]
+    ) -> list[ModelVersion]:
+        """Leave out canaries: those with a stable version come in its place."""
+        found = [version for version in candidates if not self._is_stopped(version)]
+        if req.model in {version.name for version in found}:
+            return found
+        names = {version.name for version in found}
+        return [
+            version
+            for version in found
+            if version.state is not VersionState.CANARY
+            or (version.stable not in names and takes_canary(req.request_id, version))
+        ] or [version for version in found if version.stable not in names]
+
     def _refuse_model(self, req: ModelRequest) -> None:
         known = {version.model for version in self.catalogue.versions.values()}
         if req.model not in known | set(self.catalogue.versions) | {ANY_MODEL}:
