--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -125,11 +125,14 @@
         """Try endpoints until one has given the whole answer."""
         router = self.router
         tried: set[str] = set()
+        kv_source = router.kv_source(self.req, self.version.name)
         while True:
             endpoint = router.choose_endpoint(
                 self.version.name, self.req.body_bytes, tried
             )
             tried.add(endpoint.name)
+            if kv_source is not None:
+                await router.bring_kv(self.req, kv_source, endpoint)
             try:
                 await self._attempt(endpoint)
                 return
@@ -246,6 +249,8 @@
                 else:
                     first_events = events
                     paused = True
+                if scanner.broken is not None and not paused:
+                    raise scanner.broken
             return not (paused or scanner.done)
 
         while True:
@@ -256,6 +261,8 @@
                 first_events = b""
             if scanner.done or not paused:
                 break
+            if scanner.broken is not None:
+                raise scanner.broken
             await self.sink.drain()
         if not scanner.done:
             raise StreamBrokenError("the stream ended too soon")
