--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -27,7 +27,9 @@
 from radishshift.evidence_pool import EvidencePool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
-from radishshift.load_reports import LoadReports
+from radishshift.limit_shares import LimitShares
+from radishshift.limits import Limiter
+from radishshift.load_control import LoadControl
 from radishshift.logs import log_to
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
@@ -47,7 +49,6 @@
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
-HOSTS_COUNTED_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
 
 logger = logbook.Logger("entry")
@@ -147,13 +148,6 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
-async def _count_hosts(clock: Clock, router: Router, peers: Peers) -> None:
-    """Tell the estimates of load how many hosts send to the same endpoints."""
-    while True:
-        router.loads.hosts = 1 + len(peers.live(router.data_centre))
-        await clock.sleep_until(clock.now() + HOSTS_COUNTED_S)
-
-
 def _platform_session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
     return aiohttp.ClientSession(connector=connector)
@@ -200,6 +194,7 @@
         process = f"{cfg.name}-{peers.me.incarnation}"
         keeper = KeyKeeper(platform, clock)
         await keeper.try_refresh()
+        limit_shares = LimitShares(peers.me)
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
@@ -220,21 +215,11 @@
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
             host_name=cfg.name,
+            limiter=Limiter(limit_shares),
             evidence=Evidence(process),
             ratings=ratings,
         )
-        load_reports = LoadReports(
-            engines.session,
-            clock,
-            cfg.name,
-            router.loads,
-            router.prefix_caches,
-            lambda: (
-                endpoint
-                for endpoint in router.catalogue.endpoints.values()
-                if endpoint.data_centre == cfg.data_centre
-            ),
-        )
+        load = LoadControl(router, limit_shares, engines, platform, peers, duties)
         pool = EvidencePool(router.evidence, peers.me)
         peers.carry(pool.section)
 
@@ -247,8 +232,6 @@
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
-            asyncio.create_task(load_reports.follow()),
-            asyncio.create_task(_count_hosts(clock, router, peers)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
             ),
@@ -267,6 +250,7 @@
                 configuration, platform, peers, duties, clock, cfg.peers.seeds
             )
         async with (
+            load.running(),
             following,
             monitored(cfg, clock, router) as monitoring_url,
             listening_to_callers(
