--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
-from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -23,6 +23,7 @@
     HungUpError,
     ResumeRefusedError,
     StreamBrokenError,
+    StreamSilentError,
 )
 from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
@@ -66,6 +67,7 @@
     scanner: EventScanner
     first_token_at: float | None = None
     dispatched: bool = False
+    broke: bool = False
     collected: bytearray = field(default_factory=bytearray)
 
 
@@ -209,10 +211,11 @@
             except ResumeRefusedError:
                 raise
             except EndpointError as exc:
-                silent = isinstance(exc, StreamBrokenError)
-                if not attempt.dispatched and not silent:
+                broke = isinstance(exc, StreamBrokenError)
+                if not attempt.dispatched and not broke:
                     raise
                 attempt.dispatched = True
+                attempt.broke |= broke and not isinstance(exc, StreamSilentError)
                 failures = 1 if scanner.events > events_before else failures + 1
                 if failures >= RESUMES_MAX:
                     raise
@@ -226,33 +229,48 @@
     ) -> None:
         """Pass on what comes over one connection, up to the end mark."""
         scanner = attempt.scanner
-        async with aclosing(stream.chunks()) as chunks:
-            async for data in chunks:
-                events = scanner.feed(data)
-                if events:
-                    if attempt.first_token_at is None:
-                        self._first_token(endpoint, attempt)
-                    if self.req.stream and not self.hold:
-                        await self._pass_on(events)
-                    else:
-                        self._collect(attempt, events)
-                if scanner.done:
-                    break
+        paused = False
+        first_events = b""
+
+        def take(data: bytes) -> bool:
+            nonlocal paused, first_events
+            events = scanner.feed(data)
+            if events:
+                if attempt.first_token_at is None:
+                    self._first_token(endpoint, attempt)
+                if self.hold or not self.req.stream:
+                    self._collect(attempt, events)
+                elif self.started:
+                    self.answer.append(events)
+                    paused = not self.sink.push(events)
+                else:
+                    first_events = events
+                    paused = True
+            return not (paused or scanner.done)
+
+        while True:
+            paused = False
+            await stream.forward(take)
+            if first_events:
+                await self._begin(first_events)
+                first_events = b""
+            if scanner.done or not paused:
+                break
+            await self.sink.drain()
         if not scanner.done:
             raise StreamBrokenError("the stream ended too soon")
         await stream.end()
 
+    async def _begin(self, events: bytes) -> None:
+        await self._start("text/event-stream")
+        self.answer.append(events)
+        await self.sink.write(events)
+
     def _first_token(self, endpoint: Endpoint, attempt: _Attempt) -> None:
         attempt.first_token_at = self.router.clock.now()
         wait_s = attempt.first_token_at - attempt.began
         self.router.first_token(endpoint, self.req, wait_s)
 
-    async def _pass_on(self, events: bytes) -> None:
-        if not self.started:
-            await self._start("text/event-stream")
-        self.answer.append(events)
-        await self.sink.write(events)
-
     def _collect(self, attempt: _Attempt, events: bytes) -> None:
         attempt.collected += events
         if len(attempt.collected) > self.router.answers.answer_bytes:
@@ -336,6 +354,9 @@
             slow=first_token_at - attempt.began > objectives.first_token_s,
         )
         self.router.evidence.record(outcome, now)
+        guard = self.router.guard
+        if guard is not None and not self.req.session_token:
+            guard.pool.record(outcome)
 
     async def _finish(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage
@@ -360,22 +381,25 @@
         await self.router.biller.secure(self.bill)
         if self.req.stream:
             last = self._collected + DONE
-            if not self.started:
-                await self._start("text/event-stream")
+            content_type = "text/event-stream"
         else:
             last = assemble(self._collected, self.req.operation)
-            await self._start("application/json")
+            content_type = "application/json"
         self.answer.append(last)
+        if not self.started:
+            await self._start(content_type)
         await self.sink.write(last)
 
 
 def _is_crash(exc: BaseException, attempt: _Attempt) -> bool:
-    """Tell a crash of the endpoint from a connection that broke.
+    """Tell a crash of the endpoint from a connection that failed.
 
     A stream that broke is asked for on a new connection first. Only an endpoint
     that has lost it, or takes no connection any more, is held to have crashed.
     """
+    if isinstance(exc, ResumeRefusedError):
+        return attempt.broke
     if isinstance(exc, EndpointCrashedError):
         return True
     lost = isinstance(exc, EndpointError) and exc.verdict is Verdict.NOT_RUN
-    return lost and attempt.dispatched
+    return lost and attempt.broke
--- a/radishshift/bill_copies.py
+++ b/radishshift/bill_copies.py
@@ -7,7 +7,7 @@
 
 from radishshift.bills import BILL_TOPIC, Bill, CopyMessage, store_bills
 from radishshift.clocks import Clock
-from radishshift.errors import BillsFullError
+from radishshift.errors import BillsFullError, RadishshiftError
 from radishshift.hosts import HostState
 from radishshift.peers import Peers
 from radishshift.platform import Platform
@@ -15,19 +15,24 @@
 __all__ = ["BillCopies"]
 
 COPIES_MAX = 50_000
-GONE_S = 10.0
+GONE_S = 2.0
+PASS_ON_S = 0.5
 
 logger = logbook.Logger("bills")
 
 
 @dataclass(slots=True)
 class _Owner:
-    """Bills of one incarnation of a host, by the number of their batch."""
+    """Bills of one incarnation of a host, by the number of their batch.
+
+    `other_holder` is a host that holds them too, with its incarnation.
+    """
 
     host: str
     incarnation: int
     heard_at: float
     settled_below: int = 0
+    other_holder: tuple[str, int] | None = None
     batches: dict[int, dict[str, Bill]] = field(default_factory=dict)
 
 
@@ -51,6 +56,7 @@
         self._peers = peers
         self._bound = bound
         self._owners: dict[tuple[str, int], _Owner] = {}
+        self._leaving = False
         peers.handle(BILL_TOPIC, self._take)
 
     @property
@@ -62,7 +68,21 @@
             for batch in owner.batches.values()
         )
 
-    async def _take(self, _: str, data: bytes) -> bytes:
+    def runs_alone(self) -> set[str]:
+        """Return the runs of dead hosts' bills that no other live host holds."""
+        return {
+            run
+            for owner in self._owners.values()
+            if self._gone(owner) and not self._is_held_elsewhere(owner)
+            for batch in owner.batches.values()
+            for run in batch
+        }
+
+    def _is_held_elsewhere(self, owner: _Owner) -> bool:
+        other = owner.other_holder
+        return other is not None and self._incarnation_of(other[0]) == other
+
+    async def _take(self, sender: str, data: bytes) -> bytes:
         message = msgspec.json.decode(data, type=CopyMessage)
         now = self._clock.now()
         key = (message.host, message.incarnation)
@@ -72,8 +92,10 @@
         for number in [n for n in owner.batches if n < owner.settled_below]:
             del owner.batches[number]
         coming = sum(len(bills) for bills in message.bills.values())
-        if self.held + coming > self._bound:
+        if self._leaving or self.held + coming > self._bound:
             raise BillsFullError("no room for copies of bills")
+        if sender != message.host:
+            owner.other_holder = self._incarnation_of(sender)
         for number, bills in message.bills.items():
             batch = owner.batches.setdefault(number, {})
             batch.update((bill.run, bill) for bill in bills)
@@ -87,25 +109,86 @@
         PlatformUnavailableError
             Nothing is lost; the next call goes on.
         """
-        for key, owner in list(self._owners.items()):
-            if not self._gone(owner):
-                continue
+        for owner in list(self._owners.values()):
+            if self._gone(owner):
+                await self._settle_owner(owner)
+
+    async def leave(self) -> None:
+        """Settle or pass on all copies, as this host is about to end.
+
+        An owner may have died without anyone knowing; one that lives finds its
+        batch settled and carries on.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The copies were passed on, if a host was in reach.
+        """
+        self._leaving = True
+        failure = None
+        for owner in list(self._owners.values()):
+            try:
+                await self._settle_owner(owner)
+            except RadishshiftError as exc:
+                failure = exc
+        if failure is not None:
+            raise failure
+
+    async def _settle_owner(self, owner: _Owner) -> None:
+        try:
             for number in sorted(owner.batches):
                 await self._settle(owner, number)
-            if not owner.batches:
-                self._owners.pop(key, None)
+        except RadishshiftError:
+            await self._pass_on(owner)
+            raise
+        if not owner.batches:
+            self._owners.pop((owner.host, owner.incarnation), None)
 
     def _gone(self, owner: _Owner) -> bool:
-        if self._clock.now() - owner.heard_at < GONE_S:
-            return False
         for host in self._peers.hosts():
-            if host.name == owner.host and host.incarnation == owner.incarnation:
-                return host.state is HostState.DEAD
-        return True
+            if host.name == owner.host:
+                is_same = host.incarnation == owner.incarnation
+                return not is_same or host.state is HostState.DEAD
+        return self._clock.now() - owner.heard_at >= GONE_S
+
+    def _incarnation_of(self, name: str) -> tuple[str, int] | None:
+        for host in self._peers.live():
+            if host.name == name:
+                return name, host.incarnation
+        return None
+
+    async def _pass_on(self, owner: _Owner) -> None:
+        """See to it that one more live host holds the bills of one that is gone."""
+        if self._is_held_elsewhere(owner):
+            return
+        me = self._peers.me
+        hosts = [host for host in self._peers.live() if host.name != owner.host]
+        hosts.sort(key=lambda host: host.data_centre != me.data_centre)
+        for host in hosts:
+            try:
+                await self._send(host.name, owner)
+            except RadishshiftError as exc:
+                logger.warning("{} took no copy of bills: {}", host.name, exc.message)
+            else:
+                owner.other_holder = (host.name, host.incarnation)
+                return
+
+    async def _send(self, host: str, owner: _Owner) -> None:
+        for number, batch in list(owner.batches.items()):
+            bills = {number: list(batch.values())}
+            message = CopyMessage(
+                owner.host, owner.incarnation, owner.settled_below, bills
+            )
+            data = msgspec.json.encode(message)
+            deadline = self._clock.now() + PASS_ON_S
+            await self._peers.call(host, BILL_TOPIC, data, deadline)
 
     async def _settle(self, owner: _Owner, number: int) -> None:
         """Store a batch; what another has not stored goes under a further name."""
-        batch = owner.batches[number]
+        batch = owner.batches.get(number)
+        if batch is None:
+            # Its owner has told meanwhile that it is settled.
+            return
         first_name = f"{owner.host}-{owner.incarnation}-{number}"
         name = first_name
         further = 0
--- a/radishshift/caller_connections.py
+++ b/radishshift/caller_connections.py
@@ -7,7 +7,7 @@
 
 import logbook
 import msgspec
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import LineTooLong
 
 from radishshift.answers import Answer
@@ -63,6 +63,8 @@
         self.resp = web.StreamResponse(status=answer.status, headers=answer.headers)
         self.resp.content_type = answer.content_type
         self.resp.headers["Cache-Control"] = "no-store"
+        if self._request.version >= HttpVersion11:
+            self.resp.enable_chunked_encoding()
         try:
             self._writer = await self.resp.prepare(self._request)
         except ConnectionError:
@@ -70,17 +72,30 @@
 
     async def write(self, data: bytes) -> None:
         """Send a part; a caller that has hung up is passed over."""
-        if self._gone or self._writer is None:
+        if self._writer is None or self.gone:
             return
         try:
             await self._writer.write(data, drain=False)
         except ConnectionError:
             self._gone = True
+        await self.drain()
+
+    def push(self, data: bytes) -> bool:
+        """Send a part after the first; False if the caller does not keep up.
+
+        The writer's own way to the transport is several calls longer.
+        """
+        if self._writer is None or self.gone:
+            return True
+        if self.resp.chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._transport.write(data)
+        return self._transport.get_write_buffer_size() <= WRITE_BUFFER_BYTES
+
+    async def drain(self) -> None:
+        """Wait until the caller has read, but not for long."""
+        if self.gone or self._transport.get_write_buffer_size() <= WRITE_BUFFER_BYTES:
             return
-        if self._transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
-            await self._drain()
-
-    async def _drain(self) -> None:
         try:
             async with asyncio.timeout(self._stall_s):
                 await self._writer.drain()
--- a/radishshift/limits.py
+++ b/radishshift/limits.py
@@ -130,7 +130,7 @@
         requests_per_s, tokens_per_s, concurrency = self._allowed(contract)
         use.requests.fill(requests_per_s, 1.0, now)
         use.tokens.fill(tokens_per_s, tokens, now)
-        if use.running >= concurrency:
+        if use.running >= _whole(concurrency):
             raise LimitError("too many requests at once", retry_after_s=1.0)
         for bucket, rate, what in (
             (use.requests, requests_per_s, "requests"),
@@ -192,3 +192,8 @@
             limit if limit >= UNLIMITED else part
             for limit, part in zip(whole, parts, strict=True)
         )
+
+
+def _whole(concurrency: float) -> int:
+    """Return how many may run; a small part still lets one through."""
+    return max(1, int(concurrency)) if concurrency > 0 else 0
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -1,12 +1,10 @@
 """Settings of an entry host, read from JSON with comments."""
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
-from radishshift.errors import SettingsError
-from radishshift.validation import read_commented_json, validated
+from radishshift.validation import read_commented_json, read_text_file, validated
 
 __all__ = ["HostSettings", "load_settings", "read_settings"]
 
@@ -104,6 +102,7 @@
     answer_kept_s: Positive = 600.0
     bill_batch_s: Positive = 1.0
     evidence_s: Positive = 60.0
+    guard_s: Positive = 1.0
     receive_s: Positive = 10.0
     caller_stall_s: Positive = 10.0
     deadline_max_s: Positive = 3600.0
@@ -151,8 +150,4 @@
     ------
     SettingsError
     """
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsError([f"{path}: {exc}"]) from exc
-    return read_settings(text, path)
+    return read_settings(read_text_file(path), path)
