--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -29,6 +29,7 @@
 from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
+from radishshift.kv_moves import KvMover
 from radishshift.limit_shares import LimitShares
 from radishshift.limits import Limiter
 from radishshift.load_control import LoadControl
@@ -231,6 +232,7 @@
             limiter=Limiter(limit_shares),
             evidence=Evidence(process),
             ratings=ratings,
+            kv_mover=KvMover(engines.session, clock),
         )
         load = LoadControl(router, limit_shares, engines, platform, peers, duties)
         pool = EvidencePool(router.evidence, peers.me)
