Bound retries under 1.1 attempts a request and leave out what fails often

Cause: calls of services spent the budget without adding to it, ten retries at the start of each host went over the bound, and an endpoint that failed 30% was kept.

--- a/radishshift/ejection.py
+++ b/radishshift/ejection.py
@@ -5,6 +5,8 @@
 __all__ = ["Ejection"]
 
 FAILURES = 3
+FAILING_SHARE = 0.25
+SMOOTHING = 0.1
 PAUSE_S = 1.0
 PAUSE_MAX_S = 30.0
 
@@ -13,11 +15,13 @@
 class Ejection:
     """Circuit breaker of one endpoint, as one host sees it.
 
-    After some failures in a row the endpoint is left out for a pause, then one
-    attempt is let through; each failure of such a probe doubles the pause.
+    After some failures in a row, or when a good part of its attempts fail, the
+    endpoint is left out for a pause, then one attempt is let through; each failure
+    of such a probe doubles the pause.
     """
 
     failures: int = 0
+    failing: float = 0.0
     pause_s: float = 0.0
     until: float = 0.0
     probing_until: float = 0.0
@@ -29,6 +33,7 @@
 
     def note(self, ok: bool, now: float) -> None:
         """Take in how an attempt went."""
+        self.failing += SMOOTHING * ((not ok) - self.failing)
         if ok:
             self.failures = 0
             self.pause_s = 0.0
@@ -37,7 +42,8 @@
         self.failures += 1
         if self.open and now < self.until:
             return
-        if self.failures >= FAILURES or self.open:
+        too_often = self.failing > FAILING_SHARE
+        if self.failures >= FAILURES or too_often or self.open:
             self.pause_s = min(max(PAUSE_S, 2 * self.pause_s), PAUSE_MAX_S)
             self.until = now + self.pause_s
             self.probing_until = 0.0
--- a/radishshift/loads.py
+++ b/radishshift/loads.py
@@ -156,13 +156,15 @@
         """Yield endpoints with what is known of their load.
 
         One that failed again and again is left out until it is time to probe it,
-        unless nothing else is there.
+        unless most are: then the fault is likely not theirs.
         """
         known = list(endpoints)
         taking = [
             endpoint for endpoint in known if self._load(endpoint).ejection.admits(now)
         ]
-        for endpoint in taking or known:
+        if 2 * len(taking) < len(known):
+            taking = known
+        for endpoint in taking:
             load = self._load(endpoint)
             yield Candidate(
                 endpoint,
--- a/radishshift/retries.py
+++ b/radishshift/retries.py
@@ -5,7 +5,8 @@
 
 __all__ = ["RetryBudget"]
 
-TOKENS_AT_START = 10.0
+TOKENS_AT_START = 3.0
+TOKENS_MOST = 10.0
 
 
 class RetryBudget:
@@ -17,13 +18,13 @@
         Retries for each request, in the long run.
     """
 
-    def __init__(self, share: float = 0.1) -> None:
+    def __init__(self, share: float = 0.08) -> None:
         self._share = share
         self._tokens = TOKENS_AT_START
 
     def request_came(self) -> None:
         """Note a request; it adds its share to the budget."""
-        self._tokens = min(TOKENS_AT_START, self._tokens + self._share)
+        self._tokens = min(TOKENS_MOST, self._tokens + self._share)
 
     def allows(
         self, error: RadishshiftError, idempotent: bool, deadline: float, now: float
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -466,6 +466,7 @@
                 if call.service not in call.contract.allowed:
                     raise NotAllowedError(f"the contract does not allow {call.service}")
                 self.poison.check(call.fingerprint, self.clock.now())
+                self.retry_budget.request_came()
                 began = self.clock.now()
                 reply = await run_call(self, call)
                 call.observation.version = call.service
