--- a/radishshift/http_peers.py
+++ b/radishshift/http_peers.py
@@ -20,6 +20,7 @@
 from radishshift.hosts import Host
 from radishshift.membership import Membership
 from radishshift.objects import StoredObject
+from radishshift.peer_channel import PeerChannel
 from radishshift.peer_messages import PROOF_HEADER, Heartbeat, PeerKeys
 from radishshift.peers import Peers, PeerUnavailableError
 from radishshift.verdicts import Verdict
@@ -32,7 +33,6 @@
 SOON_S = 0.1
 RETRY_DEAD_S = 5.0
 MESSAGE_BYTES = 8_000_000
-NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 logger = logbook.Logger("peers")
 
@@ -71,11 +71,9 @@
         super().__init__(me)
         self.membership = Membership(me)
         self.carry(self.membership.section)
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self.channel = PeerChannel(me.name, keys, clock, session)
         self._keys = keys
         self._clock = clock
-        self._session = session
         self._heartbeat_s = heartbeat_s
         self._seeds = seeds
         self._rng = Random(f"{me.name}{me.incarnation}")
@@ -157,7 +155,7 @@
         deadline = self._clock.now() + HEARTBEAT_TIMEOUT_S
         body = self._heartbeat_for(host)
         try:
-            reply = await self._send(host, HEARTBEAT_PATH, body, deadline)
+            reply = await self.channel.send(host, HEARTBEAT_PATH, body, deadline)
             self._take_heartbeat(msgspec.json.decode(reply, type=Heartbeat))
         except (RadishshiftError, msgspec.DecodeError, ValueError, TypeError) as exc:
             logger.debug("no heartbeat from {}: {}", host.name, exc)
@@ -202,35 +200,9 @@
         member = self.membership.members.get(host)
         if member is None:
             raise PeerUnavailableError(f"{host} is not known", verdict=Verdict.NOT_RUN)
-        return await self._send(member.host, CALL_PATH + topic, message, deadline)
-
-    async def _send(self, host: Host, path: str, body: bytes, deadline: float) -> bytes:
-        now = self._clock.now()
-        proof = self._keys.sign(self.me.name, f"{host.name} {path}", body, now)
-        try:
-            async with (
-                asyncio.timeout(max(0.0, deadline - now)),
-                self._session.post(
-                    host.peer_address + path,
-                    data=body,
-                    headers={PROOF_HEADER: proof},
-                    skip_auto_headers=NEEDLESS_HEADERS,
-                ) as resp,
-            ):
-                reply = await resp.read()
-                if resp.status != 200:
-                    raise PeerUnavailableError(f"{host.name} answered {resp.status}")
-                answer = resp.headers.get(PROOF_HEADER, "")
-        except aiohttp.ClientConnectorError as exc:
-            raise PeerUnavailableError(
-                f"{host.name} is not in reach", verdict=Verdict.NOT_RUN
-            ) from exc
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise PeerUnavailableError(f"no reply from {host.name}") from exc
-        self._keys.check(answer, proof, reply, self._clock.now())
-        self.bytes_sent += len(body)
-        self.bytes_received += len(reply)
-        return reply
+        return await self.channel.send(
+            member.host, CALL_PATH + topic, message, deadline
+        )
 
     async def take_request(self, request: web.Request) -> web.Response:
         """Answer a request on the peer port."""
--- /dev/null
+++ b/radishshift/peer_channel.py
@@ -0,0 +1,69 @@
+"""Authenticated messages to other entry hosts over HTTP."""
+
+import asyncio
+
+import aiohttp
+
+from radishshift.clocks import Clock
+from radishshift.hosts import Host
+from radishshift.peer_messages import PROOF_HEADER, PeerKeys
+from radishshift.peers import PeerUnavailableError
+from radishshift.verdicts import Verdict
+
+__all__ = ["PeerChannel"]
+
+NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+
+
+class PeerChannel:
+    """Sends messages and checks that the replies come from a peer.
+
+    Parameters
+    ----------
+    name : str
+        Of this host.
+    keys : PeerKeys
+    clock : Clock
+    session : aiohttp.ClientSession
+    """
+
+    def __init__(
+        self, name: str, keys: PeerKeys, clock: Clock, session: aiohttp.ClientSession
+    ) -> None:
+        self._name = name
+        self._keys = keys
+        self._clock = clock
+        self._session = session
+
+    async def send(self, host: Host, path: str, body: bytes, deadline: float) -> bytes:
+        """Send a message to a host's peer port and return the reply.
+
+        Raises
+        ------
+        PeerUnavailableError
+        PeerAuthenticationError
+        """
+        now = self._clock.now()
+        proof = self._keys.sign(self._name, f"{host.name} {path}", body, now)
+        try:
+            async with (
+                asyncio.timeout(max(0.0, deadline - now)),
+                self._session.post(
+                    host.peer_address + path,
+                    data=body,
+                    headers={PROOF_HEADER: proof},
+                    skip_auto_headers=NEEDLESS_HEADERS,
+                ) as resp,
+            ):
+                reply = await resp.read()
+                if resp.status != 200:
+                    raise PeerUnavailableError(f"{host.name} answered {resp.status}")
+                answer = resp.headers.get(PROOF_HEADER, "")
+        except aiohttp.ClientConnectorError as exc:
+            raise PeerUnavailableError(
+                f"{host.name} is not in reach", verdict=Verdict.NOT_RUN
+            ) from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise PeerUnavailableError(f"no reply from {host.name}") from exc
+        self._keys.check(answer, proof, reply, self._clock.now())
+        return reply
