--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -44,6 +44,9 @@
     "read_host",
 ]
 
+QUEUE_SHARE = 0.25
+URGENT_QUEUE_SHARE = 2 / 3
+
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
 Price = Annotated[int, msgspec.Meta(ge=0)]
@@ -198,13 +201,18 @@
 class ClassSpec(
     EntryBase, frozen=True, kw_only=True, tag_field="type", tag="task-class"
 ):
-    """A task class; see `contracts.TaskClass`."""
+    """A task class; see `contracts.TaskClass`.
+
+    Without `queue_s` a request may wait a quarter of the class's usual deadline,
+    or, in a class of priority 0, two thirds of its bound on the first token.
+    """
 
     priority: Count
     deadline_s: Amount
     cascade: bool = False
     cancel_on_hang_up: bool = False
     objectives: ObjectivesSpec = ObjectivesSpec()
+    queue_s: Amount | None = None
 
     def task_class(self, name: str) -> TaskClass:
         """Return the data class."""
@@ -215,8 +223,14 @@
             self.cascade,
             self.objectives.objectives(),
             self.cancel_on_hang_up,
+            self._usual_queue_s() if self.queue_s is None else self.queue_s,
         )
 
+    def _usual_queue_s(self) -> float:
+        if self.priority == 0:
+            return URGENT_QUEUE_SHARE * self.objectives.first_token_s
+        return QUEUE_SHARE * self.deadline_s
+
 
 class PolicySpec(EntryBase, frozen=True, kw_only=True, tag_field="type", tag="policy"):
     """The policies in use; see `catalogue.Policies`."""
