Let watches tell that nothing has changed

A quiet platform looked like one out of reach: further hosts stepped in, so 24 hosts held 24 watches and 48 held 28 in place of 18, and a watch on a connection gone silent was never noticed. Watches ask for bookmarks and end when none come.

--- a/radishshift/following.py
+++ b/radishshift/following.py
@@ -35,7 +35,7 @@
 MOST_WATCHERS = 6
 STEP_IN_S = 10.0
 LOOK_S = 1.0
-PULL_TIMEOUT_S = 3.0
+PULL_TIMEOUT_S = 1.5
 
 logger = logbook.Logger("following")
 
--- a/radishshift/http_peers.py
+++ b/radishshift/http_peers.py
@@ -29,8 +29,9 @@
 
 HEARTBEAT_PATH = "/h"
 CALL_PATH = "/c/"
-HEARTBEAT_TIMEOUT_S = 2.0
+HEARTBEAT_TIMEOUT_S = 1.0
 SOON_S = 0.1
+RETRY_S = 0.3
 RETRY_DEAD_S = 5.0
 MESSAGE_BYTES = 8_000_000
 
@@ -135,10 +136,12 @@
             member = self.membership.members.get(name)
             if member is None:
                 return
-            await self._beat(member.host)
-            self.membership.silent(name, self._clock.now())
+            pause_s = self._heartbeat_s
+            if not await self._beat(member.host):
+                self.membership.silent(name, self._clock.now())
+                pause_s = min(pause_s, RETRY_S)
             with suppress(TimeoutError):
-                pause_s = self._heartbeat_s * self._rng.uniform(0.9, 1.1)
+                pause_s *= self._rng.uniform(0.9, 1.1)
                 await asyncio.wait_for(news.wait(), pause_s)
                 await asyncio.sleep(SOON_S)
             news.clear()
--- a/radishshift/http_platform.py
+++ b/radishshift/http_platform.py
@@ -23,6 +23,7 @@
 
 API_VERSION = "radishshift.dev/v1"
 BASE_PATH = f"/apis/{API_VERSION}"
+WATCH_IDLE_S = 15.0
 WRITER_ANNOTATION = "radishshift.dev/writer"
 
 
@@ -162,8 +163,12 @@
 
     async def watch(self, kind: Kind, since: int) -> AsyncIterator[ObjectChange]:
         """Yield the changes of a kind after revision `since`."""
-        url = f"{self._base}/{kind.value}?watch=1&resourceVersion={since}"
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._call_timeout_s)
+        query = f"watch=1&allowWatchBookmarks=true&resourceVersion={since}"
+        url = f"{self._base}/{kind.value}?{query}"
+        # A connection may go silent for good; a live watch has bookmarks.
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=self._call_timeout_s, sock_read=WATCH_IDLE_S
+        )
         try:
             async with self._session.get(url, timeout=timeout) as resp:
                 if resp.status != 200:
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -22,6 +22,7 @@
 __all__ = ["MemoryPlatform", "Platform"]
 
 HISTORY_LENGTH = 4096
+BOOKMARK_S = 5.0
 
 
 class Platform:
@@ -96,9 +97,14 @@
     ----------
     history_length : int
         Number of changes that a watch can reach back over.
+    bookmark_s : float
+        Time after which a watch that has nothing to tell sends a bookmark.
     """
 
-    def __init__(self, history_length: int = HISTORY_LENGTH) -> None:
+    def __init__(
+        self, history_length: int = HISTORY_LENGTH, bookmark_s: float = BOOKMARK_S
+    ) -> None:
+        self._bookmark_s = bookmark_s
         self.revision = 0
         self.reads = 0
         self.writes = 0
@@ -155,11 +161,20 @@
                     if change.item.kind is kind:
                         yield change
                 since = upto
-                async with self._changed:
-                    await self._changed.wait_for(lambda seen=upto: self.revision > seen)
+                if not await self._changes_after(upto):
+                    bookmark = StoredObject(kind, "", revision=self.revision)
+                    yield ObjectChange(ChangeType.BOOKMARK, bookmark)
         finally:
             self.watches -= 1
 
+    async def _changes_after(self, revision: int) -> bool:
+        try:
+            async with asyncio.timeout(self._bookmark_s), self._changed:
+                await self._changed.wait_for(lambda: self.revision > revision)
+        except TimeoutError:
+            return False
+        return True
+
     def _after(self, since: int) -> list[ObjectChange]:
         return [change for change in self._history if change.item.revision > since]
 
--- a/radishshift/watching.py
+++ b/radishshift/watching.py
@@ -42,6 +42,8 @@
                 yield listing
             async for change in platform.watch(kind, since):
                 failures = 0
+                if change.item.revision < since:
+                    raise GoneError("the platform has come back older")
                 since = max(since, change.item.revision)
                 yield change
                 if clock.now() >= list_again_at:
