--- a/radishshift/confirmations.py
+++ b/radishshift/confirmations.py
@@ -1,31 +1,27 @@
 """Which hosts have a revision of the configuration in force.
 
-The first watcher of each data centre writes one object that holds the revision of
-each host, as gathered from the heartbeats; `in_force` reads them.
+One host of each data centre writes an object that holds the revision of each host,
+as gathered from the heartbeats; `in_force` reads them.
 """
 
 from collections.abc import Iterator
+from contextlib import suppress
 
-import logbook
-
-from radishshift.clocks import Clock
 from radishshift.errors import (
     AlreadyExistsError,
     ConflictError,
     NotFoundError,
-    RadishshiftError,
 )
-from radishshift.following import ConfigurationFollower, watcher_names
+from radishshift.following import ConfigurationFollower
 from radishshift.objects import Kind, StoredObject
 from radishshift.peers import Peers
 from radishshift.platform import Platform
 
-__all__ = ["ConfirmationWriter", "in_force"]
+__all__ = ["CONFIRMATIONS", "WRITE_EVERY_S", "ConfirmationWriter", "in_force"]
 
+CONFIRMATIONS = "confirmations"
 WRITE_EVERY_S = 1.0
 
-logger = logbook.Logger("confirmations")
-
 
 async def in_force(platform: Platform, revision: int) -> list[str]:
     """Return the hosts that do not confirm `revision` yet; none means in force.
@@ -54,59 +50,49 @@
 
 
 class ConfirmationWriter:
-    """Writes a data centre's confirmations while this host is its first watcher.
+    """Writes a data centre's confirmations.
 
     Parameters
     ----------
     platform : Platform
     peers : Peers
     follower : ConfigurationFollower
-    clock : Clock
     """
 
     def __init__(
-        self,
-        platform: Platform,
-        peers: Peers,
-        follower: ConfigurationFollower,
-        clock: Clock,
+        self, platform: Platform, peers: Peers, follower: ConfigurationFollower
     ) -> None:
         self._platform = platform
         self._peers = peers
         self._follower = follower
-        self._clock = clock
         self._held: StoredObject | None = None
+        self._fencing_number = 0
 
-    async def run(self) -> None:
-        """Write what changes until cancelled."""
-        while True:
-            await self._clock.sleep_until(self._clock.now() + WRITE_EVERY_S)
-            if watcher_names(self._peers, 1) != [self._peers.me.name]:
-                self._held = None
-                continue
-            try:
-                await self.write()
-            except RadishshiftError as exc:
-                self._held = None
-                logger.info("confirmations not written: {}", exc.message)
-
-    async def write(self) -> None:
-        """Write the confirmations if they have changed."""
-        status = {"hosts": self._present()}
-        if self._held is None:
+    async def write(self, fencing_number: int) -> None:
+        """Write the confirmations if they have changed; the act of the duty."""
+        if self._held is None or fencing_number != self._fencing_number:
             self._held = await self._read()
-        if self._held is not None and self._held.status == status:
+            self._fencing_number = fencing_number
+        held = self._held
+        revision = 0
+        if held is not None:
+            revision = held.revision
+            if held.spec.get("fencingNumber", 0) > fencing_number:
+                return
+        spec = {"fencingNumber": fencing_number}
+        status = {"hosts": self._present()}
+        if held is not None and (held.spec, held.status) == (spec, status):
             return
         name = self._peers.me.data_centre
-        revision = 0 if self._held is None else self._held.revision
-        item = StoredObject(Kind.CONFIRMATION, name, {}, status, revision)
-        try:
-            if self._held is None:
-                self._held = await self._platform.create(item)
-            else:
-                self._held = await self._platform.update(item)
-        except (AlreadyExistsError, ConflictError, NotFoundError):
-            self._held = None
+        item = StoredObject(Kind.CONFIRMATION, name, spec, status, revision)
+        self._held = None
+        with suppress(AlreadyExistsError, ConflictError, NotFoundError):
+            self._held = await self._store(item)
+
+    async def _store(self, item: StoredObject) -> StoredObject:
+        if item.revision:
+            return await self._platform.update(item)
+        return await self._platform.create(item)
 
     def _present(self) -> dict[str, int]:
         names = {host.name for host in self._peers.hosts()} | {self._peers.me.name}
--- a/radishshift/control.py
+++ b/radishshift/control.py
@@ -8,7 +8,11 @@
 
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
-from radishshift.confirmations import ConfirmationWriter
+from radishshift.confirmations import (
+    CONFIRMATIONS,
+    WRITE_EVERY_S,
+    ConfirmationWriter,
+)
 from radishshift.duties import Duties
 from radishshift.following import ConfigurationFollower
 from radishshift.hosts import Host
@@ -84,8 +88,9 @@
     """Follow the configuration and take up duties for as long as the context lasts."""
     watch_at = clock.now() + MEET_S if seeds else 0.0
     follower = ConfigurationFollower(configuration, platform, peers, clock, watch_at)
-    writer = ConfirmationWriter(platform, peers, follower, clock)
-    runners = (follower.run(), writer.run(), duties.run())
+    writer = ConfirmationWriter(platform, peers, follower)
+    duties.add(CONFIRMATIONS, writer.write, WRITE_EVERY_S, per_data_centre=True)
+    runners = (follower.run(), duties.run())
     tasks = [asyncio.create_task(runner) for runner in runners]
     try:
         yield follower
--- a/radishshift/leases.py
+++ b/radishshift/leases.py
@@ -25,9 +25,9 @@
 
 __all__ = ["LEASE_S", "RENEW_EVERY_S", "Lease"]
 
-LEASE_S = 15.0
-RENEW_EVERY_S = 5.0
-HOLDER_MARGIN_S = 3.0
+LEASE_S = 9.0
+RENEW_EVERY_S = 3.0
+HOLDER_MARGIN_S = 2.0
 
 
 @dataclass(slots=True)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -168,7 +168,7 @@
         fleet.run()
         await fleet.pass_time(8)
         _, follower, peers, way = fleet.hosts["mbeya-0"]
-        await ConfirmationWriter(way, peers, follower, fleet.clock).write()
+        await ConfirmationWriter(way, peers, follower).write(1)
         holding_up = await in_force(fleet.platform, stored.revision)
         self.assertEqual(["mbeya-gone"], holding_up)
         later = await in_force(fleet.platform, stored.revision + 100)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,7 +1,7 @@
 """Tests of leases at the platform."""
 
 from radishshift.clocks import ManualClock
-from radishshift.leases import LEASE_S, Lease
+from radishshift.leases import LEASE_S, RENEW_EVERY_S, Lease
 from radishshift.objects import Kind
 from radishshift.platform import MemoryPlatform
 from radishshift.standins.faulty import FaultyPlatform
@@ -59,7 +59,7 @@
     async def test_the_number_stays_through_renewals(self):
         await self.a.attempt()
         number = self.a.fencing_number
-        await self.clock.advance(5)
+        await self.clock.advance(RENEW_EVERY_S)
         await self.a.attempt()
         self.assertEqual(number, self.a.fencing_number)
 
