Send bookmarks on a quiet kind though others change

The stand-in's bookmarks waited for a platform with no change at all, so a watch of a quiet kind broke every 15 s beside leases that are renewed.

--- a/radishshift/experiments/failover.py
+++ b/radishshift/experiments/failover.py
@@ -87,8 +87,15 @@
 
 
 async def _holder(fleet: Fleet, lease: str) -> str:
+    """Return a lease's holder among the hosts that run; empty for none."""
     item = await fleet.platform.get(Kind.LEASE, lease)
-    return item.spec["holder"].partition("/")[0]
+    name = item.spec["holder"].partition("/")[0]
+    return name if name in fleet.hosts else ""
+
+
+async def _settled_holder(fleet: Fleet, lease: str) -> str:
+    await _until(lambda: _holder(fleet, lease))
+    return await _holder(fleet, lease)
 
 
 async def _kill_watcher(fleet: Fleet) -> float:
@@ -108,7 +115,7 @@
 
 
 async def _kill_lease_holder(fleet: Fleet) -> float:
-    killed = await _holder(fleet, "confirmations.mbeya")
+    killed = await _settled_holder(fleet, "confirmations.mbeya")
     await fleet.remove(killed)
 
     async def taken_over() -> bool:
@@ -118,7 +125,7 @@
 
 
 async def _pause_lease_holder(fleet: Fleet) -> float:
-    paused = await _holder(fleet, "confirmations.iringa")
+    paused = await _settled_holder(fleet, "confirmations.iringa")
     process = fleet.hosts[paused].process
     host = fleet.hosts.pop(paused)
     process.send_signal(signal.SIGSTOP)
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from dataclasses import replace
 
 from radishshift.errors import (
@@ -152,6 +153,8 @@
         """Yield the changes of a kind after revision `since`."""
         self.reads += 1
         self.watches += 1
+        loop = asyncio.get_running_loop()
+        quiet_since = loop.time()
         try:
             while True:
                 if not self._oldest <= since <= self.revision:
@@ -159,21 +162,21 @@
                 upto = self.revision
                 for change in self._after(since):
                     if change.item.kind is kind:
+                        quiet_since = loop.time()
                         yield change
                 since = upto
-                if not await self._changes_after(upto):
-                    bookmark = StoredObject(kind, "", revision=self.revision)
+                if loop.time() >= quiet_since + self._bookmark_s:
+                    quiet_since = loop.time()
+                    bookmark = StoredObject(kind, "", revision=upto)
                     yield ObjectChange(ChangeType.BOOKMARK, bookmark)
+                await self._changes_after(upto, quiet_since + self._bookmark_s)
         finally:
             self.watches -= 1
 
-    async def _changes_after(self, revision: int) -> bool:
-        try:
-            async with asyncio.timeout(self._bookmark_s), self._changed:
+    async def _changes_after(self, revision: int, deadline: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline), self._changed:
                 await self._changed.wait_for(lambda: self.revision > revision)
-        except TimeoutError:
-            return False
-        return True
 
     def _after(self, since: int) -> list[ObjectChange]:
         return [change for change in self._history if change.item.revision > since]
