Gather confirmations directly, and let each data centre contend for duties of all

Hosts now tell the two contenders of the data centre's duty. A duty of all whose two contenders stood in a data centre cut off from the platform was held by no one (partition tests): one of each data centre contends. The stand-in scanned its history for each watch; it bisects now.

--- a/radishshift/confirmations.py
+++ b/radishshift/confirmations.py
@@ -1,28 +1,42 @@
 """Which hosts have a revision of the configuration in force.
 
 One host of each data centre writes an object that holds the revision of each host,
-as gathered from the heartbeats; `in_force` reads them.
+which they tell it; `in_force` reads them.
 """
 
 from collections.abc import Iterator
 from contextlib import suppress
+from random import Random
 
+import msgspec
+
+from radishshift.clocks import Clock
+from radishshift.configuration import Configuration
+from radishshift.duties import contenders
 from radishshift.errors import (
     AlreadyExistsError,
     ConflictError,
     NotFoundError,
+    RadishshiftError,
 )
-from radishshift.following import ConfigurationFollower
 from radishshift.objects import Kind, StoredObject
 from radishshift.peers import Peers
 from radishshift.platform import Platform
 
-__all__ = ["CONFIRMATIONS", "WRITE_EVERY_S", "ConfirmationWriter", "in_force"]
+__all__ = ["CONFIRMATIONS", "WRITE_EVERY_S", "Confirmations", "in_force"]
 
 CONFIRMATIONS = "confirmations"
+TOPIC = "rev"
+TELL_EVERY_S = 0.5
+TELL_WITHIN_S = 1.0
 WRITE_EVERY_S = 1.0
 
 
+class _Told(msgspec.Struct, array_like=True):
+    at_ms: int
+    revision: int
+
+
 async def in_force(platform: Platform, revision: int) -> list[str]:
     """Return the hosts that do not confirm `revision` yet; none means in force.
 
@@ -49,24 +63,67 @@
             yield name
 
 
-class ConfirmationWriter:
-    """Writes a data centre's confirmations.
+class Confirmations:
+    """Gathers the revisions of a data centre's hosts, and writes them.
+
+    Each host tells the two that contend for the duty, directly: passed on from host
+    to host, a change would cost each of them a row for every other.
 
     Parameters
     ----------
+    configuration : Configuration
     platform : Platform
     peers : Peers
-    follower : ConfigurationFollower
+    clock : Clock
     """
 
     def __init__(
-        self, platform: Platform, peers: Peers, follower: ConfigurationFollower
+        self,
+        configuration: Configuration,
+        platform: Platform,
+        peers: Peers,
+        clock: Clock,
     ) -> None:
+        self._configuration = configuration
         self._platform = platform
         self._peers = peers
-        self._follower = follower
+        self._clock = clock
+        self._rng = Random(f"{peers.me.name}{peers.me.incarnation}")
+        self._revisions: dict[str, _Told] = {}
+        self._told: dict[str, tuple[int, int]] = {}
         self._held: StoredObject | None = None
         self._fencing_number = 0
+        peers.handle(TOPIC, self._take)
+
+    async def run(self) -> None:
+        """Tell the contenders of each new revision until cancelled."""
+        while True:
+            pause_s = TELL_EVERY_S * self._rng.uniform(0.5, 1.5)
+            await self._clock.sleep_until(self._clock.now() + pause_s)
+            await self._tell()
+
+    async def _tell(self) -> None:
+        now = self._clock.now()
+        me = self._peers.me
+        told = _Told(int(now * 1000), self._configuration.revision)
+        self._revisions[me.name] = told
+        names = contenders(self._peers, f"{CONFIRMATIONS}.{me.data_centre}")
+        lives = {host.name: host.incarnation for host in self._peers.hosts()}
+        for name in names:
+            wanted = (lives.get(name, 0), told.revision)
+            if name == me.name or self._told.get(name) == wanted:
+                continue
+            message = msgspec.json.encode(told)
+            with suppress(RadishshiftError):
+                await self._peers.call(name, TOPIC, message, now + TELL_WITHIN_S)
+                self._told[name] = wanted
+
+    async def _take(self, sender: str, message: bytes) -> bytes:
+        told = msgspec.json.decode(message, type=_Told)
+        held = self._revisions.get(sender)
+        if held is None or held.at_ms < told.at_ms:
+            self._revisions[sender] = told
+        return b""
 
     async def write(self, fencing_number: int) -> None:
         """Write the confirmations if they have changed; the act of the duty."""
@@ -95,9 +152,15 @@
         return await self._platform.create(item)
 
     def _present(self) -> dict[str, int]:
-        names = {host.name for host in self._peers.hosts()} | {self._peers.me.name}
-        revisions = self._follower.confirmed_revisions()
-        return {name: revisions[name] for name in sorted(names & revisions.keys())}
+        # A host that started anew has to confirm anew.
+        since = {host.name: host.incarnation for host in self._peers.hosts()}
+        since[self._peers.me.name] = 0
+        self._revisions = {
+            name: told
+            for name, told in self._revisions.items()
+            if name in since and told.at_ms >= since[name]
+        }
+        return {name: told.revision for name, told in sorted(self._revisions.items())}
 
     async def _read(self) -> StoredObject | None:
         try:
--- a/radishshift/control.py
+++ b/radishshift/control.py
@@ -11,7 +11,7 @@
 from radishshift.confirmations import (
     CONFIRMATIONS,
     WRITE_EVERY_S,
-    ConfirmationWriter,
+    Confirmations,
 )
 from radishshift.duties import Duties
 from radishshift.following import ConfigurationFollower
@@ -88,9 +88,10 @@
     """Follow the configuration and take up duties for as long as the context lasts."""
     watch_at = clock.now() + MEET_S if seeds else 0.0
     follower = ConfigurationFollower(configuration, platform, peers, clock, watch_at)
-    writer = ConfirmationWriter(platform, peers, follower)
-    duties.add(CONFIRMATIONS, writer.write, WRITE_EVERY_S, per_data_centre=True)
-    runners = (follower.run(), duties.run())
+    confirmations = Confirmations(configuration, platform, peers, clock)
+    write = confirmations.write
+    duties.add(CONFIRMATIONS, write, WRITE_EVERY_S, per_data_centre=True)
+    runners = (follower.run(), confirmations.run(), duties.run())
     tasks = [asyncio.create_task(runner) for runner in runners]
     try:
         yield follower
--- a/radishshift/duties.py
+++ b/radishshift/duties.py
@@ -1,8 +1,10 @@
 """Duties: work that one host does for a data centre or for all.
 
 The first hosts by rendezvous rank contend for a duty's lease, so duties spread over
-the hosts and few calls are made for each. The lease is there for economy; each act
-gets the fencing number and guards its own writes with revisions.
+the hosts and few calls are made for each: two for a duty of a data centre, one of
+each data centre for a duty of all, as a whole data centre may be cut off from the
+platform. The lease is there for economy; each act gets the fencing number and guards
+its own writes with revisions.
 """
 
 import asyncio
@@ -21,10 +23,9 @@
 from radishshift.peers import Peers
 from radishshift.platform import Platform
 
-__all__ = ["Act", "Duties", "Duty", "DutyState"]
+__all__ = ["Act", "Duties", "Duty", "DutyState", "contenders"]
 
 CONTENDERS = 2
-IDLE_POLL_S = 0.2
 
 Act = Callable[[int], Awaitable[None]]
 
@@ -49,6 +50,14 @@
 ]
 
 
+def contenders(peers: Peers, lease_name: str) -> list[str]:
+    """Return the hosts of this data centre that contend for a lease, in order."""
+    names = [host.name for host in peers.live(peers.me.data_centre)]
+    if peers.me.state is HostState.LIVE:
+        names.append(peers.me.name)
+    return rendezvous_order(names, lease_name)[:CONTENDERS]
+
+
 @dataclass(slots=True, eq=False)
 class Duty:
     """One duty as a host sees it; the model of the machine of duty states.
@@ -71,6 +80,7 @@
     period_s: float
     data_centre: str = ""
     state: DutyState = DutyState.IDLE
+    acquired: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 @dataclass(slots=True)
@@ -139,9 +149,10 @@
         me = self.peers.me
         if me.state is not HostState.LIVE:
             return False
-        names = [host.name for host in self.peers.live(duty.data_centre or None)]
-        first = rendezvous_order([*names, me.name], duty.lease.name)[:CONTENDERS]
-        return me.name in first
+        centres = {host.data_centre for host in self.peers.live()} - {me.data_centre}
+        alone = bool(duty.data_centre) or not centres
+        count = CONTENDERS if alone else 1
+        return me.name in contenders(self.peers, duty.lease.name)[:count]
 
     async def _contend(self, duty: Duty) -> None:
         while True:
@@ -167,6 +178,7 @@
             self._move(duty, "contend")
         if await duty.lease.attempt():
             self._move(duty, "acquire")
+            duty.acquired.set()
         else:
             self._move(duty, "contend")
 
@@ -181,11 +193,12 @@
 
     async def _act(self, duty: Duty) -> None:
         while True:
-            pause_s = IDLE_POLL_S
-            if self.holds(duty.name):
-                pause_s = duty.period_s
-                try:
-                    await duty.act(duty.lease.fencing_number)
-                except RadishshiftError as exc:
-                    logger.warning("duty {}: {}", duty.name, exc.message)
-            await self.clock.sleep_until(self.clock.now() + pause_s)
+            await duty.acquired.wait()
+            if not self.holds(duty.name):
+                duty.acquired.clear()
+                continue
+            try:
+                await duty.act(duty.lease.fencing_number)
+            except RadishshiftError as exc:
+                logger.warning("duty {}: {}", duty.name, exc.message)
+            await self.clock.sleep_until(self.clock.now() + duty.period_s)
--- a/radishshift/following.py
+++ b/radishshift/following.py
@@ -21,7 +21,6 @@
     Configuration,
     ConfigurationDelta,
 )
-from radishshift.epidemic import EpidemicSection
 from radishshift.errors import RadishshiftError
 from radishshift.hosts import Host, HostState, rendezvous_order
 from radishshift.object_table import Head
@@ -76,7 +75,6 @@
         clock: Clock,
         watch_at: float = 0.0,
     ) -> None:
-        self.confirmed = EpidemicSection("r", peers.me)
         self.pulls = 0
         self._configuration = configuration
         self._platform = platform
@@ -88,7 +86,6 @@
         self._news = asyncio.Event()
         self._hosts_seen = Head()
         peers.carry(self)
-        peers.carry(self.confirmed)
         peers.handle(TOPIC, self._answer)
         configuration.listeners.append(lambda _: peers.hurry())
 
@@ -97,10 +94,6 @@
         """Tell whether this host watches the platform."""
         return bool(self._watches)
 
-    def confirmed_revisions(self) -> dict[str, int]:
-        """Return the revision that each host of the data centre has in force."""
-        return {name: row.value for name, row in self.confirmed.rows.items()}
-
     def outgoing(self, peer: Host, now: float) -> Any:
         """Return the highest revision held, a digest, and the age of the news."""
         age_s = min(999_999, math.ceil(now - self._configuration.confirmed_at))
@@ -129,7 +122,6 @@
             now = self._clock.now()
             self._configuration.check_age()
             self._tell_members(now)
-            self._publish(now)
             self._match_watches(now)
             await self._clock.sleep_until(now + LOOK_S)
 
@@ -153,12 +145,6 @@
             task.cancel()
         self._watches = []
 
-    def _publish(self, now: float) -> None:
-        row = self.confirmed.rows.get(self._peers.me.name)
-        revision = self._configuration.revision
-        if row is None or row.value != revision:
-            self.confirmed.publish(revision, now)
-
     def _tell_members(self, now: float) -> None:
         head = self._configuration.heads()[-1]
         if head != self._hosts_seen:
@@ -180,7 +166,6 @@
                 await self._ask(name, True)
         except (RadishshiftError, ValueError, TypeError, zlib.error) as exc:
             logger.info("no configuration from {}: {}", name, exc)
-        self._publish(self._clock.now())
 
     async def _ask(self, name: str, whole: bool) -> bool:
         question = _Question(self._configuration.heads(), whole)
--- a/radishshift/peers.py
+++ b/radishshift/peers.py
@@ -5,7 +5,7 @@
 piece of state that rides on the heartbeats: limits, evidence, hints, poison.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, Protocol
 
 from radishshift.errors import RadishshiftError
@@ -135,9 +135,10 @@
             raise PeerUnavailableError(f"{host} takes no {topic}")
         return await handler(self.me.name, message)
 
-    def exchange(self, now: float) -> None:
-        """Carry every section to every host in reach, once."""
-        for other in self.network.values():
+    def exchange(self, now: float, names: Iterable[str] | None = None) -> None:
+        """Carry every section to every host in reach, or those named, once."""
+        for name in list(self.network) if names is None else names:
+            other = self.network[name]
             if other is self or other.me.name in self.cut or self.me.name in other.cut:
                 continue
             for name, section in self.sections.items():
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+from bisect import bisect_right
 from collections.abc import AsyncIterator
 from contextlib import suppress
 from dataclasses import replace
@@ -179,7 +180,8 @@
                 await self._changed.wait_for(lambda: self.revision > revision)
 
     def _after(self, since: int) -> list[ObjectChange]:
-        return [change for change in self._history if change.item.revision > since]
+        first = bisect_right(self._history, since, key=_revision_of)
+        return self._history[first:]
 
     def _check(self, kind: Kind, name: str, revision: int) -> StoredObject:
         held = self._items[kind].get(name)
@@ -207,3 +209,7 @@
         async with self._changed:
             self._changed.notify_all()
         return stored
+
+
+def _revision_of(change: ObjectChange) -> int:
+    return change.item.revision
--- /dev/null
+++ b/radishshift/standins/fleet.py
@@ -0,0 +1,155 @@
+"""Control of many hosts in one process, under the virtual time of `virtual_time`."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from radishshift.clocks import Clock
+from radishshift.configuration import Configuration
+from radishshift.confirmations import (
+    CONFIRMATIONS,
+    WRITE_EVERY_S,
+    Confirmations,
+)
+from radishshift.duties import Duties
+from radishshift.following import ConfigurationFollower
+from radishshift.guarded_platform import GuardedPlatform
+from radishshift.hosts import Host
+from radishshift.membership import GATEWAYS, successors
+from radishshift.objects import Kind, StoredObject
+from radishshift.peers import MemoryPeers
+from radishshift.platform import MemoryPlatform
+from radishshift.standins.deployment import small_catalogue
+from radishshift.standins.faulty import FaultyPlatform
+from radishshift.virtual_time import LoopClock
+
+__all__ = ["FleetHost", "VirtualFleet", "version_entry"]
+
+HEARTBEAT_S = 2.0
+SETTLE = "settle"
+
+
+def version_entry(name: str, revision: int, **changes: object) -> StoredObject:
+    """Return a catalogue entry of a version."""
+    spec = {**small_catalogue()["farm-advice-large.v1"], **changes}
+    return StoredObject(Kind.ENTRY, name, spec, {}, revision)
+
+
+@dataclass(slots=True)
+class FleetHost:
+    """One host: the code that serves, over a faulty way to the platform."""
+
+    peers: MemoryPeers
+    way: FaultyPlatform
+    platform: GuardedPlatform
+    configuration: Configuration
+    follower: ConfigurationFollower
+    duties: Duties
+    tasks: list[asyncio.Task] = field(default_factory=list)
+
+    def state(self, version: str) -> str:
+        """Return the state of a version as this host routes by it."""
+        return self.configuration.catalogue.versions[version].state.value
+
+
+class VirtualFleet:
+    """Hosts of several data centres before one platform.
+
+    Parameters
+    ----------
+    sizes : dict of str to int
+        Number of hosts by data centre.
+    seed : int
+    """
+
+    def __init__(self, sizes: dict[str, int], seed: int = 1) -> None:
+        self.platform = MemoryPlatform()
+        self.hosts: dict[str, FleetHost] = {}
+        self._clock: Clock = LoopClock()
+        self._network: dict[str, MemoryPeers] = {}
+        self._rng = Random(seed)
+        for data_centre, size in sizes.items():
+            for number in range(size):
+                self.start(f"{data_centre}-{number}", data_centre)
+
+    def start(self, name: str, data_centre: str) -> FleetHost:
+        """Start a host that holds nothing."""
+        incarnation = int(self._clock.now() * 1000)
+        me = Host(name, data_centre, "tz-south", f"http://{name}", incarnation)
+        peers = MemoryPeers(me, self._network)
+        way = FaultyPlatform(self.platform, self._clock)
+        platform = GuardedPlatform(way, self._clock, Random(self._rng.random()))
+        configuration = Configuration(self._clock)
+        follower = ConfigurationFollower(configuration, platform, peers, self._clock)
+        duties = Duties(platform, peers, self._clock)
+        confirmations = Confirmations(configuration, platform, peers, self._clock)
+        write = confirmations.write
+        duties.add(CONFIRMATIONS, write, WRITE_EVERY_S, per_data_centre=True)
+        duties.add(SETTLE)
+        host = FleetHost(peers, way, platform, configuration, follower, duties)
+        host.tasks = [
+            asyncio.create_task(follower.run()),
+            asyncio.create_task(confirmations.run()),
+            asyncio.create_task(duties.run()),
+        ]
+        self.hosts[name] = host
+        return host
+
+    async def kill(self, name: str) -> None:
+        """End a host with no warning."""
+        host = self.hosts.pop(name)
+        host.way.faults.down = True
+        del self._network[name]
+        await _end(host.tasks)
+
+    async def pass_time(self, seconds: float) -> None:
+        """Let hosts exchange heartbeats along the ring for some time."""
+        end = self._clock.now() + seconds
+        while self._clock.now() < end:
+            for host in list(self.hosts.values()):
+                host.peers.exchange(self._clock.now(), self._targets(host))
+            await self._clock.sleep_until(min(end, self._clock.now() + HEARTBEAT_S))
+
+    def of(self, data_centre: str) -> list[FleetHost]:
+        """Return the hosts of a data centre."""
+        return [
+            host
+            for host in self.hosts.values()
+            if host.peers.me.data_centre == data_centre
+        ]
+
+    def cut_platform(self, data_centre: str, down: bool = True) -> None:
+        """Cut a data centre from the platform, or heal the cut."""
+        for host in self.of(data_centre):
+            host.way.faults.down = down
+
+    def cut_others(self, data_centre: str, cut: bool = True) -> None:
+        """Cut a data centre from the other data centres, or heal the cut."""
+        inside = {host.peers.me.name for host in self.of(data_centre)}
+        for name in inside:
+            outside = set(self.hosts) - inside
+            self.hosts[name].peers.cut = outside if cut else set()
+
+    def calls(self) -> int:
+        """Return the calls sent to the platform so far."""
+        return sum(host.way.calls for host in self.hosts.values())
+
+    async def stop(self) -> None:
+        """End all hosts."""
+        await _end([task for host in self.hosts.values() for task in host.tasks])
+
+    def _targets(self, host: FleetHost) -> list[str]:
+        me = host.peers.me
+        near = [other.peers.me.name for other in self.of(me.data_centre)]
+        targets = [name for name in near if name in successors(near, me.name)]
+        if me.name in near[:GATEWAYS]:
+            centres = {other.peers.me.data_centre for other in self.hosts.values()}
+            for data_centre in sorted(centres - {me.data_centre}):
+                targets.append(self.of(data_centre)[0].peers.me.name)
+        return targets
+
+
+async def _end(tasks: list[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
