--- a/radishshift/guarded_platform.py
+++ b/radishshift/guarded_platform.py
@@ -26,7 +26,7 @@
 
 FAILURES_TO_OPEN = 5
 FIRST_OPEN_S = 1.0
-LONGEST_OPEN_S = 15.0
+LONGEST_OPEN_S = 8.0
 LONGEST_WAIT_S = 1.0
 
 
--- a/radishshift/http_peers.py
+++ b/radishshift/http_peers.py
@@ -207,14 +207,18 @@
             member.host, CALL_PATH + topic, message, deadline
         )
 
+    def take_heartbeat(self, body: bytes) -> bytes:
+        """Take a peer's heartbeat and return this host's."""
+        peer = self._take_heartbeat(msgspec.json.decode(body, type=Heartbeat))
+        return self._heartbeat_for(peer)
+
     async def take_request(self, request: web.Request) -> web.Response:
         """Answer a request on the peer port."""
         body = await request.read()
         proof = request.headers.get(PROOF_HEADER, "")
         sender = self._check(request.path, proof, body)
         if request.path == HEARTBEAT_PATH:
-            peer = self._take_heartbeat(msgspec.json.decode(body, type=Heartbeat))
-            reply = self._heartbeat_for(peer)
+            reply = self.take_heartbeat(body)
         else:
             handler = self.handlers.get(request.match_info["topic"])
             if handler is None:
--- a/radishshift/watching.py
+++ b/radishshift/watching.py
@@ -13,7 +13,7 @@
 __all__ = ["follow_kind"]
 
 FIRST_PAUSE_S = 0.5
-LONGEST_PAUSE_S = 15.0
+LONGEST_PAUSE_S = 8.0
 RELIST_SPREAD_S = 2.0
 RELIST_EVERY_S = 300.0
 
