--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EXPERIMENT ?= relay
 KEEP ?= 0
 
-.PHONY: run test check tests bench capacity fuzz format
+.PHONY: run test check spec tests bench capacity fuzz format
 
 $(STAMP): constraints.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -26,7 +26,7 @@
 tests: $(STAMP)
 	$(PY) -m pytest -n 6 tests
 
-test: check tests
+test: check spec tests
 
 bench: $(STAMP)
 	$(VENV)/bin/radishshift-bench --experiment=$(EXPERIMENT) --seed=$(SEED) $(FLAGS)
@@ -36,3 +36,6 @@
 
 fuzz: $(STAMP)
 	RADISHSHIFT_FUZZ=1 $(PY) -m pytest tests -k fuzz
+
+spec: $(STAMP)
+	$(PY) -m spec
--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
-from contextlib import aclosing, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,15 +18,17 @@
 from radishshift.errors import (
     AnswerTooLargeError,
     DeadlineError,
+    EndpointCrashedError,
     EndpointError,
     HungUpError,
     ResumeRefusedError,
     StreamBrokenError,
+    StreamSilentError,
 )
 from radishshift.events import DONE, EventScanner, Usage
 from radishshift.evidence import Outcome
 from radishshift.requests import ModelRequest
-from radishshift.sessions import Session
+from radishshift.sessions import SESSION_S, Session
 from radishshift.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -34,7 +36,6 @@
 
 __all__ = ["VersionRun"]
 
-SESSION_S = 3600.0
 ATTEMPT_ID_BYTES = 6
 RESUMES_MAX = 4
 RESUME_PAUSE_S = 0.05
@@ -66,6 +67,7 @@
     scanner: EventScanner
     first_token_at: float | None = None
     dispatched: bool = False
+    broke: bool = False
     collected: bytearray = field(default_factory=bytearray)
 
 
@@ -81,9 +83,13 @@
         Each attempt that gave an answer adds an item.
     answer : Answer
     sink : AnswerSink
+    hold : bool
+        Whether the answer is kept back until `release`.
 
     Attributes
     ----------
+    deadline : float
+        Instant by which the answer must be whole.
     started : bool
         Whether a part of the answer may have reached the caller; nothing is run
         again from then on.
@@ -97,6 +103,7 @@
         bill: Bill,
         answer: Answer,
         sink: AnswerSink,
+        hold: bool = False,
     ) -> None:
         self.router = router
         self.req = req
@@ -104,7 +111,15 @@
         self.bill = bill
         self.answer = answer
         self.sink = sink
+        self.hold = hold
+        self.deadline = req.deadline
         self.started = False
+        self._collected = b""
+
+    @property
+    def events(self) -> bytes:
+        """Return the whole events that the answer is made of."""
+        return self._collected or bytes(self.answer.data).removesuffix(DONE)
 
     async def until_done(self) -> None:
         """Try endpoints until one has given the whole answer."""
@@ -120,7 +135,7 @@
                 return
             except EndpointError as exc:
                 if self.started or not router.retry_budget.allows(
-                    exc, True, self.req.deadline, router.clock.now()
+                    exc, True, self.deadline, router.clock.now()
                 ):
                     raise
                 logger.info("attempt failed at {}: {}", endpoint.name, exc.message)
@@ -132,27 +147,36 @@
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
         attempt = _Attempt(attempt_id, router.clock.now(), scanner)
-        router.loads.started(endpoint)
+        router.loads.started(endpoint, router.clock.now())
         self.answer.attempting = True
+        failed = False
         try:
-            async with self._guarded():
+            async with self._guarded(), self._tried_apart(endpoint):
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
+            failed = isinstance(exc, EndpointError)
             self._give_up(endpoint, attempt, exc)
+            if _is_crash(exc, attempt):
+                await router.poison.tell_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempting = False
-            router.loads.ended(endpoint)
+            router.loads.ended(endpoint, router.clock.now(), not failed)
         self.answer.ran = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
         self._note(endpoint, attempt, usage, ok=True)
         await self._finish(endpoint, attempt, usage)
 
+    def _tried_apart(self, endpoint: Endpoint) -> AbstractAsyncContextManager[None]:
+        req = self.req
+        poison = self.router.poison
+        return poison.tried_apart(req.fingerprint, endpoint.name, req.deadline)
+
     @asynccontextmanager
     async def _guarded(self) -> AsyncIterator[None]:
         """Bound what is done by the deadline, and by the caller's patience."""
         req = self.req
-        remaining_s = req.deadline - self.router.clock.now()
+        remaining_s = self.deadline - self.router.clock.now()
         if remaining_s <= 0:
             raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
         timeout = asyncio.timeout(remaining_s)
@@ -187,10 +211,11 @@
             except ResumeRefusedError:
                 raise
             except EndpointError as exc:
-                silent = isinstance(exc, StreamBrokenError)
-                if not attempt.dispatched and not silent:
+                broke = isinstance(exc, StreamBrokenError)
+                if not attempt.dispatched and not broke:
                     raise
                 attempt.dispatched = True
+                attempt.broke |= broke and not isinstance(exc, StreamSilentError)
                 failures = 1 if scanner.events > events_before else failures + 1
                 if failures >= RESUMES_MAX:
                     raise
@@ -204,33 +229,48 @@
     ) -> None:
         """Pass on what comes over one connection, up to the end mark."""
         scanner = attempt.scanner
-        async with aclosing(stream.chunks()) as chunks:
-            async for data in chunks:
-                events = scanner.feed(data)
-                if events:
-                    if attempt.first_token_at is None:
-                        self._first_token(endpoint, attempt)
-                    if self.req.stream:
-                        await self._pass_on(events)
-                    else:
-                        self._collect(attempt, events)
-                if scanner.done:
-                    break
+        paused = False
+        first_events = b""
+
+        def take(data: bytes) -> bool:
+            nonlocal paused, first_events
+            events = scanner.feed(data)
+            if events:
+                if attempt.first_token_at is None:
+                    self._first_token(endpoint, attempt)
+                if self.hold or not self.req.stream:
+                    self._collect(attempt, events)
+                elif self.started:
+                    self.answer.append(events)
+                    paused = not self.sink.push(events)
+                else:
+                    first_events = events
+                    paused = True
+            return not (paused or scanner.done)
+
+        while True:
+            paused = False
+            await stream.forward(take)
+            if first_events:
+                await self._begin(first_events)
+                first_events = b""
+            if scanner.done or not paused:
+                break
+            await self.sink.drain()
         if not scanner.done:
             raise StreamBrokenError("the stream ended too soon")
         await stream.end()
 
+    async def _begin(self, events: bytes) -> None:
+        await self._start("text/event-stream")
+        self.answer.append(events)
+        await self.sink.write(events)
+
     def _first_token(self, endpoint: Endpoint, attempt: _Attempt) -> None:
         attempt.first_token_at = self.router.clock.now()
         wait_s = attempt.first_token_at - attempt.began
         self.router.first_token(endpoint, self.req, wait_s)
 
-    async def _pass_on(self, events: bytes) -> None:
-        if not self.started:
-            await self._start("text/event-stream")
-        self.answer.append(events)
-        await self.sink.write(events)
-
     def _collect(self, attempt: _Attempt, events: bytes) -> None:
         attempt.collected += events
         if len(attempt.collected) > self.router.answers.answer_bytes:
@@ -246,18 +286,20 @@
         if self.req.session_token:
             answer.headers["X-Session"] = self.req.session_token
         elif self.req.wants_session:
-            answer.headers["X-Session"] = self._new_session()
+            token = self._new_session()
+            if token is not None:
+                answer.headers["X-Session"] = token
         answer.start()
         await self.sink.start(answer)
 
-    def _new_session(self) -> str:
+    def _new_session(self) -> str | None:
         session = Session(
             session_id=self.req.request_id,
             customer=self.req.contract.customer,
             version=self.version.name,
             expires=self.router.clock.now() + SESSION_S,
         )
-        return self.router.session_keys.issue(session)
+        return self.router.session_keys.issue(session, self.router.clock.now())
 
     def _give_up(
         self, endpoint: Endpoint, attempt: _Attempt, exc: BaseException
@@ -269,6 +311,8 @@
         if attempt.scanner.events:
             verdict = Verdict.RAN
         self.answer.ran = self.answer.ran.worst(verdict)
+        if verdict is not Verdict.NOT_RUN:
+            self._bill_unpaid(endpoint, attempt)
         if isinstance(exc, EndpointError | DeadlineError):
             self._note(endpoint, attempt, Usage(), ok=False)
         if verdict is not Verdict.NOT_RUN:
@@ -276,11 +320,26 @@
                 self.router.engines.cancel(endpoint, attempt.attempt_id)
             )
 
+    def _bill_unpaid(self, endpoint: Endpoint, attempt: _Attempt) -> None:
+        """Itemise what a failed attempt may have cost, at no cost to the customer."""
+        prompt_tokens = self.req.prompt_tokens_estimate
+        completion_tokens = attempt.scanner.events
+        item = BillItem(
+            self.version.name,
+            endpoint.name,
+            prompt_tokens,
+            completion_tokens,
+            0,
+            self.version.cost(prompt_tokens, completion_tokens),
+        )
+        self.bill.items.append(item)
+
     def _note(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage, ok: bool
     ) -> None:
         now = self.router.clock.now()
         first_token_at = attempt.first_token_at or now
+        objectives = self.req.task_class.objectives
         outcome = Outcome(
             version=self.version.name,
             endpoint=endpoint.name,
@@ -292,13 +351,17 @@
             / max(1, usage.completion_tokens - 1),
             whole_s=now - attempt.began,
             cost=self.version.cost(usage.prompt_tokens, usage.completion_tokens),
+            slow=first_token_at - attempt.began > objectives.first_token_s,
         )
-        self.router.evidence.record(outcome)
+        self.router.evidence.record(outcome, now)
+        guard = self.router.guard
+        if guard is not None and not self.req.session_token:
+            guard.pool.record(outcome)
 
     async def _finish(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage
     ) -> None:
-        """Make the bill safe, then let the end of the answer go."""
+        """Put the attempt on the bill, and let the answer go unless it is held."""
         cost = self.version.cost(usage.prompt_tokens, usage.completion_tokens)
         item = BillItem(
             self.version.name,
@@ -309,13 +372,34 @@
         )
         self.bill.items.append(item)
         self.req.observation.completion_tokens = usage.completion_tokens
+        self._collected = bytes(attempt.collected)
+        if not self.hold:
+            await self.release()
+
+    async def release(self) -> None:
+        """Make the bill safe, then let what was kept back go."""
         await self.router.biller.secure(self.bill)
         if self.req.stream:
-            last = DONE
-            if not self.started:
-                await self._start("text/event-stream")
+            last = self._collected + DONE
+            content_type = "text/event-stream"
         else:
-            last = assemble(bytes(attempt.collected), self.req.operation)
-            await self._start("application/json")
+            last = assemble(self._collected, self.req.operation)
+            content_type = "application/json"
         self.answer.append(last)
+        if not self.started:
+            await self._start(content_type)
         await self.sink.write(last)
+
+
+def _is_crash(exc: BaseException, attempt: _Attempt) -> bool:
+    """Tell a crash of the endpoint from a connection that failed.
+
+    A stream that broke is asked for on a new connection first. Only an endpoint
+    that has lost it, or takes no connection any more, is held to have crashed.
+    """
+    if isinstance(exc, ResumeRefusedError):
+        return attempt.broke
+    if isinstance(exc, EndpointCrashedError):
+        return True
+    lost = isinstance(exc, EndpointError) and exc.verdict is Verdict.NOT_RUN
+    return lost and attempt.broke
--- a/radishshift/capacity.py
+++ b/radishshift/capacity.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from radishshift.bills import Bill, BillItem
 from radishshift.configuration import CONFIGURATION_KINDS
 from radishshift.confirmations import WRITE_EVERY_S
 from radishshift.following import WATCHERS
@@ -255,18 +254,12 @@
     yield ("the platform takes", *limits, "counted as reads", "")
 
 
-def _bill_bytes() -> int:
-    item = BillItem("farm-advice-large.v1", "mbeya-engine-101", 1200, 340, 3_840_000)
-    bill = Bill("0123456789abcdef0123456789abcdef", "uyole-ring", [item])
-    return len(msgspec.json.encode(bill))
-
-
 @table("bills")
 def _bills(recorded: Recorded, size: Size) -> Iterator[Sequence[str]]:
     yield ("a batch in", "writes/s", "KB a batch", "of the limit", "objects a day")
     per_host = size.requests_per_s / size.hosts
     for batch_s in BILL_BATCHES_S:
-        batch_bytes = per_host * batch_s * _bill_bytes()
+        batch_bytes = per_host * batch_s * recorded["bills"]["bill_bytes"]
         objects = size.hosts / batch_s * SECONDS_A_DAY
         yield (
             f"{batch_s:.0f} s",
@@ -280,9 +273,14 @@
 @table("bill-bytes")
 def _bill_volume(recorded: Recorded, size: Size) -> Iterator[Sequence[str]]:
     yield ("bytes a bill", "MB/s at the peak", "GB a day at a third of the peak")
-    peak = size.requests_per_s * _bill_bytes()
+    bill_bytes = recorded["bills"]["bill_bytes"]
+    peak = size.requests_per_s * bill_bytes
     day = peak * MEAN_OF_PEAK * SECONDS_A_DAY
-    yield (_number(_bill_bytes()), _number(peak / 1e6), _number(day / 1e9))
+    yield (
+        _number(recorded["bills"]["bill_bytes"]),
+        _number(peak / 1e6),
+        _number(day / 1e9),
+    )
 
 
 @table("nodes")
--- a/radishshift/demo.py
+++ b/radishshift/demo.py
@@ -1,13 +1,17 @@
 """The embedded default: stand-ins and one entry host in one process."""
 
 import asyncio
+import logging
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import aiohttp
 import openai
 from absl import app, flags
 
+from radishshift.demo_decisions import show_cascade, show_rollout
 from radishshift.entry import EntryHost, running
 from radishshift.logs import log_to
 from radishshift.settings import (
@@ -15,6 +19,7 @@
     BoundSettings,
     HostSettings,
     PlatformSettings,
+    RatingSettings,
     TimeSettings,
 )
 from radishshift.standins.deployment import KEY, Deployment, deployed
@@ -23,6 +28,7 @@
 
 FLAGS = flags.FLAGS
 READY_POLL_S = 0.02
+PROGRAMS = Path(sys.executable).parent
 
 
 @asynccontextmanager
@@ -40,9 +46,11 @@
         region="tz-south",
         platform=PlatformSettings(address=deployment.platform_address),
         address=AddressSettings(caller_port=0, peer_port=0, metrics_port=0),
+        ratings=RatingSettings(address=deployment.ratings_address, fetch_s=0.1),
     )
+    wanted = deployment.platform.revision
     async with running(cfg) as host:
-        while host.router.catalogue.revision < deployment.platform.revision:
+        while host.router.catalogue.revision < wanted:
             await asyncio.sleep(READY_POLL_S)
         yield host
 
@@ -99,7 +107,8 @@
     await _show_bill(address, request_id)
 
 
-def _print_hints(address: str) -> None:
+def _print_hints(host: EntryHost, deployment: Deployment) -> None:
+    address = host.address
     print("\nThe deployment stays up; end it with Ctrl-C. Try:")
     print(f"  curl -s {address}/v1/models -H 'Authorization: Bearer {KEY}'")
     body = '{"model":"auto","messages":[{"role":"user","content":"Hello"}]}'
@@ -107,18 +116,26 @@
         f"  curl -s {address}/v1/chat/completions -H 'Authorization: Bearer {KEY}' \\"
     )
     print(f"    -d '{body}'")
+    print(f"  curl -s {host.monitoring_address}/metrics")
+    to = f"--platform={deployment.platform_address}"
+    print(f"  {PROGRAMS}/radishshift show {to}")
+    print(f"  {PROGRAMS}/radishshift withdraw farm-advice-large.v1 {to}")
+    print(f"  {PROGRAMS}/radishshift-burn --hosts={host.monitoring_address} {to}")
 
 
 async def _run() -> None:
     async with deployed() as deployment, small_host(deployment) as host:
         await demonstrate(host.address)
+        await show_cascade(deployment, host, _ask, _show_bill)
+        await show_rollout(deployment, host)
         if FLAGS.keep:
-            _print_hints(host.address)
+            _print_hints(host, deployment)
             await asyncio.Event().wait()
 
 
 def _main(_: list[str]) -> None:
     log_to()
+    logging.getLogger().setLevel(logging.WARNING)
     try:
         asyncio.run(_run())
     except KeyboardInterrupt:
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -3,13 +3,14 @@
 import asyncio
 import math
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import aiohttp
 import msgspec
 import yarl
+from aiohttp.connector import Connection
 
 from radishshift.clocks import Clock, SystemClock
 from radishshift.endpoints import Endpoint
@@ -17,12 +18,14 @@
     AnswerTooLargeError,
     BadRequestError,
     DeadlineError,
+    EndpointCrashedError,
     EndpointError,
     ResumeRefusedError,
     StreamBrokenError,
+    StreamSilentError,
 )
-from radishshift.requests import ModelRequest, ServiceCall
-from radishshift.timeouts import IdleSweep, IdleWatch
+from radishshift.pump import StreamPump
+from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.verdicts import Verdict
 
 __all__ = [
@@ -41,6 +44,7 @@
 ANSWER_BYTES_MAX = 4_000_000
 CANCEL_S = 2.0
 END_S = 0.05
+RECEIVE_BYTES = 16_384
 CONNECT_MARGIN_S = 0.02
 CONNECT_S_MIN = 0.001
 
@@ -60,8 +64,8 @@
     status: int = 200
     content_type: str = ""
 
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the bytes as they come.
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end.
 
         Raises
         ------
@@ -70,6 +74,17 @@
         """
         raise NotImplementedError
 
+    async def forward(self, take: Callable[[bytes], bool]) -> None:
+        """Hand on the bytes as they come, until the end or until `take` says False.
+
+        Raises
+        ------
+        StreamBrokenError
+        """
+        while data := await self.read():
+            if not take(data):
+                return
+
     async def end(self) -> None:
         """Let the connection come to its end, if it is quick to do so."""
 
@@ -114,33 +129,27 @@
 
 class _HttpStream(EngineStream):
     def __init__(
-        self, resp: aiohttp.ClientResponse, idle_s: float, sweep: IdleSweep
+        self, resp: aiohttp.ClientResponse, idle_s: float, pump: StreamPump
     ) -> None:
         self.status = resp.status
         self.content_type = resp.content_type
         self._resp = resp
-        self._sweep = sweep
-        self._watch = IdleWatch(idle_s, resp.close)
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the bytes as they come."""
-        read = self._resp.content.readany
-        watch = self._watch
-        self._sweep.add(watch)
+        self._idle_s = idle_s
+        self._pump = pump
+        _read_small(resp.connection)
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end."""
+        parts: list[bytes] = []
+        await self.forward(lambda data: bool(parts.append(data)))
+        return b"".join(parts)
+
+    async def forward(self, take: Callable[[bytes], bool]) -> None:
+        """Hand on the bytes as they come."""
         try:
-            while True:
-                watch.wait()
-                data = await read()
-                watch.got()
-                if not data:
-                    return
-                yield data
+            await self._pump.forward(self._resp.content, self._idle_s, take)
         except (aiohttp.ClientError, OSError) as exc:
-            if watch.expired:
-                raise StreamBrokenError("the stream went silent") from exc
             raise StreamBrokenError(f"the stream broke: {exc}") from exc
-        finally:
-            self._sweep.discard(watch)
 
     async def end(self) -> None:
         """Read up to the end, so that the connection can be used again."""
@@ -151,6 +160,16 @@
             return
 
 
+def _read_small(conn: Connection | None) -> None:
+    """Receive into small buffers: events are short, and a large one costs a mapping.
+
+    The event loop's own size is 256 KiB, which the C library maps and unmaps for
+    each read of a few bytes.
+    """
+    if conn is not None and hasattr(conn.transport, "max_size"):
+        conn.transport.max_size = RECEIVE_BYTES
+
+
 class _LostReplyError(aiohttp.ClientError):
     """A connection broke after a call may have been sent."""
 
@@ -198,7 +217,12 @@
         self._idle_s = idle_s
         self._clock = clock or SystemClock()
         self._answer_bytes = answer_bytes
-        self._sweep = IdleSweep(self._clock)
+        self._pump = StreamPump()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the connections to endpoints, for what is not a request."""
+        return self._session
 
     @asynccontextmanager
     async def open(
@@ -216,11 +240,15 @@
             f"{endpoint.address}/v1/{req.operation}",
             req.deadline,
             headers_s=self._idle_s,
-            headers={"X-Request-Id": attempt_id, "Content-Type": "application/json"},
+            headers={
+                "X-Request-Id": attempt_id,
+                "X-Prefix-Digest": f"{prefix_digest(req.body_bytes):016x}",
+                "Content-Type": "application/json",
+            },
             data=msgspec.json.encode(body),
         ) as resp:
             await self._check(resp)
-            yield _HttpStream(resp, self._idle_s, self._sweep)
+            yield _HttpStream(resp, self._idle_s, self._pump)
 
     @asynccontextmanager
     async def resume(
@@ -239,7 +267,7 @@
                 raise ResumeRefusedError("the endpoint does not have the stream")
             if resp.status != 200:
                 raise StreamBrokenError(f"the endpoint answered {resp.status}")
-            yield _HttpStream(resp, self._idle_s, self._sweep)
+            yield _HttpStream(resp, self._idle_s, self._pump)
 
     async def cancel(self, endpoint: Endpoint, attempt_id: str) -> None:
         """Tell an endpoint that no one waits for an attempt any more."""
@@ -315,11 +343,11 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise EndpointError(f"no connection: {exc}", verdict=NOT_RUN) from exc
         except aiohttp.ClientError as exc:
-            raise EndpointError(f"the connection broke: {exc}") from exc
+            raise EndpointCrashedError(f"the connection broke: {exc}") from exc
         except TimeoutError as exc:
-            raise StreamBrokenError("the endpoint is silent") from exc
+            raise StreamSilentError("the endpoint is silent") from exc
         except OSError as exc:
-            raise EndpointError(f"the connection broke: {exc}") from exc
+            raise EndpointCrashedError(f"the connection broke: {exc}") from exc
 
     async def _check(self, resp: aiohttp.ClientResponse) -> None:
         if resp.status == 200:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -1,9 +1,9 @@
 """The daemon on an entry host."""
 
 import asyncio
-import os
+import gc
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext
 from dataclasses import dataclass
 
@@ -13,6 +13,7 @@
 
 from radishshift.admission import Admission
 from radishshift.answers import Answers
+from radishshift.bill_copies import BillCopies
 from radishshift.bills import Biller
 from radishshift.caller_connections import listening_to_callers
 from radishshift.callers import make_caller_app
@@ -23,26 +24,38 @@
 from radishshift.duties import Duties
 from radishshift.engines import connected_engines
 from radishshift.errors import RadishshiftError
+from radishshift.evidence import Evidence
+from radishshift.evidence_pool import EvidencePool
+from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
+from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
+from radishshift.loops import gathering_loop
 from radishshift.monitoring import add_health, is_ready, monitored
 from radishshift.peers import Peers
+from radishshift.poison_trials import PoisonGuard
+from radishshift.ratings import connected_ratings
 from radishshift.remote_answers import RemoteAnswers
+from radishshift.rollout import RolloutDriver, RolloutGuard
 from radishshift.router import Router
 from radishshift.running import RunningRequest
-from radishshift.sessions import SessionKeys
+from radishshift.session_keys import KeyKeeper
 from radishshift.settings import ClientKeySettings, HostSettings, load_settings
 from radishshift.tls import client_context_of, server_tls_of
 
-__all__ = ["EntryHost", "run", "running"]
+__all__ = ["EntryHost", "run", "running", "settle_memory"]
 
 FLAGS = flags.FLAGS
 DRAIN_POLL_S = 0.05
+MEET_S = 3.0
 CUT_S = 1.0
 FLUSH_S = 5.0
 FLUSH_PAUSE_S = 0.2
+ROLLOUT_EVERY_S = 1.0
+HOSTS_COUNTED_S = 1.0
 LEFT_WORK_EXIT_CODE = 3
+YOUNG_OBJECTS_MAX = 20_000
 
 logger = logbook.Logger("entry")
 
@@ -61,6 +74,8 @@
         The other entry hosts.
     monitoring_address : str
         Base URL of metrics, indicators and health.
+    copies : BillCopies
+        Bills of other hosts.
     """
 
     cfg: HostSettings
@@ -69,6 +84,7 @@
     peers: Peers
     monitoring_address: str
     duties: Duties
+    copies: BillCopies
 
     async def stop(
         self, hurry: asyncio.Event | None = None, unready_s: float = 0.0
@@ -100,7 +116,8 @@
             )
         if left:
             await _until(lambda: not self.router.busy, clock, clock.now() + CUT_S)
-        await self._flush_bills(clock.now() + FLUSH_S)
+        await self._settle_bills(self.router.biller.flush, clock.now() + FLUSH_S)
+        await self._settle_bills(self.copies.leave, clock.now() + FLUSH_S)
         return left
 
     async def drain(self, deadline: float, hurry: asyncio.Event | None = None) -> int:
@@ -114,11 +131,13 @@
         )
         return router.busy
 
-    async def _flush_bills(self, deadline: float) -> None:
+    async def _settle_bills(
+        self, settle: Callable[[], Awaitable[None]], deadline: float
+    ) -> None:
         clock = self.router.clock
         while True:
             try:
-                await self.router.biller.flush()
+                await settle()
                 return
             except RadishshiftError as exc:
                 if clock.now() >= deadline:
@@ -141,6 +160,13 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
+async def _count_hosts(clock: Clock, router: Router, peers: Peers) -> None:
+    """Tell the estimates of load how many hosts send to the same endpoints."""
+    while True:
+        router.loads.hosts = 1 + len(peers.live(router.data_centre))
+        await clock.sleep_until(clock.now() + HOSTS_COUNTED_S)
+
+
 def _platform_session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
     return aiohttp.ClientSession(connector=connector)
@@ -167,6 +193,13 @@
         ) as engines,
         _platform_session(cfg.tls.to_platform) as platform_session,
         met_peers(cfg, clock) as peers,
+        connected_ratings(
+            clock,
+            cfg.ratings.address,
+            f"{cfg.name}-{peers.me.incarnation}",
+            cfg.ratings.score_timeout_s,
+            cfg.ratings.fetch_s,
+        ) as ratings,
     ):
         http_platform = HttpPlatform(
             platform_session,
@@ -178,22 +211,75 @@
         duties = Duties(platform, peers, clock)
         configuration = Configuration(clock)
         process = f"{cfg.name}-{peers.me.incarnation}"
+        keeper = KeyKeeper(platform, clock)
+        await keeper.try_refresh()
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
             configuration=configuration,
             engines=engines,
             claims=Claims(platform, clock, process, peers),
-            biller=Biller(platform, cfg.name, peers.me.incarnation),
+            biller=Biller(
+                platform,
+                clock,
+                cfg.name,
+                peers.me.incarnation,
+                peers,
+                cfg.bounds.open_bills,
+            ),
             answers=Answers(cfg.bounds.answers_bytes, cfg.bounds.answer_bytes),
-            session_keys=SessionKeys({"start": os.urandom(32)}),
+            session_keys=keeper,
+            poison=PoisonGuard(clock, peers, platform),
             admission=Admission(cfg.bounds.requests, clock),
             answer_kept_s=cfg.times.answer_kept_s,
+            host_name=cfg.name,
+            evidence=Evidence(process),
+            ratings=ratings,
         )
+        load_reports = LoadReports(
+            engines.session,
+            clock,
+            cfg.name,
+            router.loads,
+            router.prefix_caches,
+            lambda: (
+                endpoint
+                for endpoint in router.catalogue.endpoints.values()
+                if endpoint.data_centre == cfg.data_centre
+            ),
+        )
+        pool = EvidencePool(router.evidence, peers.me)
+        peers.carry(pool.section)
+        guard = RolloutGuard(GuardPool(process, peers.me))
+        router.guard = guard
+        peers.carry(guard.pool.section)
+        configuration.listeners.append(guard.follow)
+        driver = RolloutDriver(platform, clock, guard, lambda: router.catalogue)
+        duties.add("rollout", driver.advance, ROLLOUT_EVERY_S)
+
+        async def watch_rollouts() -> None:
+            guard.pool.publish(clock.now())
+            guard.look(router.catalogue)
+            await driver.record_stops()
+
+        async def publish_evidence() -> None:
+            pool.publish(clock.now())
+
+        copies = BillCopies(platform, clock, peers, cfg.bounds.open_bills)
         tasks = [
+            asyncio.create_task(keeper.follow()),
+            asyncio.create_task(router.poison.follow()),
+            asyncio.create_task(router.poison.learn(clock.now() + MEET_S)),
             asyncio.create_task(
                 _every(clock, cfg.times.bill_batch_s, router.biller.flush)
             ),
+            asyncio.create_task(load_reports.follow()),
+            asyncio.create_task(_count_hosts(clock, router, peers)),
+            asyncio.create_task(
+                _every(clock, cfg.times.bill_batch_s, copies.settle_gone)
+            ),
+            asyncio.create_task(_every(clock, cfg.times.evidence_s, publish_evidence)),
+            asyncio.create_task(_every(clock, cfg.times.guard_s, watch_rollouts)),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
         caller_app = make_caller_app(router, cfg.bounds, cfg.times)
@@ -219,7 +305,7 @@
                 caller_tls,
             ) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url, duties)
+            host = EntryHost(cfg, router, url, peers, monitoring_url, duties, copies)
             try:
                 yield host
             finally:
@@ -231,6 +317,16 @@
                 await router.claims.close()
 
 
+def settle_memory() -> None:
+    """Leave what the start has made out of the collector's later passes.
+
+    A pass over all of it would hold up every stream for tens of milliseconds.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS_MAX, *gc.get_threshold()[1:])
+
+
 async def _serve(cfg: HostSettings) -> int:
     stop = asyncio.Event()
     hurry = asyncio.Event()
@@ -242,6 +338,7 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, signalled)
     async with running(cfg) as host:
+        settle_memory()
         logger.info("serving callers at {}", host.address)
         await stop.wait()
         logger.info("leaving: {} requests are running", len(host.router.running))
@@ -256,7 +353,8 @@
         print("settings are valid")
         return 0
     log_to()
-    return asyncio.run(_serve(cfg))
+    with asyncio.Runner(loop_factory=gathering_loop) as runner:
+        return runner.run(_serve(cfg))
 
 
 def run() -> None:
--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -16,6 +16,7 @@
     "BillsFullError",
     "ConflictError",
     "DeadlineError",
+    "EndpointCrashedError",
     "EndpointError",
     "GoneError",
     "HeadersTooLargeError",
@@ -39,6 +40,7 @@
     "ShuttingDownError",
     "StaleConfigurationError",
     "StreamBrokenError",
+    "StreamSilentError",
     "TooLargeError",
     "WithdrawnError",
     "rebuild_error",
@@ -304,6 +306,12 @@
     usual_verdict = Verdict.MAY_HAVE_RUN
 
 
+class EndpointCrashedError(EndpointError):
+    """An endpoint broke an attempt off as one does that crashes."""
+
+    code = "endpoint-crashed"
+
+
 class StreamBrokenError(EndpointError):
     """A stream went silent, broke, or held what is not its own.
 
@@ -313,6 +321,10 @@
     code = "stream-broken"
 
 
+class StreamSilentError(StreamBrokenError):
+    """A connection went silent; its endpoint may well be alive."""
+
+
 class ResumeRefusedError(EndpointError):
     """An endpoint does not go on with a stream that broke."""
 
--- a/radishshift/monitoring.py
+++ b/radishshift/monitoring.py
@@ -57,7 +57,8 @@
 
 def is_ready(router: Router) -> bool:
     """Tell whether a host should be sent new work."""
-    return router.catalogue.revision > 0 and not router.leaving
+    informed = router.catalogue.revision > 0 and router.poison.informed
+    return informed and not router.leaving
 
 
 def _watch_tables(metrics: Metrics, router: Router) -> None:
@@ -66,6 +67,10 @@
     metrics.watch("answers.held_bytes", lambda: router.answers.held_bytes)
     metrics.watch("answers.dropped", lambda: router.answers.dropped)
     metrics.watch("answers.refused", lambda: router.answers.refused)
+    metrics.watch("bills.unsettled", lambda: router.biller.unsettled)
+    metrics.watch("bills.unsecured", lambda: router.biller.unsecured)
+    metrics.watch("poison.suspects", lambda: len(router.poison))
+    metrics.watch("claims.backlog", lambda: router.claims.backlog)
     metrics.watch("catalogue.revision", lambda: router.catalogue.revision)
     metrics.watch("catalogue.versions", lambda: len(router.catalogue.versions))
     metrics.watch("catalogue.endpoints", lambda: len(router.catalogue.endpoints))
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,197 @@
+"""Tests that a request crashes at most two endpoints of the whole fleet."""
+
+import asyncio
+import contextlib
+
+from radishshift.errors import DeadlineError, EndpointCrashedError, PoisonError
+from radishshift.hosts import Host
+from radishshift.objects import Kind
+from radishshift.peers import MemoryPeers
+from radishshift.platform import MemoryPlatform
+from radishshift.poison import SUSPECTS_MAX, Crash, PoisonWatch
+from radishshift.poison_trials import PoisonGuard
+from radishshift.standins.faulty import FaultyPlatform, PlatformFaults
+from radishshift.verdicts import Verdict
+from tests.cases import TestCase, VirtualTestCase
+from tests.holding import CLOCK
+
+NAMES = ("mbeya-1", "mbeya-2", "iringa-1", "iringa-2", "njombe-1", "njombe-2")
+
+
+class PoisonWatchTest(TestCase):
+    def test_the_state_is_bounded_and_expires(self):
+        watch = PoisonWatch()
+        for number in range(SUSPECTS_MAX + 50):
+            watch.take(Crash(f"request-{number}", "engine-1", float(number)), 1e5)
+        self.assertLessEqual(len(watch), SUSPECTS_MAX)
+        watch = PoisonWatch()
+        for endpoint in ("engine-1", "engine-2"):
+            watch.crashed("request-1", endpoint, 100.0)
+        self.assertRaises(PoisonError, watch.check, "request-1", 3000.0)
+        watch.check("request-1", 3800.0)
+
+    def test_one_crash_that_is_told_often_counts_once(self):
+        watch = PoisonWatch()
+        for now in (1.0, 2.0, 3.0):
+            watch.take(Crash("request-1", "engine-1", 1.0), now)
+        watch.check("request-1", 4.0)
+
+    def test_an_endpoint_that_crashes_again_counts_again(self):
+        """A resend through another host met the same endpoint, again and again."""
+        watch = PoisonWatch()
+        watch.crashed("request-1", "engine-1", 1.0)
+        watch.crashed("request-1", "engine-1", 9.0)
+        self.assertRaises(PoisonError, watch.check, "request-1", 9.0)
+
+    def test_hosts_that_missed_a_crash_hear_of_it_by_heartbeats(self):
+        watches = [PoisonWatch(), PoisonWatch(), PoisonWatch()]
+        hosts = [Host(name, "mbeya", "tz-south", "") for name in NAMES[:3]]
+        for endpoint in ("engine-1", "engine-2"):
+            watches[0].crashed("request-1", endpoint, 1.0)
+        for sender, receiver in ((0, 1), (1, 2)):
+            value = watches[sender].outgoing(hosts[receiver], 2.0)
+            watches[receiver].incoming(hosts[sender], value, 2.0)
+        self.assertRaises(PoisonError, watches[2].check, "request-1", 3.0)
+        sizes = [len(watches[0].outgoing(hosts[1], 4.0) or ()) for _ in range(10)]
+        self.assertEqual(0, sizes[-1])
+
+
+class PoisonGuardTest(VirtualTestCase):
+    def setUp(self):
+        super().setUp()
+        self.crashed = []
+        self.running = {}
+
+    def fleet(self):
+        network = {}
+        hosts = [Host(name, name[:-2], "tz-south", "") for name in NAMES]
+        platform = MemoryPlatform()
+        return [
+            PoisonGuard(CLOCK, MemoryPeers(host, network), platform) for host in hosts
+        ]
+
+    async def run_at(self, guard, fingerprint, endpoint):
+        """Run a request at an endpoint; poison crashes all that run there."""
+        deadline = CLOCK.now() + 20.0
+        async with guard.tried_apart(fingerprint, endpoint, deadline):
+            there = self.running.setdefault(endpoint, [])
+            crash = asyncio.get_running_loop().create_future()
+            there.append((fingerprint, crash))
+            try:
+                async with asyncio.timeout(1.0):
+                    await crash
+            except TimeoutError:
+                if "poison" not in fingerprint:
+                    return "answer"
+                self.crash(endpoint)
+            finally:
+                there.remove((fingerprint, crash))
+        await guard.tell_crash(fingerprint, endpoint)
+        raise EndpointCrashedError("crashed")
+
+    def crash(self, endpoint):
+        self.crashed.append(endpoint)
+        for _, crash in self.running[endpoint]:
+            if not crash.done():
+                crash.set_result(None)
+
+    async def until_done(self, guard, fingerprint, endpoints):
+        for endpoint in endpoints:
+            try:
+                return await self.run_at(guard, fingerprint, endpoint)
+            except EndpointCrashedError:
+                continue
+        return None
+
+    async def test_resends_through_every_host_crash_two_endpoints_and_spare_others(
+        self,
+    ):
+        guards = self.fleet()
+        endpoints = [f"engine-{number}" for number in range(5)]
+        innocents = [
+            self.until_done(guard, f"innocent-{number}", ["engine-0", "engine-1"])
+            for number, guard in enumerate(guards * 3)
+        ]
+        answers = asyncio.gather(*innocents)
+        for guard in guards:
+            try:
+                await self.until_done(guard, "poison", endpoints)
+            except PoisonError as exc:
+                self.assertIs(Verdict.NOT_RUN, exc.verdict)
+        self.assertEqual(2, len(self.crashed))
+        self.assertEqual({"answer"}, set(await answers))
+
+    async def test_a_suspect_sent_through_all_hosts_at_once_is_tried_once(self):
+        guards = self.fleet()
+        await guards[0].tell_crash("poison", "engine-0")
+        self.crashed.append("engine-0")
+        tries = [
+            self.until_done(guard, "poison", [f"engine-{number}"])
+            for number, guard in enumerate(guards, start=1)
+        ]
+        results = await asyncio.gather(*tries, return_exceptions=True)
+        self.assertEqual(2, len(self.crashed))
+        refused = [item for item in results if isinstance(item, PoisonError)]
+        self.assertEqual(len(guards) - 1, len(refused))
+
+    async def test_data_centres_cut_off_from_each_other_learn_from_the_platform(self):
+        guards = self.fleet()
+        for guard in guards:
+            guard._peers.cut = {name for name in NAMES if name[:-2] != guard._me[:-2]}
+        followers = [asyncio.create_task(guard.follow()) for guard in guards]
+        for endpoint in ("engine-0", "engine-1"):
+            await guards[0].tell_crash("poison", endpoint)
+        await CLOCK.sleep_until(CLOCK.now() + 1.5)
+        for guard in guards:
+            self.assertRaises(PoisonError, guard.check, "poison", CLOCK.now())
+        await CLOCK.sleep_until(CLOCK.now() + 4000.0)
+        listing = await guards[0]._records._platform.list_all(Kind.POISON)
+        self.assertEqual((), listing.items)
+        for follower in followers:
+            follower.cancel()
+
+    async def test_data_centres_that_share_nothing_crash_two_endpoints_together(self):
+        """Each side, cut off from the others and the platform, lost two."""
+        guards = self.fleet()
+        for guard in guards:
+            guard._peers.cut = {name for name in NAMES if name[:-2] != guard._me[:-2]}
+            guard._records._platform = FaultyPlatform(
+                MemoryPlatform(), CLOCK, faults=PlatformFaults(down=True)
+            )
+        for guard in (guards[0], guards[2]):
+            endpoints = [f"{guard._me[:-2]}-{number}" for number in range(3)]
+            with contextlib.suppress(PoisonError):
+                await self.until_done(guard, "poison", endpoints)
+        self.assertEqual(2, len(self.crashed))
+
+    async def test_an_innocent_that_meets_two_unrelated_crashes_completes(self):
+        """A suspect's trial was ended by a crash that it had no part in."""
+        guards = self.fleet()
+        await guards[0].tell_crash("innocent-1", "engine-0")
+        work = self.until_done(guards[0], "innocent-1", ["engine-1", "engine-2"])
+        task = asyncio.create_task(work)
+        await CLOCK.sleep_until(CLOCK.now() + 0.5)
+        self.crash("engine-1")
+        self.assertEqual("answer", await task)
+
+    async def test_two_suspects_never_share_an_endpoint(self):
+        guards = self.fleet()
+        for fingerprint in ("innocent-1", "poison"):
+            await guards[0].tell_crash(fingerprint, "engine-0")
+        results = await asyncio.gather(
+            self.until_done(guards[2], "poison", ["engine-1"]),
+            self.until_done(guards[3], "innocent-1", ["engine-1"]),
+        )
+        self.assertEqual([None, "answer"], results)
+
+    async def test_a_trial_whose_host_died_ends_by_itself(self):
+        guards = self.fleet()
+        await guards[0].tell_crash("innocent-1", "engine-0")
+        held = guards[1].tried_apart("innocent-1", "engine-1", CLOCK.now() + 30.0)
+        await held.__aenter__()
+        waiting = guards[2].tried_apart("innocent-1", "engine-2", CLOCK.now() + 20.0)
+        exc = await self.assert_raises_async(DeadlineError, waiting.__aenter__())
+        self.assertIs(Verdict.NOT_RUN, exc.verdict)
+        await CLOCK.sleep_until(CLOCK.now() + 15.0)
+        async with guards[2].tried_apart("innocent-1", "engine-2", CLOCK.now() + 20.0):
+            pass
