--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -29,6 +29,7 @@
 from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
 from radishshift.http_platform import HttpPlatform
+from radishshift.kv_moves import KvMover
 from radishshift.load_reports import LoadReports
 from radishshift.logs import log_to
 from radishshift.loops import gathering_loop
@@ -235,6 +236,7 @@
             host_name=cfg.name,
             evidence=Evidence(process),
             ratings=ratings,
+            kv_mover=KvMover(engines.session, clock),
         )
         load_reports = LoadReports(
             engines.session,
