--- a/radishshift/configuration.py
+++ b/radishshift/configuration.py
@@ -113,7 +113,8 @@
                 listing.revision,
                 table.head.complete,
             )
-        self._rebuild_soon(table.take_listing(listing))
+        if table.take_listing(listing):
+            self._rebuild()
         self.confirm(self._clock.now())
 
     def take_change(self, change: ObjectChange) -> None:
