--- a/radishshift/http_peers.py
+++ b/radishshift/http_peers.py
@@ -20,6 +20,7 @@
 from radishshift.hosts import Host
 from radishshift.membership import Membership
 from radishshift.objects import StoredObject
+from radishshift.peer_channel import PeerChannel
 from radishshift.peer_messages import PROOF_HEADER, Heartbeat, PeerKeys
 from radishshift.peers import Peers, PeerUnavailableError
 from radishshift.verdicts import Verdict
@@ -28,11 +29,11 @@
 
 HEARTBEAT_PATH = "/h"
 CALL_PATH = "/c/"
-HEARTBEAT_TIMEOUT_S = 2.0
+HEARTBEAT_TIMEOUT_S = 1.0
 SOON_S = 0.1
+RETRY_S = 0.3
 RETRY_DEAD_S = 5.0
 MESSAGE_BYTES = 8_000_000
-NEEDLESS_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 logger = logbook.Logger("peers")
 
@@ -71,11 +72,9 @@
         super().__init__(me)
         self.membership = Membership(me)
         self.carry(self.membership.section)
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self.channel = PeerChannel(me.name, keys, clock, session)
         self._keys = keys
         self._clock = clock
-        self._session = session
         self._heartbeat_s = heartbeat_s
         self._seeds = seeds
         self._rng = Random(f"{me.name}{me.incarnation}")
@@ -137,10 +136,12 @@
             member = self.membership.members.get(name)
             if member is None:
                 return
-            await self._beat(member.host)
-            self.membership.silent(name, self._clock.now())
+            pause_s = self._heartbeat_s
+            if not await self._beat(member.host):
+                self.membership.silent(name, self._clock.now())
+                pause_s = min(pause_s, RETRY_S)
             with suppress(TimeoutError):
-                pause_s = self._heartbeat_s * self._rng.uniform(0.9, 1.1)
+                pause_s *= self._rng.uniform(0.9, 1.1)
                 await asyncio.wait_for(news.wait(), pause_s)
                 await asyncio.sleep(SOON_S)
             news.clear()
@@ -157,7 +158,7 @@
         deadline = self._clock.now() + HEARTBEAT_TIMEOUT_S
         body = self._heartbeat_for(host)
         try:
-            reply = await self._send(host, HEARTBEAT_PATH, body, deadline)
+            reply = await self.channel.send(host, HEARTBEAT_PATH, body, deadline)
             self._take_heartbeat(msgspec.json.decode(reply, type=Heartbeat))
         except (RadishshiftError, msgspec.DecodeError, ValueError, TypeError) as exc:
             logger.debug("no heartbeat from {}: {}", host.name, exc)
@@ -202,35 +203,14 @@
         member = self.membership.members.get(host)
         if member is None:
             raise PeerUnavailableError(f"{host} is not known", verdict=Verdict.NOT_RUN)
-        return await self._send(member.host, CALL_PATH + topic, message, deadline)
+        return await self.channel.send(
+            member.host, CALL_PATH + topic, message, deadline
+        )
 
-    async def _send(self, host: Host, path: str, body: bytes, deadline: float) -> bytes:
-        now = self._clock.now()
-        proof = self._keys.sign(self.me.name, f"{host.name} {path}", body, now)
-        try:
-            async with (
-                asyncio.timeout(max(0.0, deadline - now)),
-                self._session.post(
-                    host.peer_address + path,
-                    data=body,
-                    headers={PROOF_HEADER: proof},
-                    skip_auto_headers=NEEDLESS_HEADERS,
-                ) as resp,
-            ):
-                reply = await resp.read()
-                if resp.status != 200:
-                    raise PeerUnavailableError(f"{host.name} answered {resp.status}")
-                answer = resp.headers.get(PROOF_HEADER, "")
-        except aiohttp.ClientConnectorError as exc:
-            raise PeerUnavailableError(
-                f"{host.name} is not in reach", verdict=Verdict.NOT_RUN
-            ) from exc
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise PeerUnavailableError(f"no reply from {host.name}") from exc
-        self._keys.check(answer, proof, reply, self._clock.now())
-        self.bytes_sent += len(body)
-        self.bytes_received += len(reply)
-        return reply
+    def take_heartbeat(self, body: bytes) -> bytes:
+        """Take a peer's heartbeat and return this host's."""
+        peer = self._take_heartbeat(msgspec.json.decode(body, type=Heartbeat))
+        return self._heartbeat_for(peer)
 
     async def take_request(self, request: web.Request) -> web.Response:
         """Answer a request on the peer port."""
@@ -238,8 +218,7 @@
         proof = request.headers.get(PROOF_HEADER, "")
         sender = self._check(request.path, proof, body)
         if request.path == HEARTBEAT_PATH:
-            peer = self._take_heartbeat(msgspec.json.decode(body, type=Heartbeat))
-            reply = self._heartbeat_for(peer)
+            reply = self.take_heartbeat(body)
         else:
             handler = self.handlers.get(request.match_info["topic"])
             if handler is None:
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import copy
+from bisect import bisect_right
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from dataclasses import replace
 
 from radishshift.errors import (
@@ -22,6 +24,7 @@
 __all__ = ["MemoryPlatform", "Platform"]
 
 HISTORY_LENGTH = 4096
+BOOKMARK_S = 5.0
 
 
 class Platform:
@@ -96,9 +99,14 @@
     ----------
     history_length : int
         Number of changes that a watch can reach back over.
+    bookmark_s : float
+        Time after which a watch that has nothing to tell sends a bookmark.
     """
 
-    def __init__(self, history_length: int = HISTORY_LENGTH) -> None:
+    def __init__(
+        self, history_length: int = HISTORY_LENGTH, bookmark_s: float = BOOKMARK_S
+    ) -> None:
+        self._bookmark_s = bookmark_s
         self.revision = 0
         self.reads = 0
         self.writes = 0
@@ -146,6 +154,8 @@
         """Yield the changes of a kind after revision `since`."""
         self.reads += 1
         self.watches += 1
+        loop = asyncio.get_running_loop()
+        quiet_since = loop.time()
         try:
             while True:
                 if not self._oldest <= since <= self.revision:
@@ -153,15 +163,25 @@
                 upto = self.revision
                 for change in self._after(since):
                     if change.item.kind is kind:
+                        quiet_since = loop.time()
                         yield change
                 since = upto
-                async with self._changed:
-                    await self._changed.wait_for(lambda seen=upto: self.revision > seen)
+                if loop.time() >= quiet_since + self._bookmark_s:
+                    quiet_since = loop.time()
+                    bookmark = StoredObject(kind, "", revision=upto)
+                    yield ObjectChange(ChangeType.BOOKMARK, bookmark)
+                await self._changes_after(upto, quiet_since + self._bookmark_s)
         finally:
             self.watches -= 1
 
+    async def _changes_after(self, revision: int, deadline: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline), self._changed:
+                await self._changed.wait_for(lambda: self.revision > revision)
+
     def _after(self, since: int) -> list[ObjectChange]:
-        return [change for change in self._history if change.item.revision > since]
+        first = bisect_right(self._history, since, key=_revision_of)
+        return self._history[first:]
 
     def _check(self, kind: Kind, name: str, revision: int) -> StoredObject:
         held = self._items[kind].get(name)
@@ -189,3 +209,7 @@
         async with self._changed:
             self._changed.notify_all()
         return stored
+
+
+def _revision_of(change: ObjectChange) -> int:
+    return change.item.revision
