Split the faults experiment: callers have a module of their own

Change: fault_callers.py holds the callers and what they wanted and got; the constant BOOKING_DEADLINE_S, which nothing used, is gone.

--- a/radishshift/experiments/faults.py
+++ b/radishshift/experiments/faults.py
@@ -10,15 +10,13 @@
 import asyncio
 import random
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
-import msgspec
 from absl import flags
 
-from radishshift.answers import Answer
 from radishshift.bench import experiment
-from radishshift.errors import RadishshiftError
+from radishshift.experiments.fault_callers import Audit, Callers
 from radishshift.experiments.fault_world import (
     CLOCK,
     DATA_CENTRES,
@@ -28,258 +26,23 @@
 )
 from radishshift.ledger import read_ledger
 from radishshift.objects import Kind
-from radishshift.requests import ModelRequest, ServiceCall
-from radishshift.verdicts import Verdict
 from radishshift.virtual_time import run_virtually
 
 __all__ = ["measure_faults"]
 
 FLAGS = flags.FLAGS
-flags.DEFINE_float("faults_seconds", 60.0, "Length of the load, in seconds.")
-flags.DEFINE_float("faults_rate_per_s", 20.0, "Requests that callers begin a second.")
 flags.DEFINE_float("faults_gap_s", 1.5, "Mean time between two faults, in seconds.")
 
-CUSTOMER = "uyole-ring"
-MODEL = "farm-advice-large"
-VERSIONS = frozenset({"farm-advice-large.v1", "farm-advice-large.v2"})
 WITHDRAWN = "farm-advice-large.v2"
-MODEL_DEADLINE_S = 20.0
-BOOKING_DEADLINE_S = 20.0
 SETTLE_S = 90.0
 KILL_GAP_S = 6.0
 IN_FORCE_S = 5.0
-HANG_S = 2.0
-TRIES_MAX = 60
-
-
-class _Sink:
-    """A caller's end of the connection."""
-
-    def __init__(self) -> None:
-        self.gone = False
-        self.headers: dict[str, str] = {}
-        self.data = bytearray()
-
-    async def start(self, answer: Answer) -> None:
-        """Take the headers."""
-        self.headers = dict(answer.headers)
-
-    async def write(self, data: bytes) -> None:
-        """Take a part."""
-        self.data += data
-
-    def push(self, data: bytes) -> bool:
-        """Take a part; there is always room."""
-        self.data += data
-        return True
-
-    async def drain(self) -> None:
-        """Return at once: there is always room."""
-
-    @property
-    def whole(self) -> bool:
-        """Tell whether the end mark came."""
-        return self.data.endswith(b"data: [DONE]\n\n")
-
-    def words(self) -> list[str]:
-        """Return the words of the answer."""
-        words = []
-        for line in bytes(self.data).splitlines():
-            if line.startswith(b"data: {"):
-                for choice in msgspec.json.decode(line[6:]).get("choices", []):
-                    words.append(choice["delta"]["content"])
-        return words
-
-
-@dataclass(slots=True)
-class _Request:
-    """What one caller wanted and got."""
-
-    name: str
-    kind: str
-    sent_at: float
-    deadline: float
-    servable: bool = True
-    outcome: str = ""
-    sink: _Sink | None = None
-    token: str = ""
-    tokens_version: str = ""
-
-
-@dataclass(slots=True)
-class _Audit:
-    """Counts of what must not happen, and of what did."""
-
-    requests: list[_Request] = field(default_factory=list)
-    faults: Counter[str] = field(default_factory=Counter)
-    false_not_run: int = 0
-    session_moves: int = 0
-    cut_by_shutdown: int = 0
-    withdrawn_at: float = float("inf")
-    away_until: dict[str, float] = field(default_factory=dict)
-
-
-class _Callers:
-    """Callers that send again what they may."""
-
-    def __init__(self, world: World, audit: _Audit, rng: random.Random) -> None:
-        self._world = world
-        self._audit = audit
-        self._rng = rng
-        self._number = 0
-        self._sessions: list[tuple[str, str]] = []
-        self._poisoner = asyncio.Lock()
-
-    async def send_all(self) -> None:
-        """Send requests at random for the length of the load."""
-        end = CLOCK.now() + FLAGS.faults_seconds
-        tasks = []
-        while CLOCK.now() < end:
-            await asyncio.sleep(self._rng.expovariate(FLAGS.faults_rate_per_s))
-            kinds = ("ask", "session", "book", "poison")
-            kind = self._rng.choices(kinds, (50, 20, 29, 1))[0]
-            ask = self._ask_poison() if kind == "poison" else self._ask(kind)
-            tasks.append(asyncio.create_task(ask))
-        await asyncio.gather(*tasks)
-
-    async def _ask_poison(self) -> None:
-        """Send the poison request again, once its caller has had the last answer."""
-        async with self._poisoner:
-            await self._ask("poison")
-
-    async def _ask(self, kind: str) -> None:
-        self._number += 1
-        now = CLOCK.now()
-        deadline = now + MODEL_DEADLINE_S
-        request = _Request(f"{kind}-{self._number}", kind, now, deadline)
-        if kind == "session" and self._sessions:
-            session = self._rng.choice(self._sessions)
-            request.token, request.tokens_version = session
-        self._audit.requests.append(request)
-        for _ in range(TRIES_MAX):
-            hosts = self._world.live_hosts()
-            if hosts:
-                host = self._rng.choice(hosts)
-                request.servable &= self._servable(host, request)
-                wait_s = await self._try(host, request)
-            else:
-                wait_s = 0.5
-            if wait_s is None or CLOCK.now() + wait_s >= request.deadline:
-                break
-            await asyncio.sleep(wait_s)
-        request.outcome = request.outcome or "none"
-        self._keep_session(request)
-
-    def _servable(self, host: MemoryHost, request: _Request) -> bool:
-        booking = request.kind == "book"
-        served = frozenset({"booking-desk"}) if booking else VERSIONS
-        if booking and host.way.faults.down:
-            return False
-        return any(self._world.reachable(host, served))
-
-    async def _try(self, host: MemoryHost, request: _Request) -> float | None:
-        """Send a request once; return the wait before the next try, if any."""
-        began = CLOCK.now()
-        sink = _Sink()
-        work = self._book if request.kind == "book" else self._ask_model
-        task = host.spawn(work(host, request, sink))
-        timeout_s = request.deadline - began + HANG_S
-        done, _ = await asyncio.wait({task}, timeout=timeout_s)
-        if not done:
-            request.outcome = "hung"
-            return None
-        if task.cancelled():
-            request.outcome = "cut"
-            if request.kind == "book":
-                self._world.unsure_calls.add(request.name)
-            return 0.1
-        exc = task.exception()
-        if exc is None:
-            request.outcome = "answered"
-            request.sink = sink
-            return None
-        if not isinstance(exc, RadishshiftError):
-            raise exc
-        request.outcome = exc.code
-        self._check_verdict(request, host, began, exc)
-        return self._wait_s(request, exc)
-
-    def _wait_s(self, request: _Request, exc: RadishshiftError) -> float | None:
-        final = {"withdrawn", "poison", "result-lost", "bad-session", "deadline"}
-        if exc.code in final:
-            return None
-        if request.kind == "book" and exc.code == "endpoint-crashed":
-            return 0.1
-        return max(0.1, exc.retry_after_s or 0.1)
-
-    def _check_verdict(
-        self, request: _Request, host: MemoryHost, began: float, exc: RadishshiftError
-    ) -> None:
-        if exc.verdict is not Verdict.NOT_RUN:
-            return
-        self._audit.false_not_run += any(
-            run.request_id == request.name and run.host == host.name
-            for endpoint in self._world.endpoints.values()
-            for run in endpoint.runs
-            if run.at >= began
-        )
-
-    async def _ask_model(
-        self, host: MemoryHost, request: _Request, sink: _Sink
-    ) -> None:
-        catalogue = host.router.catalogue
-        text = f"{request.kind}-text" if request.kind == "poison" else request.name
-        body = {"model": MODEL, "messages": [{"content": text}], "max_tokens": TOKENS}
-        req = ModelRequest(
-            request_id=request.name,
-            contract=catalogue.contracts[CUSTOMER],
-            task_class=catalogue.classes["season-plan"],
-            operation="chat/completions",
-            model=MODEL,
-            body=body,
-            body_bytes=msgspec.json.encode(body),
-            stream=True,
-            include_usage=False,
-            arrived=CLOCK.now(),
-            deadline=request.deadline,
-            session_token=request.token,
-            wants_session=request.kind == "session" and not request.token,
-        )
-        await host.router.answer_model(req, sink)
-
-    async def _book(self, host: MemoryHost, request: _Request, sink: _Sink) -> None:
-        catalogue = host.router.catalogue
-        call = ServiceCall(
-            request_id=request.name,
-            contract=catalogue.contracts[CUSTOMER],
-            task_class=catalogue.classes["booking"],
-            service="booking-desk",
-            method="POST",
-            path="/bookings",
-            headers={},
-            body=request.name.encode(),
-            idempotent=False,
-            arrived=CLOCK.now(),
-            deadline=request.deadline,
-            idempotency_key=request.name,
-        )
-        reply = await host.router.call_service(call)
-        sink.data += reply.body
-
-    def _keep_session(self, request: _Request) -> None:
-        if request.kind != "session" or request.outcome != "answered":
-            return
-        version = request.sink.headers["X-Radishshift-Version"]
-        if request.token:
-            self._audit.session_moves += version != request.tokens_version
-        elif "X-Session" in request.sink.headers:
-            self._sessions.append((request.sink.headers["X-Session"], version))
 
 
 class _Faults:
     """A schedule of faults from a seed."""
 
-    def __init__(self, world: World, audit: _Audit, rng: random.Random) -> None:
+    def __init__(self, world: World, audit: Audit, rng: random.Random) -> None:
         self._world = world
         self._audit = audit
         self._rng = rng
@@ -384,7 +147,7 @@
         self._audit.withdrawn_at = CLOCK.now()
 
 
-def _withdrawn_runs(world: World, audit: _Audit) -> int:
+def _withdrawn_runs(world: World, audit: Audit) -> int:
     """Count runs of the withdrawn version by hosts that could know of it."""
     count = 0
     for endpoint in world.endpoints.values():
@@ -396,7 +159,7 @@
     return count
 
 
-def _check_answers(audit: _Audit) -> dict[str, int]:
+def _check_answers(audit: Audit) -> dict[str, int]:
     counts = Counter(crossed=0, truncated=0)
     for request in audit.requests:
         if request.outcome != "answered":
@@ -412,7 +175,7 @@
     return dict(counts)
 
 
-async def _check_bills(world: World, audit: _Audit) -> dict[str, int]:
+async def _check_bills(world: World, audit: Audit) -> dict[str, int]:
     ledger = await read_ledger(world.platform)
     charged = Counter(bill.request_id for bill in ledger.bills.values())
     lost = len(world.runs_lost)
@@ -435,7 +198,7 @@
     return sum(count > 1 for count in runs.values())
 
 
-def _served_share(world: World, audit: _Audit) -> float:
+def _served_share(world: World, audit: Audit) -> float:
     """Return the share served of what some endpoint in reach could have served.
 
     Left out are poison, sessions of the withdrawn version, and calls whose host or
@@ -456,10 +219,10 @@
 async def _run(seed: int) -> dict[str, Any]:
     rng = random.Random(seed)
     world = World(random.Random(rng.random()))
-    audit = _Audit()
+    audit = Audit()
     await world.build()
     await asyncio.sleep(2.0)
-    callers = _Callers(world, audit, random.Random(rng.random()))
+    callers = Callers(world, audit, random.Random(rng.random()))
     faults = _Faults(world, audit, random.Random(rng.random()))
     await asyncio.gather(callers.send_all(), faults.run())
     await asyncio.sleep(SETTLE_S)
--- a/tests/experiments/test_faults.py
+++ b/tests/experiments/test_faults.py
@@ -11,7 +11,7 @@
 from radishshift.configuration import Configuration
 from radishshift.errors import EndpointCrashedError, StreamBrokenError
 from radishshift.events import EventScanner
-from radishshift.experiments import fault_world, faults
+from radishshift.experiments import fault_callers, fault_world, faults
 from radishshift.ledger import Ledger
 from radishshift.objects import Kind
 from radishshift.poison import PoisonWatch
@@ -129,7 +129,7 @@
             await asyncio.sleep(3600.0)
 
         self.patch(fault_world._MemoryStream, "_check", never_noticed)
-        self.patch(faults, "MODEL_DEADLINE_S", 4.0)
+        self.patch(fault_callers, "DEADLINE_S", 4.0)
         self.assertLess(self.measure(seconds=3.0)["available_share"], 0.999)
 
 
