Choose the versions of a request in a module of their own

Change: version_choice.py, plain functions over the catalogue; behaviour as before. The faults test that makes a session's token count for nothing patches the function's new place and asserts the same.

--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -1,9 +1,9 @@
 """The path of a request through an entry host, from admission to bill."""
 
 import asyncio
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine, Iterator, Set
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from radishshift.admission import Admission
@@ -11,7 +11,7 @@
 from radishshift.balance import BalanceQuestion, choose
 from radishshift.bills import Bill, Biller
 from radishshift.cascade import Plan, PlanQuestion, PlanStep, make_plan
-from radishshift.catalogue import ANY_MODEL, Catalogue, ModelVersion, VersionState
+from radishshift.catalogue import ANY_MODEL, Catalogue, ModelVersion
 from radishshift.claims import Claims
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
@@ -21,11 +21,9 @@
 from radishshift.errors import (
     DeadlineError,
     InternalError,
-    NoEndpointError,
     NotAllowedError,
     NotFoundError,
     RadishshiftError,
-    WithdrawnError,
 )
 from radishshift.evidence import Evidence
 from radishshift.kv_moves import KvMover
@@ -40,12 +38,18 @@
 from radishshift.remote_answers import RemoteAnswers
 from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.retries import RetryBudget
-from radishshift.rollout import RolloutGuard, takes_canary
+from radishshift.rollout import RolloutGuard
 from radishshift.running import RunningRequests
 from radishshift.service_calls import run_call
-from radishshift.sessions import Session, SessionKeys
+from radishshift.sessions import SessionKeys
 from radishshift.timeouts import Sweep
 from radishshift.verdicts import Verdict
+from radishshift.version_choice import (
+    check_version,
+    eligible_versions,
+    session_version,
+    with_canaries,
+)
 
 __all__ = ["Router"]
 
@@ -252,7 +256,9 @@
         question = self._question(req)
         plan = self._plan(req, question)
         run = PlanRun(self, req, question, plan, bill, answer, sink)
-        run.steps = self._with_canaries(req, plan)
+        if not req.session_token:
+            stopped = self._stopped
+            run.steps = with_canaries(self.catalogue, req, plan.steps, stopped)
         try:
             await run.until_done()
         except (RadishshiftError, asyncio.CancelledError):
@@ -260,6 +266,10 @@
                 await self.biller.secure(bill)
             raise
 
+    @property
+    def _stopped(self) -> Set[str]:
+        return frozenset() if self.guard is None else self.guard.stopped.keys()
+
     def _question(self, req: ModelRequest) -> PlanQuestion:
         now = self.clock.now()
         return PlanQuestion(
@@ -281,91 +291,13 @@
         planner_name = self.catalogue.policies.planner
         return make_plan(planner_name, question, self.evidence, self.accounts)
 
-    def _with_canaries(self, req: ModelRequest, plan: Plan) -> tuple[PlanStep, ...]:
-        """Put a canary in its stable version's place, for its share of requests.
-
-        The plan is made first, so that both versions get the same kinds of work.
-        """
-        if req.session_token:
-            return plan.steps
-        canaries = {
-            version.stable: version
-            for version in self.catalogue.allowed_versions(req.contract)
-            if self._runs_as_canary(version) and takes_canary(req.request_id, version)
-        }
-        return tuple(
-            replace(step, version=canaries.get(step.version.name, step.version))
-            for step in plan.steps
-        )
-
-    def _runs_as_canary(self, version: ModelVersion) -> bool:
-        return (
-            version.state is VersionState.CANARY
-            and not self._is_stopped(version)
-            and any(self.catalogue.endpoints_of(version.name))
-        )
-
-    def _is_stopped(self, version: ModelVersion) -> bool:
-        return self.guard is not None and version.name in self.guard.stopped
-
     def _choices(self, req: ModelRequest) -> tuple[ModelVersion, ...]:
         if req.session_token:
             now = self.clock.now()
             customer = req.contract.customer
             session = self.session_keys.read(req.session_token, customer, now)
-            return (self._session_version(req, session),)
-        named = self.catalogue.versions.get(req.model)
-        if named is not None and named.state.keeps_sessions is False:
-            raise WithdrawnError(f"{req.model} takes no work: it is {named.state}")
-        candidates = tuple(self._without_canaries(req, self._candidates(req)))
-        if not candidates:
-            self._refuse_model(req)
-        return candidates
-
-    def _session_version(self, req: ModelRequest, session: Session) -> ModelVersion:
-        version = self.catalogue.versions.get(session.version)
-        if version is None or not version.state.keeps_sessions:
-            raise WithdrawnError(f"the session's version {session.version} has ended")
-        if version not in self.catalogue.allowed_versions(req.contract):
-            raise NotAllowedError(f"{session.version} is no longer allowed")
-        return version
-
-    def _candidates(self, req: ModelRequest) -> Iterator[ModelVersion]:
-        for version in self.catalogue.allowed_versions(req.contract):
-            if req.model not in (ANY_MODEL, version.model, version.name):
-                continue
-            if not version.state.takes_new_sessions:
-                continue
-            if any(self.catalogue.endpoints_of(version.name)):
-                yield version
-
-    def _without_canaries(
-        self, req: ModelRequest, candidates: Iterator[ModelVersion]
-    ) -> list[ModelVersion]:
-        """Leave out canaries: those with a stable version come in its place."""
-        found = [version for version in candidates if not self._is_stopped(version)]
-        if req.model in {version.name for version in found}:
-            return found
-        names = {version.name for version in found}
-        return [
-            version
-            for version in found
-            if version.state is not VersionState.CANARY
-            or (version.stable not in names and takes_canary(req.request_id, version))
-        ] or [version for version in found if version.stable not in names]
-
-    def _refuse_model(self, req: ModelRequest) -> None:
-        known = {version.model for version in self.catalogue.versions.values()}
-        if req.model not in known | set(self.catalogue.versions) | {ANY_MODEL}:
-            raise NotFoundError(f"no model {req.model}")
-        allowed = [
-            version
-            for version in self.catalogue.allowed_versions(req.contract)
-            if req.model in (ANY_MODEL, version.model, version.name)
-        ]
-        if not allowed:
-            raise NotAllowedError(f"the contract does not allow {req.model}")
-        raise NoEndpointError(f"no endpoint serves {req.model}", retry_after_s=1.0)
+            return (session_version(self.catalogue, req, session),)
+        return eligible_versions(self.catalogue, req, self._stopped)
 
     def _quality(self, req: ModelRequest) -> QualityTarget:
         usual = QualityTarget(0.0, 0.0)
@@ -378,9 +310,7 @@
         ------
         WithdrawnError
         """
-        version = self.catalogue.versions.get(name)
-        if version is None or not version.state.keeps_sessions:
-            raise WithdrawnError(f"{name} was withdrawn")
+        check_version(self.catalogue, name)
 
     def kv_source(self, req: ModelRequest, served: str) -> Endpoint | None:
         """Return the leaving endpoint that alone holds a session's KV cache, if any."""
--- a/tests/experiments/test_faults.py
+++ b/tests/experiments/test_faults.py
@@ -5,7 +5,7 @@
 from absl import flags
 from absl.testing import flagsaver
 
-from radishshift import attempts
+from radishshift import attempts, router
 from radishshift.bill_copies import BillCopies
 from radishshift.claim_shards import TakeOp
 from radishshift.configuration import Configuration
@@ -15,7 +15,6 @@
 from radishshift.ledger import Ledger
 from radishshift.objects import Kind
 from radishshift.poison import PoisonWatch
-from radishshift.router import Router
 from radishshift.verdicts import Verdict
 from tests.cases import TestCase
 
@@ -91,10 +90,10 @@
         self.assert_rises("withdrawn_runs", seed=2, seconds=18.0, gap_s=2.0)
 
     def test_a_session_token_that_is_not_heeded_moves_sessions(self):
-        def other_version(router, *_):
-            return router.catalogue.versions["farm-advice-small.v1"]
+        def other_version(catalogue, *_):
+            return catalogue.versions["farm-advice-small.v1"]
 
-        self.patch(Router, "_session_version", other_version)
+        self.patch(router, "session_version", other_version)
         self.assert_rises("session_moves")
 
     def test_streams_whose_ids_are_not_checked_cross(self):
