Read the keys of outgoing connections again when they are replaced

Cause: only listening ports did; a host went on showing an expired key to the platform, its peers and endpoints until a restart. Change: one class reads files into a context and looks at them, for both sides; a client trusts the CA of its settings alone. Shown by: a client whose key is replaced under way shows the new one; 357 tests.

--- a/radishshift/cli.py
+++ b/radishshift/cli.py
@@ -27,7 +27,7 @@
 )
 from radishshift.http_platform import HttpPlatform
 from radishshift.platform import Platform
-from radishshift.tls import client_context
+from radishshift.tls import ClientTls, KeyFiles, context_of
 from radishshift.validation import read_text_file
 from radishshift.verbs import LOCAL_VERBS, VERBS, ExitCode, Report
 
@@ -69,8 +69,8 @@
     if FLAGS.token_file:
         token = read_text_file(FLAGS.token_file).strip()
         headers["Authorization"] = f"Bearer {token}"
-    context = client_context(FLAGS.ca_file) if FLAGS.ca_file else True
-    connector = aiohttp.TCPConnector(ssl=context)
+    tls = ClientTls(KeyFiles(ca_file=FLAGS.ca_file)) if FLAGS.ca_file else None
+    connector = aiohttp.TCPConnector(ssl=context_of(tls))
     async with aiohttp.ClientSession(connector=connector, headers=headers) as session:
         yield HttpPlatform(session, address, FLAGS.writer, FLAGS.timeout_s)
 
--- a/radishshift/control.py
+++ b/radishshift/control.py
@@ -22,7 +22,7 @@
 from radishshift.peers import MemoryPeers, Peers
 from radishshift.platform import Platform
 from radishshift.settings import HostSettings
-from radishshift.tls import client_context_of, server_tls_of
+from radishshift.tls import client_tls_of, context_of, server_tls_of
 
 __all__ = ["controlled", "met_peers"]
 
@@ -48,11 +48,12 @@
         yield MemoryPeers(me, {})
         return
     keys = load_peer_keys(cfg.peers.key_file)
+    client_tls = client_tls_of(cfg.tls.to_peers)
     async with AsyncExitStack() as stack:
         connector = aiohttp.TCPConnector(
             limit=PEER_CONNECTIONS,
             keepalive_timeout=KEEP_ALIVE_S,
-            ssl=client_context_of(cfg.tls.to_peers),
+            ssl=context_of(client_tls),
         )
         session = aiohttp.ClientSession(connector=connector)
         await stack.enter_async_context(session)
@@ -66,8 +67,9 @@
         )
         peers.listen_at(await stack.enter_async_context(site))
         tasks = [asyncio.create_task(peers.run())]
-        if tls is not None:
-            tasks.append(asyncio.create_task(tls.keep_fresh(clock)))
+        for fresh in (tls, client_tls):
+            if fresh is not None:
+                tasks.append(asyncio.create_task(fresh.keep_fresh(clock)))
         try:
             yield peers
         finally:
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -45,8 +45,8 @@
 from radishshift.router import Router
 from radishshift.running import RunningRequest
 from radishshift.session_keys import KeyKeeper
-from radishshift.settings import ClientKeySettings, HostSettings, load_settings
-from radishshift.tls import client_context_of, server_tls_of
+from radishshift.settings import HostSettings, load_settings
+from radishshift.tls import ClientTls, client_tls_of, context_of, server_tls_of
 
 __all__ = ["EntryHost", "run", "running", "settle_memory"]
 
@@ -163,8 +163,8 @@
             logger.warning("{}: {}", exc.code, exc.message)
 
 
-def _platform_session(keys: ClientKeySettings | None) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, ssl=client_context_of(keys))
+def _platform_session(tls: ClientTls | None) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=0, ssl=context_of(tls))
     return aiohttp.ClientSession(connector=connector)
 
 
@@ -179,15 +179,17 @@
         Whether to follow the configuration and take up duties.
     """
     clock = SystemClock()
+    endpoint_tls = client_tls_of(cfg.tls.to_endpoints)
+    platform_tls = client_tls_of(cfg.tls.to_platform)
     async with (
         connected_engines(
             clock,
             cfg.times.connect_s,
             cfg.times.stream_idle_s,
             cfg.bounds.answer_bytes,
-            client_context_of(cfg.tls.to_endpoints),
+            context_of(endpoint_tls),
         ) as engines,
-        _platform_session(cfg.tls.to_platform) as platform_session,
+        _platform_session(platform_tls) as platform_session,
         met_peers(cfg, clock) as peers,
         connected_ratings(
             clock,
@@ -277,8 +279,9 @@
         add_health(caller_app, lambda: is_ready(router))
         address = cfg.address
         caller_tls = server_tls_of(cfg.tls.callers)
-        if caller_tls is not None:
-            tasks.append(asyncio.create_task(caller_tls.keep_fresh(clock)))
+        for tls in (caller_tls, endpoint_tls, platform_tls):
+            if tls is not None:
+                tasks.append(asyncio.create_task(tls.keep_fresh(clock)))
         following = nullcontext()
         if control:
             following = controlled(
--- a/radishshift/tls.py
+++ b/radishshift/tls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import ssl
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import logbook
@@ -12,10 +12,12 @@
 from radishshift.settings import ClientKeySettings, ServerKeySettings
 
 __all__ = [
+    "ClientTls",
+    "FreshTls",
     "KeyFiles",
     "ServerTls",
-    "client_context",
-    "client_context_of",
+    "client_tls_of",
+    "context_of",
     "server_tls_of",
 ]
 
@@ -26,79 +28,72 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyFiles:
-    """Where a certificate and its key are.
+    """Where a certificate, its key and the CA of the other end are, in PEM form.
 
     Attributes
     ----------
     certificate_file, key_file : str
-        In PEM form.
-    client_ca_file : str
-        CA that clients' certificates must come from; empty asks for none.
+        Empty for a client that shows none.
+    ca_file : str
+        CA that the other end's certificate must come from; empty for a port that
+        asks clients for none.
     """
 
-    certificate_file: str
-    key_file: str
-    client_ca_file: str = ""
+    certificate_file: str = ""
+    key_file: str = ""
+    ca_file: str = ""
 
     def stamp(self) -> tuple[int, ...]:
         """Return what changes when a file is replaced."""
-        paths = [Path(self.certificate_file), Path(self.key_file)]
-        stats = [path.stat() for path in paths]
+        paths = (self.certificate_file, self.key_file, self.ca_file)
+        stats = [Path(path).stat() for path in paths if path]
         return tuple(part for stat in stats for part in (stat.st_mtime_ns, stat.st_ino))
 
+    def load_into(self, context: ssl.SSLContext) -> None:
+        """Read the files; new handshakes use them."""
+        if self.certificate_file:
+            context.load_cert_chain(self.certificate_file, self.key_file)
+        if self.ca_file:
+            context.load_verify_locations(self.ca_file)
 
-def client_context(
-    ca_file: str, certificate_file: str = "", key_file: str = ""
-) -> ssl.SSLContext:
-    """Return a context for connections that we open.
+
+class FreshTls:
+    """A TLS context whose files are read again when they are replaced.
+
+    Parameters
+    ----------
+    files : KeyFiles
+    context : ssl.SSLContext
+        Gets what the files hold.
 
     Raises
     ------
     SettingsError
-        A file is missing or holds no certificate.
+        A file is missing or does not hold what it should.
     """
-    try:
-        context = ssl.create_default_context(cafile=ca_file or None)
-        if certificate_file:
-            context.load_cert_chain(certificate_file, key_file)
-    except (OSError, ssl.SSLError) as exc:
-        raise SettingsError([f"{ca_file or certificate_file}: {exc}"]) from exc
-    return context
-
 
-@dataclass(slots=True)
-class ServerTls:
-    """The context of a listening port; new handshakes use the newest key."""
-
-    files: KeyFiles
-    context: ssl.SSLContext = field(init=False)
-    _stamp: tuple[int, ...] = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    def __init__(self, files: KeyFiles, context: ssl.SSLContext) -> None:
+        self.files = files
+        self.context = context
         try:
-            self._load()
-            if self.files.client_ca_file:
-                self.context.load_verify_locations(self.files.client_ca_file)
-                self.context.verify_mode = ssl.CERT_REQUIRED
+            self._stamp = files.stamp()
+            files.load_into(context)
         except (OSError, ssl.SSLError) as exc:
-            raise SettingsError([f"{self.files.certificate_file}: {exc}"]) from exc
-
-    def _load(self) -> None:
-        stamp = self.files.stamp()
-        self.context.load_cert_chain(self.files.certificate_file, self.files.key_file)
-        self._stamp = stamp
+            name = files.certificate_file or files.ca_file
+            raise SettingsError([f"{name}: {exc}"]) from exc
 
     def reload(self) -> bool:
-        """Read the key again if its files were replaced; tell whether it was."""
+        """Read the files again if they were replaced; tell whether they were."""
         try:
-            if self.files.stamp() == self._stamp:
+            stamp = self.files.stamp()
+            if stamp == self._stamp:
                 return False
-            self._load()
+            self.files.load_into(self.context)
         except (OSError, ssl.SSLError) as exc:
             # A replacement that is half done is seen whole at the next look.
             logger.warning("TLS key not reloaded: {}", exc)
             return False
+        self._stamp = stamp
         logger.info("TLS key reloaded")
         return True
 
@@ -109,22 +104,47 @@
             await asyncio.to_thread(self.reload)
 
 
-def client_context_of(settings: ClientKeySettings | None) -> ssl.SSLContext | bool:
-    """Return the context that settings ask for; without settings, aiohttp's own.
+class ServerTls(FreshTls):
+    """TLS of a listening port.
+
+    Parameters
+    ----------
+    files : KeyFiles
+    """
+
+    def __init__(self, files: KeyFiles) -> None:
+        super().__init__(files, ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
+        if files.ca_file:
+            self.context.verify_mode = ssl.CERT_REQUIRED
+
+
+class ClientTls(FreshTls):
+    """TLS of connections that we open; only the CA of the files is trusted.
+
+    Parameters
+    ----------
+    files : KeyFiles
+    """
+
+    def __init__(self, files: KeyFiles) -> None:
+        super().__init__(files, ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT))
+
+
+def client_tls_of(settings: ClientKeySettings | None) -> ClientTls | None:
+    """Return the TLS that settings ask for, or None.
 
     Raises
     ------
     SettingsError
     """
     if settings is None:
-        return True
-    return client_context(
-        settings.ca_file, settings.certificate_file, settings.key_file
-    )
+        return None
+    files = KeyFiles(settings.certificate_file, settings.key_file, settings.ca_file)
+    return ClientTls(files)
 
 
 def server_tls_of(settings: ServerKeySettings | None) -> ServerTls | None:
-    """Return the keys of a port that settings ask for, or None.
+    """Return the TLS of a port that settings ask for, or None.
 
     Raises
     ------
@@ -136,3 +156,8 @@
         settings.certificate_file, settings.key_file, settings.client_ca_file
     )
     return ServerTls(files)
+
+
+def context_of(tls: FreshTls | None) -> ssl.SSLContext | bool:
+    """Return what aiohttp takes as `ssl`; without TLS of ours, its own."""
+    return True if tls is None else tls.context
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -4,6 +4,7 @@
 import ipaddress
 import ssl
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
 import aiohttp
@@ -15,7 +16,7 @@
 
 from radishshift.errors import SettingsError
 from radishshift.listening import listening
-from radishshift.tls import KeyFiles, ServerTls, client_context
+from radishshift.tls import ClientTls, KeyFiles, ServerTls
 from tests.cases import TestCase
 
 IP = "127.0.0.1"
@@ -23,7 +24,7 @@
 
 def _write_key(folder: Path, serial: int) -> KeyFiles:
     key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "entry")])
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, f"entry-{serial}")])
     start = datetime.datetime(2020, 1, 1)
     alternative = x509.SubjectAlternativeName(
         [x509.IPAddress(ipaddress.ip_address(IP))]
@@ -51,7 +52,7 @@
 
 
 async def _serial_served(url: str, files: KeyFiles) -> int:
-    context = client_context(files.certificate_file)
+    context = ClientTls(KeyFiles(ca_file=files.certificate_file)).context
     connector = aiohttp.TCPConnector(ssl=context)
     async with (
         aiohttp.ClientSession(connector=connector) as session,
@@ -82,6 +83,26 @@
             self.assertFalse(tls.reload())
             self.assertEqual(2, await _serial_served(url, files))
 
+    async def test_a_client_shows_its_replaced_key(self):
+        """Keys of outgoing connections were read at the host's start only."""
+        served, shown = self._folder(), self._folder()
+        files = _write_key(served, 1)
+        client = _write_key(shown, 2)
+        accepted = served / "accepted.pem"
+        accepted.write_bytes((shown / "cert.pem").read_bytes())
+        tls = ServerTls(replace(files, ca_file=str(accepted)))
+        trusting = replace(client, ca_file=files.certificate_file)
+        fresh = ClientTls(trusting)
+        app = web.Application()
+        app.router.add_get("/", _shown_serial)
+        async with listening(app, IP, 0, tls) as url:
+            self.assertEqual("2", await _get(url, fresh))
+            _write_key(shown, 5)
+            accepted.write_bytes((shown / "cert.pem").read_bytes())
+            self.assertTrue(tls.reload())
+            self.assertTrue(fresh.reload())
+            self.assertEqual("5", await _get(url, fresh))
+
     def test_a_half_written_replacement_keeps_the_old_key(self):
         folder = self._folder()
         tls = ServerTls(_write_key(folder, 1))
@@ -102,5 +123,19 @@
         self.assertIsInstance(exc.certificate_error, ssl.SSLCertVerificationError)
 
 
+async def _shown_serial(request: web.Request) -> web.Response:
+    der = request.get_extra_info("ssl_object").getpeercert(binary_form=True)
+    return web.Response(text=str(x509.load_der_x509_certificate(der).serial_number))
+
+
+async def _get(url: str, tls: ClientTls) -> str:
+    connector = aiohttp.TCPConnector(ssl=tls.context)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        session.get(url) as resp,
+    ):
+        return await resp.text()
+
+
 async def _answer(_: web.Request) -> web.Response:
     return web.Response(text="x" * 1_000_000)
