--- a/radishshift/burn.py
+++ b/radishshift/burn.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import enum
-import os
 import sys
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -21,11 +20,11 @@
 
 from radishshift.catalogue import Catalogue, VersionState
 from radishshift.errors import RadishshiftError
-from radishshift.http_platform import HttpPlatform
 from radishshift.indicators import WINDOWS, Aspect, IndicatorReport, Window
 from radishshift.manifests import build_catalogue
 from radishshift.objects import Kind
 from radishshift.platform import Platform
+from radishshift.platform_access import define_platform_flags, reached_platform
 from radishshift.tables import table
 
 __all__ = [
@@ -41,7 +40,6 @@
 ]
 
 FLAGS = flags.FLAGS
-PLATFORM_VARIABLE = "RADISHSHIFT_PLATFORM"
 GATHER_TIMEOUT_S = 3.0
 EXPOSURE_ALLOWED = 0.01
 
@@ -265,11 +263,7 @@
 
 
 async def _report() -> BurnReport:
-    address = FLAGS.platform or os.environ.get(PLATFORM_VARIABLE)
-    if not address:
-        raise app.UsageError(f"give --platform or set {PLATFORM_VARIABLE}")
-    async with aiohttp.ClientSession() as session:
-        platform = HttpPlatform(session, address, "burn", GATHER_TIMEOUT_S)
+    async with reached_platform("burn", GATHER_TIMEOUT_S) as platform:
         catalogue = await _catalogue(platform)
         reports, missing = await gather(await _addresses(platform))
     return burn_report(reports, missing, catalogue)
@@ -292,7 +286,7 @@
 
 def run() -> None:
     """Run the report from the command line."""
-    flags.DEFINE_string("platform", None, "Base URL of the platform's object API.")
+    define_platform_flags()
     flags.DEFINE_list("hosts", [], "Monitoring URLs to ask, in place of the list.")
     flags.DEFINE_enum("output", "table", ["table", "json"], "Form of the output.")
     flags.DEFINE_string("html", None, "File to write the report to, as a page.")
--- a/radishshift/cli.py
+++ b/radishshift/cli.py
@@ -7,11 +7,8 @@
 import asyncio
 import os
 import sys
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from typing import Any
 
-import aiohttp
 import msgspec
 from absl import app, flags
 
@@ -25,16 +22,13 @@
     RadishshiftError,
     SettingsError,
 )
-from radishshift.http_platform import HttpPlatform
 from radishshift.platform import Platform
-from radishshift.tls import ClientTls, KeyFiles, context_of
-from radishshift.validation import read_text_file
+from radishshift.platform_access import define_platform_flags, reached_platform
 from radishshift.verbs import LOCAL_VERBS, VERBS, ExitCode, Report
 
 __all__ = ["exit_code_of", "main", "run"]
 
 FLAGS = flags.FLAGS
-PLATFORM_VARIABLE = "RADISHSHIFT_PLATFORM"
 
 
 def exit_code_of(exc: RadishshiftError) -> ExitCode:
@@ -60,21 +54,6 @@
     return Report(value, "\n".join(lines), exit_code_of(exc))
 
 
-@asynccontextmanager
-async def _platform() -> AsyncIterator[Platform]:
-    address = FLAGS.platform or os.environ.get(PLATFORM_VARIABLE)
-    if not address:
-        raise app.UsageError(f"give --platform or set {PLATFORM_VARIABLE}")
-    headers = {}
-    if FLAGS.token_file:
-        token = read_text_file(FLAGS.token_file).strip()
-        headers["Authorization"] = f"Bearer {token}"
-    tls = ClientTls(KeyFiles(ca_file=FLAGS.ca_file)) if FLAGS.ca_file else None
-    connector = aiohttp.TCPConnector(ssl=context_of(tls))
-    async with aiohttp.ClientSession(connector=connector, headers=headers) as session:
-        yield HttpPlatform(session, address, FLAGS.writer, FLAGS.timeout_s)
-
-
 async def main(args: list[str]) -> Report:
     """Run a verb with its arguments; errors become reports."""
     if not args or args[0] not in VERBS:
@@ -84,7 +63,7 @@
     try:
         if name in LOCAL_VERBS:
             return await VERBS[name](Platform(), rest)
-        async with _platform() as platform:
+        async with reached_platform(FLAGS.writer, FLAGS.timeout_s) as platform:
             return await VERBS[name](platform, rest)
     except RadishshiftError as exc:
         return _error_report(exc)
@@ -108,9 +87,7 @@
 def define_flags() -> None:
     """Define the flags of the command line."""
     states = [state.value for state in VersionState]
-    flags.DEFINE_string("platform", None, "Base URL of the platform's object API.")
-    flags.DEFINE_string("token_file", None, "File with the operator's token.")
-    flags.DEFINE_string("ca_file", None, "File with the platform's CA certificates.")
+    define_platform_flags()
     flags.DEFINE_string(
         "writer", os.environ.get("USER", "operator"), "Name left on what is written."
     )
--- /dev/null
+++ b/radishshift/platform_access.py
@@ -0,0 +1,58 @@
+"""How the operators' programs reach the platform, by flags."""
+
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from absl import app, flags
+
+from radishshift.http_platform import HttpPlatform
+from radishshift.platform import Platform
+from radishshift.tls import ClientTls, KeyFiles, context_of
+from radishshift.validation import read_text_file
+
+__all__ = ["define_platform_flags", "reached_platform"]
+
+FLAGS = flags.FLAGS
+PLATFORM_VARIABLE = "RADISHSHIFT_PLATFORM"
+
+
+def define_platform_flags() -> None:
+    """Define the flags that say where the platform is and how to reach it."""
+    flags.DEFINE_string("platform", None, "Base URL of the platform's object API.")
+    flags.DEFINE_string("token_file", None, "File with the operator's token.")
+    flags.DEFINE_string("ca_file", None, "File with the platform's CA certificates.")
+
+
+@asynccontextmanager
+async def reached_platform(
+    writer: str, call_timeout_s: float
+) -> AsyncIterator[Platform]:
+    """Give the platform that the flags name.
+
+    Parameters
+    ----------
+    writer : str
+        Name left on what is written.
+    call_timeout_s : float
+        Longest wait for one call, in seconds.
+
+    Raises
+    ------
+    app.UsageError
+        No platform is named.
+    SettingsError
+        A file cannot be read.
+    """
+    address = FLAGS.platform or os.environ.get(PLATFORM_VARIABLE)
+    if not address:
+        raise app.UsageError(f"give --platform or set {PLATFORM_VARIABLE}")
+    headers = {}
+    if FLAGS.token_file:
+        token = read_text_file(FLAGS.token_file).strip()
+        headers["Authorization"] = f"Bearer {token}"
+    tls = ClientTls(KeyFiles(ca_file=FLAGS.ca_file)) if FLAGS.ca_file else None
+    connector = aiohttp.TCPConnector(ssl=context_of(tls))
+    async with aiohttp.ClientSession(connector=connector, headers=headers) as session:
+        yield HttpPlatform(session, address, writer, call_timeout_s)
