--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -38,7 +38,6 @@
     "SessionError",
     "SettingsError",
     "ShuttingDownError",
-    "StaleConfigurationError",
     "StreamBrokenError",
     "StreamSilentError",
     "TooLargeError",
@@ -277,13 +276,6 @@
     status = 503
 
 
-class StaleConfigurationError(RadishshiftError):
-    """The host's configuration is too old to decide this request by."""
-
-    code = "stale-configuration"
-    status = 503
-
-
 class BillsFullError(RadishshiftError):
     """Unsettled bills fill their bound; no work that must be billed is taken."""
 
