--- /dev/null
+++ b/radishshift/decisions/placing.py
@@ -0,0 +1,129 @@
+"""Choice of the endpoint for an attempt.
+
+Load pattern: long prompts that share parts, and streams that slow each other down
+in one batch, placed by hosts that each see their own work at once and the others'
+late.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from radishshift.decisions.routes import uniform
+from radishshift.ejection import Ejection
+from radishshift.gateway.deployment import Member
+
+__all__ = ["EndpointView", "Placer", "PlacingQuestion"]
+
+PACE_SMOOTHING = 0.2
+OTHER_ZONE_COST = 0.3  # requests in flight that a shorter way is worth
+MISS_COST_PER_1000_TOKENS = 0.25  # requests in flight that reading again is worth
+
+
+@dataclass(slots=True)
+class EndpointView:
+    """What a host has seen of one incarnation of an endpoint.
+
+    Attributes
+    ----------
+    in_flight : int
+        Attempts of this host.
+    others_in_flight : float
+        Attempts of the other hosts, as they last told.
+    pace : float
+        Smoothed time of answers against the service's, 1 for as usual.
+    heard : float
+        Instant at which a byte last came from it.
+    """
+
+    member: Member
+    in_flight: int = 0
+    others_in_flight: float = 0.0
+    pace: float = 1.0
+    heard: float = 0.0
+    ejection: Ejection = field(default_factory=Ejection)
+
+    def note_pace(self, ratio: float) -> None:
+        """Take in how long an answer took against the usual."""
+        self.pace += PACE_SMOOTHING * (min(ratio, 20.0) - self.pace)
+
+
+@dataclass(frozen=True, slots=True)
+class PlacingQuestion:
+    """What a choice depends on.
+
+    Attributes
+    ----------
+    service, data_centre : str
+    affinity : str
+        What requests that share a prompt have in common, or empty.
+    shared_tokens : int
+        Tokens that need not be read where they were read before.
+    tried : sequence of str
+        Endpoints that this request has been at.
+    version : str
+        Version that the endpoint must run, or empty.
+    """
+
+    service: str
+    data_centre: str
+    affinity: str = ""
+    shared_tokens: int = 0
+    tried: Sequence[str] = ()
+    version: str = ""
+
+
+class Placer:
+    """Chooses endpoints from what one host knows."""
+
+    def __init__(self) -> None:
+        self._views: dict[tuple[str, int], EndpointView] = {}
+
+    def view(self, member: Member) -> EndpointView:
+        """Return what is known of an endpoint."""
+        view = self._views.get(member.incarnation)
+        if view is None:
+            view = EndpointView(member)
+            self._views[member.incarnation] = view
+        return view
+
+    def views(self) -> Iterable[EndpointView]:
+        """Return what is known of all endpoints."""
+        return self._views.values()
+
+    def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
+        """Forget endpoints that are gone and have no attempt."""
+        for key, view in list(self._views.items()):
+            if key not in incarnations and not view.in_flight:
+                del self._views[key]
+
+    def choose(
+        self, members: Iterable[Member], question: PlacingQuestion, now: float
+    ) -> Member | None:
+        """Return the endpoint of least cost, or None if there is none.
+
+        An endpoint that fails again and again is taken only when no other is left.
+        """
+        views = [
+            self.view(member)
+            for member in members
+            if not question.version or member.version == question.version
+        ]
+        fresh = [view for view in views if view.member.name not in question.tried]
+        pool = [view for view in fresh if view.ejection.admits(now)] or fresh
+        if not pool:
+            return None
+        best = min(pool, key=lambda view: self._cost(view, question))
+        best.ejection.probe(now)
+        return best.member
+
+    def _cost(self, view: EndpointView, question: PlacingQuestion) -> float:
+        member = view.member
+        load = view.in_flight + view.others_in_flight
+        cost = (1 + load) * view.pace
+        if member.data_centre != question.data_centre:
+            cost += OTHER_ZONE_COST
+        if question.affinity:
+            rank = uniform(question.affinity + member.name)
+            missed = question.shared_tokens / 1000 * MISS_COST_PER_1000_TOKENS
+            cost += missed * (1 - rank) * 2
+        return cost
--- /dev/null
+++ b/radishshift/decisions/versions.py
@@ -0,0 +1,213 @@
+"""Which version of a service a request runs on while a roll-out is under way.
+
+Load pattern: a new version beside the old one that may fail, turn slow, or turn bad
+late, under load or on one route, while sessions are to stay with the version they
+began on. Hosts pool what they see of both versions; each reaches the same verdict
+from the same counts and stops the new version for itself at once.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from radishshift.decisions.routes import uniform
+from radishshift.gateway.deployment import Rollout, RolloutState
+from radishshift.gateway.host_settings import Bounds
+
+__all__ = ["Counts", "Trial", "VersionGuard"]
+
+CANARY_SHARE = 0.1  # two thirds of what a bad version may get
+WIDER_SHARE = 0.3
+WIDER_AT = 0.55  # of the roll-out's time; before half of it sessions stay
+WHOLE_AT = 0.72
+COMPLETE_AT = 0.84  # the old endpoints stop at once, so their work ends before
+COMPLETE_ANYWAY_AT = 0.95
+TRIES_LEAST = 6  # answers of a version before it is judged
+EXCESS_BAD = 3.0  # bad answers beyond what the old version's rate explains
+SPARED_RATE = 0.06  # difference between two rates that says nothing
+KEPT_SESSIONS = 20_000
+JUDGED_ROUTES = 64
+
+
+@dataclass(slots=True)
+class Counts:
+    """Answers of one version on one route, and how many were bad."""
+
+    answers: int = 0
+    bad: int = 0
+
+
+@dataclass(slots=True)
+class Trial:
+    """A roll-out as one host sees it.
+
+    Attributes
+    ----------
+    rollout : Rollout
+    began : float
+        Instant of the order, as the first host saw it.
+    counts : dict
+        By host, then by whether the version is the new one and the route.
+    stopped : bool
+        Whether the new version was found bad.
+    """
+
+    rollout: Rollout
+    began: float
+    counts: dict[str, dict[tuple[bool, str], Counts]] = field(default_factory=dict)
+    stopped: bool = False
+
+    def elapsed(self, now: float) -> float:
+        """Return the part of the roll-out's time that has passed."""
+        return (now - self.began) / max(0.001, self.rollout.duration_s)
+
+    def totals(self) -> dict[tuple[bool, str], Counts]:
+        """Return the counts of all hosts."""
+        totals: dict[tuple[bool, str], Counts] = {}
+        for counts in self.counts.values():
+            for key, held in counts.items():
+                total = totals.setdefault(key, Counts())
+                total.answers += held.answers
+                total.bad += held.bad
+        return totals
+
+    def bad(self) -> bool:
+        """Tell whether the counts speak against the new version."""
+        totals = self.totals()
+        routes = {route for _, route in totals}
+        pairs = [
+            (totals.get((True, route), Counts()), totals.get((False, route), Counts()))
+            for route in routes
+        ]
+        pairs.append((_sum(new for new, _ in pairs), _sum(old for _, old in pairs)))
+        return any(_speaks_against(new, old) for new, old in pairs)
+
+
+def _sum(counts: Iterable[Counts]) -> Counts:
+    total = Counts()
+    for held in counts:
+        total.answers += held.answers
+        total.bad += held.bad
+    return total
+
+
+def _speaks_against(new: Counts, old: Counts) -> bool:
+    if new.answers < TRIES_LEAST:
+        return False
+    usual = (old.bad + 0.5) / (old.answers + 5.0) if old.answers else 0.1
+    return new.bad - new.answers * (usual + SPARED_RATE) > EXCESS_BAD
+
+
+class VersionGuard:
+    """Chooses versions and judges them.
+
+    Parameters
+    ----------
+    host : str
+    bounds : Bounds
+    """
+
+    def __init__(self, host: str, bounds: Bounds) -> None:
+        self._host = host
+        self.bounds = bounds
+        self.trials: dict[str, Trial] = {}
+        self._sessions: OrderedDict[str, tuple[str, float]] = OrderedDict()
+
+    def follow(self, rollouts: Iterable[Rollout], now: float) -> None:
+        """Take the roll-outs that are known now."""
+        seen = set()
+        for rollout in rollouts:
+            seen.add(rollout.service)
+            trial = self.trials.get(rollout.service)
+            if (
+                trial is None
+                or trial.rollout.target != rollout.target
+                or (trial.rollout.state.ended and not rollout.state.ended)
+            ):
+                trial = Trial(rollout, now)
+                self.trials[rollout.service] = trial
+            trial.rollout = rollout
+            if rollout.state is RolloutState.ROLLED_BACK:
+                trial.stopped = True
+        for service in [service for service in self.trials if service not in seen]:
+            del self.trials[service]
+
+    def share(self, service: str, now: float) -> float:
+        """Return the part of a service's sessions that the new version gets."""
+        trial = self.trials.get(service)
+        if trial is None or trial.stopped:
+            return 0.0
+        if trial.rollout.state is RolloutState.COMPLETED:
+            return 1.0
+        elapsed = trial.elapsed(now)
+        if elapsed < WIDER_AT:
+            return CANARY_SHARE
+        return WIDER_SHARE if elapsed < WHOLE_AT else 1.0
+
+    def takes_new(self, service: str, key: str, now: float) -> bool | None:
+        """Tell whether a request goes to the new version; None without a roll-out.
+
+        Parameters
+        ----------
+        service : str
+        key : str
+            Session, or the request's id if it has none.
+        """
+        trial = self.trials.get(service)
+        if trial is None:
+            return None
+        if trial.stopped:
+            return False
+        chosen = uniform("version" + key) < self.share(service, now)
+        if trial.rollout.state is RolloutState.COMPLETED:
+            return True
+        held = self._sessions.get(service + key)
+        if held is not None and now - held[1] <= self.bounds.session_s:
+            was_new = held[0] == trial.rollout.target
+            if was_new or trial.elapsed(now) < 0.5:
+                return was_new
+        return chosen
+
+    def ran(self, service: str, key: str, version: str, now: float) -> None:
+        """Note the version that a session's request runs on."""
+        self._sessions[service + key] = (version, now)
+        self._sessions.move_to_end(service + key)
+        while len(self._sessions) > KEPT_SESSIONS:
+            self._sessions.popitem(last=False)
+
+    def note(
+        self, service: str, version: str, route: str, ok: bool, now: float
+    ) -> None:
+        """Take in how an answer of a version went."""
+        trial = self.trials.get(service)
+        if trial is None or trial.rollout.state.ended:
+            return
+        own = trial.counts.setdefault(self._host, {})
+        key = (version == trial.rollout.target, route)
+        if key not in own and len(own) >= JUDGED_ROUTES:
+            return
+        counts = own.setdefault(key, Counts())
+        counts.answers += 1
+        counts.bad += not ok
+        if not trial.stopped and trial.bad():
+            trial.stopped = True
+
+    def ripe_state(self, service: str, now: float, moved: bool) -> RolloutState | None:
+        """Return the state that a roll-out should have by now, if another.
+
+        Parameters
+        ----------
+        moved : bool
+            Whether no host is known to have work at the old version.
+        """
+        trial = self.trials.get(service)
+        if trial is None or trial.rollout.state.ended:
+            return None
+        if trial.stopped:
+            return RolloutState.ROLLED_BACK
+        elapsed = trial.elapsed(now)
+        if elapsed >= COMPLETE_ANYWAY_AT or (elapsed >= COMPLETE_AT and moved):
+            return RolloutState.COMPLETED
+        if trial.rollout.state is RolloutState.ORDERED:
+            return RolloutState.RUNNING
+        return None
--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -18,6 +18,9 @@
     "DeadlineError",
     "EndpointCrashedError",
     "EndpointError",
+    "EndpointRefusedError",
+    "EndpointReplacedError",
+    "EndpointUnreachableError",
     "GoneError",
     "HeadersTooLargeError",
     "HungUpError",
@@ -26,12 +29,14 @@
     "KeyReusedError",
     "LimitError",
     "LostRaceError",
+    "NoConfigurationError",
     "NoEndpointError",
     "NotAllowedError",
     "NotFoundError",
     "OverloadedError",
     "PlatformUnavailableError",
     "PoisonError",
+    "PoisonHeldError",
     "RadishshiftError",
     "ResultLostError",
     "ResumeRefusedError",
@@ -41,6 +46,7 @@
     "StreamBrokenError",
     "StreamSilentError",
     "TooLargeError",
+    "UnreadableObjectError",
     "WithdrawnError",
     "rebuild_error",
 ]
@@ -247,6 +253,13 @@
     kind = "invalid_request_error"
 
 
+class PoisonHeldError(PoisonError):
+    """A request that has crashed endpoints is held back; it has not run."""
+
+    code = "poison-held"
+    status = 503
+
+
 class LimitError(RadishshiftError):
     """The customer is over one of its limits."""
 
@@ -269,6 +282,13 @@
     status = 503
 
 
+class NoConfigurationError(RadishshiftError):
+    """The host has no configuration yet."""
+
+    code = "no-configuration"
+    status = 503
+
+
 class ShuttingDownError(RadishshiftError):
     """The entry host is leaving and takes no new work."""
 
@@ -304,6 +324,27 @@
     code = "endpoint-crashed"
 
 
+class EndpointUnreachableError(EndpointError):
+    """No connection to the endpoint could be opened; nothing was sent."""
+
+    code = "endpoint-unreachable"
+    usual_verdict = Verdict.NOT_RUN
+
+
+class EndpointRefusedError(EndpointError):
+    """The endpoint said that it did not run the request."""
+
+    code = "endpoint-refused"
+    status = 503
+    usual_verdict = Verdict.NOT_RUN
+
+
+class EndpointReplacedError(EndpointRefusedError):
+    """Another endpoint has the address now."""
+
+    code = "endpoint-replaced"
+
+
 class StreamBrokenError(EndpointError):
     """A stream went silent, broke, or held what is not its own.
 
@@ -339,6 +380,12 @@
     usual_verdict = Verdict.MAY_HAVE_RUN
 
 
+class UnreadableObjectError(RadishshiftError):
+    """An object of the platform lacks a field or holds one of another type."""
+
+    code = "unreadable-object"
+
+
 class SettingsError(RadishshiftError):
     """Settings or a manifest are wrong.
 
--- /dev/null
+++ b/radishshift/gateway/dispatch.py
@@ -0,0 +1,316 @@
+"""Sending attempts to endpoints, and what is learnt from how they go."""
+
+import asyncio
+import math
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import logbook
+
+from radishshift.clocks import Clock
+from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.placing import EndpointView, Placer, PlacingQuestion
+from radishshift.decisions.repeats import RepeatBudget
+from radishshift.decisions.usual_times import UsualTimes
+from radishshift.decisions.versions import VersionGuard
+from radishshift.errors import (
+    DeadlineError,
+    EndpointError,
+    EndpointRefusedError,
+    EndpointReplacedError,
+    EndpointUnreachableError,
+    NoEndpointError,
+    StreamSilentError,
+)
+from radishshift.gateway.beliefs import Beliefs
+from radishshift.gateway.deployment import Member, RouteKind
+from radishshift.gateway.host_settings import Bounds
+from radishshift.gateway.jobs import Job
+from radishshift.gateway.messages import EndpointAnswer, EndpointClient
+from radishshift.verdicts import Verdict
+
+__all__ = ["Attempt", "Dispatcher"]
+
+LOOK_S = 0.1  # how often a wait looks whether its endpoint is silent
+SILENT_S = 1.2  # no byte from an endpoint at work; pauses up to 1.2 s are on time
+SILENT_SHARE = 0.3  # of an attempt's time, where that is less
+STREAM_SILENT_S = 3.0  # no byte of one stream while others at its endpoint move
+STUCK_SHARE = 0.4  # of an attempt's time, for an answer in one piece
+DEPARTED_USED_S = 1.0  # half of the time in which a leaving endpoint may get work
+PRESENT_S = 0.05  # of the deadline, kept for the way back to the caller
+
+logger = logbook.Logger("dispatch")
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt that is running, or has ended.
+
+    Attributes
+    ----------
+    began : float
+    answer : EndpointAnswer or None
+        Set once the head has come.
+    """
+
+    job: Job
+    member: Member
+    view: EndpointView
+    model: str
+    began: float
+    answer: EndpointAnswer | None = None
+    heard: float = 0.0
+
+    @property
+    def silent_s(self) -> float:
+        """Return the time without a byte from the endpoint that means silence."""
+        return min(SILENT_S, SILENT_SHARE * (self.job.deadline - self.began))
+
+    @property
+    def stuck_s(self) -> float:
+        """Return the time without a byte of this answer that means it is stuck."""
+        if self.job.route.kind is RouteKind.STREAM:
+            return STREAM_SILENT_S if self.answer is not None else math.inf
+        return STUCK_SHARE * (self.job.deadline - self.began)
+
+    def note_bytes(self, now: float) -> None:
+        """Note that something came from the endpoint."""
+        self.heard = now
+        self.view.heard = now
+
+
+class Dispatcher:
+    """Chooses endpoints and runs attempts there.
+
+    Parameters
+    ----------
+    clock : Clock
+    data_centre : str
+    beliefs : Beliefs
+    placer : Placer
+    client : EndpointClient
+    suspects : CrashSuspects
+    versions : VersionGuard
+    bounds : Bounds
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        data_centre: str,
+        beliefs: Beliefs,
+        placer: Placer,
+        client: EndpointClient,
+        suspects: CrashSuspects,
+        versions: VersionGuard,
+        bounds: Bounds,
+    ) -> None:
+        self.clock = clock
+        self.bounds = bounds
+        self.beliefs = beliefs
+        self.suspects = suspects
+        self.versions = versions
+        self.times = UsualTimes()
+        self._data_centre = data_centre
+        self._placer = placer
+        self._client = client
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return what this host may repeat at a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.bounds
+            budget = RepeatBudget(
+                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def share_slack(self, hosts: int) -> None:
+        """Divide what comes on top of the ratio among so many hosts."""
+        for budget in self._budgets.values():
+            budget.hosts = hosts
+
+    def choose(self, job: Job) -> Member:
+        """Return the endpoint for the next attempt.
+
+        Raises
+        ------
+        NoEndpointError
+        """
+        now = self.clock.now()
+        parts = job.req.parts
+        shared = parts[:-1] if len(parts) > 1 else parts
+        question = PlacingQuestion(
+            service=job.service,
+            data_centre=self._data_centre,
+            affinity=shared[-1].digest if shared else "",
+            shared_tokens=sum(part.tokens for part in shared),
+            tried=job.failed,
+            version=job.version,
+        )
+        members = list(self.beliefs.members_of(job.service))
+        if job.endpoints_left <= 0:
+            members = [member for member in members if member.name in job.used]
+        chosen = self._placer.choose(members, question, now)
+        if chosen is None and job.version:
+            job.version = ""
+            return self.choose(job)
+        if chosen is None:
+            left = self.beliefs.departed_since(job.service, now - DEPARTED_USED_S)
+            chosen = self._placer.choose(left, question, now)
+        if chosen is None:
+            raise NoEndpointError(
+                f"no endpoint of {job.service} is left of {len(members)}"
+            )
+        return chosen
+
+    @contextmanager
+    def attempt(self, job: Job, member: Member, model: str) -> Iterator[Attempt]:
+        """Count an attempt as long as it runs, and learn from how it fails."""
+        now = self.clock.now()
+        view = self._placer.view(member)
+        attempt = Attempt(job, member, view, model, now, heard=now)
+        view.in_flight += 1
+        job.attempts += 1
+        if member.name not in job.used:
+            job.used.append(member.name)
+        try:
+            yield attempt
+        except EndpointError as exc:
+            self._failed(attempt, exc)
+            raise
+        finally:
+            view.in_flight -= 1
+            if attempt.answer is not None:
+                attempt.answer.abort()
+
+    async def open(self, attempt: Attempt, last_event: str = "") -> EndpointAnswer:
+        """Send the attempt and wait for the head of its answer.
+
+        Raises
+        ------
+        EndpointError
+        """
+        job = attempt.job
+        order = job.order(attempt.member, attempt.model, last_event)
+        sending = asyncio.ensure_future(self._client.send(order))
+        try:
+            gives_up = job.route.idempotent and job.endpoints_left > 0
+            await self._watched(attempt, sending, gives_up)
+        finally:
+            if not sending.done():
+                sending.cancel()
+        attempt.answer = sending.result()
+        attempt.note_bytes(self.clock.now())
+        return attempt.answer
+
+    async def next_bytes(self, attempt: Attempt) -> bytes:
+        """Return the next bytes of a stream, empty at its end.
+
+        Raises
+        ------
+        StreamBrokenError
+        """
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    data = await attempt.answer.chunk()
+            except TimeoutError:
+                self._check_silence(attempt)
+                continue
+            attempt.note_bytes(self.clock.now())
+            return data
+
+    async def _watched(
+        self, attempt: Attempt, fut: asyncio.Future, gives_up: bool
+    ) -> None:
+        """Wait for a head for as long as its endpoint is not silent."""
+        while True:
+            done, _ = await asyncio.wait((fut,), timeout=LOOK_S)
+            if done:
+                return
+            if gives_up:
+                self._check_silence(attempt)
+
+    def _check_silence(self, attempt: Attempt) -> None:
+        """Raise if nothing came for so long that nothing more will come.
+
+        Raises
+        ------
+        StreamSilentError
+        """
+        now = self.clock.now()
+        quiet_s = now - max(attempt.view.heard, attempt.heard)
+        own_s = now - attempt.heard
+        if quiet_s > attempt.silent_s or own_s > attempt.stuck_s:
+            raise StreamSilentError(f"nothing came for {own_s:.1f} s")
+
+    def completed(self, attempt: Attempt) -> None:
+        """Note an attempt that gave its whole answer."""
+        now = self.clock.now()
+        attempt.view.ejection.note(True, now)
+        self.suspects.completed(attempt.job.fingerprint)
+
+    def judged(self, attempt: Attempt, ok: bool) -> None:
+        """Note how an answer speaks for the version that gave it."""
+        job = attempt.job
+        self.versions.note(
+            job.service, attempt.member.version, job.route.name, ok, self.clock.now()
+        )
+
+    def timed(self, attempt: Attempt, what: str, took_s: float) -> None:
+        """Compare a time with what is usual, for the endpoint and its version."""
+        job = attempt.job
+        key = (job.route.name, attempt.model, what)
+        ratio = self.times.ratio(key, took_s)
+        attempt.view.note_pace(ratio)
+        self.judged(attempt, ratio < self.times.SLOW)
+
+    def _failed(self, attempt: Attempt, exc: EndpointError) -> None:
+        now = self.clock.now()
+        job = attempt.job
+        name = attempt.member.name
+        job.failed.append(name)
+        if exc.verdict is Verdict.NOT_RUN:
+            if name in job.used:
+                job.used.remove(name)
+        else:
+            job.ran = True
+        refused = isinstance(exc, EndpointRefusedError)
+        if not refused or isinstance(exc, EndpointReplacedError):
+            attempt.view.ejection.note(False, now)
+        if isinstance(exc, EndpointReplacedError):
+            self._client.forget(attempt.member)
+        if not refused and not isinstance(
+            exc, EndpointUnreachableError | StreamSilentError
+        ):
+            self.suspects.crashed(job.fingerprint, now)
+            self.judged(attempt, False)
+        logger.info(
+            "attempt failed",
+            extra={
+                "request_id": job.req.request_id,
+                "endpoint": name,
+                "version": attempt.member.version,
+                "model": attempt.model,
+                "error": exc.code,
+                "verdict": exc.verdict.value,
+                "reason": exc.message[:200],
+                "took_s": round(now - attempt.began, 3),
+                "endpoint_quiet_s": round(now - attempt.view.heard, 3),
+            },
+        )
+
+    def check_deadline(self, job: Job) -> None:
+        """Raise if no time is left for another attempt.
+
+        Raises
+        ------
+        DeadlineError
+        """
+        if job.deadline - self.clock.now() < PRESENT_S:
+            verdict = Verdict.MAY_HAVE_RUN if job.ran else Verdict.NOT_RUN
+            raise DeadlineError("the deadline has passed", verdict=verdict)
--- /dev/null
+++ b/radishshift/gateway/event_relay.py
@@ -0,0 +1,64 @@
+"""Events of a stream, cut at their borders and joined into few packets."""
+
+from radishshift.errors import StreamBrokenError
+
+__all__ = ["EventBuffer"]
+
+BORDER = b"\n\n"
+ID_FIELD = b"id:"
+EVENT_BYTES_MAX = 1 << 20
+
+
+class EventBuffer:
+    """Passes on whole events and keeps the id of the last.
+
+    Attributes
+    ----------
+    last_id : str
+        Id of the last whole event that was taken, or empty.
+    events : int
+        Whole events taken.
+    """
+
+    def __init__(self) -> None:
+        self.last_id = ""
+        self.events = 0
+        self._rest = b""
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether nothing of an event is left over."""
+        return not self._rest
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events up to here.
+
+        Raises
+        ------
+        StreamBrokenError
+            An event is longer than any should be.
+        """
+        data = self._rest + data
+        end = data.rfind(BORDER)
+        if end < 0:
+            if len(data) > EVENT_BYTES_MAX:
+                raise StreamBrokenError("an event is too long")
+            self._rest = data
+            return b""
+        end += len(BORDER)
+        self._rest = data[end:]
+        taken = data[:end]
+        self.events += taken.count(BORDER)
+        self._note_last(taken)
+        return taken
+
+    def restart(self) -> None:
+        """Drop the part of an event that a broken connection left."""
+        self._rest = b""
+
+    def _note_last(self, taken: bytes) -> None:
+        start = taken.rfind(BORDER, 0, len(taken) - len(BORDER))
+        last = taken[start + len(BORDER) if start >= 0 else 0 :]
+        for line in last.split(b"\n"):
+            if line.startswith(ID_FIELD):
+                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
--- /dev/null
+++ b/radishshift/gateway/jobs.py
@@ -0,0 +1,68 @@
+"""A request on its way: what was decided once for all its attempts."""
+
+from dataclasses import dataclass, field
+
+import xxhash
+
+from radishshift.gateway.deployment import Customer, Member, Route
+from radishshift.gateway.messages import AttemptOrder, CallerRequest
+
+__all__ = ["Job"]
+
+
+@dataclass(slots=True)
+class Job:
+    """One request with its route, service and deadline.
+
+    Attributes
+    ----------
+    req : CallerRequest
+    route : Route
+    service : str
+    customer : Customer or None
+        None on a public route.
+    deadline : float
+        Instant of the final answer: the caller's or the route's, whichever is first.
+    fingerprint : str
+        The same for a request that is sent again.
+    version : str
+        Version of the service that it is to run on, or empty.
+    attempts : int
+    used : list of str
+        Endpoints that may still be at work on it or have been.
+    failed : list of str
+        Endpoints not to be tried again.
+    ran : bool
+        Whether an attempt may have run.
+    """
+
+    req: CallerRequest
+    route: Route
+    service: str
+    customer: Customer | None
+    deadline: float
+    fingerprint: str = ""
+    version: str = ""
+    attempts: int = 0
+    used: list[str] = field(default_factory=list)
+    failed: list[str] = field(default_factory=list)
+    ran: bool = False
+
+    def __post_init__(self) -> None:
+        """Take the fingerprint."""
+        name = "" if self.customer is None else self.customer.name
+        digest = xxhash.xxh64(f"{name} {self.req.method} {self.req.target}".encode())
+        digest.update(self.req.body)
+        self.fingerprint = digest.hexdigest()
+
+    @property
+    def endpoints_left(self) -> int:
+        """Return how many endpoints more it may be sent to."""
+        return self.route.endpoints_max - len(set(self.used))
+
+    def order(self, member: Member, model: str, last_event: str) -> AttemptOrder:
+        """Return an attempt at an endpoint."""
+        customer = "" if self.customer is None else self.customer.name
+        return AttemptOrder(
+            self.req, member, customer, self.deadline, model, last_event
+        )
--- /dev/null
+++ b/radishshift/gateway/program.py
@@ -0,0 +1,282 @@
+"""One host on the platform, from its start to its stop."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from random import Random
+
+import logbook
+from aiohttp import web
+
+from radishshift.clocks import Clock, SystemClock
+from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.placing import Placer
+from radishshift.decisions.versions import VersionGuard
+from radishshift.errors import SettingsError
+from radishshift.gateway.beliefs import KINDS, Beliefs
+from radishshift.gateway.dispatch import Dispatcher
+from radishshift.gateway.documents import Documents
+from radishshift.gateway.exchange import Exchange
+from radishshift.gateway.host_settings import GatewaySettings
+from radishshift.gateway.messages import CallerAnswer, CallerRequest, EndpointClient
+from radishshift.gateway.monitor import Monitor
+from radishshift.gateway.request_path import RequestPath
+from radishshift.gateway.rollout_duty import RolloutDuty
+from radishshift.gateway.watched_platform import WatchedPlatform
+from radishshift.objects import Kind, Listing
+from radishshift.platform import Platform
+from radishshift.watching import Pauses, follow_kind
+
+__all__ = ["Adapter", "Program"]
+
+BACKLOG = 512  # connections that wait to be accepted
+STREAMS_FOR_S = 2.5  # after the signal to stop, in which the balancer may still send
+LEAVE_MARGIN_S = 0.6  # before the process is killed
+LAST_ANSWERS_S = 1.2  # before leaving, nothing new is begun
+LEAVE_EARLIEST_S = 4.0  # two missed looks at readiness, and callers' last tries
+SETTINGS_EVERY_S = 2.0  # the file may change without a signal
+TIDY_EVERY_S = 1.0
+WATCH_PAUSES = Pauses(first_s=0.1, longest_s=0.6, relist_spread_s=0.2)
+
+logger = logbook.Logger("program")
+
+Handler = Callable[[CallerRequest, CallerAnswer], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """What a platform's adapter brings.
+
+    Attributes
+    ----------
+    settings : callable
+        Reads the settings anew.
+    documents : Documents
+    platform : callable
+        Makes the store's client from its address.
+    endpoints : callable
+        Makes the endpoints' client.
+    border : callable
+        Makes the callers' server from handler, clock and a predicate that tells
+        whether connections are to end.
+    ready : callable
+        Makes the readiness handler from a predicate.
+    """
+
+    settings: Callable[[], GatewaySettings]
+    documents: Documents
+    platform: Callable[[str], Platform]
+    endpoints: Callable[[Clock], EndpointClient]
+    border: Callable[[Handler, Clock, Callable[[], bool]], web.Server]
+    ready: Callable[[Callable[[], bool]], Callable]
+
+
+class Program:
+    """Puts a host together and runs it.
+
+    Parameters
+    ----------
+    adapter : Adapter
+    clock : Clock, optional
+    """
+
+    def __init__(self, adapter: Adapter, clock: Clock | None = None) -> None:
+        self._adapter = adapter
+        self.clock = clock or SystemClock()
+        self.settings = adapter.settings()
+        settings = self.settings
+        self.beliefs = Beliefs(adapter.documents, self.clock)
+        self.placer = Placer()
+        self.suspects = CrashSuspects(settings.host)
+        self.versions = VersionGuard(settings.host, settings.bounds)
+        self.monitor = Monitor(settings.host, settings.data_centre)
+        self.platform = WatchedPlatform(
+            adapter.platform(settings.store_address), self.clock
+        )
+        self.client = adapter.endpoints(self.clock)
+        self.dispatcher = Dispatcher(
+            self.clock,
+            settings.data_centre,
+            self.beliefs,
+            self.placer,
+            self.client,
+            self.suspects,
+            self.versions,
+            settings.bounds,
+        )
+        self.path = RequestPath(self.dispatcher, self.monitor)
+        self.exchange = Exchange(
+            settings,
+            self.clock,
+            self.beliefs,
+            self.placer,
+            self.suspects,
+            self.versions,
+        )
+        self.exchange.changed = self._changed
+        self.duty = RolloutDuty(
+            settings.host,
+            self.platform,
+            adapter.documents,
+            self.clock,
+            self.beliefs,
+            self.versions,
+            self.exchange,
+        )
+        self._random = Random(settings.host)
+        self._stop = asyncio.Event()
+        self._reload = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the host was told to stop."""
+        return self._stop.is_set()
+
+    def ready(self) -> bool:
+        """Tell whether the host should be sent connections."""
+        return (
+            not self.stopping
+            and self.beliefs.deployment is not None
+            and bool(self.beliefs.members)
+        )
+
+    async def run(self) -> None:
+        """Serve until told to stop, then finish what was begun."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop, "signal")
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+        settings = self.settings
+        logger.info(
+            "started",
+            extra={"host": settings.host, "data_centre": settings.data_centre},
+        )
+        self._watch_gauges()
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self.client.close)
+            stack.push_async_callback(self.platform.close)
+            await self._listen(stack)
+            for kind in KINDS:
+                self._spawn(self._follow(kind))
+            self._spawn(self.exchange.run())
+            self._spawn(self.duty.run())
+            self._spawn(self._tidy())
+            self._spawn(self._watch_settings())
+            await self._stop.wait()
+            await self._leave()
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        logger.info("stopped", extra={"in_flight": self.path.in_flight})
+
+    def stop(self, reason: str) -> None:
+        """Begin to leave."""
+        logger.info("stopping", extra={"reason": reason})
+        self._stop.set()
+
+    async def _listen(self, stack: AsyncExitStack) -> None:
+        settings = self.settings
+        servers = {
+            settings.ready_address: web.Server(
+                self._adapter.ready(self.ready), access_log=None
+            ),
+            settings.peer_address: web.Server(self.exchange.handle, access_log=None),
+            settings.metrics_address: web.Server(self._metrics, access_log=None),
+            settings.caller_address: self._adapter.border(
+                self.path.handle, self.clock, lambda: self.stopping
+            ),
+        }
+        loop = asyncio.get_running_loop()
+        for address, server in servers.items():
+            ip, _, port = address.rpartition(":")
+            listener = await loop.create_server(
+                server, ip, int(port), backlog=BACKLOG, reuse_address=True
+            )
+            stack.callback(listener.close)
+
+    async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=self.monitor.exposition(), content_type="text/plain")
+
+    def _watch_gauges(self) -> None:
+        watch = self.monitor.watch
+        watch("in_flight", lambda: self.path.in_flight)
+        watch("configuration_version", lambda: self.beliefs.version)
+        watch("endpoints", lambda: len(self.beliefs.members))
+        watch("hosts", lambda: len(self.exchange.live()))
+        watch("store_calls", lambda: self.platform.calls)
+        watch("store_lost", lambda: self.platform.lost_at is not None)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            logger.critical("a task failed: {!r}", task.exception())
+            self.stop("a task failed")
+
+    async def _follow(self, kind: Kind) -> None:
+        async for told in follow_kind(
+            self.platform, kind, self.clock, self._random, WATCH_PAUSES
+        ):
+            if isinstance(told, Listing):
+                logger.info(
+                    "listed",
+                    extra={
+                        "kind": kind.value,
+                        "objects": len(told.items),
+                        "revision": told.revision,
+                    },
+                )
+            self.beliefs.note_store(self.platform.regained_at)
+            if self.beliefs.take(kind, told):
+                self._changed()
+
+    def _changed(self) -> None:
+        """Let what hangs on beliefs follow them."""
+        self.versions.follow(self.beliefs.rollouts.values(), self.clock.now())
+
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(TIDY_EVERY_S)
+            self.dispatcher.share_slack(max(len(self.exchange.live()) + 1, 4))
+            members = {held.incarnation for held in self.beliefs.members.values()}
+            for view in list(self.placer.views()):
+                if view.member.incarnation not in members and not view.in_flight:
+                    self.client.forget(view.member)
+            self.placer.keep_only(members)
+
+    async def _watch_settings(self) -> None:
+        """Read the settings again when told, and from time to time."""
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_EVERY_S):
+                    await self._reload.wait()
+                logger.info("told to read the settings again")
+            except TimeoutError:
+                pass
+            self._reload.clear()
+            try:
+                settings = self._adapter.settings()
+            except SettingsError as exc:
+                logger.warning("settings kept: {}", exc.message)
+                continue
+            if settings != self.settings:
+                logger.info("settings changed")
+                self.settings = settings
+                self.versions.bounds = settings.bounds
+                self.dispatcher.bounds = settings.bounds
+
+    async def _leave(self) -> None:
+        """Let what was begun end, until the process would be killed."""
+        now = self.clock.now()
+        last = now + self.settings.bounds.stop_s - LEAVE_MARGIN_S
+        self.path.refuses_from = (last - LAST_ANSWERS_S, now + STREAMS_FOR_S)
+        earliest = now + LEAVE_EARLIEST_S
+        while self.clock.now() < last:
+            await asyncio.sleep(0.05)
+            if self.clock.now() >= earliest and not self.path.in_flight:
+                return
--- /dev/null
+++ b/radishshift/gateway/request_path.py
@@ -0,0 +1,219 @@
+"""The path of a request through a host, from its border to its outcome."""
+
+import asyncio
+import math
+
+import logbook
+
+from radishshift.decisions.routes import choose_service
+from radishshift.errors import (
+    AuthenticationError,
+    DeadlineError,
+    EndpointError,
+    InternalError,
+    NoConfigurationError,
+    NotFoundError,
+    PoisonHeldError,
+    RadishshiftError,
+    ShuttingDownError,
+)
+from radishshift.gateway.deployment import Customer, Route, RouteKind
+from radishshift.gateway.dispatch import Dispatcher
+from radishshift.gateway.jobs import Job
+from radishshift.gateway.messages import CallerAnswer, CallerRequest
+from radishshift.gateway.monitor import Monitor
+from radishshift.gateway.refusals import error_answer
+from radishshift.gateway.streams import StreamRun
+from radishshift.gateway.whole_answers import answer_whole
+
+__all__ = ["RequestPath"]
+
+POISON_PAUSE_S = 30.0  # longer than any caller of such a request waits
+CALLER_PAUSE_S = 0.05  # with which callers come back to a host that is leaving
+
+logger = logbook.Logger("requests")
+
+
+class RequestPath:
+    """Takes callers' requests to their answers.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+    monitor : Monitor
+
+    Attributes
+    ----------
+    refuses_from : tuple of float
+        Instants from which new answers and new streams are refused.
+    in_flight : int
+        Requests that have no final answer yet.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, monitor: Monitor) -> None:
+        self._dispatcher = dispatcher
+        self._monitor = monitor
+        self.refuses_from = (math.inf, math.inf)
+        self.in_flight = 0
+
+    async def handle(self, req: CallerRequest, caller: CallerAnswer) -> None:
+        """Answer one request; the caller gets exactly one answer or a reset."""
+        self.in_flight += 1
+        outcome = _Outcome(req)
+        try:
+            await self._answer(req, caller, outcome)
+        except RadishshiftError as exc:
+            await self._give_up(req, caller, outcome, exc)
+        except asyncio.CancelledError:
+            outcome.error = "caller-left"
+            raise
+        except ConnectionError as exc:
+            outcome.error = f"caller-lost: {exc!r}"
+            caller.abort()
+        except Exception as exc:
+            logger.exception("a fault of this host")
+            await self._give_up(req, caller, outcome, InternalError(repr(exc)))
+        finally:
+            self.in_flight -= 1
+            self._tell(outcome)
+
+    async def _answer(
+        self, req: CallerRequest, caller: CallerAnswer, outcome: "_Outcome"
+    ) -> None:
+        job = self._job(req)
+        outcome.job = job
+        dispatcher = self._dispatcher
+        now = dispatcher.clock.now()
+        dispatcher.budget(job.service).request_came(now)
+        if now >= self.refuses_from[job.route.kind is RouteKind.STREAM]:
+            raise ShuttingDownError(
+                "this host is stopping", retry_after_s=CALLER_PAUSE_S
+            )
+        if dispatcher.suspects.poisonous(job.fingerprint, now):
+            raise PoisonHeldError(
+                "this request has crashed endpoints", retry_after_s=POISON_PAUSE_S
+            )
+        try:
+            async with asyncio.timeout(job.deadline - now):
+                outcome.status = await self._run(job, caller, outcome)
+        except TimeoutError:
+            raise DeadlineError("no answer before the deadline") from None
+
+    async def _run(self, job: Job, caller: CallerAnswer, outcome: "_Outcome") -> int:
+        if job.route.kind is not RouteKind.STREAM:
+            return await answer_whole(self._dispatcher, job, caller)
+        run = StreamRun(self._dispatcher, job, caller)
+        outcome.run = run
+        return await run.until_done()
+
+    def _job(self, req: CallerRequest) -> Job:
+        """Decide what holds for all attempts of a request.
+
+        Raises
+        ------
+        NoConfigurationError, NotFoundError, AuthenticationError
+        """
+        beliefs = self._dispatcher.beliefs
+        deployment = beliefs.deployment
+        if deployment is None:
+            raise NoConfigurationError("this host has no configuration yet")
+        route = beliefs.routes.find(req.host, req.target)
+        if route is None:
+            raise NotFoundError("no route for this host and path")
+        customer: Customer | None = None
+        if deployment.customers and not route.public:
+            customer = deployment.customers.get(req.key)
+            if customer is None:
+                raise AuthenticationError("the key is missing or unknown")
+        key = req.session or req.request_id
+        service = choose_service(route.shares, key)
+        deadline = min(req.deadline, req.came + route.timeout_s)
+        job = Job(req, route, service, customer, deadline)
+        job.version = self._version(service, key, route)
+        return job
+
+    def _version(self, service: str, key: str, route: Route) -> str:
+        """Return the version that a request is to run on, or an empty string."""
+        dispatcher = self._dispatcher
+        versions = dispatcher.versions
+        now = dispatcher.clock.now()
+        trial = versions.trials.get(service)
+        new = versions.takes_new(service, key, now)
+        if trial is None or new is None:
+            return ""
+        target = trial.rollout.target
+        members = list(dispatcher.beliefs.members_of(service))
+        others = sorted({held.version for held in members if held.version != target})
+        if not any(held.version == target for held in members):
+            new = False
+        version = target if new or not others else others[0]
+        versions.ran(service, key, version, now)
+        return version
+
+    async def _give_up(
+        self,
+        req: CallerRequest,
+        caller: CallerAnswer,
+        outcome: "_Outcome",
+        exc: RadishshiftError,
+    ) -> None:
+        outcome.error = exc.code
+        outcome.reason = exc.message[:200]
+        if caller.started:
+            outcome.status = 0
+            caller.abort()
+            return
+        ran = outcome.job is not None and outcome.job.ran
+        if isinstance(exc, EndpointError | DeadlineError) and outcome.job is not None:
+            ran = ran or bool(outcome.job.used)
+        status, headers, body = error_answer(exc, req.request_id, ran)
+        outcome.status = status
+        try:
+            await caller.send(status, headers, body)
+        except ConnectionError as lost:
+            outcome.reason += f"; not delivered: {lost!r}"
+
+    def _tell(self, outcome: "_Outcome") -> None:
+        """Log and count how a request ended."""
+        req = outcome.req
+        job = outcome.job
+        took_s = self._dispatcher.clock.now() - req.came
+        route = "" if job is None else job.route.name
+        self._monitor.ended(route, outcome.status, outcome.error, took_s)
+        extra = {
+            "request_id": req.request_id,
+            "status": outcome.status,
+            "took_s": round(took_s, 4),
+            "configuration": self._dispatcher.beliefs.version,
+        }
+        if outcome.error:
+            extra |= {"error": outcome.error, "reason": outcome.reason}
+        if job is not None:
+            extra |= {
+                "route": route,
+                "service": job.service,
+                "version": job.version,
+                "attempts": job.attempts,
+                "endpoints": job.used,
+                "failed": job.failed,
+                "left_s": round(job.deadline - self._dispatcher.clock.now(), 3),
+            }
+        if outcome.run is not None:
+            extra |= {
+                "model": outcome.run.model,
+                "escalated": outcome.run.escalated,
+                "events": outcome.run.events,
+            }
+        logger.info("request ended", extra=extra)
+
+
+class _Outcome:
+    """What is known of a request when its log line is written."""
+
+    def __init__(self, req: CallerRequest) -> None:
+        self.req = req
+        self.job: Job | None = None
+        self.run: StreamRun | None = None
+        self.status = 0
+        self.error = ""
+        self.reason = ""
--- /dev/null
+++ b/radishshift/gateway/rollout_duty.py
@@ -0,0 +1,114 @@
+"""Telling the platform how far a roll-out is.
+
+Every host could write; they wait for each other in the order of their names, and
+the object's revision settles a race.
+"""
+
+import asyncio
+
+import logbook
+
+from radishshift.clocks import Clock
+from radishshift.decisions.versions import VersionGuard
+from radishshift.errors import RadishshiftError
+from radishshift.gateway.beliefs import Beliefs
+from radishshift.gateway.deployment import RolloutState
+from radishshift.gateway.documents import Documents
+from radishshift.gateway.exchange import Exchange
+from radishshift.objects import ChangeType, Kind, ObjectChange, StoredObject
+from radishshift.platform import Platform
+
+__all__ = ["RolloutDuty"]
+
+EVERY_S = 0.2
+TURN_S = 0.7  # time that the host before in the order has for its write
+
+logger = logbook.Logger("rollouts")
+
+
+class RolloutDuty:
+    """Follows the roll-outs and writes their status.
+
+    Parameters
+    ----------
+    host : str
+    platform : Platform
+    documents : Documents
+    clock : Clock
+    beliefs : Beliefs
+    versions : VersionGuard
+    exchange : Exchange
+    """
+
+    def __init__(
+        self,
+        host: str,
+        platform: Platform,
+        documents: Documents,
+        clock: Clock,
+        beliefs: Beliefs,
+        versions: VersionGuard,
+        exchange: Exchange,
+    ) -> None:
+        self._host = host
+        self._platform = platform
+        self._documents = documents
+        self._clock = clock
+        self._beliefs = beliefs
+        self._versions = versions
+        self._exchange = exchange
+        self._ripe: dict[tuple[str, str, RolloutState], float] = {}
+
+    async def run(self) -> None:
+        """Look after all roll-outs without end."""
+        while True:
+            now = self._clock.now()
+            self._versions.follow(self._beliefs.rollouts.values(), now)
+            for service in list(self._versions.trials):
+                await self._look_after(service)
+            await asyncio.sleep(EVERY_S)
+
+    async def _look_after(self, service: str) -> None:
+        trial = self._versions.trials[service]
+        target = trial.rollout.target
+        now = self._clock.now()
+        old = self._exchange.own_old_in_flight(service, target)
+        old += self._exchange.old_in_flight(service)
+        state = self._versions.ripe_state(service, now, moved=old == 0)
+        if state is None:
+            return
+        since = self._ripe.setdefault((service, target, state), now)
+        turn = self._exchange.live().index(self._host)
+        if now < since + turn * TURN_S:
+            return
+        await self._write(service, state)
+
+    async def _write(self, service: str, state: RolloutState) -> None:
+        trial = self._versions.trials[service]
+        stored = self._beliefs.stored_rollout(service)
+        status = self._documents.progress(trial.rollout, state)
+        item = StoredObject(
+            Kind.ROLLOUT, stored.name, stored.spec, status, stored.revision
+        )
+        totals = {
+            f"{'new' if new else 'old'} {route}": [counts.answers, counts.bad]
+            for (new, route), counts in trial.totals().items()
+        }
+        extra = {"service": service, "target": trial.rollout.target, "counts": totals}
+        try:
+            stored = await self._platform.update_status(item)
+        except RadishshiftError as exc:
+            logger.warning("status {} not written: {}", state, exc.code, extra=extra)
+            await self._read_again(service)
+            return
+        logger.info("status {} written", state, extra=extra)
+        self._beliefs.take(Kind.ROLLOUT, ObjectChange(ChangeType.MODIFIED, stored))
+
+    async def _read_again(self, service: str) -> None:
+        """Learn what became of a write that was refused or got no reply."""
+        try:
+            stored = await self._platform.get(Kind.ROLLOUT, service)
+        except RadishshiftError as exc:
+            logger.warning("roll-out of {} not read: {}", service, exc.code)
+            return
+        self._beliefs.take(Kind.ROLLOUT, ObjectChange(ChangeType.MODIFIED, stored))
--- /dev/null
+++ b/radishshift/gateway/sockets.py
@@ -0,0 +1,56 @@
+"""Connections that notice a silent other end."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import aiohttp
+
+__all__ = ["guard_socket", "guarded_connector"]
+
+# Probes begin after 1 s of quiet and give up after 2 more, the time in which a
+# host that was cut off counts as in touch again.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 2500  # bytes in flight that long mean a dead path
+
+
+def guard_socket(sock: socket.socket) -> None:
+    """Let the kernel probe a connection, and send small writes at once."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def _open_socket(address: tuple) -> socket.socket:
+    sock = socket.socket(address[0], address[1], address[2])
+    sock.setblocking(False)
+    guard_socket(sock)
+    return sock
+
+
+def guarded_connector(
+    limit: int = 0,
+    idle_s: float = 15.0,
+    factory: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
+) -> aiohttp.TCPConnector:
+    """Return a connector to IP numbers whose connections are probed.
+
+    Parameters
+    ----------
+    limit : int
+        Connections at the most; 0 for no bound.
+    idle_s : float
+        Time after which an idle connection is not used again.
+    """
+    return factory(
+        limit=limit,
+        keepalive_timeout=idle_s,
+        socket_factory=_open_socket,
+        resolver=aiohttp.ThreadedResolver(loop=asyncio.get_running_loop()),
+        use_dns_cache=False,
+    )
--- /dev/null
+++ b/radishshift/gateway/streams.py
@@ -0,0 +1,158 @@
+"""Requests whose answer is a stream of events."""
+
+import asyncio
+
+from radishshift.decisions.model_choice import first_model, next_model
+from radishshift.errors import EndpointError, StreamBrokenError
+from radishshift.gateway.dispatch import Attempt, Dispatcher
+from radishshift.gateway.event_relay import EventBuffer
+from radishshift.gateway.jobs import Job
+from radishshift.gateway.messages import CallerAnswer
+from radishshift.gateway.whole_answers import check_signature, may_repeat
+
+__all__ = ["StreamRun"]
+
+JOIN_S = 0.05  # each packet that is lost costs 200 ms; fewer packets lose less
+TIMED_EVENTS = 8  # events after which the time between them is compared
+RESUMES_MAX = 4
+ESCALATION_TIME = 0.5  # of the objective: later, the small model's answer is kept
+
+
+class StreamRun:
+    """One stream, over as many models and endpoints as it takes.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+    job : Job
+    caller : CallerAnswer
+
+    Attributes
+    ----------
+    model : str
+        Model that answers, or empty if the caller named one.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, job: Job, caller: CallerAnswer) -> None:
+        self._dispatcher = dispatcher
+        self._job = job
+        self._caller = caller
+        self._buffer = EventBuffer()
+        self._resumes = 0
+        models = job.route.models
+        self.model = first_model(models) if models else ""
+        self.escalated = False
+
+    @property
+    def events(self) -> int:
+        """Return how many events were taken."""
+        return self._buffer.events
+
+    async def until_done(self) -> int:
+        """Relay the whole stream; return the status that was sent.
+
+        Raises
+        ------
+        EndpointError, NoEndpointError, DeadlineError
+        """
+        while True:
+            try:
+                status = await self._attempt()
+            except EndpointError as exc:
+                if not self._goes_on(exc):
+                    raise
+                self._buffer.restart()
+                continue
+            if status is not None:
+                return status
+
+    def _goes_on(self, exc: EndpointError) -> bool:
+        job = self._job
+        if self._caller.started:
+            self._resumes += 1
+            if not job.route.resumable or self._resumes > RESUMES_MAX:
+                return False
+        return may_repeat(self._dispatcher, job, exc)
+
+    async def _attempt(self) -> int | None:
+        """Run one attempt; return the status once the answer is whole."""
+        dispatcher = self._dispatcher
+        job = self._job
+        dispatcher.check_deadline(job)
+        member = dispatcher.choose(job)
+        with dispatcher.attempt(job, member, self.model) as attempt:
+            after = self._buffer.last_id or job.req.last_event
+            answer = await dispatcher.open(attempt, after)
+            job.ran = True
+            if answer.status != 200:
+                return await self._failure(attempt)
+            check_signature(answer)
+            if not self._caller.started and self._escalate(attempt):
+                return None
+            took_s = dispatcher.clock.now() - attempt.began
+            dispatcher.timed(attempt, "first", took_s)
+            await self._relay(attempt)
+            dispatcher.completed(attempt)
+            return 200
+
+    async def _failure(self, attempt: Attempt) -> int | None:
+        """Take an answer that is no stream: another endpoint, or pass it on."""
+        answer = attempt.answer
+        body = await answer.read()
+        if answer.status >= 500:
+            error = EndpointError(f"the endpoint answered {answer.status}")
+            if self._caller.started or may_repeat(self._dispatcher, self._job, error):
+                raise error
+            self._dispatcher.judged(attempt, False)
+        if self._caller.started:
+            raise EndpointError(f"the endpoint answered {answer.status}")
+        await self._caller.send(answer.status, answer.headers, body)
+        return answer.status
+
+    def _escalate(self, attempt: Attempt) -> bool:
+        """Choose a larger model if the answer that has begun is a poor one."""
+        job = self._job
+        now = self._dispatcher.clock.now()
+        if not job.route.models or job.req.last_event:
+            return False
+        model = next_model(job.route.models, self.model, attempt.answer.confidence)
+        if model is None:
+            return False
+        if now - job.req.came > job.route.objective_s * ESCALATION_TIME:
+            return False
+        if not self._dispatcher.budget(job.service).take(now):
+            return False
+        self.model = model
+        self.escalated = True
+        return True
+
+    async def _relay(self, attempt: Attempt) -> None:
+        """Pass on what comes from one endpoint, up to the end of the stream."""
+        dispatcher = self._dispatcher
+        buffer = self._buffer
+        first = buffer.events
+        began = dispatcher.clock.now()
+        timed = False
+        while data := await dispatcher.next_bytes(attempt):
+            if buffer.events > first:
+                await asyncio.sleep(JOIN_S)
+                data += attempt.answer.waiting_bytes()
+            events = buffer.feed(data)
+            if not events:
+                continue
+            await self._pass_on(attempt, events)
+            taken = buffer.events - first
+            if not timed and taken >= TIMED_EVENTS:
+                timed = True
+                took_s = dispatcher.clock.now() - began
+                dispatcher.timed(attempt, "event", took_s / taken)
+        if not buffer.whole:
+            raise StreamBrokenError("the stream ended within an event")
+        if not self._caller.started:
+            await self._caller.start(200, attempt.answer.headers)
+        await self._caller.finish()
+
+    async def _pass_on(self, attempt: Attempt, events: bytes) -> None:
+        if not self._caller.started:
+            await self._caller.start(200, attempt.answer.headers)
+        await self._caller.write(events)
--- /dev/null
+++ b/radishshift/gateway/watched_platform.py
@@ -0,0 +1,95 @@
+"""A platform whose losses and returns are noticed."""
+
+from collections.abc import AsyncIterator, Awaitable
+from typing import TypeVar
+
+import logbook
+
+from radishshift.clocks import Clock
+from radishshift.errors import PlatformUnavailableError
+from radishshift.objects import Kind, Listing, ObjectChange, StoredObject
+from radishshift.platform import Platform
+
+__all__ = ["WatchedPlatform"]
+
+T = TypeVar("T")
+logger = logbook.Logger("store")
+
+
+class WatchedPlatform(Platform):
+    """Passes calls on and keeps when the platform was lost and regained.
+
+    Attributes
+    ----------
+    lost_at : float or None
+        Instant of the first failure since the last success.
+    regained_at : float or None
+        Instant of the first success after a failure.
+    """
+
+    def __init__(self, platform: Platform, clock: Clock) -> None:
+        self._platform = platform
+        self._clock = clock
+        self.lost_at: float | None = None
+        self.regained_at: float | None = None
+        self.calls = 0
+
+    async def get(self, kind: Kind, name: str) -> StoredObject:
+        """Return one object."""
+        return await self._noted(self._platform.get(kind, name))
+
+    async def list_all(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        return await self._noted(self._platform.list_all(kind))
+
+    async def create(self, item: StoredObject) -> StoredObject:
+        """Store a new object."""
+        return await self._noted(self._platform.create(item))
+
+    async def update(self, item: StoredObject) -> StoredObject:
+        """Store an object over the revision that it holds."""
+        return await self._noted(self._platform.update(item))
+
+    async def update_status(self, item: StoredObject) -> StoredObject:
+        """Store an object's status over the revision that it holds."""
+        return await self._noted(self._platform.update_status(item))
+
+    async def delete(self, kind: Kind, name: str, revision: int) -> None:
+        """Remove an object that still has `revision`."""
+        await self._noted(self._platform.delete(kind, name, revision))
+
+    async def watch(self, kind: Kind, since: int) -> AsyncIterator[ObjectChange]:
+        """Yield the changes of a kind after revision `since`."""
+        try:
+            async for change in self._platform.watch(kind, since):
+                self._succeeded()
+                yield change
+        except PlatformUnavailableError as exc:
+            self._failed(exc)
+            raise
+
+    async def close(self) -> None:
+        """Give back connections."""
+        await self._platform.close()
+
+    async def _noted(self, call: Awaitable[T]) -> T:
+        self.calls += 1
+        try:
+            result = await call
+        except PlatformUnavailableError as exc:
+            self._failed(exc)
+            raise
+        self._succeeded()
+        return result
+
+    def _failed(self, exc: PlatformUnavailableError) -> None:
+        if self.lost_at is None:
+            self.lost_at = self._clock.now()
+            logger.warning("the store is lost: {}", exc.message)
+
+    def _succeeded(self) -> None:
+        if self.lost_at is not None:
+            now = self._clock.now()
+            logger.warning("the store is back after {:.1f} s", now - self.lost_at)
+            self.lost_at = None
+            self.regained_at = now
--- /dev/null
+++ b/radishshift/gateway/whole_answers.py
@@ -0,0 +1,94 @@
+"""Requests whose answer is sent in one piece: reads, bookings and the like."""
+
+from radishshift.errors import EndpointError, NoEndpointError
+from radishshift.gateway.dispatch import Attempt, Dispatcher
+from radishshift.gateway.jobs import Job
+from radishshift.gateway.messages import CallerAnswer, EndpointAnswer
+from radishshift.verdicts import Verdict
+
+__all__ = ["answer_whole"]
+
+NOT_RUN_TRIES = 3  # attempts that an endpoint refused or could not be reached for
+
+
+async def answer_whole(dispatcher: Dispatcher, job: Job, caller: CallerAnswer) -> int:
+    """Run a job until an endpoint has answered; return the status that was sent.
+
+    Raises
+    ------
+    EndpointError, NoEndpointError, DeadlineError
+    """
+    failure: tuple[EndpointAnswer, bytes] | None = None
+    while True:
+        try:
+            answer, body = await _attempt(dispatcher, job)
+        except NoEndpointError:
+            if failure is None:
+                raise
+            answer, body = failure
+            break
+        except EndpointError as exc:
+            if not may_repeat(dispatcher, job, exc):
+                if failure is None:
+                    raise
+                answer, body = failure
+                break
+            continue
+        if answer.status < 500 or not _another(dispatcher, job):
+            break
+        failure = (answer, body)
+    await caller.send(answer.status, answer.headers, body)
+    return answer.status
+
+
+async def _attempt(dispatcher: Dispatcher, job: Job) -> tuple[EndpointAnswer, bytes]:
+    dispatcher.check_deadline(job)
+    member = dispatcher.choose(job)
+    with dispatcher.attempt(job, member, "") as attempt:
+        answer = await dispatcher.open(attempt)
+        body = await answer.read()
+        check_signature(answer)
+        job.ran = True
+        _note(dispatcher, attempt, answer)
+        return answer, body
+
+
+def check_signature(answer: EndpointAnswer) -> None:
+    """Raise if a success is not the endpoint's own.
+
+    Raises
+    ------
+    EndpointError
+    """
+    if answer.status < 300 and not answer.signed:
+        raise EndpointError("the answer has no signature", verdict=Verdict.RAN)
+
+
+def _note(dispatcher: Dispatcher, attempt: Attempt, answer: EndpointAnswer) -> None:
+    if answer.status >= 500:
+        attempt.job.failed.append(attempt.member.name)
+        dispatcher.judged(attempt, False)
+        return
+    dispatcher.completed(attempt)
+    dispatcher.timed(attempt, "whole", dispatcher.clock.now() - attempt.began)
+
+
+def _another(dispatcher: Dispatcher, job: Job) -> bool:
+    """Tell whether an answer that failed is asked for at another endpoint."""
+    return (
+        job.route.idempotent
+        and job.endpoints_left > 0
+        and dispatcher.budget(job.service).take(dispatcher.clock.now())
+    )
+
+
+def may_repeat(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
+    """Tell whether a failed attempt is followed by another, and take it."""
+    now = dispatcher.clock.now()
+    if dispatcher.suspects.poisonous(job.fingerprint, now):
+        return False
+    if exc.verdict is Verdict.NOT_RUN:
+        allowed = job.attempts <= NOT_RUN_TRIES
+    else:
+        allowed = job.route.idempotent and job.endpoints_left > 0
+    return allowed and dispatcher.budget(job.service).take(now)
--- a/radishshift/objects.py
+++ b/radishshift/objects.py
@@ -25,6 +25,8 @@
     SHARE = "shares"
     POISON = "poisonrequests"
     CONFIRMATION = "confirmations"
+    DEPLOYMENT = "deployments"
+    ROLLOUT = "rollouts"
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -68,6 +68,17 @@
         """
         raise NotImplementedError
 
+    async def update_status(self, item: StoredObject) -> StoredObject:
+        """Store an object's status over the revision that `item` holds.
+
+        Raises
+        ------
+        ConflictError
+            It has changed since.
+        NotFoundError
+        """
+        raise NotImplementedError
+
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Remove an object that still has `revision`.
 
@@ -144,6 +155,12 @@
         self._check(item.kind, item.name, item.revision)
         return await self._store(ChangeType.MODIFIED, item)
 
+    async def update_status(self, item: StoredObject) -> StoredObject:
+        """Store an object's status over the revision that it holds."""
+        self.writes += 1
+        held = self._check(item.kind, item.name, item.revision)
+        return await self._store(ChangeType.MODIFIED, replace(held, status=item.status))
+
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Remove an object that still has `revision`."""
         self.writes += 1
--- a/radishshift/watching.py
+++ b/radishshift/watching.py
@@ -1,6 +1,7 @@
 """Following a kind of object at the platform through breaks, gaps and outages."""
 
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from random import Random
 
 import logbook
@@ -10,18 +11,39 @@
 from radishshift.objects import Kind, Listing, ObjectChange
 from radishshift.platform import Platform
 
-__all__ = ["follow_kind"]
+__all__ = ["Pauses", "follow_kind"]
 
-FIRST_PAUSE_S = 0.5
-LONGEST_PAUSE_S = 8.0
-RELIST_SPREAD_S = 2.0
 RELIST_EVERY_S = 300.0
 
+
+@dataclass(frozen=True, slots=True)
+class Pauses:
+    """Pauses between calls that failed, in seconds.
+
+    Attributes
+    ----------
+    first_s, longest_s : float
+        A pause doubles with each failure between the two.
+    relist_spread_s : float
+        Longest pause before a listing once the history is gone.
+    """
+
+    first_s: float = 0.5
+    longest_s: float = 8.0
+    relist_spread_s: float = 2.0
+
+
+USUAL_PAUSES = Pauses()
+
 logger = logbook.Logger("watching")
 
 
 async def follow_kind(
-    platform: Platform, kind: Kind, clock: Clock, rng: Random | None = None
+    platform: Platform,
+    kind: Kind,
+    clock: Clock,
+    rng: Random | None = None,
+    pauses: Pauses = USUAL_PAUSES,
 ) -> AsyncIterator[Listing | ObjectChange]:
     """Yield a listing of a kind, then its changes, without end.
 
@@ -50,13 +72,15 @@
                     break
         except GoneError:
             since = None
-            await clock.sleep_until(clock.now() + rng.uniform(0, RELIST_SPREAD_S))
+            await clock.sleep_until(
+                clock.now() + rng.uniform(0, pauses.relist_spread_s)
+            )
         except RadishshiftError as exc:
             failures += 1
             logger.warning("following {} failed: {}", kind, exc.message)
-            await clock.sleep_until(clock.now() + _pause_s(failures, rng))
+            await clock.sleep_until(clock.now() + _pause_s(failures, pauses, rng))
 
 
-def _pause_s(failures: int, rng: Random) -> float:
-    longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 10))
+def _pause_s(failures: int, pauses: Pauses, rng: Random) -> float:
+    longest = min(pauses.longest_s, pauses.first_s * 2 ** min(failures, 10))
     return rng.uniform(longest / 2, longest)
