Share a look at the store among the hosts, and restart silent watches

Cause: after the store dropped its history, waiting watches were neither answered nor reset.

Change: one host a second reads the configuration and the endpoints anew, in turn. What a look finds is told to the peers at once; a host that learns of a change from elsewhere begins its own watch of that kind again.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -15,7 +15,7 @@
 __all__ = ["EndpointView", "Placer", "PlacingQuestion"]
 
 PACE_SMOOTHING = 0.2
-OTHER_ZONE_COST = 0.3  # requests in flight that a shorter way is worth
+OTHER_ZONE_COST = 2.0  # requests in flight that a shorter way is worth
 MISS_COST_PER_1000_TOKENS = 0.25  # requests in flight that reading again is worth
 
 
--- a/radishshift/gateway/exchange.py
+++ b/radishshift/gateway/exchange.py
@@ -29,6 +29,7 @@
 
 EVERY_S = 0.5
 FANOUT = 2  # hosts asked at a time; news reaches 73 hosts in some three rounds
+TOLD_AT_ONCE = 8  # hosts told of news that watches have missed
 TIMEOUT_S = 1.0
 SILENT_S = 2.5  # after which a host's load no longer counts
 FORGOTTEN_S = 60.0  # after which a host is no longer asked
@@ -122,7 +123,7 @@
         self._peers: dict[str, _Peer] = {}
         self._random = random.Random(settings.host)
         self._session: aiohttp.ClientSession | None = None
-        self.changed: Callable[[], None] = lambda: None
+        self.changed: Callable[[list[Kind]], None] = lambda kinds: None
 
     def live(self) -> list[str]:
         """Return the names of this host and of those heard of late, in order."""
@@ -149,6 +150,12 @@
         finally:
             await self._session.close()
 
+    async def tell_all(self) -> None:
+        """Exchange notes with many hosts at once, after news that they may lack."""
+        addresses = self._addresses()
+        chosen = self._random.sample(addresses, min(TOLD_AT_ONCE, len(addresses)))
+        await asyncio.gather(*map(self._ask, chosen))
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer another host's note with one of our own."""
         try:
@@ -161,7 +168,12 @@
         return web.Response(body=reply, content_type="application/json")
 
     def _targets(self) -> list[str]:
-        """Return the addresses to ask now: some known hosts, and silent seeds."""
+        """Return the addresses to ask now."""
+        pool = self._addresses()
+        return self._random.sample(pool, min(FANOUT, len(pool)))
+
+    def _addresses(self) -> list[str]:
+        """Return the addresses of known hosts, and of seeds that are not."""
         now = self._clock.now()
         known = []
         for name, peer in list(self._peers.items()):
@@ -172,8 +184,7 @@
         seeds = [seed for seed in self._settings.seeds if seed not in known]
         pool = known + seeds
         own = self._settings.peer_address
-        pool = [address for address in pool if address != own]
-        return self._random.sample(pool, min(FANOUT, len(pool)))
+        return [address for address in pool if address != own]
 
     async def _ask(self, address: str) -> None:
         try:
@@ -286,11 +297,13 @@
         peer.note = note
         self._suspects.take(f"{note.host}.{note.incarnation}", note.crashes, now)
         self._take_trials(note, now)
-        changed = False
-        for name, delta in note.tables.items():
-            changed |= self._beliefs.merge(Kind(name), delta, note.host)
+        changed = [
+            Kind(name)
+            for name, delta in note.tables.items()
+            if self._beliefs.merge(Kind(name), delta, note.host)
+        ]
         if changed:
-            self.changed()
+            self.changed(changed)
 
     def _take_trials(self, note: HostNote, now: float) -> None:
         for service, held in note.trials.items():
--- a/radishshift/gateway/program.py
+++ b/radishshift/gateway/program.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
-from random import Random
 
 import logbook
 from aiohttp import web
@@ -15,19 +14,19 @@
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
-from radishshift.gateway.beliefs import KINDS, Beliefs
+from radishshift.gateway.beliefs import Beliefs
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.documents import Documents
 from radishshift.gateway.exchange import Exchange
+from radishshift.gateway.followers import Followers
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.messages import CallerAnswer, CallerRequest, EndpointClient
 from radishshift.gateway.monitor import Monitor
 from radishshift.gateway.request_path import RequestPath
 from radishshift.gateway.rollout_duty import RolloutDuty
 from radishshift.gateway.watched_platform import WatchedPlatform
-from radishshift.objects import Kind, Listing
+from radishshift.objects import Kind
 from radishshift.platform import Platform
-from radishshift.watching import Pauses, follow_kind
 
 __all__ = ["Adapter", "Program"]
 
@@ -38,7 +37,6 @@
 LEAVE_EARLIEST_S = 4.0  # two missed looks at readiness, and callers' last tries
 SETTINGS_EVERY_S = 2.0  # the file may change without a signal
 TIDY_EVERY_S = 1.0
-WATCH_PAUSES = Pauses(first_s=0.1, longest_s=0.6, relist_spread_s=0.2)
 
 logger = logbook.Logger("program")
 
@@ -115,7 +113,15 @@
             self.suspects,
             self.versions,
         )
-        self.exchange.changed = self._changed
+        self.exchange.changed = self._learnt
+        self.followers = Followers(
+            settings.host,
+            self.platform,
+            self.clock,
+            self.beliefs,
+            self.exchange.live,
+            self._changed,
+        )
         self.duty = RolloutDuty(
             settings.host,
             self.platform,
@@ -125,7 +131,6 @@
             self.versions,
             self.exchange,
         )
-        self._random = Random(settings.host)
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
@@ -158,8 +163,7 @@
             stack.push_async_callback(self.client.close)
             stack.push_async_callback(self.platform.close)
             await self._listen(stack)
-            for kind in KINDS:
-                self._spawn(self._follow(kind))
+            self._spawn(self.followers.run())
             self._spawn(self.exchange.run())
             self._spawn(self.duty.run())
             self._spawn(self._tidy())
@@ -218,26 +222,17 @@
             logger.critical("a task failed: {!r}", task.exception())
             self.stop("a task failed")
 
-    async def _follow(self, kind: Kind) -> None:
-        async for told in follow_kind(
-            self.platform, kind, self.clock, self._random, WATCH_PAUSES
-        ):
-            if isinstance(told, Listing):
-                logger.info(
-                    "listed",
-                    extra={
-                        "kind": kind.value,
-                        "objects": len(told.items),
-                        "revision": told.revision,
-                    },
-                )
-            self.beliefs.note_store(self.platform.regained_at)
-            if self.beliefs.take(kind, told):
-                self._changed()
-
-    def _changed(self) -> None:
+    def _changed(self, missed: bool = False) -> None:
         """Let what hangs on beliefs follow them."""
         self.versions.follow(self.beliefs.rollouts.values(), self.clock.now())
+        if missed:
+            self._spawn(self.exchange.tell_all())
+
+    def _learnt(self, kinds: Iterable[Kind]) -> None:
+        """Take note of what a peer told."""
+        for kind in kinds:
+            self.followers.learnt_elsewhere(kind)
+        self._changed()
 
     async def _tidy(self) -> None:
         while True:
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -203,6 +203,8 @@
                 "model": outcome.run.model,
                 "escalated": outcome.run.escalated,
                 "events": outcome.run.events,
+                "writes": outcome.run.writes,
+                "first_s": round(max(0.0, outcome.run.first_at - req.came), 4),
             }
         logger.info("request ended", extra=extra)
 
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -31,6 +31,12 @@
     ----------
     model : str
         Model that answers, or empty if the caller named one.
+    escalated : bool
+        Whether a larger model was chosen on the way.
+    first_at : float
+        Instant at which the first event was passed on, 0 before.
+    writes : int
+        Parts in which the events were passed on.
     """
 
     def __init__(self, dispatcher: Dispatcher, job: Job, caller: CallerAnswer) -> None:
@@ -42,6 +48,8 @@
         models = job.route.models
         self.model = first_model(models) if models else ""
         self.escalated = False
+        self.first_at = 0.0
+        self.writes = 0
 
     @property
     def events(self) -> int:
@@ -154,5 +162,7 @@
 
     async def _pass_on(self, attempt: Attempt, events: bytes) -> None:
         if not self._caller.started:
+            self.first_at = self._dispatcher.clock.now()
             await self._caller.start(200, attempt.answer.headers)
+        self.writes += 1
         await self._caller.write(events)
