Tell silence sooner and by prompt size; leave out what cannot be reached

Change: a wait for the first event ends by what is usual for the route, the model and the prompt's size; a stream that is silent for 1.0 s is resumed; an endpoint that cannot be reached is left out at once, and so is a data centre with two of them.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -15,6 +15,9 @@
 __all__ = ["EndpointView", "Placer", "PlacingQuestion"]
 
 PACE_SMOOTHING = 0.2
+PAUSE_MOST_S = 3.0  # an endpoint that is back serves again within that time
+CUT_OFF_S = 1.0  # for which a data centre counts as cut off after two failures
+CUT_OFF_COST = 50.0  # requests in flight; more than any endpoint at home has
 OTHER_ZONE_COST = 2.0  # requests in flight that a shorter way is worth
 MISS_COST_PER_1000_TOKENS = 0.25  # requests in flight that reading again is worth
 
@@ -33,6 +36,8 @@
         Smoothed time of answers against the service's, 1 for as usual.
     heard : float
         Instant at which a byte last came from it.
+    unreached : float
+        Instant at which a connection to it last could not be opened.
     """
 
     member: Member
@@ -40,7 +45,17 @@
     others_in_flight: float = 0.0
     pace: float = 1.0
     heard: float = 0.0
-    ejection: Ejection = field(default_factory=Ejection)
+    unreached: float = 0.0
+    ejection: Ejection = field(
+        default_factory=lambda: Ejection(pause_most_s=PAUSE_MOST_S)
+    )
+
+    def note_unreached(self, now: float) -> None:
+        """Leave the endpoint out at once: no connection could be opened."""
+        self.unreached = now
+        self.ejection.failures = max(
+            self.ejection.failures, self.ejection.failures_most
+        )
 
     def note_pace(self, ratio: float) -> None:
         """Take in how long an answer took against the usual."""
@@ -112,16 +127,30 @@
         pool = [view for view in fresh if view.ejection.admits(now)] or fresh
         if not pool:
             return None
-        best = min(pool, key=lambda view: self._cost(view, question))
+        cut_off = self._cut_off(now)
+        best = min(pool, key=lambda view: self._cost(view, question, cut_off))
         best.ejection.probe(now)
         return best.member
 
-    def _cost(self, view: EndpointView, question: PlacingQuestion) -> float:
+    def _cut_off(self, now: float) -> set[str]:
+        """Return data centres of which two endpoints could not be reached."""
+        counts: dict[str, int] = {}
+        for view in self._views.values():
+            if now - view.unreached < CUT_OFF_S and view.heard < view.unreached:
+                zone = view.member.data_centre
+                counts[zone] = counts.get(zone, 0) + 1
+        return {zone for zone, count in counts.items() if count >= 2}
+
+    def _cost(
+        self, view: EndpointView, question: PlacingQuestion, cut_off: set[str]
+    ) -> float:
         member = view.member
         load = view.in_flight + view.others_in_flight
         cost = (1 + load) * view.pace
         if member.data_centre != question.data_centre:
             cost += OTHER_ZONE_COST
+        if member.data_centre in cut_off:
+            cost += CUT_OFF_COST
         if question.affinity:
             rank = uniform(question.affinity + member.name)
             missed = question.shared_tokens / 1000 * MISS_COST_PER_1000_TOKENS
--- a/radishshift/decisions/usual_times.py
+++ b/radishshift/decisions/usual_times.py
@@ -21,6 +21,10 @@
     def __init__(self) -> None:
         self._usual: dict[Hashable, float] = {}
 
+    def usual(self, key: Hashable) -> float:
+        """Return the usual time, 0 if it is not known."""
+        return self._usual.get(key, 0.0)
+
     def ratio(self, key: Hashable, took_s: float) -> float:
         """Return a time against the usual one, then take it in."""
         usual = self._usual.get(key)
--- a/radishshift/ejection.py
+++ b/radishshift/ejection.py
@@ -18,9 +18,22 @@
     After some failures in a row, or when a good part of its attempts fail, the
     endpoint is left out for a pause, then one attempt is let through; each failure
     of such a probe doubles the pause.
+
+    Attributes
+    ----------
+    failures : int
+        Failures in a row.
+    failures_most : int
+        Failures in a row after which the endpoint is left out.
+    pause_most_s : float
+        Longest pause, in seconds.
+    failing : float
+        Smoothed share of attempts that fail.
     """
 
     failures: int = 0
+    failures_most: int = FAILURES
+    pause_most_s: float = PAUSE_MAX_S
     failing: float = 0.0
     pause_s: float = 0.0
     until: float = 0.0
@@ -43,8 +56,8 @@
         if self.open and now < self.until:
             return
         too_often = self.failing > FAILING_SHARE
-        if self.failures >= FAILURES or too_often or self.open:
-            self.pause_s = min(max(PAUSE_S, 2 * self.pause_s), PAUSE_MAX_S)
+        if self.failures >= self.failures_most or too_often or self.open:
+            self.pause_s = min(max(PAUSE_S, 2 * self.pause_s), self.pause_most_s)
             self.until = now + self.pause_s
             self.probing_until = 0.0
 
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -1,7 +1,6 @@
 """Sending attempts to endpoints, and what is learnt from how they go."""
 
 import asyncio
-import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -33,10 +32,13 @@
 __all__ = ["Attempt", "Dispatcher"]
 
 LOOK_S = 0.1  # how often a wait looks whether its endpoint is silent
-SILENT_S = 1.2  # no byte from an endpoint at work; pauses up to 1.2 s are on time
+SILENT_S = 0.8  # no byte from an endpoint at work; pauses up to 1.2 s are on time
 SILENT_SHARE = 0.3  # of an attempt's time, where that is less
-STREAM_SILENT_S = 3.0  # no byte of one stream while others at its endpoint move
+STREAM_SILENT_S = 1.0  # no byte of one stream while others at its endpoint move
 STUCK_SHARE = 0.4  # of an attempt's time, for an answer in one piece
+READ_S_PER_TOKEN = 0.0001  # six times what an engine takes; large models are slower
+STUCK_FIRST_S = 1.0  # on top of what first events usually take
+STUCK_FIRST_RATIO = 4.0  # times what they usually take
 DEPARTED_USED_S = 1.0  # half of the time in which a leaving endpoint may get work
 PRESENT_S = 0.05  # of the deadline, kept for the way back to the caller
 
@@ -61,18 +63,26 @@
     began: float
     answer: EndpointAnswer | None = None
     heard: float = 0.0
+    usual_first_s: float = 0.0
 
     @property
     def silent_s(self) -> float:
         """Return the time without a byte from the endpoint that means silence."""
-        return min(SILENT_S, SILENT_SHARE * (self.job.deadline - self.began))
+        reading_s = 0.0
+        if self.answer is None:
+            reading_s = READ_S_PER_TOKEN * self.job.req.prompt_tokens
+        time_s = SILENT_SHARE * (self.job.deadline - self.began)
+        return min(SILENT_S + reading_s, time_s)
 
     @property
     def stuck_s(self) -> float:
         """Return the time without a byte of this answer that means it is stuck."""
-        if self.job.route.kind is RouteKind.STREAM:
-            return STREAM_SILENT_S if self.answer is not None else math.inf
-        return STUCK_SHARE * (self.job.deadline - self.began)
+        if self.job.route.kind is not RouteKind.STREAM:
+            return STUCK_SHARE * (self.job.deadline - self.began)
+        if self.answer is not None:
+            return STREAM_SILENT_S
+        reading_s = READ_S_PER_TOKEN * self.job.req.prompt_tokens
+        return STUCK_FIRST_S + reading_s + STUCK_FIRST_RATIO * self.usual_first_s
 
     def note_bytes(self, now: float) -> None:
         """Note that something came from the endpoint."""
@@ -173,6 +183,7 @@
         now = self.clock.now()
         view = self._placer.view(member)
         attempt = Attempt(job, member, view, model, now, heard=now)
+        attempt.usual_first_s = self.times.usual((job.route.name, model, "first"))
         view.in_flight += 1
         job.attempts += 1
         if member.name not in job.used:
@@ -280,6 +291,8 @@
         else:
             job.ran = True
         refused = isinstance(exc, EndpointRefusedError)
+        if isinstance(exc, EndpointUnreachableError):
+            attempt.view.note_unreached(now)
         if not refused or isinstance(exc, EndpointReplacedError):
             attempt.view.ejection.note(False, now)
         if isinstance(exc, EndpointReplacedError):
