Take streams while stopping only if they end in time; two crashes make poison

Ruled out: taking every stream until the end.

Change: a stream is taken while stopping if three times its usual time fits, or if its deadline comes first. A request that broke off twice before its first event is held back on all hosts. What was not reached is tried up to six times.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -9,7 +9,7 @@
 
 __all__ = ["CrashSuspects"]
 
-CRASHES_MAX = 3  # crashes after which a request is not run again
+CRASHES_MAX = 2  # crashes before the first event after which none runs again
 KEPT_S = 60.0  # a suspect is forgotten after this time without a crash
 SUSPECTS_MAX = 2000
 
--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -127,19 +127,22 @@
         pool = [view for view in fresh if view.ejection.admits(now)] or fresh
         if not pool:
             return None
-        cut_off = self._cut_off(now)
+        cut_off = self._cut_off(question.data_centre, now)
         best = min(pool, key=lambda view: self._cost(view, question, cut_off))
         best.ejection.probe(now)
         return best.member
 
-    def _cut_off(self, now: float) -> set[str]:
-        """Return data centres of which two endpoints could not be reached."""
+    def _cut_off(self, home: str, now: float) -> set[str]:
+        """Return data centres of which endpoints could not be reached.
+
+        One is enough for another data centre, whose link may be cut; two at home.
+        """
         counts: dict[str, int] = {}
         for view in self._views.values():
             if now - view.unreached < CUT_OFF_S and view.heard < view.unreached:
                 zone = view.member.data_centre
                 counts[zone] = counts.get(zone, 0) + 1
-        return {zone for zone, count in counts.items() if count >= 2}
+        return {zone for zone, count in counts.items() if zone != home or count >= 2}
 
     def _cost(
         self, view: EndpointView, question: PlacingQuestion, cut_off: set[str]
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import logbook
 
@@ -164,6 +164,7 @@
         members = list(self.beliefs.members_of(job.service))
         if job.endpoints_left <= 0:
             members = [member for member in members if member.name in job.used]
+            question = replace(question, tried=job.failed[-1:])
         chosen = self._placer.choose(members, question, now)
         if chosen is None and job.version:
             job.version = ""
@@ -209,7 +210,9 @@
         order = job.order(attempt.member, attempt.model, last_event)
         sending = asyncio.ensure_future(self._client.send(order))
         try:
-            gives_up = job.route.idempotent and job.endpoints_left > 0
+            gives_up = job.route.idempotent and (
+                job.endpoints_left > 0 or job.route.kind is RouteKind.STREAM
+            )
             await self._watched(attempt, sending, gives_up)
         finally:
             if not sending.done():
@@ -300,7 +303,8 @@
         if not refused and not isinstance(
             exc, EndpointUnreachableError | StreamSilentError
         ):
-            self.suspects.crashed(job.fingerprint, now)
+            if attempt.answer is None:
+                self.suspects.crashed(job.fingerprint, now)
             self.judged(attempt, False)
         logger.info(
             "attempt failed",
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -47,7 +47,7 @@
     session : str
         Names the requests that belong together, or empty.
     prompt_tokens, answer_tokens : int
-        Size as stated, 0 if not.
+        Size as stated, 0 if not; the answer's is the caller's estimate.
     parts : sequence of PromptPart
         In the order of the prompt; the last belongs to this request alone.
     last_event : str
--- a/radishshift/gateway/program.py
+++ b/radishshift/gateway/program.py
@@ -31,9 +31,8 @@
 __all__ = ["Adapter", "Program"]
 
 BACKLOG = 512  # connections that wait to be accepted
-STREAMS_FOR_S = 2.5  # after the signal to stop, in which the balancer may still send
-LEAVE_MARGIN_S = 0.6  # before the process is killed
-LAST_ANSWERS_S = 1.2  # before leaving, nothing new is begun
+STREAMS_FOR_S = 2.5  # after the signal to stop; the balancer looks once a second
+LEAVE_MARGIN_S = 0.25  # before the process is killed
 LEAVE_EARLIEST_S = 4.0  # two missed looks at readiness, and callers' last tries
 SETTINGS_EVERY_S = 2.0  # the file may change without a signal
 TIDY_EVERY_S = 1.0
@@ -160,7 +159,7 @@
         )
         self._watch_gauges()
         async with AsyncExitStack() as stack:
-            stack.push_async_callback(self.client.close)
+            stack.push_async_callback(self._close_client)
             stack.push_async_callback(self.platform.close)
             await self._listen(stack)
             self._spawn(self.followers.run())
@@ -175,6 +174,11 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
         logger.info("stopped", extra={"in_flight": self.path.in_flight})
 
+    async def _close_client(self) -> None:
+        """Close idle connections; attempts that still run end with the process."""
+        if not self.path.in_flight:
+            await self.client.close()
+
     def stop(self, reason: str) -> None:
         """Begin to leave."""
         logger.info("stopping", extra={"reason": reason})
@@ -269,7 +273,8 @@
         """Let what was begun end, until the process would be killed."""
         now = self.clock.now()
         last = now + self.settings.bounds.stop_s - LEAVE_MARGIN_S
-        self.path.refuses_from = (last - LAST_ANSWERS_S, now + STREAMS_FOR_S)
+        self.path.leaves_at = last
+        self.path.streams_until = now + STREAMS_FOR_S
         earliest = now + LEAVE_EARLIEST_S
         while self.clock.now() < last:
             await asyncio.sleep(0.05)
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -29,6 +29,10 @@
 __all__ = ["RequestPath"]
 
 POISON_PAUSE_S = 30.0  # longer than any caller of such a request waits
+FIRST_S = 0.5  # to the first event, at least
+EVENT_S = 0.05  # between the events of a stream, at least
+EXPECTED_RATIO = 3.0  # times the usual: callers' estimates of length are often off
+TOKENS_PER_EVENT = 5.0  # as the engines of today send them
 CALLER_PAUSE_S = 0.05  # with which callers come back to a host that is leaving
 
 logger = logbook.Logger("requests")
@@ -44,8 +48,11 @@
 
     Attributes
     ----------
-    refuses_from : tuple of float
-        Instants from which new answers and new streams are refused.
+    leaves_at : float
+        Instant at which the process ends; what may last longer is refused.
+    streams_until : float
+        Instant until which streams are taken all the same: the balancer does not
+        know yet that the host is leaving, and callers can resume them elsewhere.
     in_flight : int
         Requests that have no final answer yet.
     """
@@ -53,7 +60,8 @@
     def __init__(self, dispatcher: Dispatcher, monitor: Monitor) -> None:
         self._dispatcher = dispatcher
         self._monitor = monitor
-        self.refuses_from = (math.inf, math.inf)
+        self.leaves_at = math.inf
+        self.streams_until = math.inf
         self.in_flight = 0
 
     async def handle(self, req: CallerRequest, caller: CallerAnswer) -> None:
@@ -85,7 +93,7 @@
         dispatcher = self._dispatcher
         now = dispatcher.clock.now()
         dispatcher.budget(job.service).request_came(now)
-        if now >= self.refuses_from[job.route.kind is RouteKind.STREAM]:
+        if self._outlasts(job, now):
             raise ShuttingDownError(
                 "this host is stopping", retry_after_s=CALLER_PAUSE_S
             )
@@ -99,6 +107,24 @@
         except TimeoutError:
             raise DeadlineError("no answer before the deadline") from None
 
+    def _outlasts(self, job: Job, now: float) -> bool:
+        """Tell whether a request may not end before the process does."""
+        if min(job.deadline, now + self._expected_s(job)) < self.leaves_at:
+            return False
+        return job.route.kind is not RouteKind.STREAM or now >= self.streams_until
+
+    def _expected_s(self, job: Job) -> float:
+        """Return how long a request takes at the most, but for a few."""
+        if job.route.kind is not RouteKind.STREAM:
+            return math.inf
+        usual = self._dispatcher.times.usual
+        name = job.route.name
+        model = job.route.models[-1] if job.route.models else ""
+        events = job.req.answer_tokens / TOKENS_PER_EVENT
+        first_s = max(FIRST_S, usual((name, model, "first")))
+        event_s = max(EVENT_S, usual((name, model, "event")))
+        return EXPECTED_RATIO * (first_s + events * event_s)
+
     async def _run(self, job: Job, caller: CallerAnswer, outcome: "_Outcome") -> int:
         if job.route.kind is not RouteKind.STREAM:
             return await answer_whole(self._dispatcher, job, caller)
--- a/radishshift/gateway/whole_answers.py
+++ b/radishshift/gateway/whole_answers.py
@@ -8,7 +8,8 @@
 
 __all__ = ["answer_whole"]
 
-NOT_RUN_TRIES = 3  # attempts that an endpoint refused or could not be reached for
+NOT_RUN_TRIES = 6  # attempts that an endpoint refused or could not be reached for
+ATTEMPTS_MOST = 5  # of one request; some of them at endpoints that it was at before
 
 
 async def answer_whole(dispatcher: Dispatcher, job: Job, caller: CallerAnswer) -> int:
@@ -90,5 +91,5 @@
     if exc.verdict is Verdict.NOT_RUN:
         allowed = job.attempts <= NOT_RUN_TRIES
     else:
-        allowed = job.route.idempotent and job.endpoints_left > 0
+        allowed = job.route.idempotent and job.attempts < ATTEMPTS_MOST
     return allowed and dispatcher.budget(job.service).take(now)
