--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEED ?= 1
 EXPERIMENT ?= relay
 KEEP ?= 0
+PLATFORM ?= 0
 
 .PHONY: run test check spec tests bench capacity fuzz format
 
@@ -13,7 +14,11 @@
 	touch $(STAMP)
 
 run: $(STAMP)
+ifeq ($(PLATFORM),1)
+	$(PY) platform/demo.py
+else
 	$(VENV)/bin/radishshift-demo --keep=$(KEEP)
+endif
 
 format: $(STAMP)
 	$(VENV)/bin/ruff format .
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -166,6 +166,9 @@
             members = [member for member in members if member.name in job.used]
             question = replace(question, tried=job.failed[-1:])
         chosen = self._placer.choose(members, question, now)
+        if chosen is None and job.route.idempotent and job.failed:
+            again = replace(question, tried=job.failed[-1:])
+            chosen = self._placer.choose(members, again, now)
         if chosen is None and job.version:
             job.version = ""
             return self.choose(job)
--- a/radishshift/gateway/exchange.py
+++ b/radishshift/gateway/exchange.py
@@ -21,7 +21,7 @@
 from radishshift.decisions.versions import Counts, VersionGuard
 from radishshift.gateway.beliefs import KINDS, Beliefs
 from radishshift.gateway.host_settings import GatewaySettings
-from radishshift.gateway.sockets import guarded_connector
+from radishshift.gateway.sockets import guarded_session
 from radishshift.object_table import Head, TableDelta
 from radishshift.objects import Kind
 
@@ -141,7 +141,7 @@
 
     async def run(self) -> None:
         """Exchange notes without end."""
-        self._session = aiohttp.ClientSession(connector=guarded_connector(idle_s=5.0))
+        self._session = guarded_session(idle_s=5.0)
         try:
             while True:
                 await asyncio.gather(*map(self._ask, self._targets()))
--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 
 import aiohttp
 
-__all__ = ["guard_socket", "guarded_connector"]
+__all__ = ["guard_socket", "guarded_session"]
 
 # Probes begin after 1 s of quiet and give up after 2 more, the time in which a
 # host that was cut off counts as in touch again.
@@ -33,24 +32,34 @@
     return sock
 
 
-def guarded_connector(
-    limit: int = 0,
-    idle_s: float = 15.0,
-    factory: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
-) -> aiohttp.TCPConnector:
-    """Return a connector to IP numbers whose connections are probed.
+def guarded_session(
+    idle_s: float = 15.0, read_bytes: int = 1 << 16
+) -> aiohttp.ClientSession:
+    """Return a session to IP numbers whose connections are probed.
+
+    It hands on bodies as they come and sends nothing twice by itself.
 
     Parameters
     ----------
-    limit : int
-        Connections at the most; 0 for no bound.
     idle_s : float
         Time after which an idle connection is not used again.
+    read_bytes : int
+        Bytes of a body that are read ahead.
     """
-    return factory(
-        limit=limit,
+    connector = aiohttp.TCPConnector(
+        limit=0,
         keepalive_timeout=idle_s,
         socket_factory=_open_socket,
         resolver=aiohttp.ThreadedResolver(loop=asyncio.get_running_loop()),
         use_dns_cache=False,
     )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        read_bufsize=read_bytes,
+    )
+    # aiohttp repeats idempotent methods by itself; what may be repeated is decided
+    # by the route or by the caller of the store.
+    session._retry_connection = False
+    return session
--- a/radishshift/standins/faulty.py
+++ b/radishshift/standins/faulty.py
@@ -92,6 +92,10 @@
         """Store an object over the revision that it holds."""
         return await self._write(self.inner.update, item)
 
+    async def update_status(self, item: StoredObject) -> StoredObject:
+        """Store an object's status over the revision that it holds."""
+        return await self._write(self.inner.update_status, item)
+
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Remove an object that still has `revision`."""
         await self._write(self.inner.delete, kind, name, revision)
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of decisions without input or output."""
--- /dev/null
+++ b/tests/decisions/test_layering.py
@@ -0,0 +1,54 @@
+"""Tests that decisions stay apart from input and output, and names in the adapter."""
+
+import ast
+import re
+from pathlib import Path
+
+from tests.cases import TestCase
+
+ROOT = Path(__file__).parent.parent.parent
+FORBIDDEN = {"aiohttp", "asyncio", "socket", "selectors", "time", "logbook", "os"}
+# Names of the wire that are no words of the product or of HTTP.
+WIRE = re.compile(
+    r"X-Attempt-Id|X-Replica|X-Tenant|X-Not-Executed|X-Confidence|X-Prefix-Hash"
+    r"|\b(?:apiKeys|maxAttempts|coldLeftMs|gapTargetMs)\b|/-/"
+)
+
+
+def _imports(path):
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module
+
+
+class LayeringTest(TestCase):
+    def test_decisions_import_nothing_that_waits_sends_or_logs(self):
+        for path in (ROOT / "radishshift" / "decisions").glob("*.py"):
+            roots = {name.partition(".")[0] for name in _imports(path)}
+            self.assertEqual(set(), roots & FORBIDDEN, path.name)
+
+    def test_each_decision_names_the_load_that_it_answers(self):
+        for path in (ROOT / "radishshift" / "decisions").glob("*.py"):
+            if path.name != "__init__.py":
+                text = ast.get_docstring(ast.parse(path.read_text(encoding="utf-8")))
+                self.assertIn("Load pattern:", text, path.name)
+
+    def test_only_the_adapter_knows_the_names_of_the_wire(self):
+        for path in (ROOT / "radishshift").rglob("*.py"):
+            found = WIRE.search(path.read_text(encoding="utf-8"))
+            self.assertIsNone(found, f"{path}: {found}")
+
+    def test_the_gateway_does_not_import_the_adapter(self):
+        for path in (ROOT / "radishshift").rglob("*.py"):
+            self.assertNotIn("users_platform", set(_imports(path)), path)
+
+    def test_the_adapter_is_under_a_twelfth_of_the_code(self):
+        adapter = sum(map(_lines, (ROOT / "platform").rglob("*.py")))
+        product = sum(map(_lines, (ROOT / "radishshift").rglob("*.py")))
+        self.assertLess(adapter, (adapter + product) / 12)
+
+
+def _lines(path):
+    return len(path.read_text(encoding="utf-8").splitlines())
--- /dev/null
+++ b/tests/decisions/test_versions.py
@@ -0,0 +1,101 @@
+"""Tests of versions under a roll-out."""
+
+from radishshift.decisions.versions import CANARY_SHARE, VersionGuard
+from radishshift.gateway.deployment import Rollout, RolloutState
+from radishshift.gateway.host_settings import Bounds
+from tests.cases import TestCase
+
+SERVICE = "advice"
+
+
+def guard(host="edge-1", state=RolloutState.ORDERED, began=0.0):
+    held = VersionGuard(host, Bounds())
+    held.follow([Rollout(SERVICE, "v2", 20.0, state, 1)], began)
+    return held
+
+
+def answers(held, count, bad, version="v2", name="r", now=5.0):
+    for number in range(count):
+        held.note(SERVICE, version, name, number >= bad, now)
+
+
+class ShareTest(TestCase):
+    def test_without_a_roll_out_nothing_is_said(self):
+        self.assertIsNone(VersionGuard("edge-1", Bounds()).takes_new("x", "s", 0.0))
+
+    def test_a_canary_gets_its_share_of_sessions(self):
+        held = guard()
+        new = sum(held.takes_new(SERVICE, str(key), 1.0) for key in range(5000))
+        self.assertAlmostEqual(CANARY_SHARE, new / 5000, delta=0.02)
+
+    def test_hosts_agree_on_the_version_of_a_session(self):
+        one, two = guard("edge-1"), guard("edge-2")
+        for key in range(200):
+            self.assertEqual(
+                one.takes_new(SERVICE, str(key), 3.0),
+                two.takes_new(SERVICE, str(key), 4.0),
+            )
+
+    def test_a_session_on_the_new_version_never_returns_to_the_old(self):
+        held = guard()
+        for key in map(str, range(500)):
+            chosen = [held.takes_new(SERVICE, key, now / 10) for now in range(200)]
+            self.assertEqual(sorted(chosen), chosen)
+
+    def test_a_session_under_way_stays_for_the_first_half(self):
+        held = guard()
+        key = next(k for k in map(str, range(500)) if held.takes_new(SERVICE, k, 1.0))
+        for now in range(10):
+            held.ran(SERVICE, key, "v1", float(now))
+            self.assertFalse(held.takes_new(SERVICE, key, now + 0.5))
+
+    def test_all_go_to_the_new_version_before_it_is_completed(self):
+        held = guard()
+        self.assertTrue(
+            all(held.takes_new(SERVICE, str(key), 15.0) for key in range(200))
+        )
+
+    def test_an_order_to_the_next_version_begins_anew(self):
+        held = guard(state=RolloutState.COMPLETED)
+        held.follow([Rollout(SERVICE, "v3", 20.0, RolloutState.ORDERED, 9)], 100.0)
+        self.assertEqual(CANARY_SHARE, held.share(SERVICE, 101.0))
+
+
+class VerdictTest(TestCase):
+    def test_a_version_that_fails_half_is_stopped_before_the_50th_bad_answer(self):
+        held = guard()
+        answers(held, 100, 1, version="v1")
+        for number in range(40):
+            held.note(SERVICE, "v2", "r", number % 2 == 0, 5.0)
+        self.assertTrue(held.trials[SERVICE].stopped)
+        self.assertEqual(0.0, held.share(SERVICE, 5.0))
+        self.assertEqual(RolloutState.ROLLED_BACK, held.ripe_state(SERVICE, 5.0, False))
+
+    def test_a_version_as_good_as_the_old_is_kept(self):
+        held = guard()
+        for number in range(300):
+            held.note(SERVICE, "v1", "r", number % 7 != 0, 5.0)
+            held.note(SERVICE, "v2", "r", number % 7 != 3, 5.0)
+        self.assertFalse(held.trials[SERVICE].stopped)
+
+    def test_a_version_that_is_bad_on_one_route_is_stopped(self):
+        held = guard()
+        answers(held, 300, 0, version="v1", name="fine")
+        answers(held, 20, 0, version="v1", name="bad")
+        answers(held, 200, 0, name="fine")
+        answers(held, 10, 6, name="bad")
+        self.assertTrue(held.trials[SERVICE].stopped)
+
+    def test_it_is_completed_once_the_old_version_has_no_work(self):
+        held = guard(state=RolloutState.RUNNING)
+        self.assertIsNone(held.ripe_state(SERVICE, 17.5, False))
+        self.assertEqual(RolloutState.COMPLETED, held.ripe_state(SERVICE, 17.5, True))
+
+    def test_it_is_completed_in_its_time_all_the_same(self):
+        held = guard(state=RolloutState.RUNNING)
+        self.assertEqual(RolloutState.COMPLETED, held.ripe_state(SERVICE, 19.5, False))
+
+    def test_nothing_is_written_once_it_has_ended(self):
+        held = guard(state=RolloutState.ROLLED_BACK)
+        self.assertIsNone(held.ripe_state(SERVICE, 19.5, True))
+        self.assertFalse(held.takes_new(SERVICE, "s", 19.5))
--- /dev/null
+++ b/tests/gateway/test_exchange.py
@@ -0,0 +1,104 @@
+"""Tests of what hosts tell each other."""
+
+import msgspec
+
+from radishshift.gateway.deployment import Rollout, RolloutState
+from radishshift.gateway.exchange import Exchange, HostNote
+from radishshift.gateway.host_settings import GatewaySettings
+from tests.cases import VirtualTestCase
+from tests.gateway.worlds import SERVICE, Script, World, route
+
+
+class _Host:
+    def __init__(self, name, world):
+        self.world = world
+        self.settings = GatewaySettings(
+            name, "10.0.0.1", "mbeya", "", "", "", f"{name}:1", "", ""
+        )
+        self.world.suspects._host = name
+        self.world.versions._host = name
+        self.exchange = Exchange(
+            self.settings,
+            world.clock,
+            world.beliefs,
+            world.placer,
+            world.suspects,
+            world.versions,
+        )
+
+    def hears(self, other):
+        """Take a note of another host, as it comes over the wire."""
+        note = other.exchange._note(self.world.beliefs.heads())
+        self.exchange._take(
+            msgspec.json.decode(msgspec.json.encode(note), type=HostNote)
+        )
+
+
+def _hosts():
+    endpoints = {"a": [Script()], "b": [Script()]}
+    return (
+        _Host("edge-1", World([route()], endpoints)),
+        _Host("edge-2", World([route()], endpoints)),
+    )
+
+
+class ExchangeTest(VirtualTestCase):
+    def _order(self, host, began):
+        rollout = Rollout(SERVICE, "v2", 20.0, RolloutState.ORDERED, 1)
+        host.world.versions.follow([rollout], began)
+
+    async def test_hosts_know_who_is_in_touch(self):
+        one, two = _hosts()
+        one.hears(two)
+        self.assertEqual(["edge-1", "edge-2"], one.exchange.live())
+        await one.world.clock.sleep_until(one.world.clock.now() + 10)
+        self.assertEqual(["edge-1"], one.exchange.live())
+
+    async def test_others_load_counts_where_an_endpoint_is_chosen(self):
+        one, two = _hosts()
+        two.world.placer.view(two.world.member("a")).in_flight = 4
+        one.world.placer.view(one.world.member("a"))
+        one.hears(two)
+        one.exchange._share_load()
+        view = one.world.placer.view(one.world.member("a"))
+        self.assertEqual(4, view.others_in_flight)
+
+    async def test_crashes_of_a_request_add_up(self):
+        one, two = _hosts()
+        now = one.world.clock.now()
+        one.world.suspects.crashed("poison", now)
+        two.world.suspects.crashed("poison", now)
+        one.hears(two)
+        self.assertTrue(one.world.suspects.poisonous("poison", now))
+
+    async def test_a_version_that_is_bad_by_all_counts_is_stopped_everywhere(self):
+        one, two = _hosts()
+        now = one.world.clock.now()
+        for host in (one, two):
+            self._order(host, now)
+            for number in range(4):
+                host.world.versions.note(SERVICE, "v2", "r", number > 2, now)
+        self.assertFalse(one.world.versions.trials[SERVICE].stopped)
+        one.hears(two)
+        self.assertTrue(one.world.versions.trials[SERVICE].stopped)
+        two.hears(one)
+        self.assertTrue(two.world.versions.trials[SERVICE].stopped)
+
+    async def test_a_host_that_started_late_learns_when_the_order_came(self):
+        one, two = _hosts()
+        now = one.world.clock.now()
+        self._order(one, now - 8.0)
+        self._order(two, now)
+        two.hears(one)
+        began = two.world.versions.trials[SERVICE].began
+        self.assertAlmostEqual(now - 8.0, began, places=2)
+
+    async def test_a_host_s_earlier_life_does_not_replace_its_present_one(self):
+        one, two = _hosts()
+        one.hears(two)
+        stale = two.exchange._note(None)
+        stale.incarnation -= 1000
+        stale.in_flight = {"a": 9}
+        one.exchange._take(stale)
+        one.exchange._share_load()
+        self.assertEqual(0, one.world.placer.view(one.world.member("a")).in_flight)
--- /dev/null
+++ b/tests/gateway/test_followers.py
@@ -0,0 +1,106 @@
+"""Tests of following the platform through watches that go silent."""
+
+import asyncio
+from dataclasses import replace
+
+from radishshift.gateway.beliefs import Beliefs
+from radishshift.gateway.deployment import Deployment
+from radishshift.gateway.followers import LOOK_EVERY_S, Followers
+from radishshift.gateway.watched_platform import WatchedPlatform
+from radishshift.objects import Kind, StoredObject
+from radishshift.platform import MemoryPlatform
+from radishshift.standins.faulty import FaultyPlatform
+from radishshift.virtual_time import LoopClock
+from tests.cases import VirtualTestCase
+from tests.gateway.worlds import SimpleDocuments, route
+
+IN_FORCE_S = 2.0  # the time in which the users want a configuration in force
+
+
+class _Host:
+    """A host that follows a platform over a way of its own."""
+
+    def __init__(self, name, platform, fleet):
+        clock = LoopClock()
+        self.way = FaultyPlatform(platform, clock)
+        watched = WatchedPlatform(self.way, clock)
+        self.beliefs = Beliefs(SimpleDocuments(), clock)
+        self.told = []
+        self.followers = Followers(
+            name, watched, clock, self.beliefs, lambda: sorted(fleet), self.told.append
+        )
+
+
+async def _put(platform, version):
+    deployment = Deployment(version, (route(),), {}, {})
+    try:
+        held = await platform.get(Kind.DEPLOYMENT, "main")
+    except Exception:
+        held = StoredObject(Kind.DEPLOYMENT, "main", {"deployment": deployment})
+        await platform.create(held)
+        return
+    await platform.update(replace(held, spec={"deployment": deployment}))
+
+
+class FollowersTest(VirtualTestCase):
+    async def _fleet(self, count):
+        platform = MemoryPlatform()
+        await _put(platform, 1)
+        fleet = {}
+        for number in range(count):
+            name = f"edge-{number}"
+            fleet[name] = _Host(name, platform, fleet)
+        tasks = [asyncio.create_task(host.followers.run()) for host in fleet.values()]
+        self.addCleanup(lambda: [task.cancel() for task in tasks])
+        await asyncio.sleep(1.0)
+        return platform, fleet
+
+    async def test_a_change_is_in_force_by_the_watch(self):
+        platform, fleet = await self._fleet(1)
+        await _put(platform, 2)
+        await asyncio.sleep(0.1)
+        self.assertEqual(2, fleet["edge-0"].beliefs.version)
+
+    async def test_a_change_is_found_though_the_watch_is_silent(self):
+        """A store that dropped its history left watches waiting for 9 s."""
+        platform, fleet = await self._fleet(1)
+        fleet["edge-0"].way.faults.stale_watch = True
+        await _put(platform, 2)
+        await asyncio.sleep(LOOK_EVERY_S + 0.2)
+        self.assertEqual(2, fleet["edge-0"].beliefs.version)
+
+    async def test_one_of_many_hosts_finds_it_in_time_and_says_so(self):
+        platform, fleet = await self._fleet(6)
+        for host in fleet.values():
+            host.way.faults.stale_watch = True
+            host.told.clear()
+        await _put(platform, 2)
+        await asyncio.sleep(IN_FORCE_S - 0.5)
+        finders = [host for host in fleet.values() if host.beliefs.version == 2]
+        self.assertTrue(finders)
+        self.assertTrue(all(host.told == [True] for host in finders))
+
+    async def test_a_watch_that_missed_a_peer_s_news_begins_again(self):
+        _, fleet = await self._fleet(1)
+        host = fleet["edge-0"]
+        calls = host.way.calls
+        host.followers.learnt_elsewhere(Kind.ROLLOUT)
+        await asyncio.sleep(0.9)
+        self.assertGreater(host.way.calls, calls + 1)
+
+    async def test_the_looks_cost_one_call_a_kind_and_second_in_all(self):
+        _, fleet = await self._fleet(6)
+        before = sum(host.way.calls for host in fleet.values())
+        await asyncio.sleep(30)
+        after = sum(host.way.calls for host in fleet.values())
+        self.assertLessEqual(after - before, 30 * (2 + 1 / 3) + 6)
+
+    async def test_a_platform_that_is_back_is_followed_at_once(self):
+        platform, fleet = await self._fleet(1)
+        host = fleet["edge-0"]
+        host.way.faults.down = True
+        await _put(platform, 2)
+        await asyncio.sleep(5)
+        host.way.faults.down = False
+        await asyncio.sleep(1.0)
+        self.assertEqual(2, host.beliefs.version)
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,190 @@
+"""Tests of streams over several models and endpoints."""
+
+import asyncio
+
+from radishshift.gateway.deployment import RouteKind
+from tests.cases import VirtualTestCase
+from tests.gateway.worlds import Script, World, route
+
+EVENTS = tuple(f"id: {number}\ndata: x\n\n".encode() for number in range(1, 21))
+WHOLE = b"".join(EVENTS)
+MODELS = ("small", "middle", "large")
+STREAM = route(RouteKind.STREAM)
+CASCADE = route(RouteKind.STREAM, models=MODELS)
+
+
+def fine(**changes):
+    return Script(events=EVENTS, **changes)
+
+
+class StreamsTest(VirtualTestCase):
+    async def test_a_stream_is_passed_on_whole(self):
+        world = World([STREAM], {"a": [fine()]})
+        caller = await world.ask()
+        self.assertEqual((200, WHOLE, True), (caller.status, caller.body, True))
+        self.assertTrue(caller.finished)
+
+    async def test_the_first_event_is_passed_on_at_once(self):
+        world = World([STREAM], {"a": [fine(first_s=0.2, gap_s=0.01)]})
+        began = world.clock.now()
+        caller = await world.ask()
+        self.assertLess(caller.parts[0][0] - began, 0.22)
+
+    async def test_a_stream_that_breaks_goes_on_at_another_endpoint(self):
+        broken = fine(breaks_after=7)
+        world = World([STREAM], {"a": [broken], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask()
+        self.assertEqual(WHOLE, caller.body)
+        self.assertEqual(["a", "b"], world.asked())
+        self.assertEqual("7", world.endpoints.attempts[1].last_event)
+
+    async def test_half_an_event_is_dropped_before_a_stream_goes_on(self):
+        broken = fine(breaks_after=7, torn=b"id: 8\nda")
+        world = World([STREAM], {"a": [broken], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask()
+        self.assertEqual(WHOLE, caller.body)
+
+    async def test_the_first_run_is_ended_before_a_stream_goes_on(self):
+        world = World([STREAM], {"a": [fine(breaks_after=7)], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        await world.ask()
+        self.assertTrue(world.endpoints.answers[0].aborted)
+
+    async def test_a_stream_that_may_not_be_resumed_ends_as_broken(self):
+        once = route(RouteKind.STREAM, resumable=False)
+        world = World([once], {"a": [fine(breaks_after=7)], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask()
+        self.assertEqual(["a"], world.asked())
+        self.assertTrue(caller.aborted)
+        self.assertFalse(caller.finished)
+
+    async def test_a_silent_stream_goes_on_elsewhere_before_the_pause_is_late(self):
+        """A data centre that was cut off held streams for 3 s (trouble-2)."""
+        world = World([STREAM], {"a": [fine(hangs_after=5)], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask()
+        self.assertEqual(WHOLE, caller.body)
+        pauses = [
+            after[0] - before[0]
+            for before, after in zip(caller.parts, caller.parts[1:], strict=False)
+        ]
+        self.assertLess(max(pauses), 1.2)
+
+    async def test_a_head_that_never_comes_is_given_up_though_others_are_served(self):
+        """Streams waited 11 s for a head at an endpoint that served others."""
+        world = World([STREAM], {"a": [Script(error="hang")], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        view = world.placer.view(world.member("a"))
+
+        async def others():
+            while True:
+                view.heard = world.clock.now()
+                await asyncio.sleep(0.05)
+
+        task = asyncio.create_task(others())
+        began = world.clock.now()
+        caller = await world.ask()
+        task.cancel()
+        self.assertEqual(WHOLE, caller.body)
+        self.assertLess(caller.parts[0][0] - began, 3.0)
+
+    async def test_a_long_prompt_is_given_time_to_be_read(self):
+        slow = fine(first_s=2.5)
+        world = World([STREAM], {"a": [slow], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        await world.ask(prompt_tokens=50_000)
+        self.assertEqual(["a"], world.asked())
+
+    async def test_a_poor_answer_of_the_small_model_is_left_for_the_large_one(self):
+        world = World([CASCADE], {"a": [fine(confidence=20.0), fine(confidence=90.0)]})
+        caller = await world.ask(model="*")
+        self.assertEqual(
+            ["small", "large"], [order.model for order in world.endpoints.attempts]
+        )
+        self.assertEqual(WHOLE, caller.body)
+        self.assertTrue(world.endpoints.answers[0].aborted)
+
+    async def test_a_good_answer_of_the_small_model_is_kept(self):
+        world = World([CASCADE], {"a": [fine(confidence=80.0)]})
+        await world.ask(model="*")
+        self.assertEqual(["small"], [held.model for held in world.endpoints.attempts])
+
+    async def test_a_late_head_is_kept_so_that_the_first_event_is_on_time(self):
+        late = fine(confidence=20.0, first_s=1.8)
+        world = World([CASCADE], {"a": [late]})
+        await world.ask(model="*", prompt_tokens=50_000)
+        self.assertEqual(["small"], [held.model for held in world.endpoints.attempts])
+
+    async def test_a_resumed_stream_keeps_its_model(self):
+        world = World(
+            [CASCADE],
+            {
+                "a": [fine(confidence=80.0, breaks_after=4)],
+                "b": [fine(confidence=10.0)],
+            },
+        )
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask(model="*")
+        self.assertEqual(
+            ["small", "small"], [held.model for held in world.endpoints.attempts]
+        )
+        self.assertEqual(WHOLE, caller.body)
+
+    async def test_a_stream_without_signature_is_not_passed_on(self):
+        world = World([STREAM], {"a": [fine(signed=False)], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask()
+        self.assertEqual(["a", "b"], world.asked())
+        self.assertEqual((("X-Signature", "s"),), caller.headers)
+
+    async def test_a_caller_that_leaves_ends_the_work(self):
+        world = World([STREAM], {"a": [fine(gap_s=0.5)]})
+        task = asyncio.create_task(world.ask())
+        await asyncio.sleep(2.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertTrue(world.endpoints.answers[0].aborted)
+        self.assertEqual(0, world.placer.view(world.member("a")).in_flight)
+
+    async def test_a_stream_past_its_route_s_time_is_cut(self):
+        world = World(
+            [route(RouteKind.STREAM, timeout_s=2.0)], {"a": [fine(gap_s=0.4)]}
+        )
+        began = world.clock.now()
+        caller = await world.ask()
+        self.assertTrue(caller.aborted)
+        self.assertAlmostEqual(2.0, caller.ended_at - began, places=1)
+
+    async def test_a_stuck_stream_returns_to_an_endpoint_when_no_other_is_allowed(self):
+        """One stream held its caller 12 s: its three endpoints had all been used."""
+        stuck = [Script(error="hang"), fine()]
+        world = World([STREAM], {name: list(stuck) for name in "abc"})
+        caller = await world.ask(deadline_s=20.0)
+        self.assertEqual(WHOLE, caller.body)
+        self.assertLessEqual(len(set(world.asked())), 3)
+
+
+class CrashesTest(VirtualTestCase):
+    async def test_a_request_that_crashes_endpoints_runs_on_two_at_the_most(self):
+        """One request took three of six endpoints down within half a second."""
+        crash = [Script(error="crash")]
+        world = World([STREAM], dict.fromkeys("abcdef", crash))
+        first = await world.ask(1)
+        again = await world.ask(2)
+        self.assertEqual(2, len(world.asked()))
+        self.assertEqual((502, 503), (first.status, again.status))
+
+    async def test_a_stream_that_had_begun_is_not_a_suspect(self):
+        world = World([STREAM], {"a": [fine(breaks_after=3)], "b": [fine()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        await world.ask()
+        self.assertEqual({}, world.suspects.told())
+
+    async def test_another_request_runs_all_the_same(self):
+        world = World([STREAM], {"a": [Script(error="crash")], "b": [fine()]})
+        world.suspects.take("edge-2", {"poison": 3}, world.clock.now())
+        caller = await world.ask()
+        self.assertEqual(200, caller.status)
--- /dev/null
+++ b/tests/gateway/test_whole_answers.py
@@ -0,0 +1,92 @@
+"""Tests of requests whose answer is sent in one piece."""
+
+from dataclasses import replace
+
+from radishshift.gateway.deployment import RouteKind
+from tests.cases import VirtualTestCase
+from tests.gateway.worlds import Script, World, route
+
+ONCE = route(RouteKind.AT_MOST_ONCE, endpoints_max=1, timeout_s=1.0)
+SAFE = route(endpoints_max=2, timeout_s=1.0)
+FINE = Script()
+
+
+class AtMostOnceTest(VirtualTestCase):
+    async def _asked_after(self, script):
+        world = World([ONCE], {"a": [script], "b": [FINE]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask(deadline_s=1.0)
+        return caller, world.asked()
+
+    async def test_it_runs_elsewhere_when_it_was_refused(self):
+        for error in ("refused", "replaced", "unreachable"):
+            caller, asked = await self._asked_after(Script(error=error))
+            self.assertEqual((200, ["a", "b"]), (caller.status, asked), error)
+
+    async def test_it_is_not_sent_again_when_it_may_have_run(self):
+        for script in (
+            Script(error="crash"),
+            Script(breaks_after=0),
+            Script(signed=False),
+            Script(error="hang"),
+        ):
+            caller, asked = await self._asked_after(script)
+            self.assertEqual(["a"], asked, script)
+            self.assertIn(caller.status, (502, 504), script)
+
+    async def test_a_failure_of_the_endpoint_is_passed_on_as_it_is(self):
+        caller, asked = await self._asked_after(Script(status=500, body=b"no"))
+        self.assertEqual((500, b"no", ["a"]), (caller.status, caller.body, asked))
+
+    async def test_a_refusal_that_says_not_run_tells_when_to_come_back(self):
+        world = World([ONCE], {"a": [Script(error="refused")]})
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual(503, caller.status)
+        pause_s = float(dict(caller.headers)["Retry-After"])
+        self.assertLess(pause_s, 1.0 / 3)
+
+    async def test_the_answer_comes_at_the_route_s_time(self):
+        world = World([replace(ONCE, timeout_s=0.4)], {"a": [Script(error="hang")]})
+        began = world.clock.now()
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual(504, caller.status)
+        self.assertAlmostEqual(0.4, caller.ended_at - began, places=2)
+
+
+class IdempotentTest(VirtualTestCase):
+    async def test_a_failure_is_asked_for_again_elsewhere(self):
+        world = World([SAFE], {"a": [Script(status=500)], "b": [FINE]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual((200, ["a", "b"]), (caller.status, world.asked()))
+
+    async def test_the_endpoint_s_own_failure_is_passed_on_at_the_end(self):
+        bad = Script(status=500, body=b"no")
+        world = World([SAFE], {"a": [bad], "b": [bad], "c": [FINE]})
+        world.placer.view(world.member("c")).in_flight = 9
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual((500, b"no"), (caller.status, caller.body))
+        self.assertEqual(2, len(world.asked()))
+
+    async def test_a_hung_endpoint_is_left_in_time_for_another(self):
+        world = World([SAFE], {"a": [Script(error="hang")], "b": [FINE]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual(200, caller.status)
+
+    async def test_repeats_stay_within_the_budget_of_all_hosts(self):
+        world = World([SAFE], {name: [Script(status=500)] for name in "abc"})
+        for number in range(60):
+            await world.ask(number, deadline_s=1.0)
+        repeats = len(world.asked()) - 60
+        bounds = world.dispatcher.bounds
+        allowed = bounds.retry_ratio * 60 + bounds.retry_slack / 6
+        self.assertLessEqual(repeats, allowed)
+        self.assertGreater(repeats, 10)
+
+    async def test_when_nothing_is_in_reach_the_refusal_says_not_run(self):
+        world = World([SAFE], {name: [Script(error="unreachable")] for name in "abc"})
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual(503, caller.status)
+        self.assertIn("Retry-After", dict(caller.headers))
+        self.assertIn(b'"not-run"', caller.body)
--- /dev/null
+++ b/tests/gateway/worlds.py
@@ -0,0 +1,307 @@
+"""A host of the gateway with endpoints and callers in memory, in virtual time."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.placing import Placer
+from radishshift.decisions.versions import VersionGuard
+from radishshift.endpoints import EndpointState
+from radishshift.errors import (
+    EndpointError,
+    EndpointRefusedError,
+    EndpointReplacedError,
+    EndpointUnreachableError,
+    StreamBrokenError,
+)
+from radishshift.gateway.beliefs import Beliefs
+from radishshift.gateway.deployment import (
+    Customer,
+    Deployment,
+    Member,
+    Rollout,
+    RolloutState,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from radishshift.gateway.dispatch import Dispatcher
+from radishshift.gateway.documents import Documents
+from radishshift.gateway.host_settings import Bounds
+from radishshift.gateway.messages import (
+    CallerAnswer,
+    CallerRequest,
+    EndpointAnswer,
+    EndpointClient,
+)
+from radishshift.gateway.monitor import Monitor
+from radishshift.gateway.request_path import RequestPath
+from radishshift.objects import Kind, Listing, StoredObject
+from radishshift.virtual_time import LoopClock
+
+__all__ = ["KEY", "Caller", "Script", "SimpleDocuments", "World", "route"]
+
+KEY = "key-of-ring"
+HOST = "example"
+SERVICE = "advice"
+
+
+def route(kind=RouteKind.IDEMPOTENT, **changes):
+    """Return a route at /advice/."""
+    values = {
+        "name": "advice",
+        "host": HOST,
+        "prefix": "/advice/",
+        "kind": kind,
+        "shares": (ServiceShare(SERVICE, 1.0),),
+        "timeout_s": 10.0,
+        "objective_s": 3.0,
+        "endpoints_max": 3,
+        "resumable": kind is RouteKind.STREAM,
+    }
+    return Route(**(values | changes))
+
+
+class SimpleDocuments(Documents):
+    """Objects whose spec holds the decoded value under one key."""
+
+    def deployment(self, item):
+        return item.spec["deployment"]
+
+    def member(self, item):
+        return item.spec["member"]
+
+    def rollout(self, item):
+        order = item.spec["order"]
+        state = RolloutState(item.status.get("state", "ordered"))
+        return Rollout(*order, state, item.revision)
+
+    def progress(self, rollout, state):
+        return {"state": state.value}
+
+
+@dataclass
+class Script:
+    """What an endpoint does with its next attempt.
+
+    Attributes
+    ----------
+    events : list of bytes
+        Sent `gap_s` apart, after `first_s`.
+    breaks_after : int
+        Events after which the connection breaks, or -1.
+    hangs_after : int
+        Events after which nothing comes any more, or -1.
+    """
+
+    status: int = 200
+    body: bytes = b"whole"
+    events: tuple = ()
+    first_s: float = 0.05
+    gap_s: float = 0.03
+    breaks_after: int = -1
+    hangs_after: int = -1
+    torn: bytes = b""
+    signed: bool = True
+    confidence: float | None = None
+    error: str = ""
+
+
+ERRORS = {
+    "refused": EndpointRefusedError,
+    "replaced": EndpointReplacedError,
+    "unreachable": EndpointUnreachableError,
+    "crash": EndpointError,
+}
+
+
+class _Answer(EndpointAnswer):
+    def __init__(self, script, after):
+        self.status = script.status
+        self.headers = (("X-Signature", "s"),) if script.signed else ()
+        self.signed = script.signed
+        self.confidence = script.confidence
+        self.aborted = False
+        self._script = script
+        self._sent = after
+        self._torn = False
+        self._next_at = asyncio.get_running_loop().time() + script.gap_s
+
+    async def read(self):
+        if self._script.breaks_after >= 0:
+            raise StreamBrokenError("broke off")
+        return self._script.body
+
+    async def chunk(self):
+        script = self._script
+        if self._sent == script.hangs_after:
+            await asyncio.Event().wait()
+        if self._sent == script.breaks_after:
+            if script.torn and not self._torn:
+                self._torn = True
+                return script.torn
+            raise StreamBrokenError("broke off")
+        if self._sent >= len(script.events):
+            return b""
+        # Waits that were given up go on, as they do at a real connection.
+        await asyncio.sleep(self._next_at - asyncio.get_running_loop().time())
+        self._next_at += script.gap_s
+        self._sent += 1
+        return script.events[self._sent - 1]
+
+    def waiting_bytes(self):
+        return b""
+
+    def abort(self):
+        self.aborted = True
+
+
+@dataclass
+class _Endpoints(EndpointClient):
+    """Endpoints that play scripts; each attempt is noted."""
+
+    scripts: dict = field(default_factory=dict)
+    attempts: list = field(default_factory=list)
+    answers: list = field(default_factory=list)
+    forgotten: list = field(default_factory=list)
+
+    async def send(self, order):
+        self.attempts.append(order)
+        held = self.scripts[order.member.name]
+        script = held.pop(0) if len(held) > 1 else held[0]
+        if script.error == "hang":
+            await asyncio.Event().wait()
+        await asyncio.sleep(script.first_s)
+        if script.error:
+            raise ERRORS[script.error](script.error)
+        after = int(order.last_event or 0)
+        answer = _Answer(script, after)
+        self.answers.append(answer)
+        return answer
+
+    def forget(self, member):
+        self.forgotten.append(member.name)
+
+
+class Caller(CallerAnswer):
+    """Notes what a caller got, and when."""
+
+    def __init__(self):
+        self.started = False
+        self.status = None
+        self.headers = ()
+        self.body = b""
+        self.parts = []
+        self.finished = False
+        self.aborted = False
+        self.ended_at = None
+
+    async def send(self, status, headers, body):
+        self.started = True
+        self.status, self.headers, self.body = status, headers, body
+        self.finished = True
+        self.ended_at = asyncio.get_running_loop().time()
+
+    async def start(self, status, headers):
+        self.started = True
+        self.status, self.headers = status, headers
+
+    async def write(self, data):
+        self.parts.append((asyncio.get_running_loop().time(), data))
+        self.body += data
+
+    async def finish(self):
+        self.finished = True
+        self.ended_at = asyncio.get_running_loop().time()
+
+    def abort(self):
+        self.aborted = True
+        self.ended_at = asyncio.get_running_loop().time()
+
+
+class World:
+    """One host, its beliefs and its endpoints.
+
+    Parameters
+    ----------
+    routes : tuple of Route
+    endpoints : dict of str to list of Script
+        The last script of a list is played again and again.
+    """
+
+    def __init__(self, routes, endpoints, bounds=None, versions=None):
+        self.clock = LoopClock()
+        self.beliefs = Beliefs(SimpleDocuments(), self.clock)
+        self.endpoints = _Endpoints(dict(endpoints))
+        bounds = bounds or Bounds()
+        self.versions = VersionGuard("edge-1", bounds)
+        self.suspects = CrashSuspects("edge-1")
+        self.placer = Placer()
+        self.dispatcher = Dispatcher(
+            self.clock,
+            "mbeya",
+            self.beliefs,
+            self.placer,
+            self.endpoints,
+            self.suspects,
+            self.versions,
+            bounds,
+        )
+        self.path = RequestPath(self.dispatcher, Monitor("edge-1", "mbeya"))
+        self.revision = 1
+        self._version_of = versions or {}
+        self.configure(routes)
+        self.list_members(endpoints)
+
+    def configure(self, routes, version=1, customers=None):
+        """Put a configuration in force."""
+        self.revision += 1
+        if customers is None:
+            customers = {KEY: Customer("ring")}
+        services = {SERVICE: Service(SERVICE)}
+        deployment = Deployment(version, tuple(routes), services, customers)
+        item = StoredObject(
+            Kind.DEPLOYMENT, "main", {"deployment": deployment}, {}, self.revision
+        )
+        self.beliefs.take(Kind.DEPLOYMENT, Listing((item,), self.revision))
+
+    def member(self, name, state=EndpointState.LIVE, born_ms=1):
+        version = self._version_of.get(name, "v1")
+        return Member(name, SERVICE, "10.0.0.1:1", "mbeya", version, 6, born_ms, state)
+
+    def list_members(self, names, leaving=()):
+        """Take a listing of endpoints."""
+        self.revision += 1
+        items = []
+        for name in names:
+            state = EndpointState.LEAVING if name in leaving else EndpointState.LIVE
+            spec = {"member": self.member(name, state)}
+            items.append(StoredObject(Kind.ENDPOINT, name, spec, {}, self.revision))
+        self.beliefs.take(Kind.ENDPOINT, Listing(tuple(items), self.revision))
+
+    def request(self, number=1, deadline_s=20.0, **changes):
+        """Return a request for /advice/."""
+        now = self.clock.now()
+        values = {
+            "request_id": f"request-{number}",
+            "method": "POST",
+            "host": HOST,
+            "target": "/advice/x",
+            "headers": (),
+            "body": b"body",
+            "deadline": now + deadline_s,
+            "came": now,
+            "key": KEY,
+        }
+        return CallerRequest(**(values | changes))
+
+    async def ask(self, number=1, **changes):
+        """Send a request; return what the caller got."""
+        caller = Caller()
+        await self.path.handle(self.request(number, **changes), caller)
+        return caller
+
+    def asked(self):
+        """Return the endpoints that were asked, in order."""
+        return [order.member.name for order in self.endpoints.attempts]
--- /dev/null
+++ b/tests/users_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform, over loopback."""
--- /dev/null
+++ b/tests/users_platform/test_documents.py
@@ -0,0 +1,107 @@
+"""Tests of decoding the users' objects."""
+
+from users_platform.documents import PlatformDocuments
+from users_platform.settings import read_settings
+
+from radishshift.endpoints import EndpointState
+from radishshift.errors import SettingsError, UnreadableObjectError
+from radishshift.gateway.deployment import RolloutState, RouteKind
+from radishshift.objects import Kind, StoredObject
+from tests.cases import TestCase
+from tests.users_platform.served import CONFIG, KEY, server_spec
+
+DOCUMENTS = PlatformDocuments()
+SETTINGS = """
+nodeName = "edge-mbeya-1"
+ip = "10.1.0.40"
+zone = "mbeya"
+portRange = [7340, 7355]
+seedNodes = ["10.1.0.40:8229"]
+unknown = 1
+[listen]
+frontend = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+controlPlane = "10.1.0.40:8229"
+[bounds]
+drainMs = 3000
+graceS = 9
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def _member(**changes):
+    spec = server_spec("desk", "10.0.0.1:80") | changes
+    return DOCUMENTS.member(StoredObject(Kind.ENDPOINT, "i-1", spec))
+
+
+class DocumentsTest(TestCase):
+    def test_a_configuration(self):
+        item = StoredObject(Kind.DEPLOYMENT, "main", CONFIG)
+        deployment = DOCUMENTS.deployment(item)
+        look, book, plan = deployment.routes
+        self.assertEqual(7, deployment.version)
+        self.assertEqual("ring", deployment.customers[KEY].name)
+        self.assertEqual(
+            [RouteKind.IDEMPOTENT, RouteKind.AT_MOST_ONCE, RouteKind.STREAM],
+            [look.kind, book.kind, plan.kind],
+        )
+        self.assertEqual(
+            [True, False, True], [r.idempotent for r in (look, book, plan)]
+        )
+        self.assertEqual((5.0, 1.0), (look.timeout_s, look.objective_s))
+        self.assertEqual(("small", "large"), plan.models)
+        self.assertEqual({"small": 0.01}, deployment.services["advice"].model_costs)
+
+    def test_an_endpoint(self):
+        member = _member(state="draining", born=77)
+        self.assertEqual(EndpointState.LEAVING, member.state)
+        self.assertEqual(("i-1", 77), member.incarnation)
+
+    def test_entries_of_another_writer_name_no_endpoint(self):
+        for changes in (
+            {"slots": "six"},
+            {"state": "odd"},
+            {"address": "somewhere:80"},
+            {"address": None},
+            {"seqNo": "x"},
+            {"born": 1.5},
+        ):
+            self.assertRaises(UnreadableObjectError, _member, **changes)
+        empty = StoredObject(Kind.ENDPOINT, "i-1", {})
+        self.assertRaises(UnreadableObjectError, DOCUMENTS.member, empty)
+
+    def test_a_roll_out_and_its_status(self):
+        order = {"service": "advice", "target": "v2", "durationS": 12}
+        for word, state in (
+            ("in_progress", RolloutState.RUNNING),
+            ("completed", RolloutState.COMPLETED),
+            ("rolled_back", RolloutState.ROLLED_BACK),
+        ):
+            status = {"state": word, "target": "v2"}
+            item = StoredObject(Kind.ROLLOUT, "advice", order, status, 4)
+            rollout = DOCUMENTS.rollout(item)
+            self.assertEqual(state, rollout.state)
+            self.assertEqual(status, DOCUMENTS.progress(rollout, state))
+
+    def test_a_status_of_an_earlier_order_does_not_count(self):
+        order = {"service": "advice", "target": "v3", "durationS": 12}
+        status = {"state": "completed", "target": "v2"}
+        item = StoredObject(Kind.ROLLOUT, "advice", order, status, 4)
+        self.assertEqual(RolloutState.ORDERED, DOCUMENTS.rollout(item).state)
+
+
+class SettingsTest(TestCase):
+    def test_settings_are_decoded_and_unknown_fields_ignored(self):
+        settings = read_settings(SETTINGS)
+        self.assertEqual("edge-mbeya-1", settings.host)
+        self.assertEqual("10.1.0.40:8229", settings.peer_address)
+        self.assertEqual((3.0, 9.0), (settings.bounds.drain_s, settings.bounds.stop_s))
+
+    def test_a_field_that_is_missing_or_wrong_is_named(self):
+        for text in (
+            SETTINGS.replace("nodeName", "x"),
+            "a = ",
+            SETTINGS + "x = 1\nx = 2",
+        ):
+            self.assertRaises(SettingsError, read_settings, text)
--- /dev/null
+++ b/tests/users_platform/test_endpoints.py
@@ -0,0 +1,137 @@
+"""Tests of attempts over real connections, with the endpoints' oddities."""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+
+from users_platform.endpoints import PlatformEndpoints
+
+from radishshift.clocks import SystemClock
+from radishshift.errors import (
+    EndpointError,
+    EndpointRefusedError,
+    EndpointReplacedError,
+    EndpointUnreachableError,
+    StreamBrokenError,
+)
+from radishshift.gateway.deployment import Member
+from radishshift.gateway.messages import AttemptOrder, CallerRequest
+from radishshift.verdicts import Verdict
+from tests.cases import TestCase
+from tests.users_platform.served import platform_up
+
+NAME = "desk-1"
+
+
+def _order(clock, address, name=NAME, method="GET", body=b"", **changes):
+    now = clock.now()
+    req = CallerRequest(
+        "a1",
+        method,
+        "ring.example",
+        "/look/a%2Fb?x=1&y",
+        (("X-Attempt-Id", "a1"), ("X-Own", "1")),
+        body,
+        now + 4,
+        now,
+    )
+    member = Member(name, "desk", address, "mbeya", "v1", 6, 1)
+    return AttemptOrder(req, member, "ring", now + 4, **changes)
+
+
+@asynccontextmanager
+async def _client():
+    async with platform_up() as platform:
+        clock = SystemClock()
+        client = PlatformEndpoints(clock)
+        try:
+            yield platform, client, clock
+        finally:
+            await client.close()
+
+
+class AttemptsTest(TestCase):
+    async def _fails(self, error, **oddities):
+        async with _client() as (platform, client, clock):
+            platform.endpoints[NAME].set(**oddities)
+            order = _order(clock, platform.addresses[NAME])
+
+            async def run():
+                answer = await client.send(order)
+                await answer.read()
+
+            return await self.assert_raises_async(error, run())
+
+    async def test_method_path_query_body_and_headers_come_unchanged(self):
+        async with _client() as (platform, client, clock):
+            address = platform.addresses[NAME]
+            order = _order(clock, address, method="POST", body=b"b" * 50_000)
+            answer = await client.send(order)
+            body = await answer.read()
+            path, headers, sent = platform.endpoints[NAME].ran[0]
+        self.assertEqual(b"whole answer", body)
+        self.assertTrue(answer.signed)
+        self.assertEqual("/look/a%2Fb?x=1&y", path)
+        self.assertEqual(b"b" * 50_000, sent)
+        self.assertEqual("ring", headers["X-Tenant"])
+        self.assertEqual("1", headers["X-Own"])
+        self.assertLessEqual(int(headers["X-Deadline-Ms"]), 4000)
+        for name in ("Accept", "Accept-Encoding", "User-Agent"):
+            self.assertNotIn(name, headers)
+
+    async def test_a_refusal_says_not_run(self):
+        exc = await self._fails(EndpointRefusedError, refuses=True)
+        self.assertEqual(Verdict.NOT_RUN, exc.verdict)
+
+    async def test_an_address_that_another_has_says_not_run(self):
+        async with _client() as (platform, client, clock):
+            order = _order(clock, platform.addresses[NAME], name="i-before")
+            exc = await self.assert_raises_async(
+                EndpointReplacedError, client.send(order)
+            )
+        self.assertEqual(Verdict.NOT_RUN, exc.verdict)
+
+    async def test_no_connection_says_not_run(self):
+        async with _client() as (_, client, clock):
+            exc = await self.assert_raises_async(
+                EndpointUnreachableError, client.send(_order(clock, "127.0.0.1:1"))
+            )
+        self.assertEqual(Verdict.NOT_RUN, exc.verdict)
+
+    async def test_what_was_sent_may_have_run(self):
+        for oddity in ("resets_before", "other_id", "encoded"):
+            exc = await self._fails(EndpointError, **{oddity: True})
+            self.assertEqual(Verdict.MAY_HAVE_RUN, exc.verdict, oddity)
+
+    async def test_a_reset_does_not_look_like_the_end_of_a_body_without_length(self):
+        await self._fails(StreamBrokenError, unframed=True, resets_within=True)
+        await self._fails(StreamBrokenError, resets_within=True)
+
+    async def test_a_body_without_length_ends_with_its_connection(self):
+        async with _client() as (platform, client, clock):
+            platform.endpoints[NAME].set(unframed=True)
+            answer = await client.send(_order(clock, platform.addresses[NAME]))
+            self.assertEqual(b"whole answer", await answer.read())
+
+    async def test_a_get_is_never_sent_twice_by_the_library(self):
+        """A library that repeats a GET would run an at-most-once request again."""
+        async with _client() as (platform, client, clock):
+            endpoint = platform.endpoints[NAME]
+            answer = await client.send(_order(clock, platform.addresses[NAME]))
+            await answer.read()
+            endpoint.set(resets_before=True)
+            await self.assert_raises_async(
+                EndpointError, client.send(_order(clock, platform.addresses[NAME]))
+            )
+            self.assertEqual(2, len(endpoint.ran))
+
+    async def test_aborting_ends_the_work_at_the_endpoint(self):
+        async with _client() as (platform, client, clock):
+            endpoint = platform.endpoints[NAME]
+            endpoint.gap_s = 5.0
+            answer = await client.send(_order(clock, platform.addresses[NAME]))
+            answer.abort()
+            deadline = time.monotonic() + 5
+            while not endpoint.left and time.monotonic() < deadline:
+                await asyncio.sleep(0.01)
+            self.assertEqual(1, endpoint.left)
--- /dev/null
+++ b/tests/users_platform/test_store.py
@@ -0,0 +1,118 @@
+"""Tests of the client of the users' store."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+from users_platform.store import StorePlatform
+
+from radishshift.errors import (
+    AlreadyExistsError,
+    ConflictError,
+    GoneError,
+    NotFoundError,
+    PlatformUnavailableError,
+)
+from radishshift.objects import ChangeType, Kind, StoredObject
+from radishshift.verdicts import Verdict
+from tests.cases import TestCase
+from tests.users_platform.served import platform_up
+
+
+@asynccontextmanager
+async def _client():
+    async with platform_up() as platform:
+        client = StorePlatform(platform.store_address)
+        try:
+            yield platform.store, client
+        finally:
+            await client.close()
+
+
+class StoreTest(TestCase):
+    async def test_a_list_comes_in_pages(self):
+        async with _client() as (store, client):
+            store.oddities.page = 2
+            for number in range(7):
+                store.put("servers", f"s{number}", {})
+            listing = await client.list_all(Kind.ENDPOINT)
+        self.assertEqual(9, len(listing.items))
+
+    async def test_entries_of_another_writer_do_not_hide_the_others(self):
+        async with _client() as (store, client):
+            store.put("servers", "odd", "bytes")
+            store.kinds["servers"]["odder"] = {"metadata": "none"}
+            names = {item.name for item in (await client.list_all(Kind.ENDPOINT)).items}
+        self.assertEqual({"advice-1", "desk-1", "odd"}, names)
+
+    async def test_a_watch_tells_of_changes_and_goes_on(self):
+        async with _client() as (store, client):
+            since = store.revision
+            store.put("servers", "new", {"x": 1})
+            changes = client.watch(Kind.ENDPOINT, since)
+            first = await anext(changes)
+            bookmark = await anext(changes)
+            store.remove("servers", "new")
+            second = await anext(changes)
+            await changes.aclose()
+        self.assertEqual((ChangeType.MODIFIED, "new"), (first.type, first.item.name))
+        self.assertEqual(ChangeType.BOOKMARK, bookmark.type)
+        self.assertEqual((ChangeType.DELETED, "new"), (second.type, second.item.name))
+
+    async def test_a_history_that_is_gone_is_told(self):
+        async with _client() as (store, client):
+            store.oddities.dropped_before = store.revision
+            await self.assert_raises_async(
+                GoneError, anext(client.watch(Kind.ENDPOINT, 1))
+            )
+
+    async def test_a_write_over_another_revision_conflicts(self):
+        async with _client() as (store, client):
+            store.put("rollouts", "advice", {"target": "v2"})
+            held = await client.get(Kind.ROLLOUT, "advice")
+            written = await client.update_status(replace(held, status={"state": "x"}))
+            self.assertEqual({"state": "x"}, written.status)
+            self.assertEqual({"target": "v2"}, written.spec)
+            await self.assert_raises_async(
+                ConflictError, client.update_status(replace(held, status={}))
+            )
+
+    async def test_a_lost_reply_may_have_been_done(self):
+        async with _client() as (store, client):
+            store.put("rollouts", "advice", {"target": "v2"})
+            held = await client.get(Kind.ROLLOUT, "advice")
+            store.oddities.lose_replies = 1
+            exc = await self.assert_raises_async(
+                PlatformUnavailableError,
+                client.update_status(replace(held, status={"state": "x"})),
+            )
+            self.assertEqual(Verdict.MAY_HAVE_RUN, exc.verdict)
+            again = await client.get(Kind.ROLLOUT, "advice")
+            self.assertEqual({"state": "x"}, again.status)
+
+    async def test_a_refusal_was_not_done(self):
+        async with _client() as (store, client):
+            for status in (429, 503):
+                store.oddities.status = status
+                exc = await self.assert_raises_async(
+                    PlatformUnavailableError, client.list_all(Kind.ENDPOINT)
+                )
+                self.assertEqual(Verdict.NOT_RUN, exc.verdict)
+
+    async def test_objects_are_created_read_and_removed(self):
+        async with _client() as (_, client):
+            item = StoredObject(Kind.ROLLOUT, "new", {"a": 1})
+            made = await client.create(item)
+            await self.assert_raises_async(AlreadyExistsError, client.create(item))
+            await client.delete(Kind.ROLLOUT, "new", made.revision)
+            await self.assert_raises_async(
+                NotFoundError, client.get(Kind.ROLLOUT, "new")
+            )
+
+    async def test_a_store_that_is_not_there_is_unavailable(self):
+        client = StorePlatform("127.0.0.1:1")
+        await self.assert_raises_async(
+            PlatformUnavailableError, client.list_all(Kind.ENDPOINT)
+        )
+        await client.close()
+        await asyncio.sleep(0)
