Let shared parts of prompts meet, and keep to what can be reached

Change: endpoints that failed the request, are left out or seem cut off cost more but stay in the choice; silence is borne four times longer where there is no other. A part is held to be where it was sent, and at the endpoint that all hosts agree on.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -5,21 +5,28 @@
 late.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass, field
 
+import xxhash
+
 from radishshift.decisions.routes import uniform
 from radishshift.ejection import Ejection
 from radishshift.gateway.deployment import Member
+from radishshift.prefix_caches import PrefixCaches
 
 __all__ = ["EndpointView", "Placer", "PlacingQuestion"]
 
 PACE_SMOOTHING = 0.2
 PAUSE_MOST_S = 3.0  # an endpoint that is back serves again within that time
+PARTS_KEPT = 400  # parts that an engine is thought to hold; a few for each endpoint
 CUT_OFF_S = 1.0  # for which a data centre counts as cut off after two failures
-CUT_OFF_COST = 50.0  # requests in flight; more than any endpoint at home has
+# Requests in flight, more than any endpoint at home has: taken when all else is worse.
+CUT_OFF_COST = 300.0
+EJECTED_COST = 200.0
+TRIED_COST = 100.0
 OTHER_ZONE_COST = 2.0  # requests in flight that a shorter way is worth
-MISS_COST_PER_1000_TOKENS = 0.25  # requests in flight that reading again is worth
+MISS_COST_PER_1000_TOKENS = 1.0  # requests in flight that reading again is worth
 
 
 @dataclass(slots=True)
@@ -70,7 +77,7 @@
     ----------
     service, data_centre : str
     affinity : str
-        What requests that share a prompt have in common, or empty.
+        Model and last shared part of the prompt, or empty.
     shared_tokens : int
         Tokens that need not be read where they were read before.
     tried : sequence of str
@@ -87,11 +94,16 @@
     version: str = ""
 
 
+def _part_number(affinity: str) -> int:
+    return xxhash.xxh64_intdigest(affinity.encode())
+
+
 class Placer:
     """Chooses endpoints from what one host knows."""
 
     def __init__(self) -> None:
         self._views: dict[tuple[str, int], EndpointView] = {}
+        self._caches = PrefixCaches(PARTS_KEPT)
 
     def view(self, member: Member) -> EndpointView:
         """Return what is known of an endpoint."""
@@ -116,22 +128,51 @@
     ) -> Member | None:
         """Return the endpoint of least cost, or None if there is none.
 
-        An endpoint that fails again and again is taken only when no other is left.
+        One that fails again and again, cannot be reached or has failed this request
+        is taken only when no other is left; the one that failed last, never.
         """
-        views = [
+        last = question.tried[-1] if question.tried else ""
+        pool = [
             self.view(member)
             for member in members
-            if not question.version or member.version == question.version
+            if member.name != last
+            and (not question.version or member.version == question.version)
         ]
-        fresh = [view for view in views if view.member.name not in question.tried]
-        pool = [view for view in fresh if view.ejection.admits(now)] or fresh
         if not pool:
             return None
         cut_off = self._cut_off(question.data_centre, now)
-        best = min(pool, key=lambda view: self._cost(view, question, cut_off))
+        cached = self._cached(pool, question)
+        best = min(
+            pool, key=lambda view: self._cost(view, question, cut_off, cached, now)
+        )
         best.ejection.probe(now)
+        if question.affinity:
+            self._caches.sent(_part_number(question.affinity), best.member.name)
         return best.member
 
+    def _cached(self, pool: list[EndpointView], question: PlacingQuestion) -> Set[str]:
+        """Return endpoints that hold the shared part of a prompt, or are to.
+
+        Besides those that it was sent to, it is the one that all hosts agree on.
+        """
+        if not question.affinity:
+            return set()
+        home = max(pool, key=lambda view: uniform(question.affinity + view.member.name))
+        holders = self._caches.holders(_part_number(question.affinity))
+        return holders | {home.member.name}
+
+    def has_other(
+        self, members: Iterable[Member], question: PlacingQuestion, now: float
+    ) -> bool:
+        """Tell whether an endpoint other than the last tried is thought to serve."""
+        cut_off = self._cut_off(question.data_centre, now)
+        return any(
+            member.name not in question.tried
+            and member.data_centre not in cut_off
+            and self.view(member).ejection.admits(now)
+            for member in members
+        )
+
     def _cut_off(self, home: str, now: float) -> set[str]:
         """Return data centres of which endpoints could not be reached.
 
@@ -145,7 +186,12 @@
         return {zone for zone, count in counts.items() if zone != home or count >= 2}
 
     def _cost(
-        self, view: EndpointView, question: PlacingQuestion, cut_off: set[str]
+        self,
+        view: EndpointView,
+        question: PlacingQuestion,
+        cut_off: set[str],
+        cached: Set[str],
+        now: float,
     ) -> float:
         member = view.member
         load = view.in_flight + view.others_in_flight
@@ -154,8 +200,10 @@
             cost += OTHER_ZONE_COST
         if member.data_centre in cut_off:
             cost += CUT_OFF_COST
-        if question.affinity:
-            rank = uniform(question.affinity + member.name)
-            missed = question.shared_tokens / 1000 * MISS_COST_PER_1000_TOKENS
-            cost += missed * (1 - rank) * 2
+        if not view.ejection.admits(now):
+            cost += EJECTED_COST
+        if member.name in question.tried:
+            cost += TRIED_COST
+        if member.name not in cached:
+            cost += question.shared_tokens / 1000 * MISS_COST_PER_1000_TOKENS
         return cost
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -35,6 +35,7 @@
 SILENT_S = 0.8  # no byte from an endpoint at work; pauses up to 1.2 s are on time
 SILENT_SHARE = 0.3  # of an attempt's time, where that is less
 STREAM_SILENT_S = 1.0  # no byte of one stream while others at its endpoint move
+ALONE_PATIENCE = 4.0  # times as long where no other endpoint is thought to serve
 STUCK_SHARE = 0.4  # of an attempt's time, for an answer in one piece
 READ_S_PER_TOKEN = 0.0001  # six times what an engine takes; large models are slower
 STUCK_FIRST_S = 1.0  # on top of what first events usually take
@@ -143,35 +144,22 @@
         for budget in self._budgets.values():
             budget.hosts = hosts
 
-    def choose(self, job: Job) -> Member:
-        """Return the endpoint for the next attempt.
+    def choose(self, job: Job, model: str = "") -> Member:
+        """Return the endpoint for the next attempt, with a model if one is chosen.
 
         Raises
         ------
         NoEndpointError
         """
         now = self.clock.now()
-        parts = job.req.parts
-        shared = parts[:-1] if len(parts) > 1 else parts
-        question = PlacingQuestion(
-            service=job.service,
-            data_centre=self._data_centre,
-            affinity=shared[-1].digest if shared else "",
-            shared_tokens=sum(part.tokens for part in shared),
-            tried=job.failed,
-            version=job.version,
-        )
-        members = list(self.beliefs.members_of(job.service))
-        if job.endpoints_left <= 0:
-            members = [member for member in members if member.name in job.used]
-            question = replace(question, tried=job.failed[-1:])
+        question = self._question(job, model)
+        members = self._allowed(job)
         chosen = self._placer.choose(members, question, now)
-        if chosen is None and job.route.idempotent and job.failed:
-            again = replace(question, tried=job.failed[-1:])
-            chosen = self._placer.choose(members, again, now)
+        if chosen is None and job.failed and len(members) == 1:
+            chosen = self._placer.choose(members, replace(question, tried=()), now)
         if chosen is None and job.version:
             job.version = ""
-            return self.choose(job)
+            return self.choose(job, model)
         if chosen is None:
             left = self.beliefs.departed_since(job.service, now - DEPARTED_USED_S)
             chosen = self._placer.choose(left, question, now)
@@ -181,6 +169,25 @@
             )
         return chosen
 
+    def _question(self, job: Job, model: str) -> PlacingQuestion:
+        parts = job.req.parts
+        shared = parts[:-1] if len(parts) > 1 else parts
+        return PlacingQuestion(
+            service=job.service,
+            data_centre=self._data_centre,
+            affinity=f"{model} {shared[-1].digest}" if shared else "",
+            shared_tokens=sum(part.tokens for part in shared),
+            tried=job.failed,
+            version=job.version,
+        )
+
+    def _allowed(self, job: Job) -> list[Member]:
+        """Return the endpoints that a job may be sent to, in so far as is left."""
+        members = list(self.beliefs.members_of(job.service))
+        if job.endpoints_left > 0:
+            return members
+        return [member for member in members if member.name in job.used]
+
     @contextmanager
     def attempt(self, job: Job, member: Member, model: str) -> Iterator[Attempt]:
         """Count an attempt as long as it runs, and learn from how it fails."""
@@ -262,9 +269,18 @@
         now = self.clock.now()
         quiet_s = now - max(attempt.view.heard, attempt.heard)
         own_s = now - attempt.heard
-        if quiet_s > attempt.silent_s or own_s > attempt.stuck_s:
+        if quiet_s <= attempt.silent_s and own_s <= attempt.stuck_s:
+            return
+        patience = 1.0 if self._has_other(attempt) else ALONE_PATIENCE
+        if quiet_s > patience * attempt.silent_s or own_s > patience * attempt.stuck_s:
             raise StreamSilentError(f"nothing came for {own_s:.1f} s")
 
+    def _has_other(self, attempt: Attempt) -> bool:
+        job = attempt.job
+        question = self._question(job, attempt.model)
+        question = replace(question, tried=[*job.failed, attempt.member.name])
+        return self._placer.has_other(self._allowed(job), question, self.clock.now())
+
     def completed(self, attempt: Attempt) -> None:
         """Note an attempt that gave its whole answer."""
         now = self.clock.now()
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -230,6 +230,7 @@
                 "escalated": outcome.run.escalated,
                 "events": outcome.run.events,
                 "writes": outcome.run.writes,
+                "pause_most_s": round(outcome.run.pause_most_s, 3),
                 "first_s": round(max(0.0, outcome.run.first_at - req.came), 4),
             }
         logger.info("request ended", extra=extra)
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -37,6 +37,8 @@
         Instant at which the first event was passed on, 0 before.
     writes : int
         Parts in which the events were passed on.
+    pause_most_s : float
+        Longest time between two of them.
     """
 
     def __init__(self, dispatcher: Dispatcher, job: Job, caller: CallerAnswer) -> None:
@@ -50,6 +52,8 @@
         self.escalated = False
         self.first_at = 0.0
         self.writes = 0
+        self.pause_most_s = 0.0
+        self._written_at = 0.0
 
     @property
     def events(self) -> int:
@@ -87,7 +91,7 @@
         dispatcher = self._dispatcher
         job = self._job
         dispatcher.check_deadline(job)
-        member = dispatcher.choose(job)
+        member = dispatcher.choose(job, self.model)
         with dispatcher.attempt(job, member, self.model) as attempt:
             after = self._buffer.last_id or job.req.last_event
             answer = await dispatcher.open(attempt, after)
@@ -165,4 +169,8 @@
             self.first_at = self._dispatcher.clock.now()
             await self._caller.start(200, attempt.answer.headers)
         self.writes += 1
+        now = self._dispatcher.clock.now()
+        if self._written_at:
+            self.pause_most_s = max(self.pause_most_s, now - self._written_at)
+        self._written_at = now
         await self._caller.write(events)
--- /dev/null
+++ b/tests/decisions/test_placing.py
@@ -0,0 +1,96 @@
+"""Tests of the choice of endpoints."""
+
+from radishshift.decisions.placing import Placer, PlacingQuestion
+from radishshift.gateway.deployment import Member
+from tests.cases import TestCase
+
+
+def _members(*zones, version="v1"):
+    return [
+        Member(f"{zone}-{number}", "advice", "10.0.0.1:1", zone, version, 64)
+        for number, zone in enumerate(zones)
+    ]
+
+
+QUESTION = PlacingQuestion("advice", "mbeya")
+
+
+class PlacingTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.placer = Placer()
+
+    def _names(self, members, question=QUESTION, count=1, now=0.0):
+        chosen = []
+        for _ in range(count):
+            member = self.placer.choose(members, question, now)
+            self.placer.view(member).in_flight += 1
+            chosen.append(member.name)
+        return chosen
+
+    def test_work_is_spread_over_endpoints(self):
+        members = _members("mbeya", "mbeya", "mbeya")
+        chosen = self._names(members, count=30)
+        for member in members:
+            self.assertEqual(10, chosen.count(member.name))
+
+    def test_the_own_data_centre_goes_first_until_it_is_busier(self):
+        members = _members("iringa", "mbeya")
+        chosen = self._names(members, count=20)
+        self.assertEqual("mbeya-1", chosen[0])
+        self.assertIn("iringa-0", chosen)
+
+    def test_what_other_hosts_have_in_flight_counts(self):
+        members = _members("mbeya", "mbeya")
+        self.placer.view(members[0]).others_in_flight = 9
+        self.assertEqual(["mbeya-1"] * 9, self._names(members, count=9))
+
+    def test_a_slow_endpoint_gets_less(self):
+        members = _members("mbeya", "mbeya")
+        self.placer.view(members[0]).pace = 5.0
+        chosen = self._names(members, count=30)
+        self.assertLess(chosen.count("mbeya-0"), 10)
+
+    def test_prompts_that_share_a_part_meet_at_one_endpoint(self):
+        members = _members(*["mbeya"] * 6)
+        question = PlacingQuestion("advice", "mbeya", "part", 8000)
+        first = self._names(members, question, count=3)
+        self.assertEqual(1, len(set(first)))
+
+    def test_a_hot_part_spills_over(self):
+        members = _members(*["mbeya"] * 6)
+        question = PlacingQuestion("advice", "mbeya", "part", 8000)
+        self.assertGreater(len(set(self._names(members, question, count=60))), 3)
+
+    def test_an_endpoint_that_cannot_be_reached_is_left_out_at_once(self):
+        members = _members("mbeya", "mbeya")
+        view = self.placer.view(members[0])
+        view.note_unreached(5.0)
+        view.ejection.note(False, 5.0)
+        self.assertEqual({"mbeya-1"}, set(self._names(members, count=30, now=5.1)))
+
+    def test_it_is_tried_again_after_a_pause(self):
+        members = _members("mbeya", "mbeya")
+        view = self.placer.view(members[0])
+        view.note_unreached(5.0)
+        view.ejection.note(False, 5.0)
+        self.placer.view(members[1]).in_flight = 3
+        self.assertEqual(["mbeya-0"], self._names(members, now=8.0))
+
+    def test_a_data_centre_that_seems_cut_off_comes_last(self):
+        members = _members("iringa", "iringa", "mbeya")
+        self.placer.view(members[2]).in_flight = 40
+        self.placer.view(members[0]).note_unreached(5.0)
+        self.assertEqual(["mbeya-2"], self._names(members, now=5.1))
+
+    def test_the_last_that_failed_is_not_chosen(self):
+        members = _members("mbeya")
+        question = PlacingQuestion("advice", "mbeya", tried=["mbeya-0"])
+        self.assertIsNone(self.placer.choose(members, question, 0.0))
+
+    def test_a_version_is_kept_to(self):
+        members = _members("mbeya") + _members("tuzla", version="v2")
+        question = PlacingQuestion("advice", "mbeya", version="v2")
+        self.assertEqual(["tuzla-0"], self._names(members, question))
+        missing = PlacingQuestion("advice", "mbeya", version="v3")
+        self.assertIsNone(self.placer.choose(members, missing, 0.0))
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -90,3 +90,33 @@
         self.assertEqual(503, caller.status)
         self.assertIn("Retry-After", dict(caller.headers))
         self.assertIn(b'"not-run"', caller.body)
+
+
+class IsolatedTest(VirtualTestCase):
+    """A data centre that is cut off with one endpoint of its own (trouble-2)."""
+
+    def _world(self, home):
+        away = [Script(error="unreachable", first_s=0.35)]
+        world = World([SAFE], {"home": home, "away-1": away, "away-2": away})
+        for name in ("away-1", "away-2"):
+            world.beliefs.members[name] = replace(
+                world.beliefs.members[name], data_centre="iringa"
+            )
+        return world
+
+    async def test_the_endpoint_at_home_is_asked_again_before_those_cut_off(self):
+        world = self._world([Script(error="unreachable"), Script()])
+        for name in ("away-1", "away-2"):
+            view = world.placer.view(world.beliefs.members[name])
+            view.note_unreached(world.clock.now())
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual(200, caller.status)
+        self.assertEqual(["home", "home"], [n for n in world.asked() if n == "home"])
+
+    async def test_a_slow_endpoint_is_waited_for_where_there_is_no_other(self):
+        world = self._world([Script(first_s=0.6)])
+        for name in ("away-1", "away-2"):
+            view = world.placer.view(world.beliefs.members[name])
+            view.note_unreached(world.clock.now())
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual((200, ["home"]), (caller.status, world.asked()))
