Move all sessions before a version is completed; roll one in doubt back at the end

Cause: test_a_roll_out_is_completed failed: with few answers seen, a third of the sessions were on the new version when it was completed, and the host that wrote so took 0.2 s to act on it, while the old endpoints had stopped.

Change: all sessions move at 0.8 of the time unless in doubt; a written state counts at once; a version that is in doubt at 0.95 is rolled back.

--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -21,6 +21,7 @@
 WIDER_SHARE = 0.3
 WIDER_AT = 0.55  # of the roll-out's time; before half of it sessions stay
 WHOLE_AT = 0.72
+WHOLE_ANYWAY_AT = 0.8
 COMPLETE_AT = 0.84  # the old endpoints stop at once, so their work ends before
 COMPLETE_ANYWAY_AT = 0.95
 TRIES_LEAST = 6  # answers of a version before it is judged
@@ -181,7 +182,8 @@
         elapsed = trial.elapsed(now)
         if elapsed < WIDER_AT or trial.doubtful():
             return CANARY_SHARE
-        if elapsed < WHOLE_AT or trial.answers() < TRUSTED_LEAST:
+        hardly_seen = trial.answers() < TRUSTED_LEAST and elapsed < WHOLE_ANYWAY_AT
+        if elapsed < WHOLE_AT or hardly_seen:
             return WIDER_SHARE
         return 1.0
 
@@ -269,6 +271,8 @@
         if trial.stopped:
             return RolloutState.ROLLED_BACK
         elapsed = trial.elapsed(now)
+        if elapsed >= COMPLETE_ANYWAY_AT and trial.doubtful():
+            return RolloutState.ROLLED_BACK
         if elapsed >= COMPLETE_ANYWAY_AT or (elapsed >= COMPLETE_AT and moved):
             return RolloutState.COMPLETED
         if trial.rollout.state is RolloutState.ORDERED:
--- a/radishshift/gateway/rollout_duty.py
+++ b/radishshift/gateway/rollout_duty.py
@@ -106,7 +106,12 @@
             await self._read_again(service)
             return
         logger.info("status {} written", state, extra=extra)
+        self._take(stored)
+
+    def _take(self, stored: StoredObject) -> None:
+        """Let a state count at once: on completion the old endpoints stop."""
         self._beliefs.take(Kind.ROLLOUT, ObjectChange(ChangeType.MODIFIED, stored))
+        self._versions.follow(self._beliefs.rollouts.values(), self._clock.now())
 
     async def _read_again(self, service: str) -> None:
         """Learn what became of a write that was refused or got no reply."""
@@ -115,4 +120,4 @@
         except RadishshiftError as exc:
             logger.warning("roll-out of {} not read: {}", service, exc.code)
             return
-        self._beliefs.take(Kind.ROLLOUT, ObjectChange(ChangeType.MODIFIED, stored))
+        self._take(stored)
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -68,6 +68,7 @@
         held = guard()
         answers(held, 2, 0)
         self.assertLess(held.share(SERVICE, 15.0), 0.5)
+        self.assertEqual(1.0, held.share(SERVICE, 16.5))
 
     def test_an_order_to_the_next_version_begins_anew(self):
         held = guard(state=RolloutState.COMPLETED)
@@ -132,6 +133,12 @@
         held = guard(state=RolloutState.RUNNING)
         self.assertEqual(RolloutState.COMPLETED, held.ripe_state(SERVICE, 19.5, False))
 
+    def test_a_version_still_in_doubt_at_the_end_is_rolled_back(self):
+        held = guard(state=RolloutState.RUNNING)
+        answers(held, 300, 3, version="v1")
+        answers(held, 12, 3)
+        self.assertEqual(RolloutState.ROLLED_BACK, held.ripe_state(SERVICE, 19.5, True))
+
     def test_nothing_is_written_once_it_has_ended(self):
         held = guard(state=RolloutState.ROLLED_BACK)
         self.assertIsNone(held.ripe_state(SERVICE, 19.5, True))
