Test the look at a version's state between the steps of a plan

Cause: with check_version made a no-op, all tests passed. The look is not needless: a version that is withdrawn while the step before it runs would get new work.

The new test fails with the look taken out and passes with it.

--- a/tests/test_plan_runs.py
+++ b/tests/test_plan_runs.py
@@ -106,3 +106,26 @@
             case.deployment.ratings.hold_ratings = False
             while not router.evidence.known(cell).counts[RATINGS]:
                 await asyncio.sleep(POLL_S)
+
+    async def test_a_version_withdrawn_during_the_step_before_gets_no_work(self):
+        """The look at a version's state at dispatch had no test that needed it."""
+        async with cascading() as case:
+            router = case.host.router
+            platform = case.deployment.platform
+
+            async def withdraw_and_reject(answer, deadline):
+                item = await platform.get(Kind.ENTRY, LARGE)
+                spec = item.spec | {"state": "withdrawn"}
+                stored = await platform.update(replace(item, spec=spec))
+                while router.catalogue.revision < stored.revision:
+                    await asyncio.sleep(POLL_S)
+                return 0.2
+
+            router.ratings.score = withdraw_and_reject
+            ran = [list(engine.ran) for engine in case.engines]
+            headers = {"X_Task_Class": "season-plan"}
+            async with case.chat(body={"model": "auto"}, **headers) as resp:
+                error = msgspec.json.decode(await resp.read())["error"]
+            self.assertEqual("withdrawn", error["code"])
+            after = sum(len(engine.ran) for engine in case.engines)
+            self.assertEqual(sum(map(len, ran)) + 1, after)
