--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -3,13 +3,18 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 
+from spec.attempts import ATTEMPTS
 from spec.bills import BILLS
 from spec.claims import CLAIMS
 from spec.configuration import CONFIGURATION
 from spec.leases import LEASES
 from spec.model import Model, Result, check_model
+from spec.rollouts import ROLLOUTS
 
-MODELS = {model.name: model for model in (CLAIMS, BILLS, CONFIGURATION, LEASES)}
+MODELS = {
+    model.name: model
+    for model in (CLAIMS, BILLS, CONFIGURATION, LEASES, ATTEMPTS, ROLLOUTS)
+}
 WORKERS = 4
 
 
