Leave room for a second attempt before taking a stream while stopping

Also: connections that could not be opened are no repeats (a cut-off host gave up after one try with 23 s left, its budget spent); a path that timed out is silence, not a crash of the request's making; a host that starts waits 0.1 s for its peers, not 0.5 s, before it asks the store, as callers got 503 meanwhile.

--- a/radishshift/gateway/followers.py
+++ b/radishshift/gateway/followers.py
@@ -27,7 +27,7 @@
 BEHIND_S = 0.5  # a watch is slower than a peer by less than that
 CHECK_S = 0.25
 WATCHING = 3  # hosts that watch; two may be lost at once
-PEERS_FIRST_S = 0.5  # in which a host that starts may learn all from its peers
+PEERS_FIRST_S = 0.1  # in which a host that starts may learn all from its peers
 PAUSES = Pauses(first_s=0.1, longest_s=0.6, relist_spread_s=0.2)
 
 logger = logbook.Logger("followers")
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -32,6 +32,7 @@
 FIRST_S = 0.5  # to the first event, at least
 EVENT_S = 0.05  # between the events of a stream, at least
 EXPECTED_RATIO = 3.0  # times the usual: callers' estimates of length are often off
+REPEAT_S = 3.0  # that an attempt may take to fail, and another to begin
 TOKENS_PER_EVENT = 5.0  # as the engines of today send them
 CALLER_PAUSE_S = 0.05  # with which callers come back to a host that is leaving
 
@@ -123,7 +124,7 @@
         events = job.req.answer_tokens / TOKENS_PER_EVENT
         first_s = max(FIRST_S, usual((name, model, "first")))
         event_s = max(EVENT_S, usual((name, model, "event")))
-        return EXPECTED_RATIO * (first_s + events * event_s)
+        return REPEAT_S + EXPECTED_RATIO * (first_s + events * event_s)
 
     async def _run(self, job: Job, caller: CallerAnswer, outcome: "_Outcome") -> int:
         if job.route.kind is not RouteKind.STREAM:
--- a/radishshift/gateway/whole_answers.py
+++ b/radishshift/gateway/whole_answers.py
@@ -1,6 +1,10 @@
 """Requests whose answer is sent in one piece: reads, bookings and the like."""
 
-from radishshift.errors import EndpointError, NoEndpointError
+from radishshift.errors import (
+    EndpointError,
+    EndpointUnreachableError,
+    NoEndpointError,
+)
 from radishshift.gateway.dispatch import Attempt, Dispatcher
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.messages import CallerAnswer, EndpointAnswer
@@ -88,6 +92,9 @@
     now = dispatcher.clock.now()
     if dispatcher.suspects.poisonous(job.fingerprint, now):
         return False
+    if isinstance(exc, EndpointUnreachableError):
+        # Nothing reached an endpoint, so nothing was repeated.
+        return job.attempts <= NOT_RUN_TRIES
     if exc.verdict is Verdict.NOT_RUN:
         allowed = job.attempts <= NOT_RUN_TRIES
     else:
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -120,3 +120,14 @@
             view.note_unreached(world.clock.now())
         caller = await world.ask(deadline_s=1.0)
         self.assertEqual((200, ["home"]), (caller.status, world.asked()))
+
+    async def test_what_never_reached_an_endpoint_is_no_repeat(self):
+        """A cut-off host gave up after one try with 23 s left: its budget was spent."""
+        away = [Script(error="unreachable", first_s=0.05)]
+        world = World([SAFE], {"a": away, "b": away, "c": [Script()]})
+        world.placer.view(world.member("c")).in_flight = 200
+        budget = world.dispatcher.budget("advice")
+        while budget.take(world.clock.now()):
+            pass
+        caller = await world.ask(deadline_s=1.0)
+        self.assertEqual(200, caller.status)
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -1,9 +1,11 @@
 """Tests of attempts over real connections, with the endpoints' oddities."""
 
 import asyncio
+import errno
 import time
 from contextlib import asynccontextmanager
 
+import aiohttp
 from users_platform.endpoints import PlatformEndpoints
 
 from radishshift.clocks import SystemClock
@@ -13,6 +15,7 @@
     EndpointReplacedError,
     EndpointUnreachableError,
     StreamBrokenError,
+    StreamSilentError,
 )
 from radishshift.gateway.deployment import Member
 from radishshift.gateway.messages import AttemptOrder, CallerRequest
@@ -135,3 +138,18 @@
             while not endpoint.left and time.monotonic() < deadline:
                 await asyncio.sleep(0.01)
             self.assertEqual(1, endpoint.left)
+
+
+class CutTest(TestCase):
+    async def test_a_path_that_is_cut_is_silence_and_no_crash(self):
+        """A cut-off data centre made poison of requests whose paths timed out."""
+        async with _client() as (platform, client, clock):
+            order = _order(clock, platform.addresses[NAME])
+            session = client._session(order.member)
+
+            async def timed_out(*args, **kwargs):
+                raise aiohttp.ClientOSError(errno.ETIMEDOUT, "Connection timed out")
+
+            session._request = timed_out
+            exc = await self.assert_raises_async(StreamSilentError, client.send(order))
+        self.assertEqual(Verdict.MAY_HAVE_RUN, exc.verdict)
