--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -31,11 +31,11 @@
 SPARED_RATE = 0.06  # difference between two rates that says nothing
 # Times are compared as doublings of the old version's usual time. Good versions, on
 # endpoints with less to do, are at -0.7 to 0.1 on average, slow ones at 0.5 to 1.3.
-SPARED_DOUBLINGS = 0.3
+SPARED_DOUBLINGS = 0.4
 DOUBLINGS_LEAST, DOUBLINGS_MOST = -1.5, 2.0  # of one time: one stall proves nothing
 SLOW_LEAST = -1.5  # of one host and route, so that one that turns slow late is found
-EXCESS_SLOW = 6.0  # doublings beyond what is spared, over all times
-TRUSTED_SLOW = 1.5  # the same, till more sessions go to a version
+EXCESS_SLOW = 8.0  # doublings beyond what is spared, over all times
+TRUSTED_SLOW = 2.5  # the same, till more sessions go to a version
 KEPT_SESSIONS = 20_000
 JUDGED_ROUTES = 64
 
