Use an endpoint that went from the list no longer than one that leaves

A host that does not watch noticed 3.5 s late that the store was back, took an endpoint that had left at that moment for one whose entry had lapsed, and sent it work for 2.02 s.

Ruled out: late news; all hosts knew of the removal within 10 ms of it.

Change: what went is used for 1.7 s after its removal at the most. The new test fails without the change.

--- a/radishshift/gateway/beliefs.py
+++ b/radishshift/gateway/beliefs.py
@@ -23,6 +23,7 @@
 KINDS = (Kind.DEPLOYMENT, Kind.ENDPOINT, Kind.ROLLOUT)
 DEPARTED_KEPT_S = 30.0  # far longer than an address takes to be used again
 LAPSED_KEPT_S = 2.5  # endpoints that are alive are listed again within 2 s
+LAPSED_USED_S = 1.7  # after its removal; one that leaves gets nothing after 2 s
 
 logger = logbook.Logger("beliefs")
 
@@ -122,7 +123,10 @@
                 yield member
         if self._clock.now() >= self._lapsed_until:
             return
-        since = self._lapsed_until - 2 * LAPSED_KEPT_S
+        since = max(
+            self._lapsed_until - 2 * LAPSED_KEPT_S,
+            self._clock.now() - LAPSED_USED_S,
+        )
         for departure in self.departed.values():
             lapsed = not departure.announced and departure.at > since
             if lapsed and departure.member.service == service:
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -26,6 +26,17 @@
         await world.clock.sleep_until(now + LAPSED_KEPT_S + 0.1)
         self.assertEqual([], self._names(world))
 
+    async def test_what_went_is_not_used_past_the_time_of_one_that_leaves(self):
+        """A host that noticed late that the store was back took a leaving endpoint
+        for a lapsed one, and sent it work 2.0 s after it had left (DRAIN).
+        """
+        world = World([route()], {"a": [Script()], "b": [Script()]})
+        now = world.clock.now()
+        world.list_members(["b"])
+        world.beliefs.note_store(now)
+        await world.clock.sleep_until(now + 1.95)
+        self.assertEqual(["b"], self._names(world))
+
     async def test_an_endpoint_that_said_it_leaves_is_not_kept(self):
         world = World([route()], {"a": [Script()], "b": [Script()]})
         world.beliefs.note_store(world.clock.now())
