Derive times and shares from the deployment's bounds; drop what nothing uses

Cause: the canary's share, the use of what has left, the pause in which events are joined and the look in turn were set for the bounds of today's two sites; others state others.

Change: each is a share of the bound that the settings give, with today's values for today's bounds. Fields that were decoded and used nowhere are gone.

--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -17,7 +17,7 @@
 
 __all__ = ["Counts", "Trial", "VersionGuard"]
 
-CANARY_SHARE = 0.1  # two thirds of what a bad version may get
+CANARY_SHARE = 2 / 3  # of the part of all requests that a bad version may get
 WIDER_SHARE = 0.3
 WIDER_AT = 0.55  # of the roll-out's time; before half of it sessions stay
 WHOLE_AT = 0.72
@@ -181,7 +181,7 @@
             return 1.0
         elapsed = trial.elapsed(now)
         if elapsed < WIDER_AT or trial.doubtful():
-            return CANARY_SHARE
+            return CANARY_SHARE * self.bounds.exposure_share
         hardly_seen = trial.answers() < TRUSTED_LEAST and elapsed < WHOLE_ANYWAY_AT
         if elapsed < WHOLE_AT or hardly_seen:
             return WIDER_SHARE
--- a/radishshift/gateway/beliefs.py
+++ b/radishshift/gateway/beliefs.py
@@ -15,6 +15,7 @@
 from radishshift.errors import NotFoundError, UnreadableObjectError
 from radishshift.gateway.deployment import Deployment, Member, Rollout
 from radishshift.gateway.documents import Documents
+from radishshift.gateway.host_settings import Bounds
 from radishshift.object_table import Head, ObjectTable, TableDelta
 from radishshift.objects import ChangeType, Kind, Listing, ObjectChange, StoredObject
 
@@ -23,7 +24,9 @@
 KINDS = (Kind.DEPLOYMENT, Kind.ENDPOINT, Kind.ROLLOUT)
 DEPARTED_KEPT_S = 30.0  # far longer than an address takes to be used again
 LAPSED_KEPT_S = 2.5  # endpoints that are alive are listed again within 2 s
-LAPSED_USED_S = 1.7  # after its removal; one that leaves gets nothing after 2 s
+LAPSED_USED_SHARE = 0.85  # of the time after which one that leaves gets nothing
+
+USUAL = Bounds()
 
 logger = logbook.Logger("beliefs")
 
@@ -50,6 +53,8 @@
     ----------
     documents : Documents
     clock : Clock
+    drain_s : float
+        Time after which an endpoint that has left may get nothing.
 
     Attributes
     ----------
@@ -64,7 +69,10 @@
         By service.
     """
 
-    def __init__(self, documents: Documents, clock: Clock) -> None:
+    def __init__(
+        self, documents: Documents, clock: Clock, drain_s: float = USUAL.drain_s
+    ) -> None:
+        self._drain_s = drain_s
         self._documents = documents
         self._clock = clock
         self.tables = {kind: ObjectTable(kind) for kind in KINDS}
@@ -125,7 +133,7 @@
             return
         since = max(
             self._lapsed_until - 2 * LAPSED_KEPT_S,
-            self._clock.now() - LAPSED_USED_S,
+            self._clock.now() - LAPSED_USED_SHARE * self._drain_s,
         )
         for departure in self.departed.values():
             lapsed = not departure.announced and departure.at > since
--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -7,7 +7,6 @@
 from radishshift.endpoints import EndpointState
 
 __all__ = [
-    "CallerLimits",
     "Customer",
     "Deployment",
     "Member",
@@ -91,15 +90,10 @@
     ----------
     model_costs : mapping of str to float
         Price of 1,000 generated tokens by model; empty for a plain service.
-    slots : int
-        Requests that an engine runs at once; 0 if not stated.
     """
 
     name: str
-    connections_max: int = 0
     model_costs: Mapping[str, float] = field(default_factory=dict)
-    slots: int = 0
-    kv_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,16 +104,6 @@
     priority: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
-    """Bounds on what a caller sends and how long it takes."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 @dataclass(frozen=True, slots=True)
 class Deployment:
     """One version of the operators' configuration.
@@ -130,16 +114,12 @@
         A higher one replaces a lower one, never the other way round.
     customers : mapping of str to Customer
         By key.
-    document : object
-        The configuration as it was read, to hand on to a peer.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     customers: Mapping[str, Customer]
-    limits: CallerLimits = CallerLimits()
-    document: object = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,8 +137,6 @@
     born_ms : int
         Start of this incarnation, milliseconds since the epoch.
     state : EndpointState
-    document : object
-        The description as it was read, to hand on to a peer.
     """
 
     name: str
@@ -169,7 +147,6 @@
     slots: int
     born_ms: int = 0
     state: EndpointState = EndpointState.LIVE
-    document: object = field(default=None, compare=False)
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -203,8 +180,6 @@
     state : RolloutState
     revision : int
         Revision of the object that was read.
-    order : int
-        Revision at which the order itself was first seen; tells orders apart.
     """
 
     service: str
@@ -212,4 +187,3 @@
     duration_s: float
     state: RolloutState
     revision: int
-    order: int = 0
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -40,7 +40,7 @@
 READ_S_PER_TOKEN = 0.0001  # six times what an engine takes; large models are slower
 STUCK_FIRST_S = 1.0  # on top of what first events usually take
 STUCK_FIRST_RATIO = 4.0  # times what they usually take
-DEPARTED_USED_S = 1.0  # half of the time in which a leaving endpoint may get work
+DEPARTED_USED_SHARE = 0.5  # of the time in which a leaving endpoint may get work
 PRESENT_S = 0.05  # of the deadline, kept for the way back to the caller
 
 logger = logbook.Logger("dispatch")
@@ -161,7 +161,8 @@
             job.version = ""
             return self.choose(job, model)
         if chosen is None:
-            left = self.beliefs.departed_since(job.service, now - DEPARTED_USED_S)
+            since = now - DEPARTED_USED_SHARE * self.bounds.drain_s
+            left = self.beliefs.departed_since(job.service, since)
             chosen = self._placer.choose(left, question, now)
         if chosen is None:
             raise NoEndpointError(
--- a/radishshift/gateway/exchange.py
+++ b/radishshift/gateway/exchange.py
@@ -314,7 +314,7 @@
                             self._settings.host, {}
                         ).items()
                     ],
-                    self._old_in_flight(service, trial.rollout.target),
+                    self.own_old_in_flight(service, trial.rollout.target),
                 )
                 for service, trial in self._versions.trials.items()
                 if not trial.rollout.state.ended
@@ -322,17 +322,14 @@
             tables={} if asker is None else self._tables_for(asker),
         )
 
-    def _old_in_flight(self, service: str, target: str) -> int:
+    def own_old_in_flight(self, service: str, target: str) -> int:
+        """Return the attempts of this host at a service's old version."""
         return sum(
             view.in_flight
             for view in self._placer.views()
             if view.member.service == service and view.member.version != target
         )
 
-    def own_old_in_flight(self, service: str, target: str) -> int:
-        """Return the attempts of this host at a service's old version."""
-        return self._old_in_flight(service, target)
-
     def _tables_for(self, note: HostNote) -> dict[str, TableDelta]:
         """Return what a host lacks of the tables that are newer here.
 
--- a/radishshift/gateway/followers.py
+++ b/radishshift/gateway/followers.py
@@ -22,7 +22,7 @@
 
 __all__ = ["Followers"]
 
-LOOK_EVERY_S = 1.0  # of all hosts together; a change is to be in force within 2 s
+LOOK_SHARE = 0.5  # of the time in which a change is to be in force, all hosts together
 LOOKED_AT = {Kind.DEPLOYMENT: 1, Kind.ENDPOINT: 1, Kind.ROLLOUT: 3}  # every n looks
 BEHIND_S = 0.5  # a watch is slower than a peer by less than that
 CHECK_S = 0.25
@@ -48,6 +48,8 @@
         Returns those that reach the platform.
     changed : callable
         Called after a change.
+    config_s : float
+        Time in which a change is to be in force.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         hosts: Callable[[], list[str]],
         hosts_with_store: Callable[[], list[str]],
         changed: Callable[[], None],
+        config_s: float,
     ) -> None:
+        self._look_every_s = LOOK_SHARE * config_s
         self._host = host
         self._platform = platform
         self._clock = clock
@@ -151,12 +155,12 @@
     async def _look(self) -> None:
         """Read the objects anew whenever it is this host's turn."""
         while True:
-            turn = int(self._clock.now() / LOOK_EVERY_S)
+            turn = int(self._clock.now() / self._look_every_s)
             if rendezvous_order(self._hosts(), str(turn))[0] == self._host:
                 kinds = [kind for kind, every in LOOKED_AT.items() if not turn % every]
                 await asyncio.gather(*map(self._read, kinds))
-            next_turn = (int(self._clock.now() / LOOK_EVERY_S) + 1) * LOOK_EVERY_S
-            await self._clock.sleep_until(next_turn)
+            next_turn = int(self._clock.now() / self._look_every_s) + 1
+            await self._clock.sleep_until(next_turn * self._look_every_s)
 
     async def _read(self, kind: Kind) -> None:
         try:
--- a/radishshift/gateway/program.py
+++ b/radishshift/gateway/program.py
@@ -84,7 +84,8 @@
         self.clock = clock or SystemClock()
         self.settings = adapter.settings()
         settings = self.settings
-        self.beliefs = Beliefs(adapter.documents, self.clock)
+        bounds = settings.bounds
+        self.beliefs = Beliefs(adapter.documents, self.clock, bounds.drain_s)
         self.placer = Placer()
         self.suspects = CrashSuspects(settings.host)
         self.versions = VersionGuard(settings.host, settings.bounds)
@@ -122,6 +123,7 @@
             self.exchange.live,
             self.exchange.with_store,
             self._changed,
+            bounds.config_s,
         )
         self.duty = RolloutDuty(
             settings.host,
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -12,7 +12,9 @@
 
 __all__ = ["StreamRun"]
 
-JOIN_S = 0.05  # each packet that is lost costs 200 ms; fewer packets lose less
+# Of the time in which an event is to reach the caller. Each packet that is lost holds
+# the stream up for longer than that, so fewer packets lose less.
+JOIN_SHARE = 0.4
 TIMED_EVENTS = 8  # events after which the time between them is compared
 PROMPT_UNIT_TOKENS = 1500  # that take as long to read as any request's first step
 RESUMES_MAX = 4
@@ -149,7 +151,7 @@
         timed = False
         while data := await dispatcher.next_bytes(attempt):
             if buffer.events > first:
-                await asyncio.sleep(JOIN_S)
+                await asyncio.sleep(JOIN_SHARE * dispatcher.bounds.event_s)
                 data += attempt.answer.waiting_bytes()
             events = buffer.feed(data)
             if not events:
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -6,6 +6,7 @@
 from tests.cases import TestCase
 
 SERVICE = "advice"
+CANARY = CANARY_SHARE * Bounds().exposure_share
 
 
 def guard(host="edge-1", state=RolloutState.ORDERED, began=0.0):
@@ -26,7 +27,7 @@
     def test_a_canary_gets_its_share_of_sessions(self):
         held = guard()
         new = sum(held.takes_new(SERVICE, str(key), 1.0) for key in range(5000))
-        self.assertAlmostEqual(CANARY_SHARE, new / 5000, delta=0.02)
+        self.assertAlmostEqual(CANARY, new / 5000, delta=0.02)
 
     def test_hosts_agree_on_the_version_of_a_session(self):
         one, two = guard("edge-1"), guard("edge-2")
@@ -62,7 +63,7 @@
         answers(held, 300, 3, version="v1")
         answers(held, 12, 3)
         self.assertFalse(held.trials[SERVICE].stopped)
-        self.assertEqual(CANARY_SHARE, held.share(SERVICE, 15.0))
+        self.assertEqual(CANARY, held.share(SERVICE, 15.0))
 
     def test_not_all_go_to_a_version_that_has_hardly_answered(self):
         held = guard()
@@ -73,7 +74,7 @@
     def test_an_order_to_the_next_version_begins_anew(self):
         held = guard(state=RolloutState.COMPLETED)
         held.follow([Rollout(SERVICE, "v3", 20.0, RolloutState.ORDERED, 9)], 100.0)
-        self.assertEqual(CANARY_SHARE, held.share(SERVICE, 101.0))
+        self.assertEqual(CANARY, held.share(SERVICE, 101.0))
 
 
 class VerdictTest(TestCase):
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -27,8 +27,9 @@
         self.assertEqual([], self._names(world))
 
     async def test_what_went_is_not_used_past_the_time_of_one_that_leaves(self):
-        """A host that noticed late that the store was back took a leaving endpoint
-        for a lapsed one, and sent it work 2.0 s after it had left (DRAIN).
+        """A host that learnt late of the store's return broke DRAIN.
+
+        It took an endpoint that had left for a lapsed one, and used it for 2.0 s.
         """
         world = World([route()], {"a": [Script()], "b": [Script()]})
         now = world.clock.now()
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -5,7 +5,7 @@
 
 from radishshift.gateway.beliefs import Beliefs
 from radishshift.gateway.deployment import Deployment
-from radishshift.gateway.followers import LOOK_EVERY_S, WATCHING, Followers
+from radishshift.gateway.followers import LOOK_SHARE, WATCHING, Followers
 from radishshift.gateway.watched_platform import WatchedPlatform
 from radishshift.objects import Kind, StoredObject
 from radishshift.platform import MemoryPlatform
@@ -37,6 +37,7 @@
                 or sorted(fleet)
             ),
             self._changed,
+            IN_FORCE_S,
         )
 
     def _changed(self):
@@ -78,7 +79,7 @@
         platform, fleet = await self._fleet(1)
         fleet["edge-0"].way.faults.stale_watch = True
         await _put(platform, 2)
-        await asyncio.sleep(LOOK_EVERY_S + 0.2)
+        await asyncio.sleep(LOOK_SHARE * IN_FORCE_S + 0.2)
         self.assertEqual(2, fleet["edge-0"].beliefs.version)
 
     async def test_one_of_many_hosts_finds_it_in_time_and_says_so(self):
