--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -25,7 +25,7 @@
 CUT_OFF_COST = 300.0
 EJECTED_COST = 200.0
 TRIED_COST = 100.0
-OTHER_ZONE_COST = 2.0  # requests in flight that a shorter way is worth
+OTHER_CENTRE_COST = 2.0  # requests in flight that a shorter way is worth
 MISS_COST_PER_1000_TOKENS = 1.0  # requests in flight that reading again is worth
 
 
@@ -181,9 +181,11 @@
         counts: dict[str, int] = {}
         for view in self._views.values():
             if now - view.unreached < CUT_OFF_S and view.heard < view.unreached:
-                zone = view.member.data_centre
-                counts[zone] = counts.get(zone, 0) + 1
-        return {zone for zone, count in counts.items() if zone != home or count >= 2}
+                centre = view.member.data_centre
+                counts[centre] = counts.get(centre, 0) + 1
+        return {
+            centre for centre, count in counts.items() if centre != home or count >= 2
+        }
 
     def _cost(
         self,
@@ -197,7 +199,7 @@
         load = view.in_flight + view.others_in_flight
         cost = (1 + load) * view.pace
         if member.data_centre != question.data_centre:
-            cost += OTHER_ZONE_COST
+            cost += OTHER_CENTRE_COST
         if member.data_centre in cut_off:
             cost += CUT_OFF_COST
         if not view.ejection.admits(now):
--- a/radishshift/gateway/exchange.py
+++ b/radishshift/gateway/exchange.py
@@ -21,11 +21,12 @@
 from radishshift.decisions.versions import Counts, VersionGuard
 from radishshift.gateway.beliefs import KINDS, Beliefs
 from radishshift.gateway.host_settings import GatewaySettings
+from radishshift.gateway.notes import HostNote, TrialNote
 from radishshift.gateway.sockets import guarded_session
 from radishshift.object_table import Head, TableDelta
 from radishshift.objects import Kind
 
-__all__ = ["Exchange", "HostNote", "TrialNote"]
+__all__ = ["Exchange"]
 
 EVERY_S = 0.5
 FANOUT = 2  # hosts asked at a time; with notes of 1.5 KB, 6 KB/s
@@ -42,54 +43,6 @@
 logger = logbook.Logger("exchange")
 
 
-class TrialNote(msgspec.Struct, array_like=True):
-    """What a host knows of one roll-out.
-
-    Attributes
-    ----------
-    age_s : float
-        Time since the order, in seconds.
-    counts : list
-        Each `[new version, route, answers, bad answers, slowness]`, of this host.
-    old_in_flight : int
-        Attempts of this host at the old version.
-    """
-
-    target: str
-    age_s: float
-    stopped: bool
-    counts: list[tuple[bool, str, int, int, float]]
-    old_in_flight: int = 0
-
-
-class HostNote(msgspec.Struct, omit_defaults=True):
-    """What one host tells another.
-
-    Attributes
-    ----------
-    incarnation : int
-        Start of the process, milliseconds since the epoch.
-    peers : dict of str to tuple
-        Address of some hosts heard of late, and how long ago, in seconds.
-    store_lost : bool
-        Whether the host cannot reach the store.
-    in_flight : dict of str to int
-        Attempts at each endpoint.
-    """
-
-    host: str
-    incarnation: int
-    address: str
-    data_centre: str
-    heads: dict[str, Head]
-    peers: dict[str, tuple[str, float]] = {}
-    store_lost: bool = False
-    in_flight: dict[str, int] = {}
-    crashes: dict[str, int] = {}
-    trials: dict[str, TrialNote] = {}
-    tables: dict[str, TableDelta] = {}
-
-
 @dataclass(slots=True)
 class _Peer:
     """A host as this one knows it.
--- /dev/null
+++ b/radishshift/gateway/notes.py
@@ -0,0 +1,55 @@
+"""Messages between hosts, as JSON; short, as bytes between data centres cost."""
+
+import msgspec
+
+from radishshift.object_table import Head, TableDelta
+
+__all__ = ["HostNote", "TrialNote"]
+
+
+class TrialNote(msgspec.Struct, array_like=True):
+    """What a host knows of one roll-out.
+
+    Attributes
+    ----------
+    age_s : float
+        Time since the order, in seconds.
+    counts : list
+        Each `[new version, route, answers, bad answers, slowness]`, of this host.
+    old_in_flight : int
+        Attempts of this host at the old version.
+    """
+
+    target: str
+    age_s: float
+    stopped: bool
+    counts: list[tuple[bool, str, int, int, float]]
+    old_in_flight: int = 0
+
+
+class HostNote(msgspec.Struct, omit_defaults=True):
+    """What one host tells another.
+
+    Attributes
+    ----------
+    incarnation : int
+        Start of the process, milliseconds since the epoch.
+    peers : dict of str to tuple
+        Address of some hosts heard of late, and how long ago, in seconds.
+    store_lost : bool
+        Whether the host cannot reach the store.
+    in_flight : dict of str to int
+        Attempts at each endpoint.
+    """
+
+    host: str
+    incarnation: int
+    address: str
+    data_centre: str
+    heads: dict[str, Head]
+    peers: dict[str, tuple[str, float]] = {}
+    store_lost: bool = False
+    in_flight: dict[str, int] = {}
+    crashes: dict[str, int] = {}
+    trials: dict[str, TrialNote] = {}
+    tables: dict[str, TableDelta] = {}
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -3,8 +3,9 @@
 import msgspec
 
 from radishshift.gateway.deployment import Rollout, RolloutState
-from radishshift.gateway.exchange import LIVE_S, Exchange, HostNote
+from radishshift.gateway.exchange import LIVE_S, Exchange
 from radishshift.gateway.host_settings import GatewaySettings
+from radishshift.gateway.notes import HostNote
 from radishshift.objects import Kind
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import SERVICE, Script, World, route
