Start the platform's stand-ins in one place, by the listener that was there

The demo and the adapter's tests each started a store and endpoints of their own and wrote an endpoint's entry by hand; the demo did so beside radishshift.listening, which binds an application for as long as a context lasts. Both now call standin_platform. Nothing that a host runs has changed.

--- a/tests/users_platform/test_documents.py
+++ b/tests/users_platform/test_documents.py
@@ -2,13 +2,14 @@
 
 from users_platform.documents import PlatformDocuments
 from users_platform.settings import read_settings
+from users_platform.standins import server_entry
 
 from radishshift.endpoints import EndpointState
 from radishshift.errors import SettingsError, UnreadableObjectError
 from radishshift.gateway.deployment import RolloutState, RouteKind
 from radishshift.objects import Kind, StoredObject
 from tests.cases import TestCase
-from tests.users_platform.served import CONFIG, KEY, server_spec
+from tests.users_platform.served import CONFIG, KEY
 
 DOCUMENTS = PlatformDocuments()
 SETTINGS = """
@@ -31,7 +32,7 @@
 
 
 def _member(**changes):
-    spec = server_spec("desk", "10.0.0.1:80") | changes
+    spec = server_entry("desk", "10.0.0.1:80", born=1000) | changes
     return DOCUMENTS.member(StoredObject(Kind.ENDPOINT, "i-1", spec))
 
 
--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -164,8 +164,7 @@
 
     async def test_a_leaving_endpoint_gets_no_more(self):
         async with _up() as held:
-            address = held.program.beliefs.members["desk-1"].address
-            held.register("desk-1", "ring-desk", address, state="draining")
+            held.platform.register("desk-1", "ring-desk", state="draining")
             await _until(lambda: "desk-1" not in held.program.beliefs.members)
             for _ in range(4):
                 await _ask(held)
@@ -196,7 +195,7 @@
 
     async def test_a_roll_out_is_completed(self):
         async with _up() as held:
-            await held.add_endpoint("llm-3", "mkulima-llm", version="v2")
+            await held.platform.add_endpoint("llm-3", "mkulima-llm", version="v2")
             order = {"service": "mkulima-llm", "target": "v2", "durationS": 2}
             held.store.put("rollouts", "mkulima-llm", order)
 
