Judge a trial in one place, and leave a whole answer's loop by one way

Cause: the stop of a bad version stood in VersionGuard and again in Exchange; the way out with an endpoint's earlier failure stood twice in answer_whole; the time to read a prompt was worked out twice in Attempt.

Change: Trial.judge, one except clause, one property; what nothing called is gone. Behaviour stays: no bound, check or test changed.

--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -102,6 +102,13 @@
             for new, old in self._pairs()
         )
 
+    def judge(self) -> bool:
+        """Stop the new version if the counts speak against it; tell if just now."""
+        if self.stopped or not self.bad():
+            return False
+        self.stopped = True
+        return True
+
     def doubtful(self) -> bool:
         """Tell whether the counts are not yet clean enough for more sessions."""
         return any(
@@ -224,7 +231,7 @@
         if counts is not None:
             counts.answers += 1
             counts.bad += not ok
-            self._judge(service)
+            self.trials[service].judge()
 
     def note_time(self, service: str, version: str, route: str, ratio: float) -> None:
         """Take in a time of a version, against the old version's usual one."""
@@ -234,7 +241,7 @@
             doublings = min(max(doublings, DOUBLINGS_LEAST), DOUBLINGS_MOST)
             slow = counts.slow + doublings - SPARED_DOUBLINGS
             counts.slow = max(slow, SLOW_LEAST)
-            self._judge(service)
+            self.trials[service].judge()
 
     def is_new(self, service: str, version: str) -> bool:
         """Tell whether a version is one that a roll-out brings in."""
@@ -252,11 +259,6 @@
             return None
         return own.setdefault(key, Counts())
 
-    def _judge(self, service: str) -> None:
-        trial = self.trials[service]
-        if not trial.stopped and trial.bad():
-            trial.stopped = True
-
     def ripe_state(self, service: str, now: float, moved: bool) -> RolloutState | None:
         """Return the state that a roll-out should have by now, if another.
 
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -69,9 +69,7 @@
     @property
     def silent_s(self) -> float:
         """Return the time without a byte from the endpoint that means silence."""
-        reading_s = 0.0
-        if self.answer is None:
-            reading_s = READ_S_PER_TOKEN * self.job.req.prompt_tokens
+        reading_s = self._reading_s if self.answer is None else 0.0
         time_s = SILENT_SHARE * (self.job.deadline - self.began)
         return min(SILENT_S + reading_s, time_s)
 
@@ -82,8 +80,13 @@
             return STUCK_SHARE * (self.job.deadline - self.began)
         if self.answer is not None:
             return STREAM_SILENT_S
-        reading_s = READ_S_PER_TOKEN * self.job.req.prompt_tokens
-        return STUCK_FIRST_S + reading_s + STUCK_FIRST_RATIO * self.usual_first_s
+        usual_s = STUCK_FIRST_RATIO * self.usual_first_s
+        return STUCK_FIRST_S + self._reading_s + usual_s
+
+    @property
+    def _reading_s(self) -> float:
+        """Return the time that reading the prompt may take."""
+        return READ_S_PER_TOKEN * self.job.req.prompt_tokens
 
     def note_bytes(self, now: float) -> None:
         """Note that something came from the endpoint."""
--- a/radishshift/gateway/exchange.py
+++ b/radishshift/gateway/exchange.py
@@ -348,8 +348,7 @@
                     note.host,
                 )
                 trial.stopped = True
-            if not trial.stopped and trial.bad():
-                trial.stopped = True
+            if trial.judge():
                 logger.warning("version {} of {} is bad", held.target, service)
 
     def _fresh(self) -> list[_Peer]:
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -1,7 +1,7 @@
 """Requests, attempts and answers between the two borders of a host."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from radishshift.gateway.deployment import Member
 
@@ -96,10 +96,6 @@
     model: str = ""
     last_event: str = ""
 
-    def at(self, member: Member) -> "AttemptOrder":
-        """Return the same attempt at another endpoint."""
-        return replace(self, member=member)
-
 
 class EndpointAnswer:
     """An answer whose head has come.
--- a/radishshift/gateway/whole_answers.py
+++ b/radishshift/gateway/whole_answers.py
@@ -27,18 +27,13 @@
     while True:
         try:
             answer, body = await _attempt(dispatcher, job)
-        except NoEndpointError:
+        except (EndpointError, NoEndpointError) as exc:
+            if isinstance(exc, EndpointError) and may_repeat(dispatcher, job, exc):
+                continue
             if failure is None:
                 raise
             answer, body = failure
             break
-        except EndpointError as exc:
-            if not may_repeat(dispatcher, job, exc):
-                if failure is None:
-                    raise
-                answer, body = failure
-                break
-            continue
         if answer.status < 500 or not _another(dispatcher, job):
             break
         failure = (answer, body)
