Let plans, attempts and service calls take what they use, not the router

Cause: router, plan_runs, attempts and service_calls imported each other in a circle, three of them for the router's type alone: each could reach all of the host. burn and burn_page did so too. Change: AttemptParts, PlanParts and CallParts name the few things each uses; the choice of an endpoint (EndpointChooser) and work in the background (BackgroundTasks) are concepts of their own; the burn report's command is a module beside the report. Test: no modules of the package import each other in a circle, imports for types included; it fails on the commit before. Ruled out: protocols for each part, which name the same things twice.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 import logbook
 
-from radishshift.answers import Answer, AnswerSink
+from radishshift.answers import Answer, Answers, AnswerSink
 from radishshift.assembly import assemble
-from radishshift.bills import Bill, BillItem
+from radishshift.background import BackgroundTasks
+from radishshift.bills import Bill, Biller, BillItem
 from radishshift.catalogue import ModelVersion
+from radishshift.clocks import Clock
+from radishshift.endpoint_choice import EndpointChooser
 from radishshift.endpoints import Endpoint
-from radishshift.engines import EngineStream
+from radishshift.engines import EngineClient, EngineStream
 from radishshift.errors import (
     AnswerTooLargeError,
     DeadlineError,
@@ -26,15 +28,18 @@
     StreamSilentError,
 )
 from radishshift.events import DONE, EventScanner, Usage
-from radishshift.evidence import Outcome
+from radishshift.evidence import Evidence, Outcome
+from radishshift.loads import EndpointLoads
+from radishshift.poison_trials import PoisonGuard
 from radishshift.requests import ModelRequest
+from radishshift.retries import RetryBudget
+from radishshift.rollout import RolloutGuard
+from radishshift.session_keys import SessionKeys
 from radishshift.sessions import SESSION_S, Session
+from radishshift.timeouts import Sweep
 from radishshift.verdicts import Verdict
 
-if TYPE_CHECKING:
-    from radishshift.router import Router
-
-__all__ = ["VersionRun"]
+__all__ = ["AttemptParts", "VersionRun"]
 
 ATTEMPT_ID_BYTES = 6
 RESUMES_MAX = 4
@@ -43,6 +48,34 @@
 logger = logbook.Logger("attempts")
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptParts:
+    """What attempts use of their host.
+
+    Parameters
+    ----------
+    chooser : EndpointChooser
+    first_token : callable
+        Told how long an endpoint took to the first token of a request, in seconds.
+    guard : RolloutGuard, optional
+    """
+
+    clock: Clock
+    engines: EngineClient
+    chooser: EndpointChooser
+    loads: EndpointLoads
+    poison: PoisonGuard
+    retry_budget: RetryBudget
+    evidence: Evidence
+    answers: Answers
+    biller: Biller
+    session_keys: SessionKeys
+    sweep: Sweep
+    background: BackgroundTasks
+    first_token: Callable[[Endpoint, ModelRequest, float], None]
+    guard: RolloutGuard | None = None
+
+
 class _HangUpWatch:
     """Ends a timeout early once the caller has gone."""
 
@@ -76,7 +109,7 @@
 
     Parameters
     ----------
-    router : Router
+    parts : AttemptParts
     req : ModelRequest
     version : ModelVersion
     bill : Bill
@@ -97,7 +130,7 @@
 
     def __init__(
         self,
-        router: "Router",
+        parts: AttemptParts,
         req: ModelRequest,
         version: ModelVersion,
         bill: Bill,
@@ -105,7 +138,7 @@
         sink: AnswerSink,
         hold: bool = False,
     ) -> None:
-        self.router = router
+        self.parts = parts
         self.req = req
         self.version = version
         self.bill = bill
@@ -123,34 +156,34 @@
 
     async def until_done(self) -> None:
         """Try endpoints until one has given the whole answer."""
-        router = self.router
+        parts = self.parts
         tried: set[str] = set()
-        kv_source = router.kv_source(self.req, self.version.name)
+        kv_source = parts.chooser.kv_source(self.req, self.version.name)
         while True:
-            endpoint = router.choose_endpoint(
+            endpoint = parts.chooser.choose(
                 self.version.name, self.req.body_bytes, tried
             )
             tried.add(endpoint.name)
             if kv_source is not None:
-                await router.bring_kv(self.req, kv_source, endpoint)
+                await parts.chooser.bring_kv(self.req, kv_source, endpoint)
             try:
                 await self._attempt(endpoint)
                 return
             except EndpointError as exc:
-                if self.started or not router.retry_budget.allows(
-                    exc, True, self.deadline, router.clock.now()
+                if self.started or not parts.retry_budget.allows(
+                    exc, True, self.deadline, parts.clock.now()
                 ):
                     raise
                 logger.info("attempt failed at {}: {}", endpoint.name, exc.message)
 
     async def _attempt(self, endpoint: Endpoint) -> None:
-        router = self.router
+        parts = self.parts
         req = self.req
         attempt_id = f"{req.request_id}.{secrets.token_hex(ATTEMPT_ID_BYTES)}"
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
-        attempt = _Attempt(attempt_id, router.clock.now(), scanner)
-        router.loads.started(endpoint, router.clock.now())
+        attempt = _Attempt(attempt_id, parts.clock.now(), scanner)
+        parts.loads.started(endpoint, parts.clock.now())
         self.answer.attempting = True
         failed = False
         try:
@@ -160,11 +193,11 @@
             failed = isinstance(exc, EndpointError)
             self._give_up(endpoint, attempt, exc)
             if _is_crash(exc, attempt):
-                await router.poison.tell_crash(req.fingerprint, endpoint.name)
+                await parts.poison.tell_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempting = False
-            router.loads.ended(endpoint, router.clock.now(), not failed)
+            parts.loads.ended(endpoint, parts.clock.now(), not failed)
         self.answer.ran = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
         self._note(endpoint, attempt, usage, ok=True)
@@ -172,20 +205,20 @@
 
     def _tried_apart(self, endpoint: Endpoint) -> AbstractAsyncContextManager[None]:
         req = self.req
-        poison = self.router.poison
+        poison = self.parts.poison
         return poison.tried_apart(req.fingerprint, endpoint.name, req.deadline)
 
     @asynccontextmanager
     async def _guarded(self) -> AsyncIterator[None]:
         """Bound what is done by the deadline, and by the caller's patience."""
         req = self.req
-        remaining_s = self.deadline - self.router.clock.now()
+        remaining_s = self.deadline - self.parts.clock.now()
         if remaining_s <= 0:
             raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
         timeout = asyncio.timeout(remaining_s)
         watch = _HangUpWatch(self.sink, timeout)
         if req.task_class.cancel_on_hang_up:
-            self.router.sweep.add(watch)
+            self.parts.sweep.add(watch)
         try:
             async with timeout:
                 yield
@@ -194,11 +227,11 @@
                 raise HungUpError("the caller hung up") from exc
             raise DeadlineError("the deadline has passed") from exc
         finally:
-            self.router.sweep.discard(watch)
+            self.parts.sweep.discard(watch)
 
     async def _receive(self, endpoint: Endpoint, attempt: _Attempt) -> None:
         """Take the whole stream, over as many connections as it takes."""
-        engines = self.router.engines
+        engines = self.parts.engines
         scanner = attempt.scanner
         opening = engines.open(
             endpoint, self.req, self.version.name, attempt.attempt_id
@@ -274,18 +307,18 @@
         await self.sink.write(events)
 
     def _first_token(self, endpoint: Endpoint, attempt: _Attempt) -> None:
-        attempt.first_token_at = self.router.clock.now()
+        attempt.first_token_at = self.parts.clock.now()
         wait_s = attempt.first_token_at - attempt.began
-        self.router.first_token(endpoint, self.req, wait_s)
+        self.parts.first_token(endpoint, self.req, wait_s)
 
     def _collect(self, attempt: _Attempt, events: bytes) -> None:
         attempt.collected += events
-        if len(attempt.collected) > self.router.answers.answer_bytes:
+        if len(attempt.collected) > self.parts.answers.answer_bytes:
             raise AnswerTooLargeError("the answer is over the bound on answers")
 
     async def _start(self, content_type: str) -> None:
         self.started = True
-        self.req.observation.first_token(self.version.name, self.router.clock.now())
+        self.req.observation.first_token(self.version.name, self.parts.clock.now())
         answer = self.answer
         answer.content_type = content_type
         answer.headers["X-Request-Id"] = self.req.request_id
@@ -304,9 +337,9 @@
             session_id=self.req.request_id,
             customer=self.req.contract.customer,
             version=self.version.name,
-            expires=self.router.clock.now() + SESSION_S,
+            expires=self.parts.clock.now() + SESSION_S,
         )
-        return self.router.session_keys.issue(session, self.router.clock.now())
+        return self.parts.session_keys.issue(session, self.parts.clock.now())
 
     def _give_up(
         self, endpoint: Endpoint, attempt: _Attempt, exc: BaseException
@@ -323,8 +356,8 @@
         if isinstance(exc, EndpointError | DeadlineError):
             self._note(endpoint, attempt, Usage(), ok=False)
         if verdict is not Verdict.NOT_RUN:
-            self.router.in_background(
-                self.router.engines.cancel(endpoint, attempt.attempt_id)
+            self.parts.background.run(
+                self.parts.engines.cancel(endpoint, attempt.attempt_id)
             )
 
     def _bill_unpaid(self, endpoint: Endpoint, attempt: _Attempt) -> None:
@@ -344,7 +377,7 @@
     def _note(
         self, endpoint: Endpoint, attempt: _Attempt, usage: Usage, ok: bool
     ) -> None:
-        now = self.router.clock.now()
+        now = self.parts.clock.now()
         first_token_at = attempt.first_token_at or now
         objectives = self.req.task_class.objectives
         outcome = Outcome(
@@ -360,8 +393,8 @@
             cost=self.version.cost(usage.prompt_tokens, usage.completion_tokens),
             slow=first_token_at - attempt.began > objectives.first_token_s,
         )
-        self.router.evidence.record(outcome, now)
-        guard = self.router.guard
+        self.parts.evidence.record(outcome, now)
+        guard = self.parts.guard
         if guard is not None and not self.req.session_token:
             guard.pool.record(outcome)
 
@@ -385,7 +418,7 @@
 
     async def release(self) -> None:
         """Make the bill safe, then let what was kept back go."""
-        await self.router.biller.secure(self.bill)
+        await self.parts.biller.secure(self.bill)
         if self.req.stream:
             last = self._collected + DONE
             content_type = "text/event-stream"
--- a/radishshift/burn.py
+++ b/radishshift/burn.py
@@ -8,23 +8,15 @@
 
 import asyncio
 import enum
-import sys
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
 import aiohttp
 import msgspec
-from absl import app, flags
 
 from radishshift.catalogue import Catalogue, VersionState
-from radishshift.errors import RadishshiftError
 from radishshift.indicators import WINDOWS, Aspect, IndicatorReport, Window
-from radishshift.manifests import build_catalogue
-from radishshift.objects import Kind
-from radishshift.platform import Platform
-from radishshift.platform_access import define_platform_flags, reached_platform
 from radishshift.tables import table
 
 __all__ = [
@@ -36,10 +28,8 @@
     "burn_report",
     "burn_rows",
     "gather",
-    "run",
 ]
 
-FLAGS = flags.FLAGS
 GATHER_TIMEOUT_S = 3.0
 EXPOSURE_ALLOWED = 0.01
 
@@ -220,22 +210,6 @@
     return reports, missing
 
 
-async def _catalogue(platform: Platform) -> Catalogue:
-    listing = await platform.list_all(Kind.ENTRY)
-    return build_catalogue(listing.revision, listing.items)
-
-
-async def _addresses(platform: Platform) -> list[str]:
-    if FLAGS.hosts:
-        return FLAGS.hosts
-    listing = await platform.list_all(Kind.HOST)
-    return [
-        item.spec["monitoringAddress"]
-        for item in listing.items
-        if item.spec.get("monitoringAddress")
-    ]
-
-
 def report_text(report: BurnReport) -> str:
     """Return the report for a terminal."""
     windows = list(Window)
@@ -260,34 +234,3 @@
 def report_values(report: BurnReport) -> Any:
     """Return the report as JSON values."""
     return msgspec.to_builtins(report)
-
-
-async def _report() -> BurnReport:
-    async with reached_platform("burn", GATHER_TIMEOUT_S) as platform:
-        catalogue = await _catalogue(platform)
-        reports, missing = await gather(await _addresses(platform))
-    return burn_report(reports, missing, catalogue)
-
-
-def _main(_: list[str]) -> None:
-    try:
-        report = asyncio.run(_report())
-    except RadishshiftError as exc:
-        sys.exit(f"{exc.code}: {exc.message}")
-    if FLAGS.html:
-        from radishshift.burn_page import burn_page
-
-        Path(FLAGS.html).write_text(burn_page(report), encoding="utf-8")
-    if FLAGS.output == "json":
-        print(msgspec.json.encode(report_values(report)).decode())
-    else:
-        print(report_text(report))
-
-
-def run() -> None:
-    """Run the report from the command line."""
-    define_platform_flags()
-    flags.DEFINE_list("hosts", [], "Monitoring URLs to ask, in place of the list.")
-    flags.DEFINE_enum("output", "table", ["table", "json"], "Form of the output.")
-    flags.DEFINE_string("html", None, "File to write the report to, as a page.")
-    app.run(_main)
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -217,6 +217,7 @@
             hosts = 1 + len(peers.live(cfg.data_centre))
             return starting_room(configuration.catalogue, cfg.data_centre, pool, hosts)
 
+        guard = RolloutGuard(GuardPool(process, peers.me))
         router = Router(
             data_centre=cfg.data_centre,
             clock=clock,
@@ -240,13 +241,12 @@
             limiter=Limiter(limit_shares),
             evidence=Evidence(process),
             ratings=ratings,
+            guard=guard,
             kv_mover=KvMover(engines.session, clock),
         )
         load = LoadControl(router, limit_shares, engines, platform, peers, duties)
         pool = EvidencePool(router.evidence, peers.me)
         peers.carry(pool.section)
-        guard = RolloutGuard(GuardPool(process, peers.me))
-        router.guard = guard
         peers.carry(guard.pool.section)
         configuration.listeners.append(guard.follow)
         driver = RolloutDriver(platform, clock, guard, lambda: router.catalogue)
--- a/radishshift/experiments/fault_world.py
+++ b/radishshift/experiments/fault_world.py
@@ -435,7 +435,7 @@
         claims = self.router.claims
         tasks = set(self.tasks) | set(claims._background) | {self.biller._copying}
         tasks |= {writer._task for writer in claims._writers}
-        tasks |= set(self.router._background)
+        tasks |= set(self.router.background)
         tasks -= {None, asyncio.current_task()}
         for task in tasks:
             task.cancel()
--- a/radishshift/load_control.py
+++ b/radishshift/load_control.py
@@ -59,7 +59,7 @@
             router.clock,
             router.host_name,
             router.loads,
-            router.prefix_caches,
+            router.chooser.prefix_caches,
             lambda: (
                 endpoint
                 for endpoint in router.catalogue.endpoints.values()
--- a/radishshift/plan_runs.py
+++ b/radishshift/plan_runs.py
@@ -1,31 +1,50 @@
 """One request's way through its plan: try, judge, accept or go on, account."""
 
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
 import logbook
 
 from radishshift.answers import Answer, AnswerSink
 from radishshift.assembly import assemble
-from radishshift.attempts import VersionRun
+from radishshift.attempts import AttemptParts, VersionRun
 from radishshift.bills import Bill
 from radishshift.cascade import Plan, PlanQuestion, PlanStep
+from radishshift.configuration import Configuration
 from radishshift.errors import DeadlineError, EndpointError, NoEndpointError
 from radishshift.evidence import Cell
 from radishshift.mixing import account_for
 from radishshift.plan_tables import expected_whole_s
-from radishshift.ratings import RatedAnswer
+from radishshift.quality import QualityAccounts
+from radishshift.ratings import RatedAnswer, Ratings
 from radishshift.requests import ModelRequest
+from radishshift.version_choice import check_version
 
-if TYPE_CHECKING:
-    from radishshift.router import Router
-
-__all__ = ["PlanRun"]
+__all__ = ["PlanParts", "PlanRun"]
 
 SCORE_WAIT_S = 1.0
 
 logger = logbook.Logger("plans")
 
 
+@dataclass(frozen=True, slots=True)
+class PlanParts:
+    """What a plan uses of its host.
+
+    Parameters
+    ----------
+    attempts : AttemptParts
+        What its attempts use.
+    configuration : Configuration
+    ratings : Ratings
+    accounts : QualityAccounts
+    """
+
+    attempts: AttemptParts
+    configuration: Configuration
+    ratings: Ratings
+    accounts: QualityAccounts
+
+
 class PlanRun:
     """A request's way through the steps of its plan.
 
@@ -34,7 +53,7 @@
 
     Parameters
     ----------
-    router : Router
+    parts : PlanParts
     req : ModelRequest
     question : PlanQuestion
     plan : Plan
@@ -50,7 +69,7 @@
 
     def __init__(
         self,
-        router: "Router",
+        parts: PlanParts,
         req: ModelRequest,
         question: PlanQuestion,
         plan: Plan,
@@ -58,7 +77,9 @@
         answer: Answer,
         sink: AnswerSink,
     ) -> None:
-        self.router = router
+        self.parts = parts
+        self._clock = parts.attempts.clock
+        self._evidence = parts.attempts.evidence
         self.req = req
         self.question = question
         self.plan = plan
@@ -73,13 +94,13 @@
         """Run the plan until an answer has been given whole."""
         steps = self.steps
         for number, step in enumerate(steps):
-            self.router.check_version(step.version.name)
+            check_version(self.parts.configuration.catalogue, step.version.name)
             last = number == len(steps) - 1
             run = self._version_run(step, hold=not last)
             try:
                 await run.until_done()
             except (EndpointError, NoEndpointError, DeadlineError) as exc:
-                if last or self.router.clock.now() >= self.req.deadline:
+                if last or self._clock.now() >= self.req.deadline:
                     raise
                 logger.info("{} gave no answer: {}", step.version.name, exc.message)
                 continue
@@ -92,25 +113,31 @@
 
     def _version_run(self, step: PlanStep, hold: bool) -> VersionRun:
         run = VersionRun(
-            self.router, self.req, step.version, self.bill, self.answer, self.sink, hold
+            self.parts.attempts,
+            self.req,
+            step.version,
+            self.bill,
+            self.answer,
+            self.sink,
+            hold,
         )
         if hold:
             later = self.steps[self.steps.index(step) + 1 :]
             later_s = sum(
-                expected_whole_s(item.version, self.question, self.router.evidence)
+                expected_whole_s(item.version, self.question, self._evidence)
                 for item in later
             )
-            run.deadline = max(self.router.clock.now(), self.req.deadline - later_s)
+            run.deadline = max(self._clock.now(), self.req.deadline - later_s)
         return run
 
     async def _is_accepted(self, run: VersionRun, step: PlanStep) -> bool:
         rated = self._rated(run)
-        score = await self.router.ratings.score(rated, run.deadline)
+        score = await self.parts.ratings.score(rated, run.deadline)
         if score is None:
             return False
         self._score = score
         cell = Cell(step.version.name, self.req.task_class.name)
-        self.router.evidence.score(cell, score, self.router.clock.now())
+        self._evidence.score(cell, score, self._clock.now())
         return score >= step.accept_score
 
     def _rated(self, run: VersionRun) -> RatedAnswer:
@@ -125,7 +152,6 @@
 
     def _account(self, run: VersionRun, number: int) -> None:
         """Note the answer's expected quality, and have it scored and rated."""
-        router = self.router
         score = self._score
         if number > 0 and self._rejected is None:
             number_for = 0
@@ -134,23 +160,22 @@
             number_for = number
             plan = self.plan
         expected = account_for(
-            self.question, plan, number_for, score, router.evidence, router.accounts
+            self.question, plan, number_for, score, self._evidence, self.parts.accounts
         )
         if self.plan.rate or self.plan.score:
-            router.in_background(self._learn(run, expected))
+            self.parts.attempts.background.run(self._learn(run, expected))
 
     async def _learn(self, run: VersionRun, expected: float) -> None:
         """Ask for the score and the ratings that the plan wants."""
-        router = self.router
         first = self._rejected or run
         score = self._score
         events = getattr(first, "events", b"")
         if score is None and events:
-            deadline = router.clock.now() + SCORE_WAIT_S
-            score = await router.ratings.score(self._rated(first), deadline)
+            deadline = self._clock.now() + SCORE_WAIT_S
+            score = await self.parts.ratings.score(self._rated(first), deadline)
             if score is not None:
                 cell = Cell(first.version.name, self.req.task_class.name)
-                router.evidence.score(cell, score, router.clock.now())
+                self._evidence.score(cell, score, self._clock.now())
         if not self.plan.rate:
             return
         await self._ask(first, "", score, expected if first is run else None)
@@ -164,15 +189,15 @@
         score: float | None,
         expected: float | None,
     ) -> None:
-        router = self.router
         class_name = self.req.task_class.name
         cell = Cell(run.version.name, class_name, after)
+        guard = self.parts.attempts.guard
 
         def take(rating: float) -> None:
-            router.evidence.rate(cell, rating, score, router.clock.now())
-            if router.guard is not None and not self.req.session_token:
-                router.guard.pool.rate(run.version.name, rating)
+            self._evidence.rate(cell, rating, score, self._clock.now())
+            if guard is not None and not self.req.session_token:
+                guard.pool.rate(run.version.name, rating)
             if expected is not None and not self.plan.explores:
-                router.accounts.rated(class_name, rating - expected)
+                self.parts.accounts.rated(class_name, rating - expected)
 
-        await router.ratings.ask(self._rated(run), take)
+        await self.parts.ratings.ask(self._rated(run), take)
--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -1,14 +1,14 @@
 """The path of a request through an entry host, from admission to bill."""
 
 import asyncio
-from collections.abc import Coroutine, Iterator, Set
+from collections.abc import Iterator, Set
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import Any
 
 from radishshift.admission import Admission
 from radishshift.answers import Answer, Answers, AnswerSink
-from radishshift.balance import BalanceQuestion, choose
+from radishshift.attempts import AttemptParts
+from radishshift.background import BackgroundTasks
 from radishshift.bills import Bill, Biller
 from radishshift.cascade import Plan, PlanQuestion, PlanStep, make_plan
 from radishshift.catalogue import ANY_MODEL, Catalogue, ModelVersion
@@ -16,6 +16,7 @@
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
 from radishshift.contracts import Contract, QualityTarget
+from radishshift.endpoint_choice import EndpointChooser
 from radishshift.endpoints import Endpoint
 from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
@@ -30,22 +31,20 @@
 from radishshift.limits import Limiter
 from radishshift.loads import EndpointLoads
 from radishshift.observation import Observer
-from radishshift.plan_runs import PlanRun
+from radishshift.plan_runs import PlanParts, PlanRun
 from radishshift.poison_trials import PoisonGuard
-from radishshift.prefix_caches import PrefixCaches
 from radishshift.quality import QualityAccounts
 from radishshift.ratings import Ratings
 from radishshift.remote_answers import RemoteAnswers
-from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
+from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.retries import RetryBudget
 from radishshift.rollout import RolloutGuard
 from radishshift.running import RunningRequests
-from radishshift.service_calls import run_call
+from radishshift.service_calls import CallParts, run_call
 from radishshift.sessions import SessionKeys
 from radishshift.timeouts import Sweep
 from radishshift.verdicts import Verdict
 from radishshift.version_choice import (
-    check_version,
     eligible_versions,
     session_version,
     with_canaries,
@@ -93,7 +92,6 @@
     evidence: Evidence = field(default_factory=Evidence)
     accounts: QualityAccounts = field(default_factory=QualityAccounts)
     loads: EndpointLoads = field(default_factory=EndpointLoads)
-    prefix_caches: PrefixCaches = field(default_factory=PrefixCaches)
     host_name: str = ""
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     ratings: Ratings = field(default_factory=Ratings)
@@ -104,8 +102,11 @@
     remote_answers: RemoteAnswers | None = None
     leaving: bool = False
     running: RunningRequests = field(default_factory=RunningRequests)
+    background: BackgroundTasks = field(default_factory=BackgroundTasks, init=False)
     sweep: Sweep = field(init=False)
-    _background: set[asyncio.Task[None]] = field(default_factory=set, init=False)
+    chooser: EndpointChooser = field(init=False)
+    _plans: PlanParts = field(init=False)
+    _calls: CallParts = field(init=False)
 
     @property
     def catalogue(self) -> Catalogue:
@@ -116,17 +117,49 @@
         self.sweep = Sweep(self.clock)
         if self.poison is None:
             self.poison = PoisonGuard(self.clock)
-
-    def in_background(self, work: Coroutine[Any, Any, None]) -> None:
-        """Carry out work that no caller is to wait for."""
-        task = asyncio.create_task(work)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        self.chooser = EndpointChooser(
+            self.data_centre,
+            self.host_name,
+            self.clock,
+            self.configuration,
+            self.loads,
+            self.kv_mover,
+        )
+        attempts = AttemptParts(
+            clock=self.clock,
+            engines=self.engines,
+            chooser=self.chooser,
+            loads=self.loads,
+            poison=self.poison,
+            retry_budget=self.retry_budget,
+            evidence=self.evidence,
+            answers=self.answers,
+            biller=self.biller,
+            session_keys=self.session_keys,
+            sweep=self.sweep,
+            background=self.background,
+            first_token=self._first_token,
+            guard=self.guard,
+        )
+        self._plans = PlanParts(
+            attempts, self.configuration, self.ratings, self.accounts
+        )
+        self._calls = CallParts(
+            clock=self.clock,
+            configuration=self.configuration,
+            engines=self.engines,
+            chooser=self.chooser,
+            loads=self.loads,
+            poison=self.poison,
+            retry_budget=self.retry_budget,
+            claims=self.claims,
+            biller=self.biller,
+        )
 
     @property
     def busy(self) -> int:
         """Return how much would be cut if the host stopped now."""
-        return len(self.running) + len(self._background)
+        return len(self.running) + len(self.background)
 
     async def answer_model(self, req: ModelRequest, sink: AnswerSink) -> None:
         """Answer a model request into a sink.
@@ -255,7 +288,7 @@
         await self.session_keys.prepare(req.session_token)
         question = self._question(req)
         plan = self._plan(req, question)
-        run = PlanRun(self, req, question, plan, bill, answer, sink)
+        run = PlanRun(self._plans, req, question, plan, bill, answer, sink)
         if not req.session_token:
             stopped = self._stopped
             run.steps = with_canaries(self.catalogue, req, plan.steps, stopped)
@@ -303,66 +336,9 @@
         usual = QualityTarget(0.0, 0.0)
         return req.contract.quality.get(req.task_class.name, usual)
 
-    def check_version(self, name: str) -> None:
-        """Check that a version still takes work.
-
-        Raises
-        ------
-        WithdrawnError
-        """
-        check_version(self.catalogue, name)
-
-    def kv_source(self, req: ModelRequest, served: str) -> Endpoint | None:
-        """Return the leaving endpoint that alone holds a session's KV cache, if any."""
-        if self.kv_mover is None or not req.session_token:
-            return None
-        holders = self.prefix_caches.holders(prefix_digest(req.body_bytes))
-        return self.kv_mover.source(self.catalogue, served, holders)
-
-    async def bring_kv(
-        self, req: ModelRequest, source: Endpoint, endpoint: Endpoint
+    def _first_token(
+        self, endpoint: Endpoint, req: ModelRequest, wait_s: float
     ) -> None:
-        """Have an endpoint fetch a session's KV cache, if that is worth it."""
-        await self.kv_mover.bring(
-            source,
-            endpoint,
-            prefix_digest(req.body_bytes),
-            req.prompt_tokens_estimate,
-            self.catalogue.policies.parameters,
-        )
-
-    def choose_endpoint(self, served: str, prefix: bytes, tried: set[str]) -> Endpoint:
-        """Return the endpoint for the next attempt.
-
-        Raises
-        ------
-        NoEndpointError
-        """
-        now = self.clock.now()
-        digest = prefix_digest(prefix)
-        question = BalanceQuestion(
-            served=served,
-            data_centre=self.data_centre,
-            prefix_digest=digest,
-            now=now,
-            host=self.host_name,
-            prefix_shared=self.prefix_caches.shared(digest),
-        )
-        endpoints = [
-            endpoint
-            for endpoint in self.catalogue.endpoints_of(served)
-            if endpoint.name not in tried
-        ]
-        holders = self.prefix_caches.holders(digest)
-        chosen = choose(
-            self.catalogue.policies.balancer,
-            question,
-            self.loads.candidates(endpoints, now, holders),
-        )
-        self.prefix_caches.sent(digest, chosen.name)
-        return chosen
-
-    def first_token(self, endpoint: Endpoint, req: ModelRequest, wait_s: float) -> None:
         """Note how long an endpoint took to the first token, in seconds."""
         self.loads.first_token(endpoint, wait_s, self.clock.now())
         pool = self._pool_of(req.model)
@@ -397,7 +373,7 @@
                 self.poison.check(call.fingerprint, self.clock.now())
                 self.retry_budget.request_came()
                 began = self.clock.now()
-                reply = await run_call(self, call)
+                reply = await run_call(self._calls, call)
                 call.observation.version = call.service
                 took_s = self.clock.now() - began
                 self.admission.whole_answer(call.service, call.task_class, took_s)
--- a/radishshift/service_calls.py
+++ b/radishshift/service_calls.py
@@ -1,27 +1,45 @@
 """Calls of plain services: once for those that may not be repeated."""
 
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
-from radishshift.bills import Bill, BillItem
-from radishshift.clocks import finish_by
+from radishshift.bills import Bill, Biller, BillItem
+from radishshift.claims import Claims
+from radishshift.clocks import Clock, finish_by
+from radishshift.configuration import Configuration
+from radishshift.endpoint_choice import EndpointChooser
 from radishshift.endpoints import Endpoint
-from radishshift.engines import ServiceReply
+from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
     DeadlineError,
     EndpointCrashedError,
     EndpointError,
     RadishshiftError,
 )
+from radishshift.loads import EndpointLoads
+from radishshift.poison_trials import PoisonGuard
 from radishshift.requests import ServiceCall
+from radishshift.retries import RetryBudget
 from radishshift.verdicts import Verdict
 
-if TYPE_CHECKING:
-    from radishshift.router import Router
+__all__ = ["CallParts", "run_call"]
 
-__all__ = ["run_call"]
 
+@dataclass(frozen=True, slots=True)
+class CallParts:
+    """What calls of plain services use of their host."""
 
-async def run_call(router: "Router", call: ServiceCall) -> ServiceReply:
+    clock: Clock
+    configuration: Configuration
+    engines: EngineClient
+    chooser: EndpointChooser
+    loads: EndpointLoads
+    poison: PoisonGuard
+    retry_budget: RetryBudget
+    claims: Claims
+    biller: Biller
+
+
+async def run_call(parts: CallParts, call: ServiceCall) -> ServiceReply:
     """Run a call that has been admitted.
 
     Raises
@@ -29,62 +47,62 @@
     RadishshiftError
     """
     if call.idempotent:
-        return await _attempt(router, call)
-    return await _run_once(router, call)
+        return await _attempt(parts, call)
+    return await _run_once(parts, call)
 
 
-async def _run_once(router: "Router", call: ServiceCall) -> ServiceReply:
-    claim = await router.claims.claim(call)
+async def _run_once(parts: CallParts, call: ServiceCall) -> ServiceReply:
+    claim = await parts.claims.claim(call)
     if claim.recorded is not None:
         return claim.recorded
     call.deadline = claim.record.deadline
     try:
-        claim.check(router.clock.now())
-        reply = await _attempt(router, call)
+        claim.check(parts.clock.now())
+        reply = await _attempt(parts, call)
     except RadishshiftError as exc:
         if exc.verdict is Verdict.NOT_RUN:
-            await router.claims.release(claim)
+            await parts.claims.release(claim)
         else:
-            await router.claims.lose(claim)
+            await parts.claims.lose(claim)
         raise
-    await router.claims.record(claim, reply)
+    await parts.claims.record(claim, reply)
     return reply
 
 
-async def _attempt(router: "Router", call: ServiceCall) -> ServiceReply:
-    router.biller.check_room()
+async def _attempt(parts: CallParts, call: ServiceCall) -> ServiceReply:
+    parts.biller.check_room()
     tried: set[str] = set()
     verdict = Verdict.NOT_RUN
     bill = Bill(call.request_id, call.contract.customer)
-    price = router.catalogue.services[call.service].call_price
+    price = parts.configuration.catalogue.services[call.service].call_price
     while True:
         try:
-            endpoint = router.choose_endpoint(call.service, call.body, tried)
+            endpoint = parts.chooser.choose(call.service, call.body, tried)
             tried.add(endpoint.name)
-            reply = await _run_at(router, call, endpoint)
+            reply = await _run_at(parts, call, endpoint)
         except RadishshiftError as exc:
             if exc.verdict is not Verdict.NOT_RUN:
                 bill.items.append(_item(call, endpoint, 0, price))
             verdict = exc.verdict = verdict.worst(exc.verdict)
-            if not isinstance(exc, EndpointError) or not router.retry_budget.allows(
-                exc, call.idempotent, call.deadline, router.clock.now()
+            if not isinstance(exc, EndpointError) or not parts.retry_budget.allows(
+                exc, call.idempotent, call.deadline, parts.clock.now()
             ):
                 if bill.items:
-                    await router.biller.secure(bill)
+                    await parts.biller.secure(bill)
                 raise
         else:
             bill.items.append(_item(call, endpoint, price, 0))
-            await router.biller.secure(bill)
+            await parts.biller.secure(bill)
             return reply
 
 
 async def _run_apart(
-    router: "Router", call: ServiceCall, endpoint: Endpoint
+    parts: CallParts, call: ServiceCall, endpoint: Endpoint
 ) -> ServiceReply:
-    poison = router.poison
+    poison = parts.poison
     async with poison.tried_apart(call.fingerprint, endpoint.name, call.deadline):
         try:
-            return await router.engines.call(endpoint, call)
+            return await parts.engines.call(endpoint, call)
         except EndpointCrashedError:
             await poison.tell_crash(call.fingerprint, endpoint.name)
             raise
@@ -97,15 +115,15 @@
 
 
 async def _run_at(
-    router: "Router", call: ServiceCall, endpoint: Endpoint
+    parts: CallParts, call: ServiceCall, endpoint: Endpoint
 ) -> ServiceReply:
-    if router.clock.now() >= call.deadline:
+    if parts.clock.now() >= call.deadline:
         raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
-    router.loads.started(endpoint, router.clock.now())
+    parts.loads.started(endpoint, parts.clock.now())
     failed = False
     try:
         reply = await finish_by(
-            router.clock, call.deadline, _run_apart(router, call, endpoint)
+            parts.clock, call.deadline, _run_apart(parts, call, endpoint)
         )
     except TimeoutError as exc:
         raise DeadlineError("the service did not answer in time") from exc
@@ -113,5 +131,5 @@
         failed = True
         raise
     finally:
-        router.loads.ended(endpoint, router.clock.now(), not failed)
+        parts.loads.ended(endpoint, parts.clock.now(), not failed)
     return reply
--- a/tests/decisions/test_layering.py
+++ b/tests/decisions/test_layering.py
@@ -1,6 +1,7 @@
 """Tests that decisions stay apart from input and output, and names in the adapter."""
 
 import ast
+import graphlib
 import re
 from pathlib import Path
 
@@ -23,7 +24,30 @@
             yield node.module
 
 
+def _module(path):
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts)
+
+
+def _imports_within(path, modules):
+    """Yield modules of the package that another imports, also just for its types."""
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.ImportFrom):
+            names = [
+                node.module,
+                *(f"{node.module}.{item.name}" for item in node.names),
+            ]
+            yield from modules & set(names)
+
+
 class LayeringTest(TestCase):
+    def test_no_modules_import_each_other_in_a_circle(self):
+        paths = {_module(path): path for path in (ROOT / "radishshift").rglob("*.py")}
+        graph = {
+            name: set(_imports_within(path, paths.keys()))
+            for name, path in paths.items()
+        }
+        graphlib.TopologicalSorter(graph).prepare()
+
     def test_decisions_import_nothing_that_waits_sends_or_logs(self):
         for path in (ROOT / "radishshift" / "decisions").glob("*.py"):
             roots = {name.partition(".")[0] for name in _imports(path)}
