Ask a silent engine for a connection before an attempt there is given up

Each lost what had been read and added to the load. Change: after 0.4 s of quiet a host opens a connection to the engine, in the background. Only one that does not answer is silent; a stream whose connection alone is dead is left after 1 s while others move, 2 s otherwise. An attempt is given up only where a repeat has room. Besides: a prompt that the largest model would not begin to answer in time goes to the middle one, whose time is taken from its cost until it was used.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -43,6 +43,8 @@
         Smoothed time of answers against the service's, 1 for as usual.
     heard : float
         Instant at which a byte last came from it.
+    reached : float
+        Instant at which a connection to it was last opened to see whether it lives.
     unreached : float
         Instant at which a connection to it last could not be opened.
     """
@@ -52,6 +54,7 @@
     others_in_flight: float = 0.0
     pace: float = 1.0
     heard: float = 0.0
+    reached: float = 0.0
     unreached: float = 0.0
     ejection: Ejection = field(
         default_factory=lambda: Ejection(pause_most_s=PAUSE_MOST_S)
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -32,15 +32,22 @@
 __all__ = ["Attempt", "Dispatcher"]
 
 LOOK_S = 0.1  # how often a wait looks whether its endpoint is silent
-SILENT_S = 0.8  # no byte from an endpoint at work; pauses up to 1.2 s are on time
+SILENT_S = 0.8  # no byte from a plain service at work on any request
 SILENT_SHARE = 0.3  # of an attempt's time, where that is less
+# No byte from an engine: it is asked whether it can be reached. With the answer, and
+# another endpoint's first event, a stream pauses for less than the 1.2 s of a late one.
+PROBE_AFTER_S = 0.4
 STREAM_SILENT_S = 1.0  # no byte of one stream while others at its endpoint move
+# No byte of any stream from an engine that can be reached: engines read several long
+# prompts between two tokens for up to this.
+ENGINE_SILENT_S = 2.0
 ALONE_PATIENCE = 4.0  # times as long where no other endpoint is thought to serve
 STUCK_SHARE = 0.4  # of an attempt's time, for an answer in one piece
 READ_S_PER_TOKEN = 0.0001  # six times what an engine takes; large models are slower
 STUCK_FIRST_S = 1.0  # on top of what first events usually take
 STUCK_FIRST_RATIO = 4.0  # times what they usually take
 DEPARTED_USED_SHARE = 0.5  # of the time in which a leaving endpoint may get work
+PROMPT_UNIT_TOKENS = 1500  # that take as long to read as any request's first step
 PRESENT_S = 0.05  # of the deadline, kept for the way back to the caller
 
 logger = logbook.Logger("dispatch")
@@ -69,9 +76,9 @@
     @property
     def silent_s(self) -> float:
         """Return the time without a byte from the endpoint that means silence."""
-        reading_s = self._reading_s if self.answer is None else 0.0
-        time_s = SILENT_SHARE * (self.job.deadline - self.began)
-        return min(SILENT_S + reading_s, time_s)
+        if self.job.route.kind is RouteKind.STREAM:
+            return PROBE_AFTER_S
+        return min(SILENT_S, SILENT_SHARE * (self.job.deadline - self.began))
 
     @property
     def stuck_s(self) -> float:
@@ -79,7 +86,8 @@
         if self.job.route.kind is not RouteKind.STREAM:
             return STUCK_SHARE * (self.job.deadline - self.began)
         if self.answer is not None:
-            return STREAM_SILENT_S
+            others_move = self.view.heard > self.heard + STREAM_SILENT_S / 2
+            return STREAM_SILENT_S if others_move else ENGINE_SILENT_S
         usual_s = STUCK_FIRST_RATIO * self.usual_first_s
         return STUCK_FIRST_S + self._reading_s + usual_s
 
@@ -130,6 +138,7 @@
         self._placer = placer
         self._client = client
         self._budgets: dict[str, RepeatBudget] = {}
+        self._probes: dict[tuple[str, int], asyncio.Task[None]] = {}
 
     def budget(self, service: str) -> RepeatBudget:
         """Return what this host may repeat at a service."""
@@ -198,7 +207,7 @@
         now = self.clock.now()
         view = self._placer.view(member)
         attempt = Attempt(job, member, view, model, now, heard=now)
-        attempt.usual_first_s = self.times.usual((job.route.name, model, "first"))
+        attempt.usual_first_s = self.usual_first_s(job, model)
         view.in_flight += 1
         job.attempts += 1
         if member.name not in job.used:
@@ -266,18 +275,50 @@
     def _check_silence(self, attempt: Attempt) -> None:
         """Raise if nothing came for so long that nothing more will come.
 
+        Without room for a repeat the attempt is all that the request has.
+
         Raises
         ------
         StreamSilentError
         """
         now = self.clock.now()
-        quiet_s = now - max(attempt.view.heard, attempt.heard)
-        own_s = now - attempt.heard
-        if quiet_s <= attempt.silent_s and own_s <= attempt.stuck_s:
+        overdue = self._overdue(attempt, now)
+        if overdue <= 1 or self.budget(attempt.job.service).room(now) < 1:
             return
-        patience = 1.0 if self._has_other(attempt) else ALONE_PATIENCE
-        if quiet_s > patience * attempt.silent_s or own_s > patience * attempt.stuck_s:
-            raise StreamSilentError(f"nothing came for {own_s:.1f} s")
+        if overdue > (1.0 if self._has_other(attempt) else ALONE_PATIENCE):
+            raise StreamSilentError(f"nothing came for {now - attempt.heard:.1f} s")
+
+    def _overdue(self, attempt: Attempt, now: float) -> float:
+        """Return how long nothing came, against the time that means silence.
+
+        An engine may read long prompts between two tokens, so it is asked for a
+        connection: a busy one answers.
+        """
+        view = attempt.view
+        own = (now - attempt.heard) / attempt.stuck_s
+        quiet_s = now - max(view.heard, attempt.heard)
+        if attempt.job.route.kind is RouteKind.STREAM:
+            asked_s = now - max(view.reached, view.unreached)
+            if min(quiet_s, asked_s) > PROBE_AFTER_S:
+                self._probe(attempt)
+            if view.unreached <= max(view.heard, attempt.heard, view.reached):
+                return own
+        return max(own, quiet_s / attempt.silent_s)
+
+    def _probe(self, attempt: Attempt) -> None:
+        """Ask in the background whether an endpoint can be reached."""
+        key = attempt.member.incarnation
+        if key not in self._probes:
+            task = asyncio.create_task(self._ask(attempt.member, attempt.view))
+            self._probes[key] = task
+            task.add_done_callback(lambda _: self._probes.pop(key))
+
+    async def _ask(self, member: Member, view: EndpointView) -> None:
+        if await self._client.reaches(member):
+            view.reached = self.clock.now()
+        else:
+            view.note_unreached(self.clock.now())
+            logger.info("no connection to a silent endpoint {}", member.name)
 
     def _has_other(self, attempt: Attempt) -> bool:
         job = attempt.job
@@ -297,6 +338,16 @@
         job = attempt.job
         self.versions.note(job.service, attempt.member.version, job.route.name, ok)
 
+    def usual_first_s(self, job: Job, model: str) -> float:
+        """Return the usual time to the first event of such a prompt, 0 if unknown."""
+        per_unit_s = self.times.usual((job.route.name, model, "first"))
+        return per_unit_s * _prompt_units(job)
+
+    def timed_first(self, attempt: Attempt) -> None:
+        """Compare the time to a first event with what is usual for the prompt."""
+        took_s = self.clock.now() - attempt.began
+        self.timed(attempt, "first", took_s / _prompt_units(attempt.job))
+
     def timed(self, attempt: Attempt, what: str, took_s: float) -> None:
         """Compare a time with what is usual, for the endpoint and its version."""
         job = attempt.job
@@ -355,3 +406,8 @@
         if job.deadline - self.clock.now() < PRESENT_S:
             verdict = Verdict.MAY_HAVE_RUN if job.ran else Verdict.NOT_RUN
             raise DeadlineError("the deadline has passed", verdict=verdict)
+
+
+def _prompt_units(job: Job) -> float:
+    """Return what a first event takes, in times of an empty prompt."""
+    return 1 + job.req.prompt_tokens / PROMPT_UNIT_TOKENS
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -156,6 +156,10 @@
         """
         raise NotImplementedError
 
+    async def reaches(self, member: Member) -> bool:
+        """Tell whether an endpoint answers an attempt to connect, be it by refusing."""
+        raise NotImplementedError
+
     def forget(self, member: Member) -> None:
         """Close the idle connections to an endpoint that is gone."""
 
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -122,7 +122,7 @@
         name = job.route.name
         model = job.route.models[-1] if job.route.models else ""
         events = job.req.answer_tokens / TOKENS_PER_EVENT
-        first_s = max(FIRST_S, usual((name, model, "first")))
+        first_s = max(FIRST_S, self._dispatcher.usual_first_s(job, model))
         event_s = max(EVENT_S, usual((name, model, "event")))
         return REPEAT_S + EXPECTED_RATIO * (first_s + events * event_s)
 
@@ -228,6 +228,7 @@
         if outcome.run is not None:
             extra |= {
                 "model": outcome.run.model,
+                "prompt_tokens": req.prompt_tokens,
                 "escalated": outcome.run.escalated,
                 "events": outcome.run.events,
                 "writes": outcome.run.writes,
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
-from radishshift.decisions.model_choice import first_model, next_model
+from radishshift.decisions.model_choice import (
+    expected_by_cost,
+    first_model,
+    next_model,
+)
 from radishshift.errors import EndpointError, StreamBrokenError
 from radishshift.gateway.dispatch import Attempt, Dispatcher
 from radishshift.gateway.event_relay import EventBuffer
@@ -16,7 +20,6 @@
 # the stream up for longer than that, so fewer packets lose less.
 JOIN_SHARE = 0.4
 TIMED_EVENTS = 8  # events after which the time between them is compared
-PROMPT_UNIT_TOKENS = 1500  # that take as long to read as any request's first step
 RESUMES_MAX = 4
 ESCALATION_TIME = 0.5  # of the objective: later, the small model's answer is kept
 
@@ -102,11 +105,9 @@
             if answer.status != 200:
                 return await self._failure(attempt)
             check_signature(answer)
+            dispatcher.timed_first(attempt)
             if not self._caller.started and self._escalate(attempt):
                 return None
-            took_s = dispatcher.clock.now() - attempt.began
-            prompt = 1 + job.req.prompt_tokens / PROMPT_UNIT_TOKENS
-            dispatcher.timed(attempt, "first", took_s / prompt)
             await self._relay(attempt)
             dispatcher.completed(attempt)
             return 200
@@ -131,10 +132,17 @@
         now = self._dispatcher.clock.now()
         if not job.route.models or job.req.last_event:
             return False
-        model = next_model(job.route.models, self.model, attempt.answer.confidence)
-        if model is None:
+        late_s = now - job.req.came
+        if late_s > job.route.objective_s * ESCALATION_TIME:
             return False
-        if now - job.req.came > job.route.objective_s * ESCALATION_TIME:
+        model = next_model(
+            job.route.models,
+            self.model,
+            attempt.answer.confidence,
+            self._expected_first_s,
+            job.route.objective_s - late_s,
+        )
+        if model is None:
             return False
         if not self._dispatcher.budget(job.service).take(now):
             return False
@@ -142,6 +150,18 @@
         self.escalated = True
         return True
 
+    def _expected_first_s(self, model: str) -> float:
+        """Return how long a model is thought to take to its first event."""
+        dispatcher = self._dispatcher
+        job = self._job
+        known_s = {
+            held: dispatcher.usual_first_s(job, held) for held in job.route.models
+        }
+        known_s = {held: time_s for held, time_s in known_s.items() if time_s}
+        service = dispatcher.beliefs.deployment.services.get(job.service)
+        costs = {} if service is None else service.model_costs
+        return expected_by_cost(model, known_s, costs)
+
     async def _relay(self, attempt: Attempt) -> None:
         """Pass on what comes from one endpoint, up to the end of the stream."""
         dispatcher = self._dispatcher
