Ask for a connection where a path was cut, in place of sending requests to find out

Each second the memory of the cut ran out, and for 0.35 s all new requests waited for connections in vain, some three times. Ruled out: too few endpoints at home alone; the one there was in use all the while. Change: an endpoint to which a connection failed is asked for one in the background, every 0.4 s while there is work for its service, and takes attempts again once it opens one. Tests: two of test_whole_answers.py, the first fails on the commit before.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -5,7 +5,7 @@
 late.
 """
 
-from collections.abc import Iterable, Sequence, Set
+from collections.abc import Iterable, Iterator, Sequence, Set
 from dataclasses import dataclass, field
 
 import xxhash
@@ -20,7 +20,8 @@
 PACE_SMOOTHING = 0.2
 PAUSE_MOST_S = 3.0  # an endpoint that is back serves again within that time
 PARTS_KEPT = 400  # parts that an engine is thought to hold; a few for each endpoint
-CUT_OFF_S = 1.0  # for which a data centre counts as cut off after two failures
+CUT_OFF_S = 1.0  # for which an endpoint that was not reached counts as cut off
+ASK_EVERY_S = 0.4  # between questions to it; with the wait for an answer under 1 s
 # Requests in flight, more than any endpoint at home has: taken when all else is worse.
 CUT_OFF_COST = 300.0
 EJECTED_COST = 200.0
@@ -60,6 +61,17 @@
         default_factory=lambda: Ejection(pause_most_s=PAUSE_MOST_S)
     )
 
+    @property
+    def lost(self) -> bool:
+        """Tell whether a connection that failed is the last that is known of it."""
+        return self.unreached > max(self.heard, self.reached)
+
+    def note_reached(self, now: float, opened: bool) -> None:
+        """Note that its host answered; one that was left out may serve again."""
+        if self.lost and opened:
+            self.ejection.note(True, now)
+        self.reached = now
+
     def note_unreached(self, now: float) -> None:
         """Leave the endpoint out at once: no connection could be opened."""
         self.unreached = now
@@ -176,6 +188,17 @@
             for member in members
         )
 
+    def to_ask(self, members: Iterable[Member], now: float) -> Iterator[EndpointView]:
+        """Yield endpoints to be asked for a connection before they get attempts.
+
+        An attempt sent to find out would wait for its connection in vain, and with it
+        all that come at the same time.
+        """
+        for member in members:
+            view = self.view(member)
+            if view.lost and now - view.unreached > ASK_EVERY_S:
+                yield view
+
     def _cut_off(self, home: str, now: float) -> set[str]:
         """Return data centres of which endpoints could not be reached.
 
@@ -183,7 +206,7 @@
         """
         counts: dict[str, int] = {}
         for view in self._views.values():
-            if now - view.unreached < CUT_OFF_S and view.heard < view.unreached:
+            if view.lost and now - view.unreached < CUT_OFF_S:
                 centre = view.member.data_centre
                 counts[centre] = counts.get(centre, 0) + 1
         return {
@@ -205,7 +228,8 @@
             cost += OTHER_CENTRE_COST
         if member.data_centre in cut_off:
             cost += CUT_OFF_COST
-        if not view.ejection.admits(now):
+        asked = view.lost and now - view.unreached < CUT_OFF_S
+        if asked or not view.ejection.admits(now):
             cost += EJECTED_COST
         if member.name in question.tried:
             cost += TRIED_COST
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -26,7 +26,7 @@
 from radishshift.gateway.deployment import Member, RouteKind
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.jobs import Job
-from radishshift.gateway.messages import EndpointAnswer, EndpointClient
+from radishshift.gateway.messages import EndpointAnswer, EndpointClient, Knock
 from radishshift.verdicts import Verdict
 
 __all__ = ["Attempt", "Dispatcher"]
@@ -138,7 +138,7 @@
         self._placer = placer
         self._client = client
         self._budgets: dict[str, RepeatBudget] = {}
-        self._probes: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._knocks: dict[tuple[str, int], asyncio.Task[None]] = {}
 
     def budget(self, service: str) -> RepeatBudget:
         """Return what this host may repeat at a service."""
@@ -166,6 +166,8 @@
         now = self.clock.now()
         question = self._question(job, model)
         members = self._allowed(job)
+        for view in self._placer.to_ask(members, now):
+            self._ask(view)
         chosen = self._placer.choose(members, question, now)
         if chosen is None and job.failed and len(members) == 1:
             chosen = self._placer.choose(members, replace(question, tried=()), now)
@@ -300,25 +302,28 @@
         if attempt.job.route.kind is RouteKind.STREAM:
             asked_s = now - max(view.reached, view.unreached)
             if min(quiet_s, asked_s) > PROBE_AFTER_S:
-                self._probe(attempt)
-            if view.unreached <= max(view.heard, attempt.heard, view.reached):
+                self._ask(view)
+            if not view.lost or view.unreached <= attempt.heard:
                 return own
         return max(own, quiet_s / attempt.silent_s)
 
-    def _probe(self, attempt: Attempt) -> None:
-        """Ask in the background whether an endpoint can be reached."""
-        key = attempt.member.incarnation
-        if key not in self._probes:
-            task = asyncio.create_task(self._ask(attempt.member, attempt.view))
-            self._probes[key] = task
-            task.add_done_callback(lambda _: self._probes.pop(key))
-
-    async def _ask(self, member: Member, view: EndpointView) -> None:
-        if await self._client.reaches(member):
-            view.reached = self.clock.now()
-        else:
+    def _ask(self, view: EndpointView) -> None:
+        """Find out in the background whether an endpoint can be reached."""
+        key = view.member.incarnation
+        if key not in self._knocks:
+            task = asyncio.create_task(self._knock(view))
+            self._knocks[key] = task
+            task.add_done_callback(lambda _: self._knocks.pop(key))
+
+    async def _knock(self, view: EndpointView) -> None:
+        was_lost = view.lost
+        came = await self._client.knock(view.member)
+        if came is Knock.UNANSWERED:
             view.note_unreached(self.clock.now())
-            logger.info("no connection to a silent endpoint {}", member.name)
+        else:
+            view.note_reached(self.clock.now(), came is Knock.OPENED)
+        if view.lost is not was_lost:
+            logger.info("connection to {}: {}", view.member.name, came.value)
 
     def _has_other(self, attempt: Attempt) -> bool:
         job = attempt.job
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -1,5 +1,6 @@
 """Requests, attempts and answers between the two borders of a host."""
 
+import enum
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
     "EndpointAnswer",
     "EndpointClient",
     "HeaderList",
+    "Knock",
     "PromptPart",
 ]
 
@@ -143,6 +145,14 @@
         raise NotImplementedError
 
 
+class Knock(enum.Enum):
+    """What came of an attempt to open a connection."""
+
+    OPENED = "opened"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
 class EndpointClient:
     """Sends attempts to endpoints."""
 
@@ -156,8 +166,8 @@
         """
         raise NotImplementedError
 
-    async def reaches(self, member: Member) -> bool:
-        """Tell whether an endpoint answers an attempt to connect, be it by refusing."""
+    async def knock(self, member: Member) -> Knock:
+        """Try to open a connection to an endpoint; return what came of it."""
         raise NotImplementedError
 
     def forget(self, member: Member) -> None:
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -1,5 +1,6 @@
 """Tests of requests whose answer is sent in one piece."""
 
+import asyncio
 from dataclasses import replace
 
 from radishshift.gateway.deployment import RouteKind
@@ -121,6 +122,31 @@
         caller = await world.ask(deadline_s=1.0)
         self.assertEqual((200, ["home"]), (caller.status, world.asked()))
 
+    async def test_no_request_waits_for_a_path_that_stays_cut(self):
+        """Each second some requests of a cut-off host tried the way out (trouble-2)."""
+        world = self._world([Script()])
+        world.endpoints.cut_off.update(("away-1", "away-2"))
+        world.placer.view(world.member("home")).in_flight = 40
+        for number in range(60):
+            await world.ask(number, deadline_s=5.0)
+            await asyncio.sleep(0.1)
+        self.assertLessEqual(len([n for n in world.asked() if n != "home"]), 2)
+
+    async def test_a_path_that_is_back_is_used_again(self):
+        world = self._world([Script()])
+        world.endpoints.cut_off.update(("away-1", "away-2"))
+        world.placer.view(world.member("home")).in_flight = 40
+        await world.ask(1, deadline_s=5.0)
+        await asyncio.sleep(3.0)
+        world.endpoints.cut_off.clear()
+        world.endpoints.scripts["away-1"] = [Script()]
+        world.endpoints.scripts["away-2"] = [Script()]
+        await world.ask(2, deadline_s=5.0)
+        await asyncio.sleep(1.0)
+        before = len(world.asked())
+        await world.ask(3, deadline_s=5.0)
+        self.assertNotIn("home", world.asked()[before:])
+
     async def test_what_never_reached_an_endpoint_is_no_repeat(self):
         """A cut-off host gave up after one try with 23 s left: its budget was spent."""
         away = [Script(error="unreachable", first_s=0.05)]
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -36,6 +36,7 @@
     CallerRequest,
     EndpointAnswer,
     EndpointClient,
+    Knock,
 )
 from radishshift.gateway.monitor import Monitor
 from radishshift.gateway.request_path import RequestPath
@@ -194,12 +195,12 @@
         self.answers.append(answer)
         return answer
 
-    async def reaches(self, member):
+    async def knock(self, member):
         if member.name in self.cut_off:
             await asyncio.sleep(0.35)
-            return False
+            return Knock.UNANSWERED
         await asyncio.sleep(0.01)
-        return True
+        return Knock.OPENED
 
     def forget(self, member):
         self.forgotten.append(member.name)
