Soak whole hosts as processes under faults from outside them

Several hosts run as processes on loopback, with links of our own on the ways to the store, the endpoints and the callers.

--- /dev/null
+++ b/tests/soak/worlds.py
@@ -0,0 +1,216 @@
+"""Stand-ins, hosts and the links between them, for a soak on one machine."""
+
+import asyncio
+import os
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import aiohttp
+from users_platform.standins import StandinEndpoint, StandinPlatform, standin_platform
+
+from tests.soak.fleet import HostProcess
+from tests.soak.links import Link
+
+__all__ = ["CUSTOMER", "HOST", "KEY", "SERVICES", "SoakWorld"]
+
+KEY = "soak-key"
+HOST = "ring.example"
+CUSTOMER = "ring"
+SERVICES = {"desk": 3, "advice": 3}
+DATA_CENTRES = ("mbeya", "iringa")
+STOP_S = 2.0
+READY_S = 30.0  # a start takes 1 s where the machine has room
+# Below the ports that the kernel hands out.
+CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7001, 7002, 7003, 7004
+
+
+def _route(name: str, kind: str, service: str, attempts: int, **changes) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "type": kind,
+        "timeoutMs": 4000,
+        "sloMs": 1000,
+        "service": service,
+        "maxAttempts": attempts,
+        **changes,
+    }
+
+
+class SoakWorld:
+    """A store, endpoints and hosts, with a link on each way.
+
+    Parameters
+    ----------
+    hosts : int
+
+    Attributes
+    ----------
+    store_links, caller_links : dict of str to Link
+        By host.
+    endpoint_links : dict of str to Link
+        By endpoint.
+    steps : int
+        Changes of the configuration so far; each adds a route.
+    """
+
+    def __init__(self, hosts: int) -> None:
+        self.hosts: dict[str, HostProcess] = {}
+        self.store_links: dict[str, Link] = {}
+        self.caller_links: dict[str, Link] = {}
+        self.endpoint_links: dict[str, Link] = {}
+        self.endpoints: dict[str, StandinEndpoint] = {}
+        self.services: dict[str, str] = {}
+        self.platform: StandinPlatform | None = None
+        self.steps = 0
+        self.folder = Path()
+        self._names = [f"edge-{number}" for number in range(1, hosts + 1)]
+        self._ready: dict[str, str] = {}
+        self._replaced = 0
+        self._stack = AsyncExitStack()
+
+    async def start(self) -> None:
+        """Start everything; return once all hosts are ready."""
+        self.folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        held = standin_platform(self._config(), ())
+        self.platform = await self._stack.enter_async_context(held)
+        for service, count in SERVICES.items():
+            for number in range(1, count + 1):
+                await self.add_endpoint(f"{service}-{number}", service)
+        ips = {name: _own_ip(number) for number, name in enumerate(self._names)}
+        for name, ip in ips.items():
+            self._ready[name] = f"{ip}:{READY_PORT}"
+            self.caller_links[name] = await self._link(f"{ip}:{CALLER_PORT}")
+            self.store_links[name] = await self._link(self.platform.store_address)
+            others = [f"{held}:{PEER_PORT}" for held in ips.values() if held != ip]
+            self._start_host(name, ip, others)
+        await self.until_ready()
+
+    async def _link(self, target: str) -> Link:
+        link = Link(target)
+        await link.start()
+        self._stack.push_async_callback(link.stop)
+        return link
+
+    def _start_host(self, name: str, ip: str, seeds: list[str]) -> None:
+        number = self._names.index(name)
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            f"""
+nodeName = "{name}"
+ip = "{ip}"
+zone = "{DATA_CENTRES[number % len(DATA_CENTRES)]}"
+portRange = [{PEER_PORT}, {METRICS_PORT}]
+seedNodes = {seeds!r}
+[listen]
+frontend = "{ip}:{CALLER_PORT}"
+ready = "{ip}:{READY_PORT}"
+[bounds]
+graceS = {STOP_S}
+[platform]
+address = "{self.store_links[name].address}"
+""",
+            encoding="utf-8",
+        )
+        host = HostProcess(name, path)
+        host.start()
+        self._stack.push_async_callback(host.stop)
+        self.hosts[name] = host
+
+    async def until_ready(self) -> None:
+        """Wait until all hosts say that they are ready.
+
+        Raises
+        ------
+        TimeoutError
+        """
+        async with aiohttp.ClientSession() as session, asyncio.timeout(READY_S):
+            for address in self._ready.values():
+                while not await _is_ready(session, address):
+                    await asyncio.sleep(0.05)
+
+    async def add_endpoint(self, name: str, service: str) -> None:
+        """Start an endpoint that is reached over a link."""
+        endpoint = await self.platform.add_endpoint(name, service)
+        endpoint.tells_id = True
+        endpoint.confidence = {"small": 30.0, "large": 90.0}
+        link = await self._link(self.platform.addresses[name])
+        self.platform.addresses[name] = link.address
+        self.platform.register(name, service)
+        self.endpoints[name] = endpoint
+        self.endpoint_links[name] = link
+        self.services[name] = service
+
+    def _config(self) -> dict:
+        steps = [
+            _route(f"step-{number}", "safe", "desk", 2)
+            for number in range(1, self.steps + 1)
+        ]
+        return {
+            "version": 1 + 3 * self.steps,
+            "routes": [
+                _route("check", "safe", "desk", 2),
+                _route("book", "unsafe", "desk", 1),
+                _route(
+                    "plan",
+                    "streaming",
+                    "advice",
+                    3,
+                    resumable=True,
+                    sizes=["small", "large"],
+                ),
+                *steps,
+            ],
+            "services": [{"name": name} for name in SERVICES],
+            "tenants": [{"name": CUSTOMER, "apiKeys": [KEY]}],
+        }
+
+    def change_configuration(self) -> None:
+        """Write a version with one route more."""
+        self.steps += 1
+        self.platform.store.put("config", "main", self._config())
+
+    async def replace_endpoint(self, name: str) -> None:
+        """Let one endpoint drain and go, and another take its place."""
+        service = self.services.pop(name)
+        self._replaced += 1
+        await self.add_endpoint(f"{service}-new-{self._replaced}", service)
+        self.platform.register(name, service, state="draining", seqNo=2)
+        await asyncio.sleep(0.5)
+        self.platform.store.remove("servers", name)
+
+    def heal(self) -> None:
+        """End whatever fault is still there."""
+        for links in (self.store_links, self.caller_links, self.endpoint_links):
+            for link in links.values():
+                link.heal()
+        for endpoint in self.endpoints.values():
+            endpoint.set()
+        odd = self.platform.store.oddities
+        odd.status = odd.lose_replies = odd.dropped_before = 0
+        odd.silent_watches = False
+
+    def log(self) -> str:
+        """Return what all hosts wrote."""
+        files = sorted(self.folder.glob("*.log"))
+        return "".join(path.read_text(encoding="utf-8") for path in files)
+
+    async def stop(self) -> None:
+        """End all processes that were started, then the stand-ins."""
+        await self._stack.aclose()
+
+
+def _own_ip(number: int) -> str:
+    """Return a loopback address that no other soak on this machine uses."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 8) % 250}.{pid % 256}.{1 + number}"
+
+
+async def _is_ready(session: aiohttp.ClientSession, address: str) -> bool:
+    try:
+        async with session.get(f"http://{address}/-/readyz") as resp:
+            return resp.status == 200
+    except aiohttp.ClientError:
+        return False
