--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -56,11 +56,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in tuple(self._writers):
-            sock = writer.transport.get_extra_info("socket")
-            if sock is not None and sock.fileno() >= 0:
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            _reset(writer)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -78,8 +74,9 @@
                 group.create_task(self._pump(reader, far, there=True))
                 group.create_task(self._pump(far_reader, writer, there=False))
         except* OSError:
-            # A reset on one side is passed on as an end of both.
-            writer.transport.abort()
+            # A reset on one side is passed on: an answer without length would look
+            # complete after a clean end.
+            _reset(writer)
         except* asyncio.CancelledError:
             # The link is stopped.
             writer.transport.abort()
@@ -103,3 +100,12 @@
             # A caller that leaves closes both ways.
             raise ConnectionResetError
         writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that the other end sees a reset."""
+    sock = writer.transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
