--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import logbook
 
 from radishshift.clocks import Clock
 from radishshift.decisions.crashes import CrashSuspects
-from radishshift.decisions.placing import EndpointView, Placer, PlacingQuestion
+from radishshift.decisions.placing import Placer, PlacingQuestion
 from radishshift.decisions.repeats import RepeatBudget
 from radishshift.decisions.usual_times import UsualTimes
 from radishshift.decisions.versions import VersionGuard
@@ -22,30 +22,19 @@
     NoEndpointError,
     StreamSilentError,
 )
+from radishshift.gateway.attempts import ASK_AFTER_S, Attempt
 from radishshift.gateway.beliefs import Beliefs
 from radishshift.gateway.deployment import Member, RouteKind
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.jobs import Job
-from radishshift.gateway.messages import EndpointAnswer, EndpointClient, Knock
+from radishshift.gateway.knocks import Knocks
+from radishshift.gateway.messages import EndpointAnswer, EndpointClient
 from radishshift.verdicts import Verdict
 
-__all__ = ["Attempt", "Dispatcher"]
+__all__ = ["Dispatcher"]
 
 LOOK_S = 0.1  # how often a wait looks whether its endpoint is silent
-SILENT_S = 0.8  # no byte from a plain service at work on any request
-SILENT_SHARE = 0.3  # of an attempt's time, where that is less
-# No byte from an engine: it is asked whether it can be reached. With the answer, and
-# another endpoint's first event, a stream pauses for less than the 1.2 s of a late one.
-PROBE_AFTER_S = 0.4
-STREAM_SILENT_S = 1.0  # no byte of one stream while others at its endpoint move
-# No byte of any stream from an engine that can be reached: engines read several long
-# prompts between two tokens for up to this.
-ENGINE_SILENT_S = 2.0
 ALONE_PATIENCE = 4.0  # times as long where no other endpoint is thought to serve
-STUCK_SHARE = 0.4  # of an attempt's time, for an answer in one piece
-READ_S_PER_TOKEN = 0.0001  # six times what an engine takes; large models are slower
-STUCK_FIRST_S = 1.0  # on top of what first events usually take
-STUCK_FIRST_RATIO = 4.0  # times what they usually take
 DEPARTED_USED_SHARE = 0.5  # of the time in which a leaving endpoint may get work
 PROMPT_UNIT_TOKENS = 1500  # that take as long to read as any request's first step
 PRESENT_S = 0.05  # of the deadline, kept for the way back to the caller
@@ -53,56 +42,6 @@
 logger = logbook.Logger("dispatch")
 
 
-@dataclass(slots=True)
-class Attempt:
-    """An attempt that is running, or has ended.
-
-    Attributes
-    ----------
-    began : float
-    answer : EndpointAnswer or None
-        Set once the head has come.
-    """
-
-    job: Job
-    member: Member
-    view: EndpointView
-    model: str
-    began: float
-    answer: EndpointAnswer | None = None
-    heard: float = 0.0
-    usual_first_s: float = 0.0
-    reading: float = 0.0
-
-    @property
-    def silent_s(self) -> float:
-        """Return the time without a byte from the endpoint that means silence."""
-        if self.job.route.kind is RouteKind.STREAM:
-            return PROBE_AFTER_S
-        return min(SILENT_S, SILENT_SHARE * (self.job.deadline - self.began))
-
-    @property
-    def stuck_s(self) -> float:
-        """Return the time without a byte of this answer that means it is stuck."""
-        if self.job.route.kind is not RouteKind.STREAM:
-            return STUCK_SHARE * (self.job.deadline - self.began)
-        if self.answer is not None:
-            others_move = self.view.heard > self.heard + STREAM_SILENT_S / 2
-            return STREAM_SILENT_S if others_move else ENGINE_SILENT_S
-        usual_s = STUCK_FIRST_RATIO * self.usual_first_s
-        return STUCK_FIRST_S + self._reading_s + usual_s
-
-    @property
-    def _reading_s(self) -> float:
-        """Return the time that reading the prompt may take."""
-        return READ_S_PER_TOKEN * self.job.req.prompt_tokens
-
-    def note_bytes(self, now: float) -> None:
-        """Note that something came from the endpoint."""
-        self.heard = now
-        self.view.heard = now
-
-
 class Dispatcher:
     """Chooses endpoints and runs attempts there.
 
@@ -139,7 +78,7 @@
         self._placer = placer
         self._client = client
         self._budgets: dict[str, RepeatBudget] = {}
-        self._knocks: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._knocks = Knocks(clock, client)
 
     def budget(self, service: str) -> RepeatBudget:
         """Return what this host may repeat at a service."""
@@ -168,7 +107,7 @@
         question = self._question(job, model)
         members = self._allowed(job)
         for view in self._placer.to_ask(members, now):
-            self._ask(view)
+            self._knocks.ask(view)
         chosen = self._placer.choose(members, question, now)
         if chosen is None and job.failed and len(members) == 1:
             chosen = self._placer.choose(members, replace(question, tried=()), now)
@@ -316,30 +255,12 @@
         quiet_s = now - max(view.heard, attempt.heard)
         if attempt.job.route.kind is RouteKind.STREAM:
             asked_s = now - max(view.reached, view.unreached)
-            if min(quiet_s, asked_s) > PROBE_AFTER_S:
-                self._ask(view)
+            if min(quiet_s, asked_s) > ASK_AFTER_S:
+                self._knocks.ask(view)
             if not view.lost or view.unreached <= attempt.heard:
                 return own
         return max(own, quiet_s / attempt.silent_s)
 
-    def _ask(self, view: EndpointView) -> None:
-        """Find out in the background whether an endpoint can be reached."""
-        key = view.member.incarnation
-        if key not in self._knocks:
-            task = asyncio.create_task(self._knock(view))
-            self._knocks[key] = task
-            task.add_done_callback(lambda _: self._knocks.pop(key))
-
-    async def _knock(self, view: EndpointView) -> None:
-        was_lost = view.lost
-        came = await self._client.knock(view.member)
-        if came is Knock.UNANSWERED:
-            view.note_unreached(self.clock.now())
-        else:
-            view.note_reached(self.clock.now(), came is Knock.OPENED)
-        if view.lost is not was_lost:
-            logger.info("connection to {}: {}", view.member.name, came.value)
-
     def _has_other(self, attempt: Attempt) -> bool:
         job = attempt.job
         question = self._question(job, attempt.model)
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -8,7 +8,8 @@
     next_model,
 )
 from radishshift.errors import EndpointError, StreamBrokenError
-from radishshift.gateway.dispatch import Attempt, Dispatcher
+from radishshift.gateway.attempts import Attempt
+from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.event_relay import EventBuffer
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.messages import CallerAnswer
--- a/radishshift/gateway/whole_answers.py
+++ b/radishshift/gateway/whole_answers.py
@@ -5,7 +5,8 @@
     EndpointUnreachableError,
     NoEndpointError,
 )
-from radishshift.gateway.dispatch import Attempt, Dispatcher
+from radishshift.gateway.attempts import Attempt
+from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.messages import CallerAnswer, EndpointAnswer
 from radishshift.verdicts import Verdict
