--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 import time
 from contextlib import asynccontextmanager
 
@@ -18,7 +19,7 @@
     StreamSilentError,
 )
 from radishshift.gateway.deployment import Member
-from radishshift.gateway.messages import AttemptOrder, CallerRequest
+from radishshift.gateway.messages import AttemptOrder, CallerRequest, Knock
 from radishshift.verdicts import Verdict
 from tests.cases import TestCase
 from tests.users_platform.served import platform_up
@@ -153,3 +154,32 @@
             session._request = timed_out
             exc = await self.assert_raises_async(StreamSilentError, client.send(order))
         self.assertEqual(Verdict.MAY_HAVE_RUN, exc.verdict)
+
+
+class KnocksTest(TestCase):
+    async def _knock(self, address):
+        client = PlatformEndpoints(SystemClock())
+        member = Member(NAME, "desk", address, "mbeya", "v1", 6, 1)
+        return await client.knock(member)
+
+    async def test_an_endpoint_that_listens_opens_a_connection(self):
+        async with _client() as (platform, _, _):
+            self.assertIs(Knock.OPENED, await self._knock(platform.addresses[NAME]))
+
+    async def test_a_host_without_the_endpoint_refuses(self):
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            ip, port = sock.getsockname()
+        self.assertIs(Knock.REFUSED, await self._knock(f"{ip}:{port}"))
+
+    async def test_a_path_that_drops_what_is_sent_answers_nothing(self):
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as sock:
+            ip, port = sock.getsockname()
+            # The queue of connections holds one; the kernel drops those after it.
+            held = [socket.socket() for _ in range(4)]
+            for waiting in held:
+                waiting.setblocking(False)
+                waiting.connect_ex((ip, port))
+            came = await self._knock(f"{ip}:{port}")
+            for waiting in held:
+                waiting.close()
+        self.assertIs(Knock.UNANSWERED, came)
