--- a/radishshift/experiments/replay.py
+++ b/radishshift/experiments/replay.py
@@ -26,6 +26,7 @@
 from radishshift.decisions.usual_times import UsualTimes
 from radishshift.experiments.fake_engines import FakeEngine, FakeJob, VirtualTime
 from radishshift.gateway.deployment import Member
+from radishshift.gateway.dispatch import PROMPT_UNIT_TOKENS
 
 __all__ = ["LoadRow", "Outcome", "Replay", "read_load"]
 
@@ -41,7 +42,6 @@
 NOTES_EVERY_S = 0.5  # as hosts exchange them
 SHARED = 0.4  # of a prompt is shared with others, as on the recorded day
 DRAIN_S = 30.0  # after the last arrival
-PROMPT_UNIT_TOKENS = 1500
 LATE_WORTH, POOR_WORTH = 0.3, 0.05  # of a request that is late, or poorly answered
 CONFIDENCE_NOISE = 15.0  # points by which a model's opinion of its answer is off
 
