Choose from models that have no price

Cause: found on reading the change: the load of a prompt divides by the dearest model's price, and a model without one was looked up among those that have one. A deployment whose models all cost nothing would have got no answer from any. Change: without prices every model's tokens count alike, and a model that was not used has no expected time. Where models have prices nothing changes. Test: test_models_without_a_price_are_chosen_from_all_the_same fails on the commit before.

--- a/radishshift/decisions/model_choice.py
+++ b/radishshift/decisions/model_choice.py
@@ -72,8 +72,9 @@
     if model in known_s:
         return known_s[model]
     cost = costs.get(model, 0.0)
-    below = [held for held in known_s if costs.get(held, 0.0) < cost]
-    above = [held for held in known_s if costs.get(held, 0.0) > cost]
+    priced = [held for held in known_s if held in costs]
+    below = [held for held in priced if costs[held] < cost]
+    above = [held for held in priced if costs[held] > cost]
     if not below or not above:
         return 0.0
     small = max(below, key=costs.__getitem__)
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -140,7 +140,8 @@
     def _reading(self, job: Job, model: str) -> float:
         """Return thousands of tokens to be read, in time of the largest model."""
         costs = self.beliefs.model_costs(job.service)
-        share = costs[model] / max(costs.values()) if model in costs else 1.0
+        most = max(costs.values(), default=0.0)
+        share = costs[model] / most if most and model in costs else 1.0
         return share * job.req.prompt_tokens / 1000
 
     def _allowed(self, job: Job) -> list[Member]:
--- a/tests/decisions/test_decisions.py
+++ b/tests/decisions/test_decisions.py
@@ -110,6 +110,10 @@
     def test_a_time_that_lies_between_nothing_known_is_taken_as_none(self):
         self.assertEqual(0.0, expected_by_cost("large", {"small": 0.5}, COSTS))
         self.assertEqual(0.0, expected_by_cost("middle", {}, {}))
+        free = dict.fromkeys(COSTS, 0.0)
+        known_s = {"small": 0.5, "large": 2.5}
+        self.assertEqual(0.0, expected_by_cost("middle", known_s, free))
+        self.assertEqual(0.0, expected_by_cost("middle", known_s, {"middle": 0.1}))
 
 
 class CrashSuspectsTest(TestCase):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -168,6 +168,14 @@
             [order.model for order in world.endpoints.attempts],
         )
 
+    async def test_models_without_a_price_are_chosen_from_all_the_same(self):
+        for costs in ({}, dict.fromkeys(MODELS, 0.0), {"small": 0.1}):
+            poor, good = fine(confidence=20.0), fine(confidence=90.0)
+            world = World([CASCADE], {"a": [poor, good]}, costs=costs)
+            caller = await world.ask(model="*", prompt_tokens=3000)
+            self.assertEqual(WHOLE, caller.body)
+            self.assertEqual("large", world.endpoints.attempts[1].model)
+
     async def test_a_resumed_stream_keeps_its_model(self):
         world = World(
             [CASCADE],
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -252,7 +252,9 @@
         The last script of a list is played again and again.
     """
 
-    def __init__(self, routes, endpoints, bounds=None, versions=None):
+    def __init__(
+        self, routes, endpoints, bounds=None, versions=None, costs=MODEL_COSTS
+    ):
         self.clock = LoopClock()
         self.beliefs = Beliefs(SimpleDocuments(), self.clock)
         self.endpoints = _Endpoints(dict(endpoints))
@@ -273,6 +275,7 @@
         self.path = RequestPath(self.dispatcher, Monitor("edge-1", "mbeya"))
         self.revision = 1
         self._version_of = versions or {}
+        self._costs = costs
         self.configure(routes)
         self.list_members(endpoints)
 
@@ -281,7 +284,7 @@
         self.revision += 1
         if customers is None:
             customers = {KEY: Customer("ring")}
-        services = {SERVICE: Service(SERVICE, MODEL_COSTS)}
+        services = {SERVICE: Service(SERVICE, self._costs)}
         deployment = Deployment(version, tuple(routes), services, customers)
         item = StoredObject(
             Kind.DEPLOYMENT, "main", {"deployment": deployment}, {}, self.revision
