Count an endpoint that has run a request, also after it refuses a repeat

Ruled out: two hosts that send the same request (one log holds all five attempts). Change: a refusal takes back only the attempt that it refuses. Test: test_a_refusal_does_not_undo_an_earlier_run_at_the_same_endpoint fails on the commit before.

--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -31,6 +31,8 @@
     Attributes
     ----------
     began : float
+    first_there : bool
+        Whether no earlier attempt of the request was at the endpoint.
     answer : EndpointAnswer or None
         Set once the head has come.
     """
@@ -40,6 +42,7 @@
     view: EndpointView
     model: str
     began: float
+    first_there: bool = True
     answer: EndpointAnswer | None = None
     heard: float = 0.0
     usual_first_s: float = 0.0
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -161,7 +161,8 @@
         attempt.reading = self._reading(job, model)
         view.began(attempt.reading)
         job.attempts += 1
-        if member.name not in job.used:
+        attempt.first_there = member.name not in job.used
+        if attempt.first_there:
             job.used.append(member.name)
         try:
             yield attempt
@@ -306,7 +307,8 @@
         name = attempt.member.name
         job.failed.append(name)
         if exc.verdict is Verdict.NOT_RUN:
-            if name in job.used:
+            # An earlier attempt there may have run, whatever this one did.
+            if attempt.first_there:
                 job.used.remove(name)
         else:
             job.ran = True
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -93,6 +93,23 @@
         self.assertIn(b'"not-run"', caller.body)
 
 
+class RepeatedTest(VirtualTestCase):
+    async def test_a_refusal_does_not_undo_an_earlier_run_at_the_same_endpoint(self):
+        """Seed 35 of the soak: a request that may be at two endpoints was at three."""
+        broken = Script(breaks_after=0)
+        held = {
+            "a": [broken, broken],
+            "b": [broken, Script(error="refused")],
+            "c": [Script()],
+        }
+        twice = route(endpoints_max=2)
+        world = World([twice], held)
+        world.placer.view(world.member("b")).in_flight = 1
+        world.placer.view(world.member("c")).in_flight = 9
+        await world.ask()
+        self.assertNotIn("c", world.asked())
+
+
 class IsolatedTest(VirtualTestCase):
     """A data centre that is cut off with one endpoint of its own (trouble-2)."""
 
