Keep the recording of crashes by BackgroundTasks; heal the soak's store by a new state

Found on reading the change again: BackgroundTasks is the loop that poison_trials had written out, and the soak undid each oddity of the store by name.

--- a/radishshift/poison_trials.py
+++ b/radishshift/poison_trials.py
@@ -13,6 +13,7 @@
 import logbook
 import msgspec
 
+from radishshift.background import BackgroundTasks
 from radishshift.clocks import Clock, finish_by
 from radishshift.errors import DeadlineError, RadishshiftError
 from radishshift.hosts import Host, rendezvous_order
@@ -91,7 +92,7 @@
         self._peers = peers
         self._me = "" if peers is None else peers.me.name
         self._trials: list[_Trial] = []
-        self._recording: set[asyncio.Task[None]] = set()
+        self._recording = BackgroundTasks()
         self._number = 0
         if peers is not None:
             peers.carry(self)
@@ -169,9 +170,7 @@
         """Write a crash to the platform, going on in the background if that is slow."""
         if self._records is None:
             return
-        task = asyncio.create_task(self._keep_recording(crash))
-        self._recording.add(task)
-        task.add_done_callback(self._recording.discard)
+        task = self._recording.run(self._keep_recording(crash))
         try:
             deadline = self._clock.now() + RECORD_S
             await finish_by(self._clock, deadline, asyncio.shield(task))
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -7,7 +7,12 @@
 from pathlib import Path
 
 import aiohttp
-from users_platform.standins import StandinEndpoint, StandinPlatform, standin_platform
+from users_platform.standins import (
+    StandinEndpoint,
+    StandinPlatform,
+    StoreOddities,
+    standin_platform,
+)
 
 from tests.soak.callers import EVENTS
 from tests.soak.fleet import HostProcess
@@ -192,9 +197,7 @@
                 link.heal()
         for endpoint in self.endpoints.values():
             endpoint.set()
-        odd = self.platform.store.oddities
-        odd.status = odd.lose_replies = odd.dropped_before = 0
-        odd.silent_watches = False
+        self.platform.store.oddities = StoreOddities()
 
     def log(self) -> str:
         """Return what all hosts wrote."""
