--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEEDS ?= 5
 PLATFORM ?= 0
 
-.PHONY: run test check spec tests bench capacity fuzz format soak-day
+.PHONY: run test check spec tests bench capacity fuzz format soak-day fault-soak
 
 $(STAMP): constraints.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -43,6 +43,9 @@
 soak-day: $(STAMP)
 	$(PY) tools/days.py --bench=$(FLEETBENCH) --site=$(SITE) --seeds=$(SEEDS) $(FLAGS)
 
+fault-soak: $(STAMP)
+	$(PY) tools/fault_soak.py --seeds=$(or $(SEEDS),50) $(FLAGS)
+
 fuzz: $(STAMP)
 	RADISHSHIFT_FUZZ=1 $(PY) -m pytest tests -k fuzz
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,7 +10,7 @@
 __all__ = ["ANSWERED", "Ask", "Callers"]
 
 DEADLINE_S = 4.0
-EVENTS = 10
+EVENTS = 30
 RETRIES = 2
 ANSWERED = 200
 # Statuses that promise that the request has not run and never will.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,8 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from users_platform.standins import EndpointOddities
+
 from tests.soak.links import Link
 from tests.soak.worlds import SoakWorld
 
@@ -121,25 +123,23 @@
     await _disturb(world.endpoint_links[_endpoint(world, rng)], rng)
 
 
-@fault("endpoint-misbehaves")
-async def _endpoint_misbehaves(world, rng):
-    name = _endpoint(world, rng)
-    oddity = rng.choice(
-        (
-            "refuses",
-            "resets_before",
-            "resets_within",
-            "unframed",
-            "other_id",
-            "unsigned",
-            "encoded",
-            "early",
-        )
-    )
-    endpoint = world.endpoints[name]
-    endpoint.set(**{oddity: True})
-    await asyncio.sleep(rng.uniform(0.2, 1.5))
-    endpoint.set()
+def _misbehave(*oddities: str) -> Fault:
+    async def misbehave(world: SoakWorld, rng: random.Random) -> None:
+        names = sorted(world.services)
+        names = rng.sample(names, rng.randint(1, len(names)))
+        endpoints = [world.endpoints[name] for name in names]
+        for endpoint in endpoints:
+            endpoint.set(**dict.fromkeys(oddities, True))
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        for endpoint in endpoints:
+            endpoint.set()
+
+    return misbehave
+
+
+for _oddity in vars(EndpointOddities()):
+    fault(f"endpoints-{_oddity.replace('_', '-')}")(_misbehave(_oddity))
+fault("endpoints-break-unframed")(_misbehave("unframed", "resets_within"))
 
 
 @fault("endpoint-replaced")
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -101,6 +101,8 @@
         signed = ask.headers.get(SIGNATURE, "").removeprefix("signed-")
         if signed not in {run.endpoint for run in runs[ask.number]}:
             yield f"{ask.number} is signed by {signed!r}, which did not run it"
+        if ask.headers.get("X-Attempt-Id") != ask.number:
+            yield f"{ask.number} got the answer {ask.headers.get('X-Attempt-Id')!r}"
         if ask.kind != "plan" and ask.body != f"whole {ask.number}".encode():
             yield f"{ask.number} got {ask.body[:60]!r}"
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,7 +7,7 @@
 from tests.soak.promises import Record, Run, broken_promises
 
 CUSTOMER = "ring"
-SIGNED = {"X-Replica-Signature": "signed-desk-1"}
+SIGNED = {"X-Replica-Signature": "signed-desk-1", "X-Attempt-Id": "a1"}
 
 
 def _ask(kind="book", **changes):
@@ -49,6 +49,10 @@
         ask = _ask(body=b"whole a2")
         self.assertEqual({"answers-are-whole"}, _broken([ask], [_run(ask)]))
 
+    def test_an_answer_under_the_id_of_another_request(self):
+        ask = _ask(headers=SIGNED | {"X-Attempt-Id": "a2"})
+        self.assertEqual({"answers-are-whole"}, _broken([ask], [_run(ask)]))
+
     def test_an_answer_that_nobody_gave(self):
         self.assertEqual({"answers-are-whole"}, _broken([_ask()], []))
 
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -9,6 +9,7 @@
 import aiohttp
 from users_platform.standins import StandinEndpoint, StandinPlatform, standin_platform
 
+from tests.soak.callers import EVENTS
 from tests.soak.fleet import HostProcess
 from tests.soak.links import Link
 
@@ -20,6 +21,7 @@
 SERVICES = {"desk": 3, "advice": 3}
 DATA_CENTRES = ("mbeya", "iringa")
 STOP_S = 2.0
+GAP_S = 0.02  # between the events of a stream
 READY_S = 30.0  # a start takes 1 s where the machine has room
 # Below the ports that the kernel hands out.
 CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7001, 7002, 7003, 7004
@@ -135,6 +137,8 @@
         """Start an endpoint that is reached over a link."""
         endpoint = await self.platform.add_endpoint(name, service)
         endpoint.tells_id = True
+        endpoint.events = EVENTS
+        endpoint.gap_s = GAP_S
         endpoint.confidence = {"small": 30.0, "large": 90.0}
         link = await self._link(self.platform.addresses[name])
         self.platform.addresses[name] = link.address
