Serve callers at once after a start: list the store at once, wait for the first configuration

Watching and resyncs begin after 1 s, when a host knows the others. A request that finds no configuration waits for the first load, for at most 0.4 of its time and 1 s after the start, then it is rejected. Ruled out: waiting for peers alone (at a restart of all no peer knows more).

The fleet of test_platform_sync starts for 2 s instead of 1 s, as hosts settle first.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -108,7 +108,6 @@
             self.versions,
             settings.bounds,
         )
-        self.request_path = RequestPath(self.dispatcher, self.monitor)
         self.gossip = Gossip(
             settings,
             self.clock,
@@ -129,6 +128,9 @@
             self._on_view_change,
             bounds.config_deadline_s,
         )
+        self.request_path = RequestPath(
+            self.dispatcher, self.monitor, self.platform_sync.wait_for_initial_load
+        )
         self.rollout_duty = RolloutDuty(
             settings.host,
             self.platform,
@@ -246,6 +248,7 @@
         """Apply an update of the host's view that came from a peer."""
         for kind in kinds:
             self.platform_sync.record_missed_change(kind)
+        self.platform_sync.record_view_change()
         self._on_view_change()
 
     async def _clean_up(self) -> None:
--- a/radishshift/gateway/monitored_platform.py
+++ b/radishshift/gateway/monitored_platform.py
@@ -38,9 +38,9 @@
         """Return one object."""
         return await self._tracked(self._platform.get(kind, name))
 
-    async def list_all(self, kind: Kind) -> Listing:
+    async def list_all(self, kind: Kind, allow_stale: bool = False) -> Listing:
         """Return all objects of a kind."""
-        return await self._tracked(self._platform.list_all(kind))
+        return await self._tracked(self._platform.list_all(kind, allow_stale))
 
     async def create(self, item: StoredObject) -> StoredObject:
         """Store a new object."""
--- a/radishshift/gateway/platform_sync.py
+++ b/radishshift/gateway/platform_sync.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 import logbook
@@ -31,7 +32,12 @@
 MAX_WATCH_LAG_S = 0.5  # a working watch lags behind gossip by less than that
 CHECK_INTERVAL_S = 0.25
 WATCHER_COUNT = 3  # tolerates the loss of two watchers at once
-PEER_SYNC_TIMEOUT_S = 0.1  # how long a starting host waits for state from its peers
+# Callers wait this long after the start of a host for its first configuration.
+INITIAL_LOAD_TIMEOUT_S = 1.0
+INITIAL_LOAD_RETRY_S = 0.1  # after a listing that failed
+# A host that started learns of the others by gossip before it judges whether it is a
+# watcher. When a whole fleet starts, each host would otherwise watch.
+SETTLING_S = 1.0
 WATCH_BACKOFF = WatchBackoff(initial_s=0.1, max_s=0.6, max_relist_delay_s=0.2)
 
 logger = logbook.Logger("followers")
@@ -78,25 +84,55 @@
         self._random = Random(host)
         self._watches: dict[Kind, asyncio.Task[None]] = {}
         self._missed_change_at: dict[Kind, float] = {}
+        self._loaded = asyncio.Event()
+        self._load_deadline = clock.now() + INITIAL_LOAD_TIMEOUT_S
 
     async def run(self) -> None:
         """Sync until cancelled."""
+        settled_at = self._clock.now() + SETTLING_S
         try:
             await self._load_initial()
+            await self._clock.sleep_until(settled_at)
             await asyncio.gather(self._resync(), self._supervise_watches())
         finally:
             self._end_watches()
 
     async def _load_initial(self) -> None:
-        """Load all kinds, preferably from peers, else from the platform."""
-        deadline = self._clock.now() + PEER_SYNC_TIMEOUT_S
-        while self._clock.now() < deadline and not self._is_loaded():
-            await asyncio.sleep(CHECK_INTERVAL_S / 5)
-        if not self._is_loaded():
-            await asyncio.gather(*map(self._list, KINDS))
-
-    def _is_loaded(self) -> bool:
-        return self._host_view.deployment is not None and bool(self._host_view.members)
+        """List all kinds at the platform, unless peers deliver them sooner.
+
+        When a whole fleet starts, each host lists for itself, as no peer knows more.
+        A stale listing is enough: the watchers, which list again, gossip what changed.
+        """
+        missing = list(KINDS)
+        while missing and not self._loaded.is_set():
+            answered = await asyncio.gather(
+                *(self._list(kind, allow_stale=True) for kind in missing)
+            )
+            missing = [
+                kind for kind, ok in zip(missing, answered, strict=True) if not ok
+            ]
+            if self._clock.now() >= self._load_deadline:
+                return
+            if missing:
+                await asyncio.sleep(INITIAL_LOAD_RETRY_S)
+
+    def record_view_change(self) -> None:
+        """Record that the host's view has changed, whatever the source."""
+        if self._host_view.deployment is not None and self._host_view.members:
+            self._loaded.set()
+
+    async def wait_for_initial_load(self, until: float) -> None:
+        """Wait for the first configuration and endpoints of a host that has started.
+
+        Load pattern: callers that come back while a whole fleet restarts. The wait ends
+        at `until`, or when the initial load is overdue.
+        """
+        timeout_s = min(until, self._load_deadline) - self._clock.now()
+        if self._loaded.is_set() or timeout_s <= 0:
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._loaded.wait()
 
     @property
     def is_watcher(self) -> bool:
@@ -130,6 +166,7 @@
         self._host_view.record_store_recovery(self._platform.recovered_at)
         changed = self._host_view.apply(kind, update)
         if changed:
+            self.record_view_change()
             self._changed()
         return changed
 
@@ -162,24 +199,27 @@
     async def _resync(self) -> None:
         """List the objects again whenever it is this host's turn."""
         while True:
+            next_turn = int(self._clock.now() / self._resync_interval_s) + 1
+            await self._clock.sleep_until(next_turn * self._resync_interval_s)
             turn = int(self._clock.now() / self._resync_interval_s)
             if rendezvous_order(self._hosts(), str(turn))[0] == self._host:
                 kinds = [
                     kind for kind, period in RESYNC_PERIODS.items() if not turn % period
                 ]
                 await asyncio.gather(*map(self._list, kinds))
-            next_turn = int(self._clock.now() / self._resync_interval_s) + 1
-            await self._clock.sleep_until(next_turn * self._resync_interval_s)
 
-    async def _list(self, kind: Kind) -> None:
+    async def _list(self, kind: Kind, allow_stale: bool = False) -> bool:
+        """List a kind and return whether the platform replied."""
         try:
-            listing = await self._platform.list_all(kind)
+            listing = await self._platform.list_all(kind, allow_stale)
         except RadishshiftError as exc:
             logger.warning("listing {} failed: {}", kind, exc.message)
-            return
+            return False
         if self._apply(kind, listing):
-            logger.info("resync found a change", extra=_listing_fields(kind, listing))
+            message = "initial listing" if allow_stale else "resync found a change"
+            logger.info(message, extra=_listing_fields(kind, listing))
             self.record_missed_change(kind)
+        return True
 
 
 def _listing_fields(kind: Kind, listing: Listing) -> dict[str, object]:
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Awaitable, Callable
 
 import logbook
 
@@ -37,6 +38,8 @@
 RETRY_ALLOWANCE_S = 3.0  # time for an attempt to fail and another to begin
 TOKENS_PER_EVENT = 5.0  # typical of inference engines
 SHUTDOWN_RETRY_AFTER_S = 0.05
+# Share of a caller's time for which a starting host's first configuration is awaited.
+INITIAL_LOAD_WAIT_SHARE = 0.4
 
 logger = logbook.Logger("requests")
 
@@ -48,6 +51,8 @@
     ----------
     dispatcher : Dispatcher
     monitor : Monitor
+    wait_for_initial_load : callable
+        Waits until the host has its first configuration, at most until an instant.
 
     Attributes
     ----------
@@ -60,9 +65,15 @@
         Number of requests without a final answer.
     """
 
-    def __init__(self, dispatcher: Dispatcher, monitor: Monitor) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        monitor: Monitor,
+        wait_for_initial_load: Callable[[float], Awaitable[None]],
+    ) -> None:
         self._dispatcher = dispatcher
         self._monitor = monitor
+        self._wait_for_initial_load = wait_for_initial_load
         self.exits_at = math.inf
         self.accept_streams_until = math.inf
         self.in_flight = 0
@@ -93,6 +104,9 @@
     async def _answer(
         self, req: CallerRequest, caller: CallerAnswer, outcome: "_Outcome"
     ) -> None:
+        if self._dispatcher.host_view.deployment is None:
+            waiting_s = INITIAL_LOAD_WAIT_SHARE * (req.deadline - req.received_at)
+            await self._wait_for_initial_load(req.received_at + waiting_s)
         job = self._create_job(req)
         outcome.job = job
         dispatcher = self._dispatcher
--- a/radishshift/guarded_platform.py
+++ b/radishshift/guarded_platform.py
@@ -143,9 +143,9 @@
         """Return one object."""
         return await self._call(kind, self.inner.get, kind, name)
 
-    async def list_all(self, kind: Kind) -> Listing:
+    async def list_all(self, kind: Kind, allow_stale: bool = False) -> Listing:
         """Return all objects of a kind."""
-        return await self._call(kind, self.inner.list_all, kind)
+        return await self._call(kind, self.inner.list_all, kind, allow_stale)
 
     async def create(self, item: StoredObject) -> StoredObject:
         """Create an object."""
--- a/radishshift/http_platform.py
+++ b/radishshift/http_platform.py
@@ -140,8 +140,8 @@
         data = await self._call("GET", f"/{kind.value}/{name}")
         return object_from_json(kind, data)
 
-    async def list_all(self, kind: Kind) -> Listing:
-        """Return all objects of a kind."""
+    async def list_all(self, kind: Kind, allow_stale: bool = False) -> Listing:
+        """Return all objects of a kind, always the latest."""
         data = await self._call("GET", f"/{kind.value}")
         model = msgspec.json.decode(data, type=_ListModel)
         items = tuple(_object_from_model(kind, item) for item in model.items)
--- a/radishshift/platform.py
+++ b/radishshift/platform.py
@@ -47,8 +47,14 @@
         """
         raise NotImplementedError
 
-    async def list_all(self, kind: Kind) -> Listing:
-        """Return all objects of a kind."""
+    async def list_all(self, kind: Kind, allow_stale: bool = False) -> Listing:
+        """Return all objects of a kind.
+
+        Parameters
+        ----------
+        allow_stale : bool
+            Accept a listing that is seconds old, where the platform has a cheaper one.
+        """
         raise NotImplementedError
 
     async def create(self, item: StoredObject) -> StoredObject:
@@ -141,8 +147,8 @@
             raise NotFoundError(f"{kind} {name} does not exist")
         return item
 
-    async def list_all(self, kind: Kind) -> Listing:
-        """Return all objects of a kind."""
+    async def list_all(self, kind: Kind, allow_stale: bool = False) -> Listing:
+        """Return all objects of a kind, always the latest."""
         self.reads += 1
         items = sorted(self._items[kind].values(), key=lambda item: item.name)
         return Listing(tuple(items), self.revision)
--- a/radishshift/standins/faulty.py
+++ b/radishshift/standins/faulty.py
@@ -67,8 +67,8 @@
     Attributes
     ----------
     faults : PlatformFaults
-    calls, writes : int
-        Calls so far, and the writes among them.
+    calls, writes, stale_reads : int
+        Calls so far, and the writes and the reads among them that may be stale.
     """
 
     inner: Platform
@@ -77,6 +77,7 @@
     faults: PlatformFaults = field(default_factory=PlatformFaults)
     calls: int = 0
     writes: int = 0
+    stale_reads: int = 0
     _random: random.Random = field(init=False)
 
     def __post_init__(self) -> None:
@@ -87,10 +88,12 @@
         await self._start_call()
         return await self.inner.get(kind, name)
 
-    async def list_all(self, kind: Kind) -> Listing:
+    async def list_all(self, kind: Kind, allow_stale: bool = False) -> Listing:
         """Return all objects of a kind."""
+        if allow_stale:
+            self.stale_reads += 1
         await self._start_call()
-        return await self.inner.list_all(kind)
+        return await self.inner.list_all(kind, allow_stale)
 
     async def create(self, item: StoredObject) -> StoredObject:
         """Store a new object."""
--- a/tests/gateway/test_platform_sync.py
+++ b/tests/gateway/test_platform_sync.py
@@ -12,7 +12,7 @@
 from radishshift.standins.faulty import FaultyPlatform
 from radishshift.virtual_time import LoopClock
 from tests.cases import VirtualTestCase
-from tests.gateway.worlds import SimpleObjectDecoder, route
+from tests.gateway.worlds import SimpleObjectDecoder, World, route
 
 CONFIG_S = 2.0  # time in which a configuration change must be in force
 
@@ -20,7 +20,7 @@
 class _Host:
     """A host that syncs with a platform over a connection of its own."""
 
-    def __init__(self, name, platform, fleet):
+    def __init__(self, name, platform, fleet, knows_others_at=0.0):
         clock = LoopClock()
         self.connection = FaultyPlatform(platform, clock)
         monitored = MonitoredPlatform(self.connection, clock)
@@ -31,9 +31,11 @@
             monitored,
             clock,
             self.host_view,
-            lambda: sorted(fleet),
+            lambda: sorted(fleet) if clock.now() >= knows_others_at else [name],
             lambda: (
-                [name for name in fleet if not fleet[name].connection.faults.down]
+                [name]
+                if clock.now() < knows_others_at
+                else [name for name in fleet if not fleet[name].connection.faults.down]
                 or sorted(fleet)
             ),
             self._count_change,
@@ -56,16 +58,20 @@
 
 
 class PlatformSyncTest(VirtualTestCase):
-    async def _fleet(self, count):
+    async def _fleet(self, count, start_s=2.0, gossip_s=0.0):
         platform = MemoryPlatform()
         await _put(platform, 1)
+        await platform.create(
+            StoredObject(Kind.ENDPOINT, "a", {"member": World((), {}).member("a")})
+        )
         fleet = {}
+        knows_others_at = asyncio.get_running_loop().time() + gossip_s
         for number in range(count):
             name = f"edge-{number}"
-            fleet[name] = _Host(name, platform, fleet)
+            fleet[name] = _Host(name, platform, fleet, knows_others_at)
         tasks = [asyncio.create_task(host.sync.run()) for host in fleet.values()]
         self.addCleanup(lambda: [task.cancel() for task in tasks])
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(start_s)
         return platform, fleet
 
     async def test_a_watch_applies_a_change(self):
@@ -118,6 +124,41 @@
         versions = [host.host_view.version for host in fleet.values()]
         self.assertEqual(WATCHER_COUNT, versions.count(2))
 
+    async def test_a_fleet_that_starts_together_makes_few_full_calls(self):
+        """195 hosts that knew no other all watched, and made 1,500 calls at a start."""
+        _, fleet = await self._fleet(30, gossip_s=0.5)
+        calls = sum(host.connection.calls for host in fleet.values())
+        stale = sum(host.connection.stale_reads for host in fleet.values())
+        self.assertEqual(3 * len(fleet), stale)
+        self.assertLess(calls - stale, 4 * 2 * WATCHER_COUNT)
+
+    async def test_a_started_host_has_its_configuration_at_once(self):
+        """For 0.15 s hosts that had just started rejected each request."""
+        _, fleet = await self._fleet(2, start_s=0.01, gossip_s=0.5)
+        self.assertEqual([1, 1], [host.host_view.version for host in fleet.values()])
+
+    async def test_a_caller_waits_for_the_first_configuration(self):
+        _, fleet = await self._fleet(1, start_s=0.0)
+        host = fleet["edge-0"]
+        host.connection.faults.down = True
+        now = asyncio.get_running_loop().time()
+        waiting = asyncio.create_task(host.sync.wait_for_initial_load(now + 5))
+        await asyncio.sleep(0.3)
+        self.assertFalse(waiting.done())
+        host.connection.faults.down = False
+        await asyncio.wait_for(waiting, 0.2)
+        self.assertEqual(1, host.host_view.version)
+
+    async def test_a_caller_is_not_kept_once_the_initial_load_is_overdue(self):
+        _, fleet = await self._fleet(1, start_s=0.0)
+        host = fleet["edge-0"]
+        host.connection.faults.down = True
+        clock = asyncio.get_running_loop()
+        await host.sync.wait_for_initial_load(clock.time() + 5)
+        began_at = clock.time()
+        await host.sync.wait_for_initial_load(clock.time() + 5)
+        self.assertEqual(began_at, clock.time())
+
     async def test_the_resyncs_of_a_fleet_make_one_call_per_kind_and_second(self):
         _, fleet = await self._fleet(20)
         before = sum(host.connection.calls for host in fleet.values())
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -1,5 +1,6 @@
 """Tests of the decisions made before the first attempt of a request."""
 
+import asyncio
 import math
 
 from radishshift.gateway.deployment import Customer, RouteKind
@@ -37,6 +38,22 @@
         caller = await world.send_request(key="other")
         self.assertEqual(503, caller.status)
 
+    async def test_a_request_waits_for_the_first_configuration_of_a_host(self):
+        """Each caller that came while a host started had spent its only retry."""
+        world = World([], {"a": [Script()]})
+        sending = asyncio.create_task(world.send_request(deadline_s=1.0))
+        await asyncio.sleep(0.2)
+        self.assertFalse(sending.done())
+        world.configure([IDEMPOTENT])
+        self.assertEqual(200, (await sending).status)
+
+    async def test_the_wait_for_a_configuration_leaves_time_for_a_retry(self):
+        world = World([], {"a": [Script()]})
+        began_at = world.clock.now()
+        caller = await world.send_request(deadline_s=1.0)
+        self.assertEqual(503, caller.status)
+        self.assertLess(caller.ended_at - began_at, 0.5)
+
     async def test_a_removed_key_is_rejected_and_an_added_key_accepted(self):
         world = World([IDEMPOTENT], {"a": [Script()]})
         world.configure([IDEMPOTENT], version=2, customers={"new": Customer("mill")})
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -1,6 +1,7 @@
 """A simulated gateway host with in-memory endpoints and callers, in virtual time."""
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import msgspec
@@ -272,13 +273,22 @@
             self.versions,
             bounds,
         )
-        self.path = RequestPath(self.dispatcher, Monitor("edge-1", "mbeya"))
+        self.configured = asyncio.Event()
+        self.path = RequestPath(
+            self.dispatcher, Monitor("edge-1", "mbeya"), self._wait_for_initial_load
+        )
         self.revision = 1
         self._version_of = versions or {}
         self._costs = costs
-        self.configure(routes)
+        if routes:
+            self.configure(routes)
         self.list_members(endpoints)
 
+    async def _wait_for_initial_load(self, until):
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                await self.configured.wait()
+
     def configure(self, routes, version=1, customers=None):
         """Apply a configuration."""
         self.revision += 1
@@ -290,6 +300,7 @@
             Kind.DEPLOYMENT, "main", {"deployment": deployment}, {}, self.revision
         )
         self.host_view.apply(Kind.DEPLOYMENT, Listing((item,), self.revision))
+        self.configured.set()
 
     def member(self, name, state=EndpointState.LIVE, born_ms=1):
         version = self._version_of.get(name, "v1")
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -38,6 +38,15 @@
             listing = await client.list_all(Kind.ENDPOINT)
         self.assertEqual(9, len(listing.items))
 
+    async def test_a_stale_listing_is_requested_for_each_page(self):
+        async with _client() as (store, client):
+            store.faults.page_size = 2
+            store.put("servers", "s1", {})
+            listing = await client.list_all(Kind.ENDPOINT, allow_stale=True)
+        self.assertEqual(3, len(listing.items))
+        paths = [path for _, path in store.calls]
+        self.assertEqual(2, sum("allowStale=1" in path for path in paths))
+
     async def test_malformed_entries_do_not_hide_the_others(self):
         async with _client() as (store, client):
             store.put("servers", "odd", "bytes")
