--- a/radishshift/assembly.py
+++ b/radishshift/assembly.py
@@ -39,8 +39,9 @@
 
 def _decode(events: bytes):
     for block in events.split(EVENT_SEPARATOR)[:-1]:
-        _, _, data = block.rpartition(DATA_PREFIX)
-        yield msgspec.json.decode(data)
+        for line in block.splitlines():
+            if line.startswith(DATA_PREFIX):
+                yield msgspec.json.decode(line.removeprefix(DATA_PREFIX))
 
 
 def _complete_choice(choice: dict[str, Any]) -> dict[str, Any]:
--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -191,19 +191,21 @@
         attempt = _Attempt(attempt_id, context.clock.now(), scanner)
         context.loads.record_start(endpoint, context.clock.now())
         self.answer.attempt_running = True
-        endpoint_failed = False
+        ok: bool | None = None
         try:
             async with self._until_deadline_or_disconnect(), self._isolated(endpoint):
                 await self._receive(endpoint, attempt)
+            ok = True
         except BaseException as exc:
-            endpoint_failed = isinstance(exc, EndpointError)
+            if isinstance(exc, EndpointError):
+                ok = False
             self._record_failure(endpoint, attempt, exc)
             if _is_crash(exc, attempt):
                 await context.poison_guard.report_crash(req.fingerprint, endpoint.name)
             raise
         finally:
             self.answer.attempt_running = False
-            context.loads.record_end(endpoint, context.clock.now(), not endpoint_failed)
+            context.loads.record_end(endpoint, context.clock.now(), ok)
         self.answer.ended_verdict = Verdict.RAN
         usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
         self._record_outcome(endpoint, attempt, usage, ok=True)
--- a/radishshift/claim_shards.py
+++ b/radishshift/claim_shards.py
@@ -156,13 +156,15 @@
         )
 
     def find(self, key: str, now: float) -> ClaimRecord | None:
-        """Return the claim of a key, or None if there is none or it has expired."""
-        record = self.claims.get(key)
-        for claims in self.sealed.values():
-            record = record or claims.get(key)
-        if record is None or record.expires <= now:
-            return None
-        return record
+        """Return the claim of a key, or None if there is none or it has expired.
+
+        An expired claim of the same key may still be in an older segment.
+        """
+        for claims in (self.claims, *self.sealed.values()):
+            record = claims.get(key)
+            if record is not None and record.expires > now:
+                return record
+        return None
 
     def add_segment(self, item: StoredObject) -> None:
         """Add the claims of a loaded segment."""
--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -60,12 +60,16 @@
         """Return whether a request has crashed too many endpoints to run again."""
         return self.crash_count(fingerprint, now) >= CRASHES_TO_BLOCK
 
-    def own_counts(self) -> dict[str, int]:
-        """Return the counts of this host alone, to be sent to its peers."""
+    def own_counts(self, now: float) -> dict[str, int]:
+        """Return the counts of this host alone, to be sent to its peers.
+
+        Expired counts are left out: a peer that has forgotten them would renew them.
+        """
         return {
             fingerprint: count
             for fingerprint, suspect in self._suspects.items()
-            if (count := suspect.crashes.get(self._host, 0))
+            if now - suspect.last_crash_at <= SUSPECT_RETENTION_S
+            and (count := suspect.crashes.get(self._host, 0))
         }
 
     def merge(self, host: str, counts: dict[str, int], now: float) -> None:
--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -11,7 +11,12 @@
 from radishshift.gateway.messages import CallerAnswer, EndpointAnswer
 from radishshift.verdicts import Verdict
 
-__all__ = ["relay_complete_answer"]
+__all__ = [
+    "acquire_retry",
+    "check_signature",
+    "relay_complete_answer",
+    "retry_allowed",
+]
 
 MAX_NOT_RUN_RETRIES = 6  # limit on retries after attempts that did not run
 MAX_ATTEMPTS = 5  # of one request, some of them at the same endpoint
@@ -89,8 +94,8 @@
     )
 
 
-def acquire_retry(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
-    """Acquire a retry after a failed attempt, if policy and retry budget allow it."""
+def retry_allowed(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
+    """Return whether policy and retry budget allow a retry after a failed attempt."""
     now = dispatcher.clock.now()
     if dispatcher.suspects.poisonous(job.fingerprint, now):
         return False
@@ -101,4 +106,13 @@
         allowed = job.attempts <= MAX_NOT_RUN_RETRIES
     else:
         allowed = job.route.idempotent and job.attempts < MAX_ATTEMPTS
-    return allowed and dispatcher.budget(job.service).try_acquire(now)
+    return allowed and dispatcher.budget(job.service).available(now) >= 1
+
+
+def acquire_retry(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
+    """Acquire a retry after a failed attempt, if policy and retry budget allow it."""
+    if not retry_allowed(dispatcher, job, exc):
+        return False
+    if isinstance(exc, EndpointUnreachableError):
+        return True
+    return dispatcher.budget(job.service).try_acquire(dispatcher.clock.now())
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -231,7 +231,7 @@
             store_lost=self.store_lost(),
             load={} if brief else self.own_load(),
             centre_load=self._centre_load(now) if coordinates and not brief else {},
-            crashes=self._suspects.own_counts(),
+            crashes=self._suspects.own_counts(now),
             trials={
                 service: RolloutEvidence(
                     canary.rollout.target,
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -92,7 +92,8 @@
             raise
         except ConnectionError as exc:
             # Writing to the caller failed.
-            outcome.error = f"caller-lost: {exc!r}"
+            outcome.error = "caller-lost"
+            outcome.reason = repr(exc)
             caller.abort()
         except Exception as exc:
             logger.exception("request failed with an internal error")
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -9,7 +9,11 @@
 )
 from radishshift.errors import EndpointError, StreamBrokenError
 from radishshift.gateway.attempts import Attempt
-from radishshift.gateway.complete_answers import acquire_retry, check_signature
+from radishshift.gateway.complete_answers import (
+    acquire_retry,
+    check_signature,
+    retry_allowed,
+)
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.event_buffer import EventBuffer
 from radishshift.gateway.jobs import Job
@@ -121,7 +125,7 @@
         body = await answer.read()
         if answer.status >= 500:
             error = EndpointError(f"the endpoint answered {answer.status}")
-            if self._caller.started or acquire_retry(
+            if self._caller.started or retry_allowed(
                 self._dispatcher, self._job, error
             ):
                 raise error
--- a/radishshift/loads.py
+++ b/radishshift/loads.py
@@ -128,13 +128,23 @@
         load.wait_s = max(wait_s, wait_s + (load.wait_s - wait_s) * decay)
         load.wait_recorded_at = now
 
-    def record_end(self, endpoint: Endpoint, now: float, ok: bool = True) -> None:
-        """Record the end of an attempt; `ok` is false if the endpoint is at fault."""
+    def record_end(
+        self, endpoint: Endpoint, now: float, ok: bool | None = True
+    ) -> None:
+        """Record the end of an attempt.
+
+        Parameters
+        ----------
+        ok : bool or None
+            False if the endpoint is at fault, None if the attempt was ended before that
+            was known, as at its deadline.
+        """
         load = self._load(endpoint)
         load.add_in_flight(-1, now)
         if load.in_flight < len(load.waiting_since):
             load.waiting_since.popleft()
-        load.circuit_breaker.record_outcome(ok, now)
+        if ok is not None:
+            load.circuit_breaker.record_outcome(ok, now)
 
     def record_report(self, name: str, report: LoadReport) -> None:
         """Record a load report if it is newer than the current one."""
--- a/radishshift/service_calls.py
+++ b/radishshift/service_calls.py
@@ -124,18 +124,19 @@
     if context.clock.now() >= call.deadline:
         raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
     context.loads.record_start(endpoint, context.clock.now())
-    endpoint_failed = False
+    ok: bool | None = None
     try:
         reply = await finish_by(
             context.clock,
             call.deadline,
             _run_with_poison_guard(context, call, endpoint),
         )
+        ok = True
     except TimeoutError as exc:
         raise DeadlineError("the service did not answer in time") from exc
     except EndpointError:
-        endpoint_failed = True
+        ok = False
         raise
     finally:
-        context.loads.record_end(endpoint, context.clock.now(), not endpoint_failed)
+        context.loads.record_end(endpoint, context.clock.now(), ok)
     return reply
--- a/tests/decisions/test_decisions.py
+++ b/tests/decisions/test_decisions.py
@@ -147,11 +147,21 @@
             suspects.record_crash("x", 0.0)
         self.assertFalse(suspects.poisonous("x", SUSPECT_RETENTION_S + 1))
 
+    def test_an_expired_count_is_not_renewed_by_gossip(self):
+        """A peer that had forgotten a suspect learnt it anew with its old count."""
+        one, two = CrashSuspects("edge-1"), CrashSuspects("edge-2")
+        one.record_crash("request", 0.0)
+        two.merge("edge-1", one.own_counts(1.0), 1.0)
+        late = 2 * SUSPECT_RETENTION_S
+        two.record_crash("other", late)
+        two.merge("edge-1", one.own_counts(late), late)
+        self.assertEqual(0, two.crash_count("request", late))
+
     def test_the_table_is_bounded(self):
         suspects = CrashSuspects("edge-1")
         for number in range(10_000):
             suspects.record_crash(str(number), 0.0)
-        self.assertLess(len(suspects.own_counts()), 3000)
+        self.assertLess(len(suspects.own_counts(0.0)), 3000)
 
 
 class MovingAveragesTest(TestCase):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from radishshift.decisions.retry_budget import RATIO_MARGIN
 from radishshift.gateway.deployment import RouteKind
+from radishshift.gateway.host_settings import Bounds
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import Script, World, route
 
@@ -10,6 +12,7 @@
 COMPLETE_STREAM = b"".join(EVENTS)
 MODELS = ("small", "middle", "large")
 STREAM = route(RouteKind.STREAM)
+RETRIES_PER_REQUEST = Bounds().retry_ratio * RATIO_MARGIN
 CASCADE = route(RouteKind.STREAM, models=MODELS)
 
 
@@ -226,6 +229,17 @@
         self.assertEqual(["a", "b"], world.attempted_endpoints())
         self.assertEqual((("X-Signature", "s"),), caller.headers)
 
+    async def test_an_error_answer_spends_one_retry(self):
+        """One 500 before the first event spent two retries of the budget."""
+        world = World([STREAM], {"a": [Script(status=500)], "b": [stream_script()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        budget = world.dispatcher.budget("advice")
+        now = world.clock.now()
+        before = budget.available(now)
+        self.assertEqual(200, (await world.send_request()).status)
+        spent = before + RETRIES_PER_REQUEST - budget.available(now)
+        self.assertAlmostEqual(1.0, spent)
+
     async def test_a_client_disconnect_cancels_the_attempt(self):
         world = World([STREAM], {"a": [stream_script(gap_s=0.5)]})
         task = asyncio.create_task(world.send_request())
@@ -269,7 +283,8 @@
         )
         world.placer.view(world.member("b")).in_flight = 5
         await world.send_request()
-        self.assertEqual({}, world.suspects.own_counts())
+        now = world.clock.now()
+        self.assertEqual({}, world.suspects.own_counts(now))
 
     async def test_a_poison_request_does_not_block_other_requests(self):
         world = World([STREAM], {"a": [Script(error="crash")], "b": [stream_script()]})
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from radishshift import claim_writer
+from radishshift.claim_shards import ClaimRecord, ClaimShard
 from radishshift.engines import ServiceReply
 from radishshift.errors import (
     BadRequestError,
@@ -12,7 +13,7 @@
     ResultLostError,
 )
 from radishshift.verdicts import Verdict
-from tests.cases import VirtualTestCase
+from tests.cases import TestCase, VirtualTestCase
 from tests.claims_fleet import CLOCK, REPLY, Fleet, booking
 
 
@@ -189,3 +190,14 @@
 
 def _stored_objects(fleet):
     return [item for items in fleet.platform._items.values() for item in items.values()]
+
+
+class ClaimShardTest(TestCase):
+    def test_an_expired_claim_in_an_older_segment_does_not_hide_a_newer_one(self):
+        """A resend of the call then ran it a second time."""
+        shard = ClaimShard("shard-1")
+        shard.sealed["old"] = {"key": ClaimRecord("call", "first", 1.0, 10.0)}
+        newer = ClaimRecord("call", "second", 20.0, 90.0)
+        shard.sealed["new"] = {"key": newer}
+        self.assertEqual(newer, shard.find("key", 15.0))
+        self.assertIsNone(shard.find("key", 95.0))
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -71,6 +71,18 @@
         self.loads.record_end(ENGINE, 1.7)
         self.assertEqual(["engine-1", "engine-2"], names(1.8))
 
+    def test_an_attempt_ended_by_its_deadline_does_not_close_a_circuit_breaker(self):
+        other = endpoint("engine-2")
+        for _ in range(3):
+            self.loads.record_start(ENGINE, 0.0)
+            self.loads.record_end(ENGINE, 0.0, ok=False)
+        self.loads.record_start(ENGINE, 0.1)
+        self.loads.record_end(ENGINE, 0.2, ok=None)
+        names = {
+            each.endpoint.name for each in self.loads.candidates([ENGINE, other], 0.3)
+        }
+        self.assertEqual({"engine-2"}, names)
+
     def test_the_only_endpoint_is_never_left_out(self):
         for _ in range(9):
             self.loads.record_start(ENGINE, 0.0)
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -99,6 +99,29 @@
             again = await client.get(Kind.ROLLOUT, "advice")
             self.assertEqual({"state": "x"}, again.status)
 
+    async def test_a_malformed_reply_to_a_write_may_hide_its_effect(self):
+        """The write of a roll-out's status counted as not run."""
+        async with _client() as (store, client):
+            store.put("rollouts", "advice", {"target": "v2"})
+            stored = await client.get(Kind.ROLLOUT, "advice")
+            store.faults.garble_replies = 1
+            exc = await self.assert_raises_async(
+                PlatformUnavailableError,
+                client.update_status(replace(stored, status={"state": "x"})),
+            )
+            self.assertEqual(Verdict.MAY_HAVE_RUN, exc.verdict)
+            again = await client.get(Kind.ROLLOUT, "advice")
+            self.assertEqual({"state": "x"}, again.status)
+
+    async def test_a_list_with_an_unreadable_page_is_not_taken_as_whole(self):
+        """Endpoints on the pages after it were taken to be gone."""
+        async with _client() as (store, client):
+            store.faults.page_size = 1
+            store.objects_by_kind["servers"]["aa"] = {"metadata": "none"}
+            await self.assert_raises_async(
+                PlatformUnavailableError, client.list_all(Kind.ENDPOINT)
+            )
+
     async def test_a_refused_call_had_no_effect(self):
         async with _client() as (store, client):
             for status in (429, 503):
