Wait for the first endpoints of a started host, as for its configuration

Cause: the listings of a start arrive one after the other; a request that came between them found a configuration without endpoints and was answered 503. Change: the wait for the initial load covers both.

--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -105,7 +105,8 @@
     async def _answer(
         self, req: CallerRequest, caller: CallerAnswer, outcome: "_Outcome"
     ) -> None:
-        if self._dispatcher.host_view.deployment is None:
+        host_view = self._dispatcher.host_view
+        if host_view.deployment is None or not host_view.members:
             waiting_s = INITIAL_LOAD_WAIT_SHARE * (req.deadline - req.received_at)
             await self._wait_for_initial_load(req.received_at + waiting_s)
         job = self._create_job(req)
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -47,6 +47,19 @@
         world.configure([IDEMPOTENT])
         self.assertEqual(200, (await sending).status)
 
+    async def test_a_request_waits_for_the_first_endpoints_of_a_host(self):
+        """The configuration arrives before the listing of endpoints, if barely."""
+        world = World([], {})
+        world.configure([IDEMPOTENT])
+        world.configured.clear()
+        world.endpoints.scripts["a"] = [Script()]
+        sending = asyncio.create_task(world.send_request(deadline_s=1.0))
+        await asyncio.sleep(0.2)
+        self.assertFalse(sending.done())
+        world.list_members(["a"])
+        world.configured.set()
+        self.assertEqual(200, (await sending).status)
+
     async def test_the_wait_for_a_configuration_leaves_time_for_a_retry(self):
         world = World([], {"a": [Script()]})
         began_at = world.clock.now()
