Let coordinators leave their data centre for much less load only; log who coordinates

Cause: coordinators know the load of other data centres by sums that are half a second old, so several choose the same remote endpoint.

A host logs its coordinator when that changes, each request how many of its attempts the coordinator placed, and the metrics tell whether a host coordinates.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -16,7 +16,7 @@
 from radishshift.gateway.deployment import Member
 from radishshift.prefix_caches import PrefixCaches
 
-__all__ = ["EndpointView", "PlacementRequest", "Placer"]
+__all__ = ["COORDINATED_REMOTE_COST", "EndpointView", "PlacementRequest", "Placer"]
 
 LATENCY_SMOOTHING = 0.2
 MAX_PAUSE_S = 3.0  # a recovered endpoint serves again within this time
@@ -29,6 +29,9 @@
 UNAVAILABLE_COST = 200.0
 TRIED_COST = 100.0
 REMOTE_CENTRE_COST = 2.0  # for the longer network path
+# A coordinator sees each choice for its own data centre at once, but for the others
+# only sums that are half a second old: several would choose the same remote endpoint.
+COORDINATED_REMOTE_COST = 6.0
 # While 1,000 tokens are prefilled by the largest model, the other streams in the batch
 # wait for 70 ms; a further stream in the batch delays each step by 0.1 ms.
 PREFILL_COST_PER_1000_TOKENS = 3.0
@@ -138,6 +141,8 @@
         Endpoints that this request has tried, in order.
     version : str
         Version that the endpoint must run, or empty for any.
+    remote_cost : float
+        Cost of an endpoint in another data centre, in requests in flight.
     """
 
     service: str
@@ -147,6 +152,7 @@
     prefill_ktokens: float = 0.0
     tried: Sequence[str] = ()
     version: str = ""
+    remote_cost: float = REMOTE_CENTRE_COST
 
     @property
     def own_load(self) -> float:
@@ -300,7 +306,7 @@
         member = view.member
         cost = (request.own_load + view.load + view.others_load) * view.latency_ratio
         if member.data_centre != request.data_centre:
-            cost += REMOTE_CENTRE_COST
+            cost += request.remote_cost
         if member.data_centre in cut_off_centres:
             cost += CUT_OFF_CENTRE_COST
         if self._recently_unreachable(
--- a/radishshift/experiments/replay.py
+++ b/radishshift/experiments/replay.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -21,7 +21,11 @@
     next_model,
 )
 from radishshift.decisions.moving_averages import MovingAverages
-from radishshift.decisions.placing import PlacementRequest, Placer
+from radishshift.decisions.placing import (
+    COORDINATED_REMOTE_COST,
+    PlacementRequest,
+    Placer,
+)
 from radishshift.decisions.retry_budget import HostRetryBudget
 from radishshift.experiments.fake_engines import FakeEngine, FakeJob, VirtualTime
 from radishshift.gateway.deployment import Member
@@ -283,6 +287,8 @@
         placement = PlacementRequest(
             "advice", self.data_centre, affinity, shared_tokens, prefill_ktokens
         )
+        if run.coordinated:
+            placement = replace(placement, remote_cost=COORDINATED_REMOTE_COST)
         member = _ENDPOINT_POLICIES[run.place](self, placement)
         view = self.placer.view(member)
         view.attempt_started(prefill_ktokens)
@@ -367,6 +373,7 @@
         self.hosts_count = hosts
         self.centres = centres
         self._fleet = fleet
+        self.coordinated = fleet == "coordinated"
         self._sampling = np.random.default_rng(seed)
         names = [f"e{number}" for number in range(engines)]
         self.engines = {
@@ -376,7 +383,7 @@
             engine.prefill_token_s = 0.00007  # the largest model's on the recorded day
             engine.base_s = 0.004
             engine.per_answer_s = 0.0001
-        deciders = centres if fleet == "coordinated" else hosts
+        deciders = centres if self.coordinated else hosts
         self._placers = [Placer() for _ in range(deciders)]
         self._hosts = [
             _Host(self, number, self._placers[number % deciders])
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -134,6 +134,7 @@
                 usable = name not in avoided and name not in job.failed_endpoints[-1:]
                 if member.name == name and usable:
                     self._placer.record_choice(member, request, self.clock.now())
+                    job.coordinated += 1
                     return member
         return self.choose(job, model)
 
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -234,7 +234,8 @@
         register("in_flight", lambda: self.request_path.in_flight)
         register("configuration_version", lambda: self.host_view.version)
         register("endpoints", lambda: len(self.host_view.members))
-        register("hosts", lambda: len(self.gossip.live_hosts()))
+        register("hosts", self.gossip.host_count)
+        register("coordinates", self.gossip.coordinates)
         register("store_calls", lambda: self.platform.calls)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -79,6 +79,7 @@
         self._random = random.Random(settings.host)
         self._session: aiohttp.ClientSession | None = None
         self._next_push_at = 0.0
+        self._coordinator: str | None = None
         self.on_change: Callable[[list[Kind]], None] = lambda kinds: None
         self.store_lost: Callable[[], bool] = lambda: False
 
@@ -122,7 +123,7 @@
         Only recent messages count. A coordinator rounds up what all hosts report.
         """
         now = self._clock.now()
-        if self.peers.coordinator(now) == self._settings.host:
+        if self.coordinates():
             canary = self._versions.canaries.get(service)
             return math.ceil(
                 sum(
@@ -153,11 +154,32 @@
             while True:
                 addresses = self.peers.for_round(self._clock.now())
                 await asyncio.gather(*map(self._gossip_with, addresses))
+                self._log_coordinator()
                 self._update_peer_load()
                 await asyncio.sleep(GOSSIP_INTERVAL_S * self._random.uniform(0.8, 1.2))
         finally:
             await self._session.close()
 
+    def coordinates(self) -> bool:
+        """Return whether this host is the coordinator of its data centre."""
+        return self.peers.coordinator(self._clock.now()) == self._settings.host
+
+    def _log_coordinator(self) -> None:
+        """Log the coordinator of this data centre when it changes."""
+        now = self._clock.now()
+        coordinator = self.peers.coordinator(now)
+        if coordinator != self._coordinator:
+            logger.info(
+                "coordinator is {}",
+                coordinator or "not needed",
+                extra={
+                    "before": self._coordinator or "",
+                    "local_hosts": len(self.peers.local_hosts(now)),
+                    "hosts": self.peers.host_count(now),
+                },
+            )
+            self._coordinator = coordinator
+
     async def announce_change(self) -> None:
         """Gossip with some peers right after a change that they may not know."""
         now = self._clock.now()
@@ -217,7 +239,7 @@
         now = self._clock.now()
         brief = brief or (requester is not None and requester.brief)
         peers, neighbours = ({}, []) if brief else self.peers.listed(now)
-        coordinates = self.peers.coordinator(now) == self._settings.host
+        coordinates = self.coordinates()
         return GossipMessage(
             host=self._settings.host,
             incarnation=self._incarnation,
@@ -364,7 +386,7 @@
         """
         now = self._clock.now()
         self.fleet_load.expire(now)
-        if self.peers.coordinator(now) == self._settings.host:
+        if self.coordinates():
             for view in self._placer.views():
                 view.others_load = self.fleet_load.total(view.member.name)
             return
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -35,6 +35,8 @@
         Endpoints to avoid in further attempts.
     may_have_run : bool
         Whether an attempt may have run.
+    coordinated : int
+        Number of attempts whose endpoint the coordinator named.
     """
 
     req: CallerRequest
@@ -48,6 +50,7 @@
     used_endpoints: list[str] = field(default_factory=list)
     failed_endpoints: list[str] = field(default_factory=list)
     may_have_run: bool = False
+    coordinated: int = 0
 
     def __post_init__(self) -> None:
         """Compute the fingerprint."""
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -247,6 +247,7 @@
                 "service": job.service,
                 "version": job.version,
                 "attempts": job.attempts,
+                "coordinated": job.coordinated,
                 "endpoints": job.used_endpoints,
                 "failed": job.failed_endpoints,
                 "left_s": round(job.deadline - self._dispatcher.clock.now(), 3),
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -14,7 +14,11 @@
 from aiohttp import web
 
 from radishshift.clocks import Clock
-from radishshift.decisions.placing import PlacementRequest, Placer
+from radishshift.decisions.placing import (
+    COORDINATED_REMOTE_COST,
+    PlacementRequest,
+    Placer,
+)
 from radishshift.gateway.deployment import Member
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
@@ -195,6 +199,7 @@
             question.prefill_ktokens,
             [*question.avoided, *question.tried],
             question.version,
+            COORDINATED_REMOTE_COST,
         )
         chosen = self._placer.choose(members.values(), request, now)
         if chosen is None:
--- a/tests/decisions/test_placing.py
+++ b/tests/decisions/test_placing.py
@@ -1,6 +1,10 @@
 """Tests of endpoint choice."""
 
-from radishshift.decisions.placing import PlacementRequest, Placer
+from radishshift.decisions.placing import (
+    COORDINATED_REMOTE_COST,
+    PlacementRequest,
+    Placer,
+)
 from radishshift.gateway.deployment import Member
 from tests.cases import TestCase
 
@@ -42,6 +46,16 @@
         self.assertEqual("mbeya-1", chosen[0])
         self.assertIn("iringa-0", chosen)
 
+    def test_a_coordinator_leaves_its_data_centre_only_for_much_less_load(self):
+        """By sums half a second old, five coordinators chose the same idle endpoint."""
+        members = _members("iringa", "mbeya")
+        request = PlacementRequest(
+            "advice", "mbeya", remote_cost=COORDINATED_REMOTE_COST
+        )
+        chosen = self._names(members, request, count=12)
+        self.assertEqual(["mbeya-1"] * 6, chosen[:6])
+        self.assertIn("iringa-0", chosen)
+
     def test_load_by_other_hosts_counts(self):
         members = _members("mbeya", "mbeya")
         self.placer.view(members[0]).others_load = 9
