--- a/radishshift/decisions/fleet_load.py
+++ b/radishshift/decisions/fleet_load.py
@@ -16,6 +16,7 @@
     "MIN_COORDINATED_HOSTS",
     "REPORT_MAX_AGE_S",
     "FleetLoad",
+    "PlacementQuota",
     "first_coordinator",
 ]
 
@@ -23,12 +24,16 @@
 # In smaller data centres hosts choose for themselves: there are few of them, and each
 # hears from all others within a second.
 MIN_COORDINATED_HOSTS = 8
+# Questions that a coordinator answers; each takes half a millisecond of a core. Hosts
+# that send more have enough requests of their own to choose by.
+MAX_PLACEMENTS_PER_S = 200.0
+MIN_LOAD = 1e-6  # less is what rounding leaves of a sum
 
 
 @dataclass(slots=True)
 class _Report:
     at: float
-    load: Mapping[str, float]
+    load: dict[str, float]
 
 
 @dataclass(slots=True)
@@ -87,11 +92,30 @@
     def _drop(self, sender: str) -> None:
         report = self._reports.pop(sender, None)
         for endpoint, amount in () if report is None else report.load.items():
-            left = self._totals[endpoint] - amount
-            if left > 1e-6:
+            left = self._totals.get(endpoint, 0.0) - amount
+            if left > MIN_LOAD:
                 self._totals[endpoint] = left
             else:
-                del self._totals[endpoint]
+                self._totals.pop(endpoint, None)
+
+
+@dataclass(slots=True)
+class PlacementQuota:
+    """Token bucket of one second's questions, which bounds a coordinator's work."""
+
+    per_s: float = MAX_PLACEMENTS_PER_S
+    _tokens: float = MAX_PLACEMENTS_PER_S
+    _refilled_at: float = 0.0
+
+    def admit(self, now: float) -> bool:
+        """Return whether a question is answered now."""
+        refilled = self._tokens + (now - self._refilled_at) * self.per_s
+        self._tokens = min(self.per_s, refilled)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
 
 
 def first_coordinator(hosts: Iterable[str]) -> str:
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from radishshift.clocks import Clock
+from radishshift.decisions.fleet_load import PlacementQuota
 from radishshift.decisions.placing import (
     COORDINATED_REMOTE_COST,
     PlacementRequest,
@@ -28,7 +29,7 @@
 __all__ = ["FAILED_OUTCOME", "PATH", "SharedPlacement"]
 
 PATH = "/place"
-RETRY_S = 1.0  # after a question that got no reply in time
+RETRY_S = 1.0  # after a question that got no reply in time, or no endpoint
 FAILED_OUTCOME = -1.0  # in place of the latency ratio of a failed attempt
 MAX_OUTCOMES = 64  # kept for the next question
 
@@ -65,7 +66,7 @@
 
 
 class _Reply(msgspec.Struct):
-    """Names the endpoint, or none if the coordinator knows of none."""
+    """Names the endpoint; none if the coordinator knows of none or is overloaded."""
 
     endpoint: str
 
@@ -97,6 +98,7 @@
         self._gossip = gossip
         self._outcomes: list[tuple[str, float]] = []
         self._retry_at = 0.0
+        self._quota = PlacementQuota()
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -156,6 +158,8 @@
             self._gossip.peers.record_failure(address, exc, now)
             logger.warning("coordinator {} does not answer: {!r}", coordinator, exc)
             return ""
+        if not reply.endpoint:
+            self._retry_at = self._clock.now() + RETRY_S
         return reply.endpoint
 
     async def _ask(self, address: str, question: _Question) -> _Reply:
@@ -183,6 +187,8 @@
         now = self._clock.now()
         fleet_load = self._gossip.fleet_load
         fleet_load.report(question.host, question.load, now)
+        if not self._quota.admit(now):
+            return ""
         members = {
             member.name: member
             for member in self._host_view.members_of(question.service)
--- a/tests/decisions/test_fleet_load.py
+++ b/tests/decisions/test_fleet_load.py
@@ -1,8 +1,10 @@
 """Tests of the summed load of a fleet."""
 
 from radishshift.decisions.fleet_load import (
+    MAX_PLACEMENTS_PER_S,
     REPORT_MAX_AGE_S,
     FleetLoad,
+    PlacementQuota,
     first_coordinator,
 )
 from tests.cases import TestCase
@@ -37,6 +39,12 @@
         self.load.expire(5.1 + REPORT_MAX_AGE_S)
         self.assertEqual(2.0, self.load.total("a"))
 
+    def test_reports_without_load_are_dropped_like_others(self):
+        for number in range(2):
+            self.load.report(f"edge-{number}", {"a": 0.0}, 5.0)
+        self.load.expire(5.1 + REPORT_MAX_AGE_S)
+        self.assertEqual(0.0, self.load.total("a"))
+
     def test_the_load_of_one_data_centre_is_summed(self):
         self.load.report("edge-1", {"a": 1.0}, 5.0)
         self.load.report("edge-2", {"a": 2.0, "b": 1.0}, 5.0)
@@ -44,6 +52,11 @@
         sums = self.load.sum_of(["edge-1", "edge-2", "edge-3"])
         self.assertEqual({"a": 3.0, "b": 1.0}, sums)
 
+    def test_questions_beyond_the_quota_are_not_answered(self):
+        quota = PlacementQuota()
+        answered = sum(quota.admit(number / 1000) for number in range(3000))
+        self.assertAlmostEqual(4 * MAX_PLACEMENTS_PER_S, answered, delta=2)
+
     def test_hosts_that_know_different_hosts_agree_on_the_first(self):
         names = [f"edge-{number}" for number in range(40)]
         first = first_coordinator(names)
--- a/tests/gateway/test_shared_placement.py
+++ b/tests/gateway/test_shared_placement.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from radishshift.decisions.fleet_load import PlacementQuota
 from radishshift.decisions.placing import PlacementRequest
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.gossip import Gossip
@@ -127,6 +128,18 @@
         await world.send_request(3)
         self.assertEqual(2, len(coordinator.questions))
 
+    async def test_an_overloaded_coordinator_leaves_the_choice_to_the_hosts(self):
+        coordinator, followers = self._fleet()
+        coordinator.placement._quota = PlacementQuota(2.0, 2.0, _now())
+        host = followers[0]
+        for _ in range(2):
+            self.assertTrue(await host.placement.suggest(host.request(), (), 0.1))
+        for _ in range(5):
+            self.assertEqual("", await host.placement.suggest(host.request(), (), 0.1))
+        self.assertEqual(3, len(coordinator.questions))
+        await asyncio.sleep(RETRY_S)
+        self.assertTrue(await host.placement.suggest(host.request(), (), 0.1))
+
     async def test_an_endpoint_that_this_host_knows_to_be_leaving_is_not_used(self):
         coordinator, followers = self._fleet()
         world = followers[0].world
