Probe unreachable endpoints also where the coordinator places; pool what cannot be reached

Cause, found by reading: a host that got its endpoints from the coordinator never came to the choice of its own, which starts the connection probes, so an endpoint out of reach was tried by a request each second. And the coordinator took a connection that could not be opened for a failed attempt: it did not leave out a data centre that was cut off. Change: the probes start before the coordinator is asked; outcomes tell both cases apart. The tests fail without each part.

--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -51,7 +51,7 @@
 
 async def _attempt(dispatcher: Dispatcher, job: Job) -> tuple[EndpointAnswer, bytes]:
     dispatcher.check_deadline(job)
-    member = await dispatcher.place(job)
+    member = await dispatcher.placement.place(job)
     with dispatcher.attempt(job, member, "") as attempt:
         answer = await dispatcher.open(attempt)
         body = await answer.read()
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -3,14 +3,13 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import replace
 
 import logbook
 
 from radishshift.clocks import Clock
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.moving_averages import MovingAverages
-from radishshift.decisions.placing import PlacementRequest, Placer
+from radishshift.decisions.placing import Placer
 from radishshift.decisions.retry_budget import HostRetryBudget
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import (
@@ -19,7 +18,6 @@
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointUnreachableError,
-    NoEndpointError,
     StreamStalledError,
 )
 from radishshift.gateway.attempts import PROBE_AFTER_S, Attempt
@@ -29,7 +27,8 @@
 from radishshift.gateway.host_view import HostView
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.messages import EndpointAnswer, EndpointClient
-from radishshift.gateway.shared_placement import FAILED_OUTCOME, SharedPlacement
+from radishshift.gateway.placement import Placement
+from radishshift.gateway.shared_placement import FAILED_OUTCOME, UNREACHABLE_OUTCOME
 from radishshift.verdicts import Verdict
 
 __all__ = ["Dispatcher"]
@@ -37,21 +36,15 @@
 SILENCE_CHECK_INTERVAL_S = 0.1
 # Multiplies the stall timeout when no other endpoint is available.
 TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE = 4.0
-# Departed endpoints are used for this share of `drain_s`, if no other is available.
-DEPARTED_USE_SHARE = 0.5
 # Tokens whose prefill takes as long as the fixed part of the time to a first event.
 TOKENS_PER_PROMPT_UNIT = 1500
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
-# The coordinator answers within a few milliseconds; a host that uses up its processor
-# time pauses for up to 0.1 s.
-STREAM_PLACEMENT_TIMEOUT_S = 0.15
-CALL_PLACEMENT_TIMEOUT_S = 0.04  # a call's objective is a few tenths of a second
 
 logger = logbook.Logger("dispatch")
 
 
 class Dispatcher:
-    """Chooses endpoints and runs attempts on them.
+    """Runs attempts on endpoints.
 
     Parameters
     ----------
@@ -66,8 +59,8 @@
 
     Attributes
     ----------
-    shared_placement : SharedPlacement or None
-        Asks the coordinator of a large data centre; None where each host chooses alone.
+    placement : Placement
+        Chooses the endpoints.
     """
 
     def __init__(
@@ -87,12 +80,13 @@
         self.suspects = suspects
         self.versions = versions
         self.times = MovingAverages()
-        self._data_centre = data_centre
         self._placer = placer
         self._client = client
         self._budgets: dict[str, HostRetryBudget] = {}
         self._prober = ConnectionProber(clock, client)
-        self.shared_placement: SharedPlacement | None = None
+        self.placement = Placement(
+            clock, data_centre, host_view, placer, self._prober, bounds.drain_s
+        )
 
     def budget(self, service: str) -> HostRetryBudget:
         """Return this host's retry budget for a service."""
@@ -110,98 +104,6 @@
         for budget in self._budgets.values():
             budget.host_count = host_count
 
-    async def place(self, job: Job, model: str = "") -> Member:
-        """Return the endpoint for the next attempt, if possible by the coordinator.
-
-        The coordinator's choice is used only if this host, too, would send to it.
-
-        Raises
-        ------
-        NoEndpointError
-        """
-        members = self._allowed(job)
-        if self.shared_placement is not None and len(members) > 1:
-            now = self.clock.now()
-            request = self._placement_request(job, model)
-            avoided = {m.name for m in self._placer.unavailable(members, now)}
-            timeout_s = (
-                STREAM_PLACEMENT_TIMEOUT_S
-                if job.route.kind is RouteKind.STREAM
-                else CALL_PLACEMENT_TIMEOUT_S
-            )
-            name = await self.shared_placement.suggest(request, avoided, timeout_s)
-            for member in self._allowed(job) if name else ():
-                usable = name not in avoided and name not in job.failed_endpoints[-1:]
-                if member.name == name and usable:
-                    self._placer.record_choice(member, request, self.clock.now())
-                    job.coordinated += 1
-                    return member
-        return self.choose(job, model)
-
-    def choose(self, job: Job, model: str = "") -> Member:
-        """Return the endpoint for the next attempt.
-
-        `model` is empty unless one has been chosen for the request. The only endpoint
-        is chosen again even if it failed the request. If none of the job's
-        version is available, `job.version` is cleared and any version is used; the last
-        resort are endpoints that departed recently. Unreachable endpoints that are due
-        for a connection probe are probed in the background.
-
-        Raises
-        ------
-        NoEndpointError
-        """
-        now = self.clock.now()
-        request = self._placement_request(job, model)
-        members = self._allowed(job)
-        for view in self._placer.to_probe(members, now):
-            self._prober.probe(view)
-        chosen = self._placer.choose(members, request, now)
-        if chosen is None and job.failed_endpoints and len(members) == 1:
-            chosen = self._placer.choose(members, replace(request, tried=()), now)
-        if chosen is None and job.version:
-            job.version = ""
-            return self.choose(job, model)
-        if chosen is None:
-            since = now - DEPARTED_USE_SHARE * self.bounds.drain_s
-            departed = self.host_view.departed_since(job.service, since)
-            chosen = self._placer.choose(departed, request, now)
-        if chosen is None:
-            raise NoEndpointError(
-                f"no endpoint of {job.service} is available out of {len(members)}"
-            )
-        return chosen
-
-    def _placement_request(self, job: Job, model: str) -> PlacementRequest:
-        parts = job.req.parts
-        shared = parts[:-1] if len(parts) > 1 else parts
-        return PlacementRequest(
-            service=job.service,
-            data_centre=self._data_centre,
-            affinity=f"{model} {shared[-1].digest}" if shared else "",
-            shared_tokens=sum(part.tokens for part in shared),
-            prefill_ktokens=self._prefill_ktokens(job, model),
-            tried=job.failed_endpoints,
-            version=job.version,
-        )
-
-    def _prefill_ktokens(self, job: Job, model: str) -> float:
-        """Return thousands of tokens to prefill, weighted by the model's cost.
-
-        The weight is 1 for the largest model, whose prefill takes longest.
-        """
-        costs = self.host_view.model_costs(job.service)
-        max_cost = max(costs.values(), default=0.0)
-        share = costs[model] / max_cost if max_cost and model in costs else 1.0
-        return share * job.req.prompt_tokens / 1000
-
-    def _allowed(self, job: Job) -> list[Member]:
-        """Return the endpoints that a job may still be sent to."""
-        members = list(self.host_view.members_of(job.service))
-        if job.endpoints_left > 0:
-            return members
-        return [member for member in members if member.name in job.used_endpoints]
-
     @contextmanager
     def attempt(self, job: Job, member: Member, model: str) -> Iterator[Attempt]:
         """Track an attempt while it runs, and record how it fails."""
@@ -209,7 +111,7 @@
         view = self._placer.view(member)
         attempt = Attempt(job, member, view, model, now, last_byte_at=now)
         attempt.mean_first_event_s = self.mean_first_event_s(job, model)
-        attempt.prefill_ktokens = self._prefill_ktokens(job, model)
+        attempt.prefill_ktokens = self.placement.prefill_ktokens(job, model)
         view.attempt_started(attempt.prefill_ktokens)
         job.attempts += 1
         attempt.first_at_endpoint = member.name not in job.used_endpoints
@@ -299,7 +201,9 @@
             return
         if overdue_ratio > (
             1.0
-            if self._has_alternative(attempt)
+            if self.placement.has_alternative(
+                attempt.job, attempt.model, attempt.member
+            )
             else TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE
         ):
             raise StreamStalledError(
@@ -324,14 +228,6 @@
                 return attempt_overdue
         return max(attempt_overdue, quiet_s / attempt.silence_timeout_s)
 
-    def _has_alternative(self, attempt: Attempt) -> bool:
-        job = attempt.job
-        request = self._placement_request(job, attempt.model)
-        request = replace(request, tried=[*job.failed_endpoints, attempt.member.name])
-        return self._placer.has_alternative(
-            self._allowed(job), request, self.clock.now()
-        )
-
     def record_completion(self, attempt: Attempt) -> None:
         """Record an attempt that delivered its complete answer."""
         now = self.clock.now()
@@ -386,7 +282,9 @@
             attempt.view.record_unreachable(now)
         if not refused or isinstance(exc, EndpointReplacedError):
             attempt.view.circuit_breaker.record_outcome(False, now)
-            self._share_outcome(attempt, FAILED_OUTCOME)
+            unreachable = isinstance(exc, EndpointUnreachableError)
+            outcome = UNREACHABLE_OUTCOME if unreachable else FAILED_OUTCOME
+            self._share_outcome(attempt, outcome)
         if isinstance(exc, EndpointReplacedError):
             self._client.forget(attempt.member)
         if not refused and not isinstance(
@@ -411,8 +309,8 @@
         )
 
     def _share_outcome(self, attempt: Attempt, latency_ratio: float) -> None:
-        if self.shared_placement is not None:
-            self.shared_placement.record_outcome(attempt.member.name, latency_ratio)
+        if self.placement.shared is not None:
+            self.placement.shared.record_outcome(attempt.member.name, latency_ratio)
 
     def check_deadline(self, job: Job) -> None:
         """Raise if too little time is left for another attempt.
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -123,7 +123,7 @@
         self.shared_placement = SharedPlacement(
             settings, self.clock, self.host_view, self.placer, self.gossip
         )
-        self.dispatcher.shared_placement = self.shared_placement
+        self.dispatcher.placement.shared = self.shared_placement
         self.platform_sync = PlatformSync(
             settings.host,
             self.platform,
@@ -297,6 +297,7 @@
                 self.settings = settings
                 self.versions.bounds = settings.bounds
                 self.dispatcher.bounds = settings.bounds
+                self.dispatcher.placement.drain_s = settings.bounds.drain_s
 
     async def _drain(self) -> None:
         """Wait for requests in flight, until shortly before the process is killed."""
--- /dev/null
+++ b/radishshift/gateway/placement.py
@@ -0,0 +1,173 @@
+"""Choice of the endpoint for each attempt of a request at one host."""
+
+from collections.abc import Collection
+from dataclasses import replace
+
+from radishshift.clocks import Clock
+from radishshift.decisions.placing import PlacementRequest, Placer
+from radishshift.errors import NoEndpointError
+from radishshift.gateway.connection_prober import ConnectionProber
+from radishshift.gateway.deployment import Member, RouteKind
+from radishshift.gateway.host_view import HostView
+from radishshift.gateway.jobs import Job
+from radishshift.gateway.shared_placement import SharedPlacement
+
+__all__ = ["Placement"]
+
+# Departed endpoints are used for this share of `drain_s`, if no other is available.
+DEPARTED_USE_SHARE = 0.5
+# The coordinator answers within a few milliseconds; a host that uses up its processor
+# time pauses for up to 0.1 s.
+STREAM_PLACEMENT_TIMEOUT_S = 0.15
+CALL_PLACEMENT_TIMEOUT_S = 0.04  # a call's objective is a few tenths of a second
+
+
+class Placement:
+    """Chooses endpoints, by the coordinator's advice where there is one.
+
+    Parameters
+    ----------
+    clock : Clock
+    data_centre : str
+    host_view : HostView
+    placer : Placer
+    prober : ConnectionProber
+    drain_s : float
+        Time after an endpoint's departure from which it may get no requests.
+
+    Attributes
+    ----------
+    shared : SharedPlacement or None
+        Asks the coordinator of a large data centre; None where each host chooses alone.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        data_centre: str,
+        host_view: HostView,
+        placer: Placer,
+        prober: ConnectionProber,
+        drain_s: float,
+    ) -> None:
+        self.drain_s = drain_s
+        self.shared: SharedPlacement | None = None
+        self._clock = clock
+        self._data_centre = data_centre
+        self._host_view = host_view
+        self._placer = placer
+        self._prober = prober
+
+    async def place(self, job: Job, model: str = "") -> Member:
+        """Return the endpoint for the next attempt.
+
+        The coordinator's advice is used only if this host, too, would send there.
+        Unreachable endpoints that are due for a connection probe are probed in the
+        background.
+
+        Parameters
+        ----------
+        job : Job
+        model : str
+            Empty unless one has been chosen for the request.
+
+        Raises
+        ------
+        NoEndpointError
+        """
+        members = self._allowed(job)
+        for view in self._placer.to_probe(members, self._clock.now()):
+            self._prober.probe(view)
+        if self.shared is not None and len(members) > 1:
+            advised = await self._ask_coordinator(job, model, members)
+            if advised is not None:
+                return advised
+        return self._choose(job, model)
+
+    async def _ask_coordinator(
+        self, job: Job, model: str, members: Collection[Member]
+    ) -> Member | None:
+        """Return the endpoint that the coordinator names, if it is usable here."""
+        request = self._request(job, model)
+        now = self._clock.now()
+        avoided = {member.name for member in self._placer.unavailable(members, now)}
+        timeout_s = (
+            STREAM_PLACEMENT_TIMEOUT_S
+            if job.route.kind is RouteKind.STREAM
+            else CALL_PLACEMENT_TIMEOUT_S
+        )
+        name = await self.shared.suggest(request, avoided, timeout_s)
+        if not name or name in avoided or name in job.failed_endpoints[-1:]:
+            return None
+        # An endpoint may have left while the question was on its way.
+        for member in self._allowed(job):
+            if member.name == name:
+                self._placer.record_choice(member, request, self._clock.now())
+                job.coordinated += 1
+                return member
+        return None
+
+    def _choose(self, job: Job, model: str) -> Member:
+        """Return the endpoint that this host chooses for itself.
+
+        The only endpoint is chosen again even if it failed the request. If none of the
+        job's version is available, `job.version` is cleared and any version is used;
+        the last resort are endpoints that departed recently.
+        """
+        now = self._clock.now()
+        request = self._request(job, model)
+        members = self._allowed(job)
+        chosen = self._placer.choose(members, request, now)
+        if chosen is None and job.failed_endpoints and len(members) == 1:
+            chosen = self._placer.choose(members, replace(request, tried=()), now)
+        if chosen is None and job.version:
+            job.version = ""
+            return self._choose(job, model)
+        if chosen is None:
+            since = now - DEPARTED_USE_SHARE * self.drain_s
+            departed = self._host_view.departed_since(job.service, since)
+            chosen = self._placer.choose(departed, request, now)
+        if chosen is None:
+            raise NoEndpointError(
+                f"no endpoint of {job.service} is available out of {len(members)}"
+            )
+        return chosen
+
+    def has_alternative(self, job: Job, model: str, member: Member) -> bool:
+        """Return whether an endpoint other than `member` could be tried."""
+        request = replace(
+            self._request(job, model), tried=[*job.failed_endpoints, member.name]
+        )
+        return self._placer.has_alternative(
+            self._allowed(job), request, self._clock.now()
+        )
+
+    def prefill_ktokens(self, job: Job, model: str) -> float:
+        """Return thousands of tokens to prefill, weighted by the model's cost.
+
+        The weight is 1 for the largest model, whose prefill takes longest.
+        """
+        costs = self._host_view.model_costs(job.service)
+        max_cost = max(costs.values(), default=0.0)
+        share = costs[model] / max_cost if max_cost and model in costs else 1.0
+        return share * job.req.prompt_tokens / 1000
+
+    def _request(self, job: Job, model: str) -> PlacementRequest:
+        parts = job.req.parts
+        shared = parts[:-1] if len(parts) > 1 else parts
+        return PlacementRequest(
+            service=job.service,
+            data_centre=self._data_centre,
+            affinity=f"{model} {shared[-1].digest}" if shared else "",
+            shared_tokens=sum(part.tokens for part in shared),
+            prefill_ktokens=self.prefill_ktokens(job, model),
+            tried=job.failed_endpoints,
+            version=job.version,
+        )
+
+    def _allowed(self, job: Job) -> list[Member]:
+        """Return the endpoints that a job may still be sent to."""
+        members = list(self._host_view.members_of(job.service))
+        if job.endpoints_left > 0:
+            return members
+        return [member for member in members if member.name in job.used_endpoints]
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -26,11 +26,14 @@
 from radishshift.gateway.host_view import HostView
 from radishshift.gateway.sockets import keepalive_session
 
-__all__ = ["FAILED_OUTCOME", "PATH", "SharedPlacement"]
+__all__ = ["FAILED_OUTCOME", "PATH", "UNREACHABLE_OUTCOME", "SharedPlacement"]
 
 PATH = "/place"
 RETRY_S = 1.0  # after a question that got no reply in time, or no endpoint
-FAILED_OUTCOME = -1.0  # in place of the latency ratio of a failed attempt
+# In place of the latency ratio of an attempt that failed, and of one for which no
+# connection could be opened.
+FAILED_OUTCOME = -1.0
+UNREACHABLE_OUTCOME = -2.0
 MAX_OUTCOMES = 64  # kept for the next question
 
 logger = logbook.Logger("placement")
@@ -45,8 +48,8 @@
     load : dict of str to float
         Load that the host puts on each endpoint.
     outcomes : list of tuple
-        Endpoint and latency ratio, or `FAILED_OUTCOME`, of attempts that ended since
-        the last question.
+        Endpoint and latency ratio, `FAILED_OUTCOME` or `UNREACHABLE_OUTCOME` of
+        attempts that ended since the last question.
     avoided : list of str
         Endpoints that the host takes to be unavailable.
     service, affinity, shared_tokens, prefill_ktokens, tried, version
@@ -214,8 +217,11 @@
         return chosen.name
 
     def _record_outcome(self, member: Member, ratio: float, now: float) -> None:
+        """Record an outcome at another host, as if it were this host's own."""
         view = self._placer.view(member)
-        failed = ratio == FAILED_OUTCOME
+        if ratio == UNREACHABLE_OUTCOME:
+            view.record_unreachable(now)
+        failed = ratio in (FAILED_OUTCOME, UNREACHABLE_OUTCOME)
         view.circuit_breaker.record_outcome(not failed, now)
         if not failed:
             view.record_latency_ratio(ratio)
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -104,7 +104,7 @@
         dispatcher = self._dispatcher
         job = self._job
         dispatcher.check_deadline(job)
-        member = await dispatcher.place(job, self.model)
+        member = await dispatcher.placement.place(job, self.model)
         with dispatcher.attempt(job, member, self.model) as attempt:
             resume_after_id = self._buffer.last_event_id or job.req.last_event_id
             answer = await dispatcher.open(attempt, resume_after_id)
--- a/tests/gateway/test_shared_placement.py
+++ b/tests/gateway/test_shared_placement.py
@@ -13,6 +13,7 @@
 from radishshift.gateway.shared_placement import (
     FAILED_OUTCOME,
     RETRY_S,
+    UNREACHABLE_OUTCOME,
     SharedPlacement,
     _Question,
     _Reply,
@@ -46,7 +47,7 @@
             settings, world.clock, world.host_view, world.placer, self.gossip
         )
         self.placement._ask = self._ask
-        world.dispatcher.shared_placement = self.placement
+        world.dispatcher.placement.shared = self.placement
         self.hosts = hosts
         self.silent = False
         self.questions = []
@@ -161,6 +162,16 @@
         ]
         self.assertNotIn("b", chosen)
 
+    async def test_an_endpoint_that_one_host_cannot_reach_is_left_out_for_all(self):
+        """Each host of a data centre found out for itself that another was cut off."""
+        _, followers = self._fleet()
+        followers[0].placement.record_outcome("b", UNREACHABLE_OUTCOME)
+        chosen = [
+            await host.placement.suggest(host.request(), (), 0.1)
+            for host in followers * 2
+        ]
+        self.assertNotIn("b", chosen)
+
     async def test_an_endpoint_to_avoid_is_not_named(self):
         _, followers = self._fleet()
         host = followers[0]
@@ -170,6 +181,20 @@
         }
         self.assertEqual(set(), chosen & {"a", "b"})
 
+    async def test_unreachable_endpoints_are_probed_by_each_host(self):
+        """With advice a host sent no probes, and a request each second to find out."""
+        coordinator, followers = self._fleet()
+        for name in ("a", "c", "d"):
+            coordinator.world.placer.view(coordinator.world.member(name)).in_flight = 90
+        world = followers[0].world
+        world.endpoints.cut_off = {"b"}
+        view = world.placer.view(world.member("b"))
+        view.record_unreachable(_now())
+        for number in range(8):
+            await asyncio.sleep(0.4)
+            await world.send_request(number)
+        self.assertNotIn("b", world.attempted_endpoints())
+
     async def test_the_load_of_other_data_centres_counts(self):
         coordinator, followers = self._fleet()
         message = GossipMessage("edge-99", 1, "edge-99:1", "iringa", {})
