Keep background tasks of the product alive after malformed replies and unexpected errors

Cause, found by reading: a reply of the platform that did not decode raised an error of the decoder, which ended the task that followed a kind, and an unexpected error ended the one that sends bills or evidence; neither left a line nor came back. Change: the client turns errors of decoding into PlatformUnavailableError, for writes with the verdict that they may have run; periodic tasks log an unexpected error and go on.

--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -178,6 +178,10 @@
 
 
 async def _run_periodically(clock: Clock, period_s: float, action: Callable) -> None:
+    """Run an action again and again, also after an error that nobody expected.
+
+    Bills and evidence that wait would otherwise stay in memory without a log line.
+    """
     while True:
         await clock.sleep_until(clock.now() + period_s)
         try:
@@ -188,6 +192,8 @@
                 exc.code,
                 exc.message,
             )
+        except Exception:
+            logger.exception("periodic task for bills, evidence or roll-outs failed")
 
 
 def _platform_session(tls: ClientTls | None) -> aiohttp.ClientSession:
--- a/radishshift/http_platform.py
+++ b/radishshift/http_platform.py
@@ -1,7 +1,8 @@
 """HTTP client for the platform's object API, which follows Kubernetes conventions."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import aiohttp
@@ -109,6 +110,38 @@
     )
 
 
+def _change_from_line(kind: Kind, line: bytes) -> ObjectChange:
+    """Decode an event of a watch.
+
+    Raises
+    ------
+    GoneError, PlatformUnavailableError
+    """
+    with _decoding(Verdict.NOT_RUN):
+        event = msgspec.json.decode(line, type=_EventModel)
+        if event.type != "ERROR":
+            item = _object_from_model(kind, event.object)
+            return ObjectChange(ChangeType(event.type), item)
+    raise GoneError("platform ended the watch with an error event")
+
+
+@contextmanager
+def _decoding(verdict: Verdict) -> Iterator[None]:
+    """Turn an error of decoding a reply into one of the platform.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        Whether the call may have taken effect.
+    """
+    try:
+        yield
+    except (msgspec.DecodeError, ValueError) as exc:
+        raise PlatformUnavailableError(
+            f"the platform's reply is malformed: {exc}", verdict=verdict
+        ) from exc
+
+
 class HttpPlatform(Platform):
     """Client of a platform reached over HTTP.
 
@@ -138,24 +171,28 @@
     async def get(self, kind: Kind, name: str) -> StoredObject:
         """Return one object."""
         data = await self._call("GET", f"/{kind.value}/{name}")
-        return object_from_json(kind, data)
+        with _decoding(Verdict.NOT_RUN):
+            return object_from_json(kind, data)
 
     async def list_all(self, kind: Kind, allow_stale: bool = False) -> Listing:
         """Return all objects of a kind, always the latest."""
         data = await self._call("GET", f"/{kind.value}")
-        model = msgspec.json.decode(data, type=_ListModel)
-        items = tuple(_object_from_model(kind, item) for item in model.items)
-        return Listing(items, int(model.metadata.resource_version))
+        with _decoding(Verdict.NOT_RUN):
+            model = msgspec.json.decode(data, type=_ListModel)
+            items = tuple(_object_from_model(kind, item) for item in model.items)
+            return Listing(items, int(model.metadata.resource_version))
 
     async def create(self, item: StoredObject) -> StoredObject:
         """Create an object."""
         data = await self._call("POST", f"/{item.kind.value}", item)
-        return object_from_json(item.kind, data)
+        with _decoding(Verdict.MAY_HAVE_RUN):
+            return object_from_json(item.kind, data)
 
     async def update(self, item: StoredObject) -> StoredObject:
         """Replace an object if it is still at the revision of `item`."""
         data = await self._call("PUT", f"/{item.kind.value}/{item.name}", item)
-        return object_from_json(item.kind, data)
+        with _decoding(Verdict.MAY_HAVE_RUN):
+            return object_from_json(item.kind, data)
 
     async def delete(self, kind: Kind, name: str, revision: int) -> None:
         """Delete an object if it is still at `revision`."""
@@ -178,12 +215,7 @@
                 if resp.status != 200:
                     raise _error_from_response(resp.status, await resp.read())
                 async for line in resp.content:
-                    event = msgspec.json.decode(line, type=_EventModel)
-                    if event.type == "ERROR":
-                        raise GoneError("platform ended the watch with an error event")
-                    yield ObjectChange(
-                        ChangeType(event.type), _object_from_model(kind, event.object)
-                    )
+                    yield _change_from_line(kind, line)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise PlatformUnavailableError(f"platform watch failed: {exc}") from exc
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -10,9 +10,11 @@
 import aiohttp
 import msgspec
 
+from radishshift.entry import _run_periodically
 from radishshift.objects import Kind
 from radishshift.standins.deployment import KEY, deployed
-from tests.cases import TestCase
+from radishshift.virtual_time import LoopClock
+from tests.cases import TestCase, VirtualTestCase
 from tests.served import VERSION, served
 from tests.test_attempts import error_of, words_of
 
@@ -155,3 +157,19 @@
                 self.assertEqual(1, len(left))
                 text = (await resp.read()).decode()
             self.assertEqual("shutting-down", error_of(text)["code"])
+
+
+class PeriodicTaskTest(VirtualTestCase):
+    async def test_a_task_goes_on_after_an_unexpected_error(self):
+        """One such error ended the task that sends the bills, and no line told so."""
+        calls = []
+
+        async def action():
+            calls.append(len(calls))
+            if len(calls) == 1:
+                raise KeyError("not expected")
+
+        task = asyncio.create_task(_run_periodically(LoopClock(), 1.0, action))
+        await asyncio.sleep(3.5)
+        task.cancel()
+        self.assertEqual([0, 1, 2], calls)
