--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -67,6 +67,13 @@
 
 
 class RequestsTest(TestCase):
+    async def test_overlong_numbers_of_a_caller_count_as_missing(self):
+        """A request with a token count of 400 digits was answered 500."""
+        async with _running_demo() as demo:
+            for header in ("X_Token_Usage", "X_Deadline_Ms"):
+                status, _, _ = await _send(demo, **{header: "9" * 400})
+                self.assertEqual(200, status, header)
+
     async def test_requests_are_forwarded_unchanged_without_reserved_headers(self):
         async with _running_demo() as demo:
             forged = {
