--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -24,6 +24,7 @@
 from radishshift.gateway.gossip_messages import GossipMessage, RolloutEvidence
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.host_view import KINDS, HostView
+from radishshift.gateway.peer_calls import answer_peer, call_peer
 from radishshift.gateway.peer_table import PeerTable
 from radishshift.gateway.sockets import keepalive_session
 from radishshift.object_table import Head, TableDelta
@@ -195,14 +196,11 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Reply to a peer's message with this host's message."""
-        try:
-            message = msgspec.json.decode(await request.read(), type=GossipMessage)
-        except msgspec.DecodeError as exc:
-            logger.warning("received a malformed gossip message: {}", exc)
-            return web.Response(status=400)
+        return await answer_peer(request, GossipMessage, self._reply)
+
+    def _reply(self, message: GossipMessage) -> GossipMessage:
         self._receive(message)
-        reply = msgspec.json.encode(self._build_message(message))
-        return web.Response(body=reply, content_type="application/json")
+        return self._build_message(message)
 
     async def _gossip_with(self, address: str, brief: bool = False) -> None:
         """Exchange messages with a peer, and send the tables in which it is behind."""
@@ -222,15 +220,8 @@
             )
 
     async def _send(self, address: str, message: GossipMessage) -> GossipMessage:
-        async with (
-            asyncio.timeout(REQUEST_TIMEOUT_S),
-            self._session.post(
-                f"http://{address}{PATH}",
-                data=msgspec.json.encode(message),
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            ) as resp,
-        ):
-            return msgspec.json.decode(await resp.read(), type=GossipMessage)
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            return await call_peer(self._session, address, PATH, message, GossipMessage)
 
     def _build_message(
         self, requester: GossipMessage | None, brief: bool = False
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -24,6 +24,7 @@
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.host_view import HostView
+from radishshift.gateway.peer_calls import answer_peer, call_peer
 from radishshift.gateway.sockets import keepalive_session
 
 __all__ = ["FAILED_OUTCOME", "PATH", "UNREACHABLE_OUTCOME", "SharedPlacement"]
@@ -168,22 +169,13 @@
     async def _ask(self, address: str, question: _Question) -> _Reply:
         if self._session is None:
             self._session = keepalive_session(idle_s=5.0)
-        async with self._session.post(
-            f"http://{address}{PATH}",
-            data=msgspec.json.encode(question),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        ) as resp:
-            return msgspec.json.decode(await resp.read(), type=_Reply)
+        return await call_peer(self._session, address, PATH, question, _Reply)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer the question of another host."""
-        try:
-            question = msgspec.json.decode(await request.read(), type=_Question)
-        except msgspec.DecodeError as exc:
-            logger.warning("received a malformed question: {}", exc)
-            return web.Response(status=400)
-        reply = msgspec.json.encode(_Reply(self.place(question)))
-        return web.Response(body=reply, content_type="application/json")
+        return await answer_peer(
+            request, _Question, lambda question: _Reply(self.place(question))
+        )
 
     def place(self, question: _Question) -> str:
         """Choose an endpoint for another host, and count it as that host's load."""
--- a/tests/gateway/test_shared_placement.py
+++ b/tests/gateway/test_shared_placement.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+from aiohttp import web
 
 from radishshift.decisions.fleet_load import PlacementQuota
 from radishshift.decisions.placing import PlacementRequest
@@ -18,7 +19,7 @@
     _Question,
     _Reply,
 )
-from tests.cases import VirtualTestCase
+from tests.cases import TestCase, VirtualTestCase
 from tests.gateway.worlds import SERVICE, Script, World, route
 
 HOSTS = 10
@@ -218,3 +219,20 @@
 
 def _now():
     return asyncio.get_running_loop().time()
+
+
+class SharedPlacementHttpTest(TestCase):
+    async def test_a_question_is_answered_over_http(self):
+        host = _Host("edge-1", {})
+        server = web.Server(host.placement.handle, access_log=None)
+        listener = await asyncio.get_running_loop().create_server(
+            server, "127.0.0.1", 0
+        )
+        ip, port = listener.sockets[0].getsockname()
+        question = _Question("edge-2", SERVICE, tried=["a", "b", "c"])
+        try:
+            reply = await SharedPlacement._ask(host.placement, f"{ip}:{port}", question)
+        finally:
+            await host.placement.close()
+            listener.close()
+        self.assertEqual("d", reply.endpoint)
