--- a/radishshift/gateway/platform_sync.py
+++ b/radishshift/gateway/platform_sync.py
@@ -38,9 +38,7 @@
 # A host that started learns of the others by gossip before it judges whether it is a
 # watcher. When a whole fleet starts, each host would otherwise watch.
 SETTLING_S = 1.0
-WATCH_BACKOFF = WatchBackoff(
-    initial_s=0.1, max_s=0.6, max_relist_delay_s=0.2, batch_s=0.1
-)
+WATCH_BACKOFF = WatchBackoff(initial_s=0.1, max_s=0.6, max_relist_delay_s=0.2)
 
 logger = logbook.Logger("followers")
 
--- a/radishshift/watching.py
+++ b/radishshift/watching.py
@@ -8,7 +8,7 @@
 
 from radishshift.clocks import Clock
 from radishshift.errors import GoneError, RadishshiftError
-from radishshift.objects import ChangeType, Kind, Listing, ObjectChange
+from radishshift.objects import Kind, Listing, ObjectChange
 from radishshift.platform import Platform
 
 __all__ = ["WatchBackoff", "follow_kind"]
@@ -27,15 +27,11 @@
     max_relist_delay_s : float
         Longest random delay before a new listing once the platform no longer stores
         the last revision seen.
-    batch_s : float
-        Pause after a bookmark. On a platform that ends each reply to a watch with one,
-        the changes of that time come with one call.
     """
 
     initial_s: float = 0.5
     max_s: float = 8.0
     max_relist_delay_s: float = 2.0
-    batch_s: float = 0.0
 
 
 DEFAULT_BACKOFF = WatchBackoff()
@@ -81,8 +77,6 @@
                 yield change
                 if clock.now() >= next_listing_at:
                     break
-                if backoff.batch_s and change.type is ChangeType.BOOKMARK:
-                    await clock.sleep_until(clock.now() + backoff.batch_s)
         except GoneError:
             since = None
             await clock.sleep_until(
