--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -86,8 +86,7 @@
 
     def live_hosts(self) -> list[str]:
         """Return the sorted names of the live hosts, including this one."""
-        names = [name for name, _ in self.peers.live(self._clock.now())]
-        return sorted([*names, self._settings.host])
+        return self.peers.live_hosts(self._clock.now())
 
     def live_hosts_with_store(self) -> list[str]:
         """Return the live hosts that reach the store, or all of them if none does."""
--- a/radishshift/gateway/peer_table.py
+++ b/radishshift/gateway/peer_table.py
@@ -182,6 +182,10 @@
             ):
                 yield name, peer
 
+    def live_hosts(self, now: float) -> list[str]:
+        """Return the sorted names of the live hosts, including this one."""
+        return sorted([*(name for name, _ in self.live(now)), self._settings.host])
+
     def recent(self, now: float) -> list[Peer]:
         """Return the peers from which a message was received lately."""
         since = now - REPORT_MAX_AGE_S
@@ -213,7 +217,7 @@
         else all live hosts.
         """
         if self.coordinator(now) is None:
-            return sorted([*(name for name, _ in self.live(now)), self._settings.host])
+            return self.live_hosts(now)
         return sorted(centre.coordinator for _, centre in self._fresh_centres(now))
 
     def host_count(self, now: float) -> int:
