Log the steps of a stop, and how long after the signal a request was read

A report of a request that a stopping host took and gave up couldn't be placed: logs had no end of the drain, and a request cut off by the end of the process was logged as caller-left.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -186,10 +186,19 @@
             self._spawn(self._watch_settings())
             await self._stop.wait()
             await self._drain()
+            self._log_end("drained")
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
-        logger.info("stopped", extra={"in_flight": self.request_path.in_flight})
+        self._log_end("stopped")
+
+    def _log_end(self, message: str) -> None:
+        """Log a step of the stop, its time since the signal, and what is in flight."""
+        path = self.request_path
+        after_stop_s = round(self.clock.now() - path.stopping_since, 3)
+        logger.info(
+            message, extra={"in_flight": path.in_flight, "after_stop_s": after_stop_s}
+        )
 
     async def _close_client(self) -> None:
         """Close idle connections; running attempts are left until the process exits."""
@@ -302,6 +311,7 @@
     async def _drain(self) -> None:
         """Wait for requests in flight, until shortly before the process is killed."""
         now = self.clock.now()
+        self.request_path.stopping_since = now
         drain_until = now + self.settings.bounds.stop_s - KILL_MARGIN_S
         self.request_path.exits_at = drain_until
         self.request_path.accept_streams_until = now + STREAM_ACCEPT_S
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -61,6 +61,8 @@
     accept_streams_until : float
         Instant until which streams are accepted nevertheless: the load balancer does
         not yet know of the shutdown, and callers can resume streams at other hosts.
+    stopping_since : float
+        Instant at which the host began to stop.
     in_flight : int
         Number of requests without a final answer.
     """
@@ -76,6 +78,7 @@
         self._wait_for_initial_load = wait_for_initial_load
         self.exits_at = math.inf
         self.accept_streams_until = math.inf
+        self.stopping_since = math.inf
         self.in_flight = 0
 
     async def handle(self, req: CallerRequest, caller: CallerAnswer) -> None:
@@ -87,8 +90,9 @@
         except RadishshiftError as exc:
             await self._send_error(req, caller, outcome, exc)
         except asyncio.CancelledError:
-            # The caller closed the connection.
-            outcome.error = "caller-left"
+            # The caller closed the connection, or the process ends.
+            stopped = self._dispatcher.clock.now() >= self.exits_at
+            outcome.error = "shutting-down" if stopped else "caller-left"
             raise
         except ConnectionError as exc:
             # Writing to the caller failed.
@@ -241,6 +245,9 @@
         }
         if outcome.error:
             extra |= {"error": outcome.error, "reason": outcome.reason}
+        if self.stopping_since < math.inf:
+            # Negative for a request that was in flight when the host began to stop.
+            extra["after_stop_s"] = round(req.received_at - self.stopping_since, 3)
         if job is not None:
             extra |= {
                 "route": route,
