--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -3,10 +3,12 @@
 import asyncio
 import copy
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import aiohttp
 from demo import CONFIG, HOST, KEY, Demo
 
+from radishshift.gateway import gateway_host
 from tests.cases import TestCase
 
 BASE_HEADERS = {
@@ -265,3 +267,39 @@
             self.assertEqual("close", headers["Connection"])
             await demo.host_task
             await demo._stack.aclose()
+
+    async def test_a_request_read_after_the_drain_is_not_taken_and_given_up(self):
+        """A request on a kept connection ran while the process that took it ended."""
+        headers = BASE_HEADERS | {"X-Deadline-Ms": "500", "Content-Length": "1"}
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        text = f"POST /book/x HTTP/1.1\r\n{head}\r\nb"
+        async with _running_demo() as demo:
+            host = demo.gateway_host
+            reader, writer = await asyncio.open_connection(*demo.address.split(":"))
+            drain = host._drain
+
+            async def drain_then_receive():
+                await drain()
+                writer.write(text.encode())
+
+            async def end_slowly():
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    await _wait_until(lambda: _executed(demo), 0.1)
+
+            with (
+                mock.patch.object(gateway_host, "MIN_DRAIN_S", 0.1),
+                mock.patch.object(host, "_drain", drain_then_receive),
+            ):
+                host._spawn(end_slowly())
+                await asyncio.sleep(0)
+                host.stop("test")
+                await demo.host_task
+            self.assertEqual([], _executed(demo))
+            answer = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            if answer:
+                self.assertIn(b" 503 ", answer.splitlines()[0])
+                self.assertIn(b"connection: close", answer.lower())
+            await demo._stack.aclose()
