--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -120,6 +120,15 @@
         caller = await world.send_request(answer_tokens=10)
         self.assertEqual(200, caller.status)
 
+    async def test_a_stream_longer_than_its_caller_states_is_not_cut_by_the_exit(self):
+        """A stream was accepted 2.75 s after SIGTERM and cut off 5 s later."""
+        script = Script(events=EVENTS * 30, gap_s=0.3)
+        world = World([STREAM], {"a": [script]})
+        world.path.exits_at = exits_at = world.clock.now() + 5.0
+        world.path.accept_streams_until = world.clock.now()
+        caller = await world.send_request(answer_tokens=10)
+        self.assertLess(caller.ended_at, exits_at)
+
     async def test_streams_are_accepted_until_the_load_balancer_detects_the_shutdown(
         self,
     ):
