Accept a request on a stopping host only if its deadline precedes the exit

Callers saw a stream broken off that a host had accepted on an open connection over 2.5 s after SIGTERM. Cause: it was accepted if three times its mean duration, for the length that the caller stated, fitted before the exit; the stated length is a guess, and no margin over a guess is a bound. Class: an estimate where a promise needs a bound.

Now only a deadline bounds a request, as for calls that aren't streams; until the load balancer has seen that the host stops, streams are accepted as before. What is refused is told when to come back, and its connection closes.

The estimate and its five constants are gone.

--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -31,12 +31,6 @@
 
 # Longer than callers of such requests wait, so that they give up instead of retrying.
 POISON_RETRY_AFTER_S = 30.0
-MIN_FIRST_EVENT_S = 0.5  # lower bounds for the estimate of a stream's duration
-MIN_EVENT_INTERVAL_S = 0.05
-# Margin over the mean durations, as callers' estimates of the length are often off.
-DURATION_MARGIN = 3.0
-RETRY_ALLOWANCE_S = 3.0  # time for an attempt to fail and another to begin
-TOKENS_PER_EVENT = 5.0  # typical of inference engines
 SHUTDOWN_RETRY_AFTER_S = 0.05
 # Share of a caller's time for which a starting host's first configuration is awaited.
 INITIAL_LOAD_WAIT_SHARE = 0.4
@@ -134,26 +128,12 @@
 
     def _may_outlast_process(self, job: Job, now: float) -> bool:
         """Return whether a request may still run when the process exits."""
-        if min(job.deadline, now + self._max_duration_s(job)) < self.exits_at:
+        if job.deadline < self.exits_at:
             return False
         return (
             job.route.kind is not RouteKind.STREAM or now >= self.accept_streams_until
         )
 
-    def _max_duration_s(self, job: Job) -> float:
-        """Return an upper estimate of the duration, which few requests exceed."""
-        if job.route.kind is not RouteKind.STREAM:
-            return math.inf
-        mean_s = self._dispatcher.times.mean_s
-        name = job.route.name
-        model = job.route.models[-1] if job.route.models else ""
-        events = job.req.answer_tokens / TOKENS_PER_EVENT
-        first_s = max(
-            MIN_FIRST_EVENT_S, self._dispatcher.mean_first_event_s(job, model)
-        )
-        event_s = max(MIN_EVENT_INTERVAL_S, mean_s((name, model, "event")))
-        return RETRY_ALLOWANCE_S + DURATION_MARGIN * (first_s + events * event_s)
-
     async def _run(self, job: Job, caller: CallerAnswer, outcome: "_Outcome") -> int:
         if job.route.kind is not RouteKind.STREAM:
             return await relay_complete_answer(self._dispatcher, job, caller)
