--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -37,6 +37,8 @@
         Whether the request had no earlier attempt at the endpoint.
     answer : EndpointAnswer or None
         Set once the status and headers have been received.
+    body_began : bool
+        Whether bytes of the answer's body have been received.
     """
 
     job: Job
@@ -46,6 +48,7 @@
     began_at: float
     first_at_endpoint: bool = True
     answer: EndpointAnswer | None = None
+    body_began: bool = False
     last_byte_at: float = 0.0
     mean_first_event_s: float = 0.0
     prefill_ktokens: float = 0.0
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -38,6 +38,7 @@
 TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE = 4.0
 # Tokens whose prefill takes as long as the fixed part of the time to a first event.
 TOKENS_PER_PROMPT_UNIT = 1500
+MAX_PARTS_LOGGED = 8
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
 
 logger = logbook.Logger("dispatch")
@@ -173,6 +174,7 @@
                 self._check_silence(attempt)
                 continue
             attempt.record_bytes(self.clock.now())
+            attempt.body_began = attempt.body_began or bool(data)
             return data
 
     async def _wait_for_head(
@@ -305,6 +307,11 @@
                 "reason": exc.message[:200],
                 "took_s": round(now - attempt.began_at, 3),
                 "endpoint_quiet_s": round(now - attempt.view.last_byte_at, 3),
+                "answered": attempt.answer is not None,
+                "body_began": attempt.body_began,
+                "parts": [
+                    part.digest[:16] for part in job.req.parts[:MAX_PARTS_LOGGED]
+                ],
             },
         )
 
