--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -155,6 +155,47 @@
             await task
         self.assertEqual((200, EVENTS), (status, body))
 
+    async def test_a_stream_that_ends_inside_an_event_is_resumed(self):
+        """Without a length or chunks, such an end looks like that of the body."""
+        for unframed in (False, True):
+            async with _running_demo() as demo:
+                for endpoint in demo.endpoints.values():
+                    endpoint.ends_within_event = True
+                    endpoint.set_faults(unframed=unframed)
+
+                async def end_streams_whole(demo=demo):
+                    await _wait_until(lambda: len(_executed(demo, "llm")) > 2)
+                    for endpoint in demo.endpoints.values():
+                        endpoint.ends_within_event = False
+
+                task = asyncio.create_task(end_streams_whole())
+                status, _, body = await _send(
+                    demo, "/plan/x", "POST", b"p", **STREAM_HEADERS
+                )
+                await task
+                runs = _executed(demo, "llm")
+            self.assertEqual((200, EVENTS), (status, body), f"unframed: {unframed}")
+            resumed_after = [headers.get("Last-Event-ID") for _, headers, _ in runs]
+            self.assertIn("1", resumed_after)
+
+    async def test_a_stream_that_always_ends_inside_an_event_is_not_ended_whole(self):
+        for unframed in (False, True):
+            async with _running_demo() as demo:
+                for endpoint in demo.endpoints.values():
+                    endpoint.ends_within_event = True
+                    endpoint.set_faults(unframed=unframed)
+                sending = _send(demo, "/plan/x", "POST", b"p", **STREAM_HEADERS)
+                await self.assert_raises_async(aiohttp.ClientError, sending)
+
+    async def test_an_unframed_stream_is_forwarded_completely(self):
+        async with _running_demo() as demo:
+            for endpoint in demo.endpoints.values():
+                endpoint.set_faults(unframed=True)
+            status, _, body = await _send(
+                demo, "/plan/x", "POST", b"p", **STREAM_HEADERS
+            )
+        self.assertEqual((200, EVENTS), (status, body))
+
     async def test_a_client_disconnect_cancels_the_work(self):
         async with _running_demo() as demo:
             for endpoint in demo.endpoints.values():
