Test that a crashing part of prompts is learnt by all hosts, known red

No test had requests of which no two are alike but for one part.

Three hosts that gossip, five engines that crash on a part, restarts after 1 s, over loopback; sound and crashing requests share key, path prefix and first part.

--- /dev/null
+++ b/tests/users_platform/test_crashing_parts.py
@@ -0,0 +1,239 @@
+"""End-to-end test of several hosts under requests with a part that crashes endpoints.
+
+Hosts, endpoints, store and callers run in this process and talk over loopback.
+"""
+
+import asyncio
+import os
+import random
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, replace
+
+import aiohttp
+from entry import ADAPTER
+from users_platform.settings import read_settings
+from users_platform.standins import StandinPlatform, standin_platform
+
+from radishshift.gateway.gateway_host import GatewayHost
+from tests.cases import TestCase
+
+KEY = "key-of-ring"
+HOST_HEADER = "ring.example"
+SERVICE = "advice"
+DATA_CENTRES = ("mbeya", "iringa", "dodoma")
+HOST_COUNT = 3
+ENDPOINT_COUNT = 5
+# Below the kernel's range of ephemeral ports.
+CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7101, 7102, 7103, 7104
+# The rule: hosts know a crashing part this long after the fifth crash, and sound
+# requests are served again after twice that time.
+CONTACT_S = 3.0
+CRASHES_TO_LEARN = 5
+MAX_LATE_ARRIVALS = 3
+MIN_SOUND_REQUESTS = 20
+MIN_SERVED_SHARE = 0.9
+SOUND_WINDOW_S = 3.0
+MAX_SENDING_S = 13.0
+SOUND_INTERVAL_S, CRASHING_INTERVAL_S = 0.06, 0.15
+BAD_PART = "bad"
+
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "plan",
+            "host": HOST_HEADER,
+            "pathPrefix": "/plan/",
+            "type": "streaming",
+            "timeoutMs": 5000,
+            "sloMs": 1000,
+            "service": SERVICE,
+            "maxAttempts": 3,
+            "resumable": True,
+        }
+    ],
+    "services": [{"name": SERVICE}],
+    "tenants": [{"name": "ring", "apiKeys": [KEY]}],
+}
+EVENTS = "".join(f"id: {number}\ndata: tokens\n\n" for number in range(1, 11)).encode()
+
+
+def _loopback_ip(number):
+    """Return a loopback address of this process that no soak test uses."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 8) % 250}.{pid % 256}.{101 + number}"
+
+
+@dataclass
+class _Sent:
+    """A request of the test and how it ended."""
+
+    at: float
+    crashing: bool
+    served: bool = False
+
+
+class _Fleet:
+    """Hosts that gossip with each other, and a platform with endpoints that crash."""
+
+    def __init__(self, platform: StandinPlatform) -> None:
+        self.platform = platform
+        self.hosts = [GatewayHost(self._adapter(n)) for n in range(HOST_COUNT)]
+        self._running: list[asyncio.Task] = []
+
+    def _adapter(self, number):
+        ip = _loopback_ip(number)
+        seeds = [f"{_loopback_ip(n)}:{PEER_PORT}" for n in range(HOST_COUNT)]
+        text = f"""
+nodeName = "edge-{number}"
+ip = "{ip}"
+zone = "{DATA_CENTRES[number]}"
+portRange = [{PEER_PORT}, {METRICS_PORT}]
+seedNodes = {[seed for seed in seeds if not seed.startswith(f"{ip}:")]!r}
+[listen]
+frontend = "{ip}:{CALLER_PORT}"
+ready = "{ip}:{READY_PORT}"
+[bounds]
+graceS = 1.0
+[platform]
+address = "{self.platform.store_address}"
+"""
+        return replace(ADAPTER, load_settings=lambda: read_settings(text))
+
+    async def start(self) -> None:
+        """Start the hosts; return once each knows the others and all endpoints."""
+        for number in range(1, ENDPOINT_COUNT + 1):
+            zone = DATA_CENTRES[number % len(DATA_CENTRES)]
+            endpoint = await self.platform.add_endpoint(
+                f"llm-{number}", SERVICE, zone=zone
+            )
+            endpoint.crashing_parts = {BAD_PART}
+            endpoint.head_delay_s = 0.15
+            endpoint.gap_s = 0.02
+        self._running = [asyncio.create_task(host.run()) for host in self.hosts]
+        async with asyncio.timeout(20):
+            while not all(map(self._is_complete, self.hosts)):
+                await asyncio.sleep(0.02)
+
+    def _is_complete(self, host):
+        others = host.gossip.host_count() >= HOST_COUNT - 1
+        return others and len(host.host_view.members) == ENDPOINT_COUNT
+
+    async def stop(self) -> None:
+        """Stop the hosts."""
+        for host in self.hosts:
+            host.stop("test ends")
+        await asyncio.gather(*self._running)
+
+    def crashes(self):
+        """Return the instants of all crashes, in order."""
+        endpoints = self.platform.endpoints.values()
+        return sorted(at for endpoint in endpoints for at in endpoint.crashed_at)
+
+    def bad_arrivals(self):
+        """Return the instants at which attempts with the crashing part arrived."""
+        return sorted(
+            arrival.at
+            for endpoint in self.platform.endpoints.values()
+            for arrival in endpoint.arrivals
+            if BAD_PART in arrival.parts[:-1]
+        )
+
+
+class _Callers:
+    """Sends sound and crashing requests to random hosts, each once."""
+
+    def __init__(self, fleet: _Fleet, session: aiohttp.ClientSession) -> None:
+        self._fleet = fleet
+        self._session = session
+        self._rng = random.Random(25)
+        self._tasks: list[asyncio.Task] = []
+        self.sent: list[_Sent] = []
+
+    async def run(self) -> None:
+        """Send until enough sound requests were sent after the hosts had to know."""
+        now = asyncio.get_running_loop().time
+        began_at = now()
+        due = {False: began_at, True: began_at}
+        while now() < began_at + MAX_SENDING_S and now() < self._sends_until():
+            for crashing, interval_s in (
+                (False, SOUND_INTERVAL_S),
+                (True, CRASHING_INTERVAL_S),
+            ):
+                if now() >= due[crashing]:
+                    due[crashing] += interval_s
+                    self._send(crashing)
+            await asyncio.sleep(max(0.0, min(due.values()) - now()))
+        await asyncio.gather(*self._tasks)
+
+    def _sends_until(self):
+        crashes = self._fleet.crashes()[:CRASHES_TO_LEARN]
+        if not crashes:
+            return float("inf")
+        return crashes[-1] + 2 * CONTACT_S + SOUND_WINDOW_S
+
+    def _send(self, crashing):
+        number = len(self.sent)
+        sent = _Sent(asyncio.get_running_loop().time(), crashing)
+        self.sent.append(sent)
+        part = BAD_PART if crashing else f"doc-{self._rng.randrange(40)}"
+        host = self._rng.choice(self._fleet.hosts)
+        headers = {
+            "Host": HOST_HEADER,
+            "X-Key": KEY,
+            "X-Attempt-Id": f"request-{number}",
+            "X-Deadline-Ms": "4000",
+            "X-Token-Usage": "5350,50",
+            "X-Prefix-Hash": f"shared:5000,{part}:300,own-{number}:50",
+        }
+        url = f"http://{host.settings.caller_address}/plan/{number}"
+        body = self._rng.randbytes(200)
+        self._tasks.append(
+            asyncio.create_task(self._exchange(sent, url, headers, body))
+        )
+
+    async def _exchange(self, sent, url, headers, body):
+        try:
+            async with self._session.post(url, headers=headers, data=body) as resp:
+                sent.served = resp.status == 200 and await resp.read() == EVENTS
+        except (aiohttp.ClientError, ConnectionError):
+            sent.served = False
+
+
+class CrashingPartsTest(TestCase):
+    async def test_a_prompt_part_that_crashes_endpoints_is_sent_on_for_ever(self):
+        """One part of prompts ended 34 and 45 endpoints in two waves of one day.
+
+        No two of the requests were alike; sound ones shared their key and first part.
+        """
+        async with AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
+            fleet = _Fleet(platform)
+            stack.push_async_callback(fleet.stop)
+            await fleet.start()
+            connector = aiohttp.TCPConnector(limit=0)
+            session = await stack.enter_async_context(
+                aiohttp.ClientSession(connector=connector)
+            )
+            callers = _Callers(fleet, session)
+            await callers.run()
+            crashes = fleet.crashes()
+            arrivals = fleet.bad_arrivals()
+        self.assertTrue(crashes)
+        known = crashes[:CRASHES_TO_LEARN]
+        late = []
+        if len(known) == CRASHES_TO_LEARN:
+            late = [at for at in arrivals if at > known[-1] + CONTACT_S]
+        sound = [
+            sent
+            for sent in callers.sent
+            if not sent.crashing and sent.at > known[-1] + 2 * CONTACT_S
+        ]
+        served = sum(sent.served for sent in sound)
+        figures = (
+            f"{len(crashes)} crashes; {len(late)} of {len(arrivals)} arrivals with the "
+            f"part after the bound; {served} of {len(sound)} sound requests served"
+        )
+        self.assertGreaterEqual(len(sound), MIN_SOUND_REQUESTS, figures)
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, figures)
+        self.assertGreaterEqual(served, MIN_SERVED_SHARE * len(sound), figures)
