Attribute crashes of endpoints to what the requests there have in common

Cause: a crash counted for a hash of the whole request, and only for requests whose status had not been received. Of requests that are alike in one part only each has its own count, so nothing was learnt from one to the next; and an engine crashes when it begins to answer, after its status, so that the one at fault was never suspected, while the sound ones that waited at two engines were refused. Class: evidence kept for the wrong subject.

Now each crash keeps its suspects by trait (the request, each part of its prompt but the last), those being answered before those that waited. Sound answers clear traits. What is left is attributed to as few traits as possible, so that a part in all prompts isn't blamed for the one beside it. Hosts pass on the crashes that they hear of.

The tests of crash counts move to test_crashes.py with the new interface; each assertion is kept.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -1,94 +1,315 @@
-"""Detection of requests that crash the endpoints which run them.
+"""Detection of what crashes the endpoints that run it.
 
-Load pattern: one poison request that its caller sends repeatedly, to any host, among
-innocent requests that happened to be running where an endpoint crashed.
+Load pattern: a request that crashes each endpoint it reaches and is sent again, or
+requests of which no two are alike but for one part of their prompts, which crashes each
+endpoint that begins to answer. They reach any host, among sound requests that share
+their customer and their other parts and were running or waiting at the same endpoints.
+
+What requests may have in common are their traits: a hash of the whole request, and one
+of each part of the prompt but the last, which is the request's own. Each crash has many
+suspects. Requests that an endpoint had begun to answer come before those that waited
+there, and a trait with sound answers is cleared of the crashes before them. The crashes
+left are attributed to as few traits as possible, the one with most crashes first, so
+that a sound trait is not blamed for crashes that another one explains.
 """
 
+import math
 from collections import OrderedDict
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["CrashSuspects"]
+import msgspec
+import xxhash
+
+__all__ = ["CrashReport", "CrashSuspects", "Traits"]
+
+# Crashes from which a trait is blocked.
+CRASHES_TO_BLOCK_REQUEST = 2
+CRASHES_TO_BLOCK_PART = 3
+CRASHES_TO_BLOCK_SOUND_PART = 6  # of a part with sound answers before the crashes
+# Endpoints that crash within this time of each other have a cause in common that is not
+# a request.
+COINCIDENCE_S = 0.05
+CRASH_RETENTION_S = 600.0  # since the crash
+SOUND_RETENTION_S = 60.0  # since the last sound answer
+REPORT_TIME_S = 30.0  # since the crash; by then all hosts have heard of it
+MAX_CRASHES = 256
+MAX_CRASHES_REPORTED = 16
+MAX_SUSPECTS_PER_CRASH = 64
+MAX_SUSPECTS_REPORTED = 16
+MAX_SOUND_TRAITS = 8192
+
+
+@dataclass(frozen=True, slots=True)
+class Traits:
+    """What a request may have in common with others that crash endpoints.
+
+    Attributes
+    ----------
+    request : str
+        Hash of the whole request.
+    parts : tuple of str
+        Hashes of the parts of its prompt, without the last.
+    """
+
+    request: str
+    parts: tuple[str, ...] = ()
+
+    @classmethod
+    def of(
+        cls, request_hash: str, service: str, part_digests: Iterable[str]
+    ) -> "Traits":
+        """Return the traits of a request, given its own hash and its shared parts."""
+        parts = (
+            f"p{xxhash.xxh64_hexdigest(f'{service} {digest}'.encode())}"
+            for digest in part_digests
+        )
+        return cls(f"r{request_hash}", tuple(parts))
+
+    def depths(self) -> dict[str, int]:
+        """Return all traits with their depth: 0 the request, from 1 on its parts."""
+        return {trait: depth for depth, trait in enumerate((self.request, *self.parts))}
 
-# Crashes before the first event at which a request is blocked.
-CRASHES_TO_BLOCK = 2
-SUSPECT_RETENTION_S = 60.0  # since the suspect's last crash
-MAX_SUSPECTS = 2000
+
+class CrashReport(msgspec.Struct, array_like=True):
+    """Crash of an endpoint, as hosts report it to each other.
+
+    Attributes
+    ----------
+    endpoint : str
+        Name and incarnation.
+    age_s : float
+        Time since the crash, in seconds.
+    answering, waiting : list of tuple
+        Traits, with their depth, of the requests that it had begun to answer, or not
+        yet; the latter only if the sender knows of none of the former.
+    """
+
+    endpoint: str
+    age_s: float
+    answering: list[tuple[str, int]] = []
+    waiting: list[tuple[str, int]] = []
 
 
 @dataclass(slots=True)
-class _Suspect:
-    last_crash_at: float
-    crashes: dict[str, int] = field(default_factory=dict)
+class _Crash:
+    """A crash with the depth of each suspect, and the suspects since cleared."""
 
+    at: float
+    answering: dict[str, int] = field(default_factory=dict)
+    waiting: dict[str, int] = field(default_factory=dict)
+    cleared: set[str] = field(default_factory=set)
 
-class CrashSuspects:
-    """Crash counts by request fingerprint, summed over all hosts.
+    def candidates(self) -> dict[str, int]:
+        suspects = self.answering or self.waiting
+        return {
+            trait: depth
+            for trait, depth in suspects.items()
+            if trait not in self.cleared
+        }
 
-    Each host counts only the crashes that it saw; hosts exchange their counts by
-    gossip.
 
-    Parameters
+class CrashSuspects:
+    """Crashes of endpoints with their suspects, merged over all hosts.
+
+    Attributes
     ----------
-    host : str
-        Name of this host.
+    on_change : callable
+        Called with the blocked traits, and their crash counts, when they change.
     """
 
-    def __init__(self, host: str) -> None:
-        self._host = host
-        self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
-
-    def record_crash(self, fingerprint: str, now: float) -> int:
-        """Record a crash during a request; return the crash count over all hosts."""
-        suspect = self._touch_suspect(fingerprint, now)
-        suspect.crashes[self._host] = suspect.crashes.get(self._host, 0) + 1
-        return sum(suspect.crashes.values())
-
-    def record_completion(self, fingerprint: str) -> None:
-        """Reset this host's count for a request that ran to completion."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None:
-            suspect.crashes[self._host] = 0
-
-    def crash_count(self, fingerprint: str, now: float) -> int:
-        """Return the crash count over all hosts, 0 once the suspect has expired."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or now - suspect.last_crash_at > SUSPECT_RETENTION_S:
-            return 0
-        return sum(suspect.crashes.values())
-
-    def poisonous(self, fingerprint: str, now: float) -> bool:
-        """Return whether a request has crashed too many endpoints to run again."""
-        return self.crash_count(fingerprint, now) >= CRASHES_TO_BLOCK
-
-    def own_counts(self, now: float) -> dict[str, int]:
-        """Return the counts of this host alone, to be sent to its peers.
-
-        Expired counts are left out: a peer that has forgotten them would renew them.
+    def __init__(self) -> None:
+        self._crashes: OrderedDict[str, _Crash] = OrderedDict()
+        self._sound_at: OrderedDict[str, float] = OrderedDict()
+        self._blocked: dict[str, int] = {}
+        self._outdated = False
+        self.on_change: Callable[[dict[str, int]], None] = lambda _: None
+
+    def record_crash(
+        self, endpoint: str, traits: Traits, answering: bool, now: float
+    ) -> None:
+        """Record that an endpoint crashed while it had a request.
+
+        Parameters
+        ----------
+        endpoint : str
+            Name and incarnation.
+        traits : Traits
+        answering : bool
+            Whether it had begun to answer the request.
         """
+        crash = self._crash(endpoint, now)
+        suspects = crash.answering if answering else crash.waiting
+        _add(suspects, traits.depths().items())
+        self._outdated = True
+
+    def record_sound(self, traits: Traits, now: float) -> None:
+        """Record an answer that the traits of its request did not prevent."""
+        for trait in traits.depths():
+            self._record_sound(trait, now)
+
+    def blocked(self, now: float) -> dict[str, int]:
+        """Return the traits whose requests must not run, with their crash counts."""
+        expired = self._expire(now)
+        if expired or self._outdated:
+            self._outdated = False
+            blocked = self._attribute()
+            changed = blocked.keys() != self._blocked.keys()
+            self._blocked = blocked
+            if changed:
+                self.on_change(blocked)
+        return self._blocked
+
+    def blocking(self, traits: Traits, now: float) -> str:
+        """Return the trait for which a request must not run, or an empty string."""
+        blocked = self.blocked(now)
+        if not blocked:
+            return ""
+        return next((trait for trait in traits.depths() if trait in blocked), "")
+
+    def reports(self, now: float) -> list[CrashReport]:
+        """Return the newest crashes that this host knows of, for its peers."""
+        newest = [
+            (endpoint, crash)
+            for endpoint, crash in list(self._crashes.items())[-MAX_CRASHES_REPORTED:]
+            if now - crash.at <= REPORT_TIME_S
+        ]
+        return [
+            CrashReport(
+                endpoint,
+                round(now - crash.at, 3),
+                list(crash.answering.items())[:MAX_SUSPECTS_REPORTED],
+                []
+                if crash.answering
+                else list(crash.waiting.items())[:MAX_SUSPECTS_REPORTED],
+            )
+            for endpoint, crash in newest
+        ]
+
+    def sound_ages_s(self, now: float) -> dict[str, float]:
+        """Return the time since the last sound answer of suspected traits."""
+        suspected = {
+            trait
+            for crash in list(self._crashes.values())[-MAX_CRASHES_REPORTED:]
+            if now - crash.at <= REPORT_TIME_S
+            for trait in crash.answering or crash.waiting
+        }
         return {
-            fingerprint: count
-            for fingerprint, suspect in self._suspects.items()
-            if now - suspect.last_crash_at <= SUSPECT_RETENTION_S
-            and (count := suspect.crashes.get(self._host, 0))
+            trait: round(now - self._sound_at[trait], 3)
+            for trait in sorted(suspected & self._sound_at.keys())
         }
 
-    def merge(self, host: str, counts: dict[str, int], now: float) -> None:
-        """Merge the counts of a peer; repeated or older counts have no effect."""
-        for fingerprint, count in counts.items():
-            suspect = self._suspects.get(fingerprint)
-            if suspect is None or suspect.crashes.get(host, 0) < count:
-                self._touch_suspect(fingerprint, now).crashes[host] = count
-
-    def _touch_suspect(self, fingerprint: str, now: float) -> _Suspect:
-        """Return the entry, renewed at `now`; delete expired and surplus entries."""
-        suspect = self._suspects.setdefault(fingerprint, _Suspect(now))
-        suspect.last_crash_at = now
-        self._suspects.move_to_end(fingerprint)
-        for oldest, other in list(self._suspects.items()):
-            if (
-                now - other.last_crash_at <= SUSPECT_RETENTION_S
-                and len(self._suspects) <= MAX_SUSPECTS
-            ):
+    def merge(
+        self, reports: Iterable[CrashReport], sound_ages_s: dict[str, float], now: float
+    ) -> None:
+        """Merge what a peer knows; repeated and older reports have no effect."""
+        for report in reports:
+            at = now - report.age_s
+            if now - at > REPORT_TIME_S:
+                continue
+            crash = self._crash(report.endpoint, at)
+            crash.at = min(crash.at, at)
+            _add(crash.answering, report.answering)
+            _add(crash.waiting, report.waiting)
+            self._outdated = True
+        for trait, age_s in sound_ages_s.items():
+            self._record_sound(trait, now - age_s)
+
+    def _crash(self, endpoint: str, at: float) -> _Crash:
+        crash = self._crashes.get(endpoint)
+        if crash is None:
+            crash = self._crashes[endpoint] = _Crash(at)
+            crash.cleared |= {
+                trait for trait, sound_at in self._sound_at.items() if sound_at >= at
+            }
+            if len(self._crashes) > MAX_CRASHES:
+                self._crashes.popitem(last=False)
+        return crash
+
+    def _record_sound(self, trait: str, at: float) -> None:
+        if at <= self._sound_at.get(trait, -math.inf):
+            return
+        self._sound_at[trait] = at
+        self._sound_at.move_to_end(trait)
+        if len(self._sound_at) > MAX_SOUND_TRAITS:
+            self._sound_at.popitem(last=False)
+        self._outdated = self._outdated or bool(self._crashes)
+        for crash in self._crashes.values():
+            if crash.at <= at:
+                crash.cleared.add(trait)
+
+    def _expire(self, now: float) -> bool:
+        """Delete what has expired; return whether that may change the attribution."""
+        while self._sound_at:
+            trait, at = next(iter(self._sound_at.items()))
+            if now - at <= SOUND_RETENTION_S:
+                break
+            del self._sound_at[trait]
+        changed = False
+        while self._crashes:
+            endpoint, crash = next(iter(self._crashes.items()))
+            if now - crash.at <= CRASH_RETENTION_S:
                 break
-            del self._suspects[oldest]
-        return suspect
+            del self._crashes[endpoint]
+            changed = True
+        return changed
+
+    def _attribute(self) -> dict[str, int]:
+        """Attribute the crashes to traits; return those to block, with their counts."""
+        unexplained = sorted(
+            ((crash.at, crash.candidates()) for crash in self._crashes.values()),
+            key=lambda item: item[0],
+        )
+        blocked: dict[str, int] = {}
+        while True:
+            counts, depths = _count(unexplained)
+            due = [trait for trait in counts if counts[trait] >= self._threshold(trait)]
+            if not due:
+                return blocked
+            # Of traits that only ever occur together the deeper one is rarer.
+            worst = max(
+                due,
+                key=lambda trait: (
+                    trait not in self._sound_at,
+                    counts[trait],
+                    depths[trait],
+                    trait,
+                ),
+            )
+            blocked[worst] = counts[worst]
+            unexplained = [item for item in unexplained if worst not in item[1]]
+
+    def _threshold(self, trait: str) -> int:
+        if _is_request(trait):
+            return CRASHES_TO_BLOCK_REQUEST
+        if trait in self._sound_at:
+            return CRASHES_TO_BLOCK_SOUND_PART
+        return CRASHES_TO_BLOCK_PART
+
+
+def _count(
+    crashes: Iterable[tuple[float, dict[str, int]]],
+) -> tuple[dict[str, int], dict[str, int]]:
+    """Return the crashes of each suspect, and its depth, from crashes in order."""
+    counts: dict[str, int] = {}
+    depths: dict[str, int] = {}
+    last_at: dict[str, float] = {}
+    for at, candidates in crashes:
+        for trait, depth in candidates.items():
+            depths[trait] = max(depth, depths.get(trait, 0))
+            pause_s = at - last_at.get(trait, -math.inf)
+            if _is_request(trait) or pause_s >= COINCIDENCE_S:
+                counts[trait] = counts.get(trait, 0) + 1
+            last_at[trait] = at
+    return counts, depths
+
+
+def _is_request(trait: str) -> bool:
+    return trait.startswith("r")
+
+
+def _add(suspects: dict[str, int], traits: Iterable[tuple[str, int]]) -> None:
+    """Add traits up to the limit; deeper ones count for a trait that is there."""
+    for trait, depth in traits:
+        if trait in suspects or len(suspects) < MAX_SUSPECTS_PER_CRASH:
+            suspects[trait] = max(depth, suspects.get(trait, 0))
--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -37,8 +37,12 @@
         Whether the request had no earlier attempt at the endpoint.
     answer : EndpointAnswer or None
         Set once the status and headers have been received.
+    answered_at : float
+        Instant at which the status and headers were received.
     body_began : bool
         Whether bytes of the answer's body have been received.
+    sound : bool
+        Whether the answer went on for so long that the request crashes no endpoints.
     """
 
     job: Job
@@ -48,7 +52,9 @@
     began_at: float
     first_at_endpoint: bool = True
     answer: EndpointAnswer | None = None
+    answered_at: float = 0.0
     body_began: bool = False
+    sound: bool = False
     last_byte_at: float = 0.0
     mean_first_event_s: float = 0.0
     prefill_ktokens: float = 0.0
--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -50,7 +50,7 @@
 
 
 async def _attempt(dispatcher: Dispatcher, job: Job) -> tuple[EndpointAnswer, bytes]:
-    dispatcher.check_deadline(job)
+    dispatcher.check_before_attempt(job)
     member = await dispatcher.placement.place(job)
     with dispatcher.attempt(job, member, "") as attempt:
         answer = await dispatcher.open(attempt)
@@ -97,7 +97,7 @@
 def retry_allowed(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
     """Return whether policy and retry budget allow a retry after a failed attempt."""
     now = dispatcher.clock.now()
-    if dispatcher.suspects.poisonous(job.fingerprint, now):
+    if dispatcher.suspects.blocking(job.traits, now):
         return False
     if isinstance(exc, EndpointUnreachableError):
         # The attempt reached no endpoint, so a further one spends no retry budget.
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -1,7 +1,7 @@
 """Dispatch of attempts to endpoints, and the statistics kept of their outcomes."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import logbook
@@ -18,6 +18,7 @@
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointUnreachableError,
+    PoisonSuspectError,
     StreamStalledError,
 )
 from radishshift.gateway.attempts import PROBE_AFTER_S, Attempt
@@ -39,6 +40,11 @@
 # Tokens whose prefill takes as long as the fixed part of the time to a first event.
 TOKENS_PER_PROMPT_UNIT = 1500
 MAX_PARTS_LOGGED = 8
+# An endpoint crashes sooner than this after it has begun to answer a request that
+# crashes it.
+SOUND_AFTER_S = 1.0
+# Longer than callers of such requests wait, so that they give up instead of retrying.
+POISON_RETRY_AFTER_S = 30.0
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
 
 logger = logbook.Logger("dispatch")
@@ -62,6 +68,8 @@
     ----------
     placement : Placement
         Chooses the endpoints.
+    on_crash : callable
+        Called after a crash of an endpoint was recorded.
     """
 
     def __init__(
@@ -83,6 +91,7 @@
         self.times = MovingAverages()
         self._placer = placer
         self._client = client
+        self.on_crash: Callable[[], None] = lambda: None
         self._budgets: dict[str, HostRetryBudget] = {}
         self._prober = ConnectionProber(clock, client)
         self.placement = Placement(
@@ -152,7 +161,8 @@
                 sending.cancel()
         attempt.answer = sending.result()
         self._end_prefill(attempt)
-        attempt.record_bytes(self.clock.now())
+        attempt.answered_at = self.clock.now()
+        attempt.record_bytes(attempt.answered_at)
         return attempt.answer
 
     def _end_prefill(self, attempt: Attempt) -> None:
@@ -173,8 +183,11 @@
             except TimeoutError:
                 self._check_silence(attempt)
                 continue
-            attempt.record_bytes(self.clock.now())
+            now = self.clock.now()
+            attempt.record_bytes(now)
             attempt.body_began = attempt.body_began or bool(data)
+            if not attempt.sound and now - attempt.answered_at > SOUND_AFTER_S:
+                self._record_sound(attempt, now)
             return data
 
     async def _wait_for_head(
@@ -235,7 +248,11 @@
         now = self.clock.now()
         attempt.view.circuit_breaker.record_outcome(True, now)
         self.record_version_answer(attempt, True)
-        self.suspects.record_completion(attempt.job.fingerprint)
+        self._record_sound(attempt, now)
+
+    def _record_sound(self, attempt: Attempt, now: float) -> None:
+        attempt.sound = True
+        self.suspects.record_sound(attempt.job.traits, now)
 
     def record_version_answer(self, attempt: Attempt, ok: bool) -> None:
         """Count an answer as good or bad for the version that gave it."""
@@ -292,8 +309,9 @@
         if not refused and not isinstance(
             exc, EndpointUnreachableError | StreamStalledError
         ):
-            if attempt.answer is None:
-                self.suspects.record_crash(job.fingerprint, now)
+            streaming = job.route.kind is RouteKind.STREAM
+            if attempt.answer is None or (streaming and not attempt.body_began):
+                self._record_crash(attempt, now)
             self.record_version_answer(attempt, False)
         logger.info(
             "attempt failed",
@@ -315,20 +333,36 @@
             },
         )
 
+    def _record_crash(self, attempt: Attempt, now: float) -> None:
+        name, born_ms = attempt.member.incarnation
+        answering = attempt.answer is not None
+        self.suspects.record_crash(
+            f"{name}@{born_ms}", attempt.job.traits, answering, now
+        )
+        self.on_crash()
+
     def _share_outcome(self, attempt: Attempt, latency_ratio: float) -> None:
         if self.placement.shared is not None:
             self.placement.shared.record_outcome(attempt.member.name, latency_ratio)
 
-    def check_deadline(self, job: Job) -> None:
-        """Raise if too little time is left for another attempt.
+    def check_before_attempt(self, job: Job) -> None:
+        """Raise if too little time is left, or if the job crashes endpoints.
 
         Raises
         ------
-        DeadlineError
+        DeadlineError, PoisonSuspectError
         """
-        if job.deadline - self.clock.now() < DEADLINE_MARGIN_S:
-            verdict = Verdict.MAY_HAVE_RUN if job.may_have_run else Verdict.NOT_RUN
+        now = self.clock.now()
+        verdict = Verdict.MAY_HAVE_RUN if job.may_have_run else Verdict.NOT_RUN
+        if job.deadline - now < DEADLINE_MARGIN_S:
             raise DeadlineError("the deadline has passed", verdict=verdict)
+        trait = self.suspects.blocking(job.traits, now)
+        if trait:
+            raise PoisonSuspectError(
+                f"requests with trait {trait} crash endpoints",
+                verdict=verdict,
+                retry_after_s=POISON_RETRY_AFTER_S,
+            )
 
 
 def _prompt_units(job: Job) -> float:
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -96,7 +96,8 @@
         bounds = settings.bounds
         self.host_view = HostView(adapter.decoder, self.clock, bounds.drain_s)
         self.placer = Placer()
-        self.crash_suspects = CrashSuspects(settings.host)
+        self.crash_suspects = CrashSuspects()
+        self.crash_suspects.on_change = self._log_blocked
         self.versions = VersionGuard(settings.host, settings.bounds)
         self.monitor = Monitor(settings.host, settings.data_centre)
         self.platform = MonitoredPlatform(
@@ -122,6 +123,7 @@
             self.versions,
         )
         self.gossip.on_change = self._on_peer_update
+        self.dispatcher.on_crash = lambda: self._spawn(self.gossip.announce_change())
         self.gossip.store_lost = lambda: self.platform.unavailable_since is not None
         self.shared_placement = SharedPlacement(
             settings, self.clock, self.host_view, self.placer, self.gossip
@@ -262,9 +264,16 @@
         register("endpoints", lambda: len(self.host_view.members))
         register("hosts", self.gossip.host_count)
         register("coordinates", self.gossip.coordinates)
+        register(
+            "blocked_traits", lambda: len(self.crash_suspects.blocked(self.clock.now()))
+        )
         register("store_calls", lambda: self.platform.calls)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
+    def _log_blocked(self, blocked: dict[str, int]) -> None:
+        """Log the traits whose requests are refused, as they crash endpoints."""
+        logger.warning("blocked traits changed", extra={"crashes": blocked})
+
     def _spawn(self, coroutine: Awaitable[None]) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -243,7 +243,8 @@
             store_lost=self.store_lost(),
             load={} if brief else self.own_load(),
             centre_load=self._centre_load(now) if coordinates and not brief else {},
-            crashes=self._suspects.own_counts(now),
+            crash_reports=self._suspects.reports(now),
+            sound_ages_s=self._suspects.sound_ages_s(now),
             trials={
                 service: RolloutEvidence(
                     canary.rollout.target,
@@ -321,9 +322,7 @@
         if self.peers.record(message, now) is None:
             return
         self._record_load(message, now)
-        self._suspects.merge(
-            f"{message.host}.{message.incarnation}", message.crashes, now
-        )
+        self._suspects.merge(message.crash_reports, message.sound_ages_s, now)
         self._merge_rollout_evidence(message, now)
         changed = [
             Kind(name)
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from radishshift.decisions.crashes import CrashReport
 from radishshift.object_table import Head, TableDelta
 
 __all__ = ["CentreSummary", "GossipMessage", "RolloutEvidence"]
@@ -72,8 +73,10 @@
         Load that the sender puts on each endpoint, in requests in flight.
     centre_load : dict of str to float
         Load that the sender's data centre puts on each endpoint; from coordinators.
-    crashes : dict of str to int
-        Crashes that the sender saw, by request fingerprint.
+    crash_reports : list of CrashReport
+        Recent crashes of endpoints that the sender knows of.
+    sound_ages_s : dict of str to float
+        Time since the last sound answer of some of their suspects, by trait.
     trials : dict of str to RolloutEvidence
         Evidence on the roll-outs in progress, by service.
     tables : dict of str to TableDelta
@@ -92,6 +95,7 @@
     store_lost: bool = False
     load: dict[str, float] = {}
     centre_load: dict[str, float] = {}
-    crashes: dict[str, int] = {}
+    crash_reports: list[CrashReport] = []
+    sound_ages_s: dict[str, float] = {}
     trials: dict[str, RolloutEvidence] = {}
     tables: dict[str, TableDelta] = {}
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from radishshift.decisions.crashes import Traits
 from radishshift.gateway.deployment import Customer, Member, Route
 from radishshift.gateway.messages import AttemptOrder, CallerRequest
 
@@ -23,8 +24,8 @@
         None on a public route.
     deadline : float
         Instant by which to answer: the earlier of the caller's and the route's.
-    fingerprint : str
-        Hash of the request; identical when a caller sends it again.
+    traits : Traits
+        What it may have in common with others; the same when a caller sends it again.
     version : str
         Version of the service to run it on, or empty for any.
     attempts : int
@@ -44,7 +45,7 @@
     service: str
     customer: Customer | None
     deadline: float
-    fingerprint: str = ""
+    traits: Traits = field(init=False)
     version: str = ""
     attempts: int = 0
     used_endpoints: list[str] = field(default_factory=list)
@@ -53,11 +54,12 @@
     coordinated: int = 0
 
     def __post_init__(self) -> None:
-        """Compute the fingerprint."""
+        """Compute the traits."""
         name = "" if self.customer is None else self.customer.name
         digest = xxhash.xxh64(f"{name} {self.req.method} {self.req.target}".encode())
         digest.update(self.req.body)
-        self.fingerprint = digest.hexdigest()
+        shared = (part.digest for part in self.req.parts[:-1])
+        self.traits = Traits.of(digest.hexdigest(), self.service, shared)
 
     @property
     def endpoints_left(self) -> int:
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -14,7 +14,6 @@
     InternalError,
     NoConfigurationError,
     NotFoundError,
-    PoisonSuspectError,
     RadishshiftError,
     ShuttingDownError,
 )
@@ -29,8 +28,6 @@
 
 __all__ = ["RequestPath"]
 
-# Longer than callers of such requests wait, so that they give up instead of retrying.
-POISON_RETRY_AFTER_S = 30.0
 SHUTDOWN_RETRY_AFTER_S = 0.05
 # Share of a caller's time for which a starting host's first configuration is awaited.
 INITIAL_LOAD_WAIT_SHARE = 0.4
@@ -116,10 +113,6 @@
         dispatcher.budget(job.service).request_received(now)
         if self._may_outlast_process(job, now):
             raise _shutting_down()
-        if dispatcher.suspects.poisonous(job.fingerprint, now):
-            raise PoisonSuspectError(
-                "this request has crashed endpoints", retry_after_s=POISON_RETRY_AFTER_S
-            )
         try:
             async with asyncio.timeout(job.deadline - now):
                 outcome.status = await self._run(job, caller, outcome)
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -103,7 +103,7 @@
         """Run one attempt; return the status, or None if another attempt is due."""
         dispatcher = self._dispatcher
         job = self._job
-        dispatcher.check_deadline(job)
+        dispatcher.check_before_attempt(job)
         member = await dispatcher.placement.place(job, self.model)
         with dispatcher.attempt(job, member, self.model) as attempt:
             resume_after_id = self._buffer.last_event_id or job.req.last_event_id
--- /dev/null
+++ b/tests/decisions/test_crashes.py
@@ -0,0 +1,186 @@
+"""Tests of the attribution of endpoints' crashes to what requests have in common."""
+
+from radishshift.decisions.crashes import (
+    COINCIDENCE_S,
+    CRASH_RETENTION_S,
+    CRASHES_TO_BLOCK_PART,
+    CRASHES_TO_BLOCK_REQUEST,
+    CRASHES_TO_BLOCK_SOUND_PART,
+    MAX_CRASHES,
+    MAX_CRASHES_REPORTED,
+    REPORT_TIME_S,
+    CrashSuspects,
+    Traits,
+)
+from tests.cases import TestCase
+
+X = Traits("rx")
+
+
+def _crash(suspects, number, *requests, answering=True, at=None):
+    """Record a crash of endpoint `number` that has the requests' traits as suspects."""
+    for traits in requests:
+        suspects.record_crash(
+            f"endpoint-{number}@1", traits, answering, number if at is None else at
+        )
+
+
+def _prompt(number, *parts):
+    return Traits(f"r{number}", parts)
+
+
+def _merge(target, source, now):
+    target.merge(source.reports(now), source.sound_ages_s(now), now)
+
+
+class RequestsTest(TestCase):
+    def test_crashes_seen_by_two_hosts_add_up(self):
+        one, two = CrashSuspects(), CrashSuspects()
+        _crash(one, 0, X)
+        self.assertEqual("", one.blocking(X, 0.0))
+        for number in range(1, CRASHES_TO_BLOCK_REQUEST):
+            _crash(two, number, X)
+        _merge(one, two, 2.0)
+        self.assertEqual("rx", one.blocking(X, 2.0))
+
+    def test_a_crash_reported_repeatedly_counts_once(self):
+        one, two = CrashSuspects(), CrashSuspects()
+        _crash(two, 1, X)
+        for now in range(1, 6):
+            _merge(one, two, float(now))
+        self.assertEqual("", one.blocking(X, 6.0))
+
+    def test_a_request_that_completes_is_cleared(self):
+        suspects = CrashSuspects()
+        _crash(suspects, 0, X)
+        suspects.record_sound(X, 0.5)
+        _crash(suspects, 1, X)
+        self.assertEqual("", suspects.blocking(X, 1.0))
+
+    def test_a_cleared_request_is_not_suspected_again_by_a_late_report(self):
+        one, two = CrashSuspects(), CrashSuspects()
+        _crash(two, 0, X)
+        one.record_sound(X, 0.5)
+        _crash(one, 1, X)
+        _merge(one, two, 2.0)
+        self.assertEqual("", one.blocking(X, 2.0))
+
+    def test_suspects_expire(self):
+        suspects = CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_REQUEST):
+            _crash(suspects, number, X, at=0.0)
+        self.assertEqual("rx", suspects.blocking(X, CRASH_RETENTION_S))
+        self.assertEqual("", suspects.blocking(X, CRASH_RETENTION_S + 1))
+
+    def test_an_expired_crash_is_not_renewed_by_gossip(self):
+        """A peer that had forgotten a suspect learnt it anew with its old count."""
+        one, two = CrashSuspects(), CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_REQUEST):
+            _crash(one, number, X, at=0.0)
+        _merge(two, one, 1.0)
+        late = 2 * CRASH_RETENTION_S
+        _crash(two, 9, Traits("rother"), at=late)
+        _merge(two, one, late)
+        self.assertEqual("", two.blocking(X, late))
+
+    def test_the_table_and_the_reports_are_bounded(self):
+        suspects = CrashSuspects()
+        for number in range(10_000):
+            _crash(suspects, number, Traits(f"r{number}"), at=0.0)
+        self.assertLessEqual(len(suspects._crashes), MAX_CRASHES)
+        self.assertLessEqual(len(suspects.reports(0.0)), MAX_CRASHES_REPORTED)
+        self.assertEqual([], suspects.reports(REPORT_TIME_S + 1))
+
+
+class PartsTest(TestCase):
+    def test_different_requests_with_a_crashing_part_are_blocked_by_it(self):
+        suspects = CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_PART):
+            self.assertEqual("", suspects.blocking(_prompt(99, "pbad"), number))
+            _crash(suspects, number, _prompt(number, "pbad"))
+        self.assertEqual("pbad", suspects.blocking(_prompt(99, "pbad"), 5.0))
+
+    def test_a_part_with_sound_answers_beside_the_crashing_one_is_not_blocked(self):
+        suspects = CrashSuspects()
+        suspects.record_sound(_prompt(98, "pshared"), 0.0)
+        for number in range(1, 1 + CRASHES_TO_BLOCK_SOUND_PART):
+            _crash(suspects, number, _prompt(number, "pshared", "pbad"))
+        self.assertEqual(["pbad"], list(suspects.blocked(9.0)))
+
+    def test_of_parts_that_only_occur_together_the_deeper_one_is_blocked(self):
+        suspects = CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_PART):
+            _crash(suspects, number, _prompt(number, "pshared", "pbad"))
+        self.assertEqual(["pbad"], list(suspects.blocked(9.0)))
+
+    def test_a_crashing_first_part_is_blocked_whatever_follows_it(self):
+        suspects = CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_PART):
+            _crash(suspects, number, _prompt(number, "pbad", f"p{number}"))
+        self.assertEqual(["pbad"], list(suspects.blocked(9.0)))
+
+    def test_a_sound_part_that_starts_to_crash_endpoints_is_blocked_later(self):
+        suspects = CrashSuspects()
+        suspects.record_sound(_prompt(98, "pbad"), 0.0)
+        for number in range(1, 1 + CRASHES_TO_BLOCK_SOUND_PART):
+            self.assertEqual({}, suspects.blocked(number))
+            _crash(suspects, number, _prompt(number, "pbad"))
+        self.assertEqual(["pbad"], list(suspects.blocked(9.0)))
+
+    def test_crashes_of_a_part_before_its_sound_answer_stay_cleared(self):
+        suspects = CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_PART - 1):
+            _crash(suspects, number, _prompt(number, "pa"))
+        suspects.record_sound(_prompt(98, "pa"), 3.0)
+        _crash(suspects, 200, _prompt(200, "pa"))
+        self.assertEqual({}, suspects.blocked(300.0))
+
+    def test_requests_that_waited_are_not_suspected_beside_one_being_answered(self):
+        """Sound requests that waited where endpoints crashed were refused."""
+        suspects = CrashSuspects()
+        waiting = _prompt("waiting", "psound")
+        for number in range(CRASHES_TO_BLOCK_PART):
+            _crash(suspects, number, waiting, answering=False)
+            _crash(suspects, number, _prompt(number, "pbad"))
+        self.assertEqual("", suspects.blocking(waiting, 5.0))
+        self.assertEqual(["pbad"], list(suspects.blocked(5.0)))
+
+    def test_a_request_whose_crashes_another_trait_explains_is_not_blocked(self):
+        suspects = CrashSuspects()
+        beside = _prompt("beside", "psound")
+        for number in range(CRASHES_TO_BLOCK_PART + 1):
+            _crash(suspects, number, _prompt(number, "pbad"))
+        for number in range(CRASHES_TO_BLOCK_PART):
+            _crash(suspects, number, beside)
+        self.assertEqual("", suspects.blocking(beside, 9.0))
+
+    def test_endpoints_that_crash_at_the_same_moment_count_once_for_a_part(self):
+        suspects = CrashSuspects()
+        for number in range(10):
+            at = number * COINCIDENCE_S / 10
+            _crash(suspects, number, _prompt(number, "pa"), at=at)
+        self.assertEqual({}, suspects.blocked(1.0))
+
+    def test_sound_answers_of_a_peer_clear_a_part(self):
+        one, two = CrashSuspects(), CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_PART):
+            _crash(one, number, _prompt(number, "pa"))
+        self.assertEqual(["pa"], list(one.blocked(3.0)))
+        _merge(two, one, 3.0)
+        two.record_sound(_prompt(98, "pa"), 3.5)
+        _merge(one, two, 4.0)
+        self.assertEqual({}, one.blocked(4.0))
+
+    def test_a_change_of_what_is_blocked_is_announced_once(self):
+        suspects = CrashSuspects()
+        changes = []
+        suspects.on_change = changes.append
+        for number in range(CRASHES_TO_BLOCK_PART + 1):
+            _crash(suspects, number, _prompt(number, "pbad"))
+            suspects.blocked(number)
+        self.assertEqual([{"pbad": CRASHES_TO_BLOCK_PART}], changes)
+
+    def test_the_same_part_of_another_service_is_another_trait(self):
+        one = Traits.of("x", "advice", ["d"])
+        two = Traits.of("x", "desk", ["d"])
+        self.assertNotEqual(one.parts, two.parts)
--- a/tests/decisions/test_decisions.py
+++ b/tests/decisions/test_decisions.py
@@ -1,10 +1,5 @@
-"""Tests of routes, retry budgets, model choice, crash counts and moving averages."""
+"""Tests of routes, retry budgets, model choice and moving averages."""
 
-from radishshift.decisions.crashes import (
-    CRASHES_TO_BLOCK,
-    SUSPECT_RETENTION_S,
-    CrashSuspects,
-)
 from radishshift.decisions.model_choice import (
     MIN_CONFIDENCE,
     interpolated_time_s,
@@ -120,50 +115,6 @@
         self.assertEqual(0.0, interpolated_time_s("middle", known_s, {"middle": 0.1}))
 
 
-class CrashSuspectsTest(TestCase):
-    def test_crashes_seen_by_two_hosts_add_up(self):
-        suspects = CrashSuspects("edge-1")
-        suspects.record_crash("x", 0.0)
-        self.assertFalse(suspects.poisonous("x", 0.0))
-        suspects.merge("edge-2", {"x": CRASHES_TO_BLOCK - 1}, 1.0)
-        self.assertTrue(suspects.poisonous("x", 1.0))
-
-    def test_a_count_reported_repeatedly_counts_once(self):
-        suspects = CrashSuspects("edge-1")
-        for _ in range(5):
-            suspects.merge("edge-2", {"x": 1}, 1.0)
-        self.assertEqual(1, suspects.crash_count("x", 1.0))
-
-    def test_a_request_that_completes_is_cleared(self):
-        suspects = CrashSuspects("edge-1")
-        suspects.record_crash("x", 0.0)
-        suspects.record_completion("x")
-        suspects.record_crash("x", 1.0)
-        self.assertFalse(suspects.poisonous("x", 1.0))
-
-    def test_suspects_expire(self):
-        suspects = CrashSuspects("edge-1")
-        for _ in range(CRASHES_TO_BLOCK):
-            suspects.record_crash("x", 0.0)
-        self.assertFalse(suspects.poisonous("x", SUSPECT_RETENTION_S + 1))
-
-    def test_an_expired_count_is_not_renewed_by_gossip(self):
-        """A peer that had forgotten a suspect learnt it anew with its old count."""
-        one, two = CrashSuspects("edge-1"), CrashSuspects("edge-2")
-        one.record_crash("request", 0.0)
-        two.merge("edge-1", one.own_counts(1.0), 1.0)
-        late = 2 * SUSPECT_RETENTION_S
-        two.record_crash("other", late)
-        two.merge("edge-1", one.own_counts(late), late)
-        self.assertEqual(0, two.crash_count("request", late))
-
-    def test_the_table_is_bounded(self):
-        suspects = CrashSuspects("edge-1")
-        for number in range(10_000):
-            suspects.record_crash(str(number), 0.0)
-        self.assertLess(len(suspects.own_counts(0.0)), 3000)
-
-
 class MovingAveragesTest(TestCase):
     def test_a_time_of_several_times_the_mean_has_a_high_ratio(self):
         times = MovingAverages()
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from radishshift.decisions.crashes import Traits
 from radishshift.gateway.deployment import Rollout, RolloutState
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.gossip_messages import GossipMessage
@@ -18,7 +19,6 @@
         self.settings = GatewaySettings(
             name, "10.0.0.1", "mbeya", "", "", "", f"{name}:1", "", ""
         )
-        self.world.suspects._host = name
         self.world.versions._host = name
         self.gossip = Gossip(
             self.settings,
@@ -69,10 +69,23 @@
     async def test_crashes_of_a_request_on_several_hosts_add_up(self):
         one, two = _hosts()
         now = one.world.clock.now()
-        one.world.suspects.record_crash("poison", now)
-        two.world.suspects.record_crash("poison", now)
+        poison = Traits("rpoison")
+        one.world.suspects.record_crash("a@1", poison, False, now)
+        two.world.suspects.record_crash("b@1", poison, False, now)
+        self.assertEqual("", one.world.suspects.blocking(poison, now))
         one.receive_from(two)
-        self.assertTrue(one.world.suspects.poisonous("poison", now))
+        self.assertEqual("rpoison", one.world.suspects.blocking(poison, now))
+
+    async def test_crashes_reach_hosts_that_don_t_hear_from_the_first(self):
+        one, two = _hosts()
+        three = _Host("edge-3", World([route()], {"a": [Script()]}))
+        now = one.world.clock.now()
+        poison = Traits("rpoison")
+        for endpoint in ("a@1", "b@1"):
+            one.world.suspects.record_crash(endpoint, poison, False, now)
+        two.receive_from(one)
+        three.receive_from(two)
+        self.assertEqual("rpoison", three.world.suspects.blocking(poison, now))
 
     async def test_a_version_that_is_bad_by_pooled_counts_is_stopped_on_all_hosts(self):
         one, two = _hosts()
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from radishshift.decisions.crashes import Traits
 from radishshift.decisions.retry_budget import RATIO_MARGIN
 from radishshift.gateway.deployment import RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -284,10 +285,13 @@
         world.placer.view(world.member("b")).in_flight = 5
         await world.send_request()
         now = world.clock.now()
-        self.assertEqual({}, world.suspects.own_counts(now))
+        self.assertEqual([], world.suspects.reports(now))
 
     async def test_a_poison_request_does_not_block_other_requests(self):
         world = World([STREAM], {"a": [Script(error="crash")], "b": [stream_script()]})
-        world.suspects.merge("edge-2", {"poison": 3}, world.clock.now())
+        now = world.clock.now()
+        for endpoint in ("x@1", "y@1", "z@1"):
+            world.suspects.record_crash(endpoint, Traits("rpoison"), True, now)
+        self.assertEqual(["rpoison"], list(world.suspects.blocked(now)))
         caller = await world.send_request()
         self.assertEqual(200, caller.status)
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -261,7 +261,7 @@
         self.endpoints = _Endpoints(dict(endpoints))
         bounds = bounds or Bounds()
         self.versions = VersionGuard("edge-1", bounds)
-        self.suspects = CrashSuspects("edge-1")
+        self.suspects = CrashSuspects()
         self.placer = Placer()
         self.dispatcher = Dispatcher(
             self.clock,
