--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -6,6 +6,7 @@
 from radishshift.decisions.retry_budget import RATIO_MARGIN
 from radishshift.gateway.deployment import RouteKind
 from radishshift.gateway.host_settings import Bounds
+from radishshift.gateway.messages import PromptPart
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import Script, World, route
 
@@ -15,6 +16,7 @@
 STREAM = route(RouteKind.STREAM)
 RETRIES_PER_REQUEST = Bounds().retry_ratio * RATIO_MARGIN
 CASCADE = route(RouteKind.STREAM, models=MODELS)
+NO_RETRIES = Bounds(retry_ratio=0.0, retry_slack=0.0)
 
 
 def stream_script(**changes):
@@ -29,6 +31,12 @@
     )
 
 
+def _parts(*digests):
+    """Return parts of a prompt with sizes as in the second incident."""
+    sizes = (5000, 300, 50)
+    return tuple(map(PromptPart, digests, sizes))
+
+
 class StreamsTest(VirtualTestCase):
     async def test_a_stream_is_forwarded_completely(self):
         world = World([STREAM], {"a": [stream_script()]})
@@ -287,6 +295,41 @@
         now = world.clock.now()
         self.assertEqual([], world.suspects.reports(now))
 
+    async def test_a_request_that_crashes_endpoints_after_the_headers_is_suspected(
+        self,
+    ):
+        """An engine sends its headers, then crashes as it writes the first event."""
+        crash = [stream_script(breaks_after=0, break_delay_s=0.03)]
+        world = World([STREAM], dict.fromkeys("abcdef", crash))
+        await world.send_request(1)
+        before = len(world.attempted_endpoints())
+        again = await world.send_request(2)
+        self.assertEqual(
+            (503, before), (again.status, len(world.attempted_endpoints()))
+        )
+
+    async def test_a_request_that_waited_where_others_crashed_endpoints_is_served(self):
+        """Requests without headers were suspected in place of the one that crashed."""
+        crashes = stream_script(breaks_after=0, first_s=0.05, break_delay_s=0.03)
+        waits = Script(error="crash", first_s=0.08)
+        world = World(
+            [STREAM],
+            {"a": [crashes, waits], "b": [crashes, waits], "c": [stream_script()]},
+            bounds=NO_RETRIES,
+        )
+        waiting = {"body": b"sound", "parts": _parts("shared", "doc", "own")}
+        for number, name in enumerate(("a", "b")):
+            world.list_members([name])
+            parts = _parts("shared", "bad", f"own-{number}")
+            await asyncio.gather(
+                world.send_request(number, body=b"%d" % number, parts=parts),
+                world.send_request(10 + number, **waiting),
+            )
+        world.list_members(["c"])
+        caller = await world.send_request(12, **waiting)
+        self.assertEqual(list("aabbc"), world.attempted_endpoints())
+        self.assertEqual((200, COMPLETE_STREAM), (caller.status, caller.body))
+
     async def test_a_poison_request_does_not_block_other_requests(self):
         world = World([STREAM], {"a": [Script(error="crash")], "b": [stream_script()]})
         now = world.clock.now()
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -98,6 +98,8 @@
         Sent `gap_s` apart, after `first_s`.
     breaks_after : int
         Events after which the connection breaks, or -1.
+    break_delay_s : float
+        Time from the headers, or the last event, until the connection breaks.
     hangs_after : int
         Events after which the stream hangs, or -1.
     pauses_after : int
@@ -110,6 +112,7 @@
     first_s: float = 0.05
     gap_s: float = 0.03
     breaks_after: int = -1
+    break_delay_s: float = 0.0
     hangs_after: int = -1
     pauses_after: int = -1
     pause_s: float = 0.0
@@ -150,6 +153,7 @@
         if self._sent == script.hangs_after:
             await asyncio.Event().wait()
         if self._sent == script.breaks_after:
+            await asyncio.sleep(script.break_delay_s)
             if script.partial_event and not self._partial_sent:
                 self._partial_sent = True
                 return script.partial_event
