--- a/tests/users_platform/test_crashing_parts.py
+++ b/tests/users_platform/test_crashing_parts.py
@@ -110,11 +110,20 @@
             endpoint.crashing_parts = {BAD_PART}
             endpoint.head_delay_s = 0.15
             endpoint.gap_s = 0.02
+        await self._run_hosts()
+
+    async def _run_hosts(self) -> None:
         self._running = [asyncio.create_task(host.run()) for host in self.hosts]
         async with asyncio.timeout(20):
             while not all(map(self._is_complete, self.hosts)):
                 await asyncio.sleep(0.02)
 
+    async def restart_hosts(self) -> None:
+        """Stop all hosts and start them again, without what they knew."""
+        await self.stop()
+        self.hosts = [GatewayHost(self._adapter(n)) for n in range(HOST_COUNT)]
+        await self._run_hosts()
+
     def _is_complete(self, host):
         others = host.gossip.host_count() >= HOST_COUNT - 1
         return others and len(host.host_view.members) == ENDPOINT_COUNT
@@ -172,6 +181,12 @@
             return float("inf")
         return crashes[-1] + 2 * CONTACT_S + SOUND_WINDOW_S
 
+    async def send_crashing(self, count: int) -> None:
+        """Send requests with the crashing part, one after the other."""
+        for _ in range(count):
+            self._send(crashing=True)
+            await self._tasks[-1]
+
     def _send(self, crashing):
         number = len(self.sent)
         sent = _Sent(asyncio.get_running_loop().time(), crashing)
@@ -201,6 +216,23 @@
 
 
 class CrashingPartsTest(TestCase):
+    async def test_a_crashing_part_is_sent_on_again_after_all_hosts_restart(self):
+        """Hosts forgot a crashing part when all of them lost power at once."""
+        async with AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
+            fleet = _Fleet(platform)
+            stack.push_async_callback(fleet.stop)
+            await fleet.start()
+            session = await stack.enter_async_context(aiohttp.ClientSession())
+            callers = _Callers(fleet, session)
+            await callers.send_crashing(8)
+            await asyncio.sleep(CONTACT_S)
+            self.assertTrue(fleet.crashes())
+            await fleet.restart_hosts()
+            before = len(fleet.bad_arrivals())
+            await callers.send_crashing(8)
+            self.assertEqual(before, len(fleet.bad_arrivals()))
+
     async def test_a_prompt_part_that_crashes_endpoints_is_sent_on_for_ever(self):
         """One part of prompts ended 34 and 45 endpoints in two waves of one day.
 
