Store the parts of prompts that crash endpoints at the platform

After all hosts had restarted, three endpoints crashed again under a part that had been blocked: what is blocked lived in the hosts' memory and in gossip of 30 s. Class: a decision that must outlast its host is kept in the host.

A part that stays blocked for a second is written as an object of a kind of its own, by one host in turn; all hosts list, watch and gossip the kind like the others. Gossip leaves out a kind that a peer of an older release doesn't name. Costs: one stale list call a host at its start, a watch at each of the three watchers, one list in 12 resyncs.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -121,6 +121,8 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
         self._sound_at: OrderedDict[str, float] = OrderedDict()
+        self._stored: dict[str, float] = {}
+        self._attributed: dict[str, int] = {}
         self._blocked: dict[str, int] = {}
         self._outdated = False
         self.on_change: Callable[[dict[str, int]], None] = lambda _: None
@@ -148,12 +150,41 @@
         for trait in traits.depths():
             self._record_sound(trait, now)
 
+    def set_stored(self, parts: dict[str, float]) -> None:
+        """Set the parts that are blocked by the platform, with the time since when."""
+        if parts != self._stored:
+            self._stored = dict(parts)
+            self._outdated = True
+
+    def obsolete_stored(self, now: float) -> list[str]:
+        """Return the stored parts that have expired or had sound answers since."""
+        return [
+            part
+            for part, at in self._stored.items()
+            if now - at > CRASH_RETENTION_S or self._sound_at.get(part, 0.0) > at
+        ]
+
+    def attributed_parts(self, now: float) -> dict[str, int]:
+        """Return the parts to which crashes are attributed, with their counts."""
+        self.blocked(now)
+        return {
+            trait: count
+            for trait, count in self._attributed.items()
+            if not _is_request(trait)
+        }
+
     def blocked(self, now: float) -> dict[str, int]:
-        """Return the traits whose requests must not run, with their crash counts."""
+        """Return the traits whose requests must not run, with their crash counts.
+
+        The count is 0 for a part that was only read from the platform.
+        """
         expired = self._expire(now)
         if expired or self._outdated:
             self._outdated = False
-            blocked = self._attribute()
+            self._attributed = self._attribute()
+            obsolete = set(self.obsolete_stored(now))
+            stored = {part: 0 for part in self._stored if part not in obsolete}
+            blocked = stored | self._attributed
             changed = blocked.keys() != self._blocked.keys()
             self._blocked = blocked
             if changed:
@@ -233,7 +264,7 @@
         self._sound_at.move_to_end(trait)
         if len(self._sound_at) > MAX_SOUND_TRAITS:
             self._sound_at.popitem(last=False)
-        self._outdated = self._outdated or bool(self._crashes)
+        self._outdated = self._outdated or bool(self._crashes or self._stored)
         for crash in self._crashes.values():
             if crash.at <= at:
                 crash.cleared.add(trait)
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -14,6 +14,7 @@
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
+from radishshift.gateway.blocked_part_duty import BlockedPartDuty
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
@@ -151,6 +152,15 @@
             self.versions,
             self.gossip,
         )
+        self.blocked_part_duty = BlockedPartDuty(
+            settings.host,
+            self.platform,
+            self.clock,
+            self.host_view,
+            self.crash_suspects,
+            self.gossip,
+            self._on_view_change,
+        )
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
@@ -188,6 +198,7 @@
             self._spawn(self.platform_sync.run())
             self._spawn(self.gossip.run())
             self._spawn(self.rollout_duty.run())
+            self._spawn(self.blocked_part_duty.run())
             self._spawn(self._clean_up())
             self._spawn(self._watch_settings())
             await self._stop.wait()
@@ -286,7 +297,8 @@
             self.stop("a background task failed")
 
     def _on_view_change(self) -> None:
-        """Update the roll-outs from the host's view and gossip the change."""
+        """Update the decisions from the host's view and gossip the change."""
+        self.crash_suspects.set_stored(self.host_view.blocked_parts)
         self.versions.update_rollouts(
             self.host_view.rollouts.values(), self.clock.now()
         )
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -27,7 +27,7 @@
 from radishshift.gateway.peer_calls import answer_peer, call_peer
 from radishshift.gateway.peer_table import PeerTable
 from radishshift.gateway.sockets import keepalive_session
-from radishshift.object_table import Head, TableDelta
+from radishshift.object_table import TableDelta
 from radishshift.objects import Kind
 
 __all__ = ["Gossip"]
@@ -303,7 +303,9 @@
         tables = {}
         for kind in KINDS:
             table = self._host_view.tables[kind]
-            peer_head = message.heads.get(kind.value, Head())
+            if kind.value not in message.heads:
+                continue  # the peer is of a release without this kind
+            peer_head = message.heads[kind.value]
             if peer_head.complete >= table.head.complete:
                 continue
             if peer_head.digest == table.head.digest and peer_head.digest:
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -21,7 +21,7 @@
 
 __all__ = ["KINDS", "Departure", "HostView"]
 
-KINDS = (Kind.DEPLOYMENT, Kind.ENDPOINT, Kind.ROLLOUT)
+KINDS = (Kind.DEPLOYMENT, Kind.ENDPOINT, Kind.ROLLOUT, Kind.BLOCKED_PART)
 DEPARTED_RETENTION_S = 30.0  # an endpoint's address is reused far sooner
 LAPSED_RETENTION_S = 2.5  # live endpoints are listed again within 2 s
 # Share of `drain_s` for which a lapsed endpoint is used; after `drain_s` it may get no
@@ -69,6 +69,9 @@
         Endpoints that no longer take new work, by name.
     rollouts : dict of str to Rollout
         By service.
+    blocked_parts : dict of str to float
+        Parts of prompts that crash endpoints, by trait, with the time at which each was
+        blocked, in seconds since the epoch.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.members: dict[str, Member] = {}
         self.departed: dict[str, Departure] = {}
         self.rollouts: dict[str, Rollout] = {}
+        self.blocked_parts: dict[str, float] = {}
         self._decoded: dict[str, tuple[int, Member | None]] = {}
         self._lapsed_until = 0.0
 
@@ -181,8 +185,10 @@
             self._derive_deployment(source)
         elif kind is Kind.ENDPOINT:
             self._derive_members(source)
-        else:
+        elif kind is Kind.ROLLOUT:
             self._derive_rollouts(source)
+        else:
+            self._derive_blocked_parts()
 
     def _derive_deployment(self, source: str) -> None:
         for item in self.tables[Kind.DEPLOYMENT].items.values():
@@ -283,6 +289,15 @@
                     },
                 )
 
+    def _derive_blocked_parts(self) -> None:
+        self.blocked_parts = {}
+        for name, item in self.tables[Kind.BLOCKED_PART].items.items():
+            blocked_at = item.spec.get("blocked_at")
+            if not isinstance(blocked_at, int | float):
+                logger.warning("unreadable blocked part {} ignored", name)
+                continue
+            self.blocked_parts[name] = float(blocked_at)
+
 
 def _log_fields(member: Member, source: str) -> dict[str, str]:
     return {
--- a/radishshift/gateway/platform_sync.py
+++ b/radishshift/gateway/platform_sync.py
@@ -28,7 +28,12 @@
 # in force.
 RESYNC_SHARE = 0.5
 # A kind is listed at every n-th resync.
-RESYNC_PERIODS = {Kind.DEPLOYMENT: 1, Kind.ENDPOINT: 1, Kind.ROLLOUT: 3}
+RESYNC_PERIODS = {
+    Kind.DEPLOYMENT: 1,
+    Kind.ENDPOINT: 1,
+    Kind.ROLLOUT: 3,
+    Kind.BLOCKED_PART: 12,
+}
 MAX_WATCH_LAG_S = 0.5  # a working watch lags behind gossip by less than that
 CHECK_INTERVAL_S = 0.25
 WATCHER_COUNT = 3  # tolerates the loss of two watchers at once
--- a/radishshift/objects.py
+++ b/radishshift/objects.py
@@ -24,6 +24,7 @@
     SESSION_KEY = "sessionkeys"
     SHARE = "shares"
     POISON = "poisonrequests"
+    BLOCKED_PART = "blockedparts"
     CONFIRMATION = "confirmations"
     DEPLOYMENT = "deployments"
     ROLLOUT = "rollouts"
