Test that an answer has left a stopping host before its process ends

Cause: a request counts as in flight until its answer is written to the connection, which holds up to 64 KB for a caller that reads slowly; the end of the loop drops them.

--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import copy
+import socket
 from contextlib import asynccontextmanager
 from unittest import mock
 
 import aiohttp
 from demo import CONFIG, HOST, KEY, Demo
+from users_platform import standins
 
 from radishshift.gateway import gateway_host
 from tests.cases import TestCase
@@ -343,3 +345,42 @@
             self.assertIn(b" 503 ", answer.splitlines()[0])
             self.assertIn(b"connection: close", answer.lower())
             await demo._stack.aclose()
+
+    async def test_an_answer_leaves_the_host_before_the_process_ends(self):
+        """Up to 64 KB for a slow caller stayed in the connection's write buffer."""
+        head = "".join(f"{name}: {value}\r\n" for name, value in BASE_HEADERS.items())
+        request = f"GET /check/x HTTP/1.1\r\n{head}\r\n"
+        loop = asyncio.get_running_loop()
+        async with _running_demo() as demo:
+            host = demo.gateway_host
+            sock = socket.socket()
+            self.addCleanup(sock.close)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            ip, _, port = demo.address.partition(":")
+            await loop.sock_connect(sock, (ip, int(port)))
+            await _wait_until(lambda: host._caller_server.connections)
+            (connection,) = host._caller_server.connections
+            transport = connection.transport
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+
+            async def read_slowly():
+                while await loop.sock_recv(sock, 2048):
+                    await asyncio.sleep(0.02)
+
+            with (
+                mock.patch.object(gateway_host, "MIN_DRAIN_S", 0.1),
+                mock.patch.object(standins, "ANSWER_TEXT", "x" * 50_000),
+            ):
+                await loop.sock_sendall(sock, request.encode())
+                await _wait_until(lambda: _executed(demo))
+                await _wait_until(lambda: not host.request_path.in_flight)
+                host.stop("test")
+                reading = asyncio.create_task(read_slowly())
+                await demo.host_task
+                unsent_bytes = transport.get_write_buffer_size()
+            await reading
+            await demo._stack.aclose()
+        self.assertEqual(0, unsent_bytes)
