Test that a host that stops by itself gives up no request

Cause: a failed background task stops the host like a signal does, so its drain ends 0.25 s before a kill that nobody sends. Requests taken long before are given up, and streams are still accepted for 2.5 s that may need longer. LOST allows for a SIGTERM only; a process that ends by itself counts as running.

--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -384,3 +384,23 @@
             await reading
             await demo._stack.aclose()
         self.assertEqual(0, unsent_bytes)
+
+    async def test_a_host_that_stops_by_itself_gives_up_no_request(self):
+        """A stream was cut off for the time that the platform's signal would leave."""
+        async with _running_demo() as demo:
+            for endpoint in demo.endpoints.values():
+                endpoint.gap_s = 0.2
+            sending = asyncio.create_task(
+                _send(demo, "/plan/x", "POST", b"p", **STREAM_HEADERS)
+            )
+            await _wait_until(lambda: _executed(demo))
+
+            async def fail():
+                raise KeyError("not expected")
+
+            demo.gateway_host._spawn(fail())
+            await asyncio.wait((sending,))
+            await demo.host_task
+            await demo._stack.aclose()
+        self.assertIsNone(sending.exception())
+        self.assertEqual(EVENTS, sending.result()[2])
