--- a/tests/gateway/test_rollout_duty.py
+++ b/tests/gateway/test_rollout_duty.py
@@ -113,3 +113,29 @@
         await fleet.platform.update_status(ended)
         await asyncio.sleep(25)
         self.assertEqual(RolloutState.ROLLED_BACK, await fleet.state())
+
+    async def test_a_rollout_that_is_removed_during_the_write_of_another(self):
+        """The duty ended with a `KeyError`, which stops the host."""
+        fleet = await self._fleet(1)
+        other = StoredObject(Kind.ROLLOUT, "zz", {"order": ("zz", "v2", 20.0)})
+        other = await fleet.platform.create(other)
+        connection = fleet.connections[0]
+        update_status = connection.update_status
+
+        async def update_then_remove(item):
+            stored = await update_status(item)
+            if item.name == SERVICE:
+                await fleet.platform.delete(Kind.ROLLOUT, "zz", other.revision)
+                await asyncio.sleep(0.1)
+                # As `GatewayHost` does after each change of the view.
+                world = fleet.hosts[0].world
+                world.versions.update_rollouts(
+                    world.host_view.rollouts.values(), world.clock.now()
+                )
+            return stored
+
+        connection.update_status = update_then_remove
+        await asyncio.sleep(1)
+        duty = fleet.tasks[0]
+        self.assertEqual(RolloutState.RUNNING, await fleet.state())
+        self.assertFalse(duty.done() and duty.exception())
