Test that a stopping host answers a pipelined request

The answer to the first, which runs for 2 x 0.2 s, carries Connection: close, and what was read behind it is dropped. It is not sent to an endpoint.

--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -404,3 +404,20 @@
             await demo._stack.aclose()
         self.assertIsNone(sending.exception())
         self.assertEqual(EVENTS, sending.result()[2])
+
+    async def test_a_stopping_host_answers_a_pipelined_request(self):
+        """The first answer closed the connection and the second request was dropped."""
+        head = "".join(f"{name}: {value}\r\n" for name, value in BASE_HEADERS.items())
+        text = "".join(f"GET /check/{n} HTTP/1.1\r\n{head}\r\n" for n in (1, 2))
+        async with _running_demo() as demo:
+            for endpoint in demo.endpoints.values():
+                endpoint.gap_s = 0.2
+            reader, writer = await asyncio.open_connection(*demo.address.split(":"))
+            writer.write(text.encode())
+            await _wait_until(lambda: _executed(demo))
+            demo.gateway_host.stop("test")
+            data = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            await demo.host_task
+            await demo._stack.aclose()
+        self.assertEqual(2, data.count(b"HTTP/1.1 "))
