Test that an answer has left a stopping entry daemon before its process ends

Cause: as at a gateway host, a request ends when its answer is written to the connection; CallerSink.drain waits above 64 KB only, and neither the drain nor aiohttp's clean-up waits for the rest. The bill is settled and the exit code is 0, while the caller gets a part.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import signal
+import socket
 import sys
 import tempfile
 from contextlib import asynccontextmanager
 from pathlib import Path
+from unittest import mock
 
 import aiohttp
 import msgspec
 
+from radishshift.caller_connections import _CallerProtocol
 from radishshift.entry import _run_periodically
 from radishshift.objects import Kind
 from radishshift.standins.deployment import KEY, deployed
@@ -158,6 +161,46 @@
                 text = (await resp.read()).decode()
             self.assertEqual("shutting-down", error_of(text)["code"])
 
+    async def test_an_answer_leaves_the_host_before_the_process_ends(self):
+        """Up to 64 KB for a slow caller stayed in the connection's write buffer."""
+        loop = asyncio.get_running_loop()
+        transports = []
+        connection_made = _CallerProtocol.connection_made
+
+        def made(protocol, transport):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            transports.append(transport)
+            connection_made(protocol, transport)
+
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        body = msgspec.json.encode(CHAT_BODY).decode()
+        request = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        )
+
+        async def read_slowly():
+            while await loop.sock_recv(sock, 2048):
+                await asyncio.sleep(0.02)
+
+        with mock.patch.object(_CallerProtocol, "connection_made", made):
+            async with served(tokens=200, token_s=0.0) as entry:
+                ip, port = entry.host.address.removeprefix("http://").split(":")
+                await loop.sock_connect(sock, (ip, int(port)))
+                await loop.sock_sendall(sock, request.encode())
+                while not entry.run_count():
+                    await asyncio.sleep(0.01)
+                await entry.wait_until_idle()
+                reading = asyncio.create_task(read_slowly())
+            unsent_bytes = transports[0].get_write_buffer_size()
+            await reading
+        self.assertEqual(0, unsent_bytes)
+
 
 class PeriodicTaskTest(VirtualTestCase):
     async def test_a_task_goes_on_after_an_unexpected_error(self):
