--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -131,6 +131,14 @@
         caller = await world.send_request(answer_tokens=10)
         self.assertLess(caller.ended_at, exits_at)
 
+    async def test_no_estimate_of_a_duration_lets_a_stopping_host_accept_a_stream(self):
+        """The margin over the estimate was raised twice, and streams still were cut."""
+        world = World([route(RouteKind.STREAM, timeout_s=2000.0)], {"a": [Script()]})
+        world.path.accept_streams_until = world.clock.now()
+        world.path.exits_at = world.clock.now() + 1000.0
+        caller = await world.send_request(answer_tokens=1, deadline_s=1001.0)
+        self.assertEqual((503, []), (caller.status, world.attempted_endpoints()))
+
     async def test_streams_are_accepted_until_the_load_balancer_detects_the_shutdown(
         self,
     ):
--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -421,3 +421,24 @@
             await demo.host_task
             await demo._stack.aclose()
         self.assertEqual(2, data.count(b"HTTP/1.1 "))
+
+    async def test_connections_are_closed_before_the_parts_of_a_stopping_host(self):
+        async with _running_demo() as demo:
+            host = demo.gateway_host
+            reader, writer = await asyncio.open_connection(*demo.address.split(":"))
+            received = []
+
+            async def end_slowly():
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    received.append(await asyncio.wait_for(reader.read(), 5))
+
+            with mock.patch.object(gateway_host, "MIN_DRAIN_S", 0.1):
+                host._spawn(end_slowly())
+                await asyncio.sleep(0)
+                host.stop("test")
+                await demo.host_task
+            writer.close()
+            await demo._stack.aclose()
+        self.assertEqual([b""], received)
