Let answers leave a stopping host before its process ends

A caller that reads slowly got a part of its answer: a request counts as over when its answer is in the connection's write buffer, up to 64 KB, and a stopping host ended with it.

After the connections are closed the host waits until their buffers are empty, at most until shortly before it is killed.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -1,6 +1,7 @@
 """A gateway host: its parts, their start, and its graceful stop."""
 
 import asyncio
+import math
 import signal
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
@@ -44,6 +45,7 @@
 # Covers two failed readiness checks of the load balancer and the last retries of
 # callers on connections that are still open.
 MIN_DRAIN_S = 4.0
+DRAIN_POLL_S = 0.05
 SETTINGS_POLL_INTERVAL_S = 2.0  # the file may change without a signal
 CLEANUP_INTERVAL_S = 1.0
 
@@ -165,6 +167,7 @@
         self._reload = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._caller_server: web.Server | None = None
+        self._drain_until = math.inf
 
     @property
     def stopping(self) -> bool:
@@ -221,13 +224,21 @@
     async def _close_to_callers(self) -> None:
         """Refuse what was read since the drain, and close the callers' connections.
 
-        A request taken from here on would be cancelled when the process ends.
+        A request taken from here on would be cancelled when the process ends. So would
+        the rest of an answer that is still in the write buffer of a connection.
         """
         self.request_path.exits_at = self.clock.now()
         # Closing a connection with an unread request would reset it.
         await asyncio.sleep(LAST_REFUSALS_S)
+        transports = self._caller_transports()
         self._caller_server.pre_shutdown()
         await self._caller_server.shutdown(CONNECTION_CLOSE_TIMEOUT_S)
+        while _unsent_bytes(transports) and self.clock.now() < self._drain_until:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def _caller_transports(self) -> list[asyncio.Transport]:
+        connections = self._caller_server.connections
+        return [conn.transport for conn in connections if conn.transport is not None]
 
     async def _close_client(self) -> None:
         """Close idle connections; running attempts are left until the process exits."""
@@ -350,11 +361,16 @@
         """Wait for requests in flight, until shortly before the process is killed."""
         now = self.clock.now()
         self.request_path.stopping_since = now
-        drain_until = now + self.settings.bounds.stop_s - KILL_MARGIN_S
-        self.request_path.exits_at = drain_until
+        self._drain_until = now + self.settings.bounds.stop_s - KILL_MARGIN_S
+        self.request_path.exits_at = self._drain_until
         self.request_path.accept_streams_until = now + STREAM_ACCEPT_S
         earliest_exit = now + MIN_DRAIN_S
-        while self.clock.now() < drain_until:
-            await asyncio.sleep(0.05)
+        while self.clock.now() < self._drain_until:
+            await asyncio.sleep(DRAIN_POLL_S)
             if self.clock.now() >= earliest_exit and not self.request_path.in_flight:
                 return
+
+
+def _unsent_bytes(transports: Iterable[asyncio.Transport]) -> int:
+    """Return the bytes of answers that slow callers have not let leave the process."""
+    return sum(transport.get_write_buffer_size() for transport in transports)
