Skip a roll-out that is removed while the status of another is written

A host stopped by itself: the duty walked a copy of the services, awaited a write for each, and failed with KeyError for one that had been removed meanwhile; a failed background task stops the host.

--- a/radishshift/gateway/rollout_duty.py
+++ b/radishshift/gateway/rollout_duty.py
@@ -69,7 +69,9 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def _advance(self, service: str) -> None:
-        canary = self._versions.canaries[service]
+        canary = self._versions.canaries.get(service)
+        if canary is None:  # removed during the write for another service
+            return
         target = canary.rollout.target
         now = self._clock.now()
         old_in_flight = self._gossip.own_old_in_flight(service, target)
