Let a host that stops by itself finish the requests that it has taken

A stream was cut off 7.75 s after a background task had failed: the stop that follows ended, like one by a signal, shortly before a kill that nobody sends.

Only a signal sets the end of the drain now, also one that comes during a stop without one; otherwise the deadlines of the requests end it.

--- a/radishshift/gateway/blocked_part_duty.py
+++ b/radishshift/gateway/blocked_part_duty.py
@@ -110,7 +110,9 @@
 
     async def _delete(self, part: str) -> None:
         self._due_since[part] = self._clock.now()
-        stored = self._host_view.tables[Kind.BLOCKED_PART].items[part]
+        stored = self._host_view.tables[Kind.BLOCKED_PART].items.get(part)
+        if stored is None:  # removed during the write of another part
+            return
         try:
             await self._platform.delete(Kind.BLOCKED_PART, part, stored.revision)
         except NotFoundError:
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -45,6 +45,7 @@
 # Covers two failed readiness checks of the load balancer and the last retries of
 # callers on connections that are still open.
 MIN_DRAIN_S = 4.0
+UNSENT_TIMEOUT_S = 5.0  # for the end of answers that callers read slowly
 DRAIN_POLL_S = 0.05
 SETTINGS_POLL_INTERVAL_S = 2.0  # the file may change without a signal
 CLEANUP_INTERVAL_S = 1.0
@@ -185,7 +186,7 @@
     async def run(self) -> None:
         """Serve until `stop` is called, then drain the requests in flight."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stop, "signal")
+        loop.add_signal_handler(signal.SIGTERM, self._stop_by_signal)
         loop.add_signal_handler(signal.SIGHUP, self._reload.set)
         settings = self.settings
         logger.info(
@@ -233,7 +234,8 @@
         transports = self._caller_transports()
         self._caller_server.pre_shutdown()
         await self._caller_server.shutdown(CONNECTION_CLOSE_TIMEOUT_S)
-        while _unsent_bytes(transports) and self.clock.now() < self._drain_until:
+        until = min(self._drain_until, self.clock.now() + UNSENT_TIMEOUT_S)
+        while _unsent_bytes(transports) and self.clock.now() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
     def _caller_transports(self) -> list[asyncio.Transport]:
@@ -245,8 +247,14 @@
         if not self.request_path.in_flight:
             await self.endpoint_client.close()
 
+    def _stop_by_signal(self) -> None:
+        """Begin a graceful stop that ends shortly before the process is killed."""
+        kill_at = self.clock.now() + self.settings.bounds.stop_s
+        self._drain_until = min(self._drain_until, kill_at - KILL_MARGIN_S)
+        self.stop("signal")
+
     def stop(self, reason: str) -> None:
-        """Begin a graceful stop."""
+        """Begin a graceful stop, which takes as long as the requests in flight."""
         logger.info("stopping", extra={"reason": reason})
         self._stop.set()
 
@@ -361,11 +369,11 @@
         """Wait for requests in flight, until shortly before the process is killed."""
         now = self.clock.now()
         self.request_path.stopping_since = now
-        self._drain_until = now + self.settings.bounds.stop_s - KILL_MARGIN_S
-        self.request_path.exits_at = self._drain_until
         self.request_path.accept_streams_until = now + STREAM_ACCEPT_S
         earliest_exit = now + MIN_DRAIN_S
         while self.clock.now() < self._drain_until:
+            # A signal may come during a stop that began without one.
+            self.request_path.exits_at = self._drain_until
             await asyncio.sleep(DRAIN_POLL_S)
             if self.clock.now() >= earliest_exit and not self.request_path.in_flight:
                 return
