Add a mode of the soak in which hosts are only stopped

The soak gave its hosts 2 s from SIGTERM, less than the 4 s for which a host stays up at least, so none ever ended because nothing was in flight. Some of them pause, so that they use connections again that were open at the signal.

Callers record when they sent a request and when its connection ended, hosts when they got SIGTERM and ended, endpoints when their work ended. Hosts are killed at the end of the grace time, as the platform does. aiohttp no longer sends a GET again by itself when a kept connection breaks, which would hide a lost answer (read in its client, not seen in a run).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,9 +7,10 @@
 
 import aiohttp
 
+from tests.soak.modes import DEADLINE_S, Mode
+
 __all__ = ["ANSWERED_STATUS", "CallerAttempt", "Callers"]
 
-DEADLINE_S = 4.0
 STREAM_EVENTS = 30
 RETRIES = 2
 ANSWERED_STATUS = 200
@@ -38,6 +39,12 @@
     process_numbers : tuple of int
         Number of the host's process before and after the attempt; a restart between
         makes them differ.
+    deadline_s : float
+        Time that the caller allows.
+    sent_at, last_byte_at : float
+        Instants at which the first and the last byte were sent; 0 if none was.
+    ended_at : float
+        Instant at which the answer was complete or the connection broke.
     """
 
     attempt_id: str
@@ -53,6 +60,10 @@
     disconnected: bool = False
     after_faults: bool = False
     process_numbers: tuple[int, int] = (0, 0)
+    deadline_s: float = DEADLINE_S
+    sent_at: float = 0.0
+    last_byte_at: float = 0.0
+    ended_at: float = 0.0
 
 
 class Callers:
@@ -64,34 +75,63 @@
         IP:PORT by host.
     process_number : callable
         Returns the number of the process that a host currently runs.
+    mode : Mode
     """
 
     def __init__(
-        self, addresses, process_number, host_header: str, key: str, seed: int
+        self,
+        addresses,
+        process_number,
+        host_header: str,
+        key: str,
+        seed: int,
+        mode: Mode,
     ) -> None:
         self._addresses = addresses
         self._process_number = process_number
         self._host_header = host_header
         self._key = key
         self._random = random.Random(seed)
+        self._mode = mode
         self._attempt_ids = itertools.count(1)
         self.attempts: list[CallerAttempt] = []
         self.after_faults = False
-
-    async def run(self, until: float) -> None:
-        """Send requests over persistent connections until an instant."""
-        loop = asyncio.get_running_loop()
-        async with aiohttp.ClientSession(auto_decompress=False) as session:
-            while loop.time() < until:
-                await self._send_request(session)
-                await asyncio.sleep(self._random.uniform(0.0, 0.05))
-
-    async def _send_request(self, session: aiohttp.ClientSession) -> None:
+        self._stopped = asyncio.Event()
+
+    async def run(self, max_pause_s: float = 0.05, host: str = "") -> None:
+        """Send requests over persistent connections until `stop` is called.
+
+        Each goes to `host` first if one is given.
+        """
+        async with self.session() as session:
+            while not self._stopped.is_set():
+                try:
+                    async with asyncio.timeout(self._random.uniform(0.0, max_pause_s)):
+                        await self._stopped.wait()
+                except TimeoutError:
+                    await self._send_request(session, host)
+
+    def stop(self) -> None:
+        """Let the callers finish after their current requests."""
+        self._stopped.set()
+
+    def session(self) -> aiohttp.ClientSession:
+        """Return a client that sends each request once and records when."""
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_record_headers_sent)
+        trace.on_request_chunk_sent.append(_record_body_sent)
+        session = aiohttp.ClientSession(auto_decompress=False, trace_configs=[trace])
+        # Else aiohttp sends a GET again, unseen, when a kept connection breaks.
+        session._retry_connection = False
+        return session
+
+    async def _send_request(self, session: aiohttp.ClientSession, host: str) -> None:
         """Send one request, with a few retries where a retry is safe."""
-        kind = self._random.choice(("check", "book", "plan", "plan"))
+        kind = self._random.choice(self._mode.kinds)
         disconnects = self._random.random() < 0.05
-        for _ in range(1 + RETRIES):
-            host = self._random.choice(sorted(self._addresses))
+        for attempt_number in range(1 + RETRIES):
+            if not host or attempt_number:
+                host = self._random.choice(sorted(self._addresses))
             attempt = await self.send_attempt(
                 session, kind, host, disconnects=disconnects
             )
@@ -116,6 +156,9 @@
         path = f"/{prefix or kind}/{attempt_id}?x=1"
         attempt = CallerAttempt(attempt_id, kind, host, method, path, request_body)
         attempt.after_faults = self.after_faults
+        deadlines_s = self._mode.deadlines_s.get(kind)
+        if deadlines_s and not self.after_faults:
+            attempt.deadline_s = self._random.choice(deadlines_s)
         self.attempts.append(attempt)
         await self.perform(session, attempt, disconnects)
         return attempt
@@ -131,12 +174,14 @@
             "Host": self._host_header,
             "X-Key": self._key,
             "X-Attempt-Id": attempt.attempt_id,
-            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "X-Deadline-Ms": str(int(attempt.deadline_s * 1000)),
         }
         if attempt.kind == "plan":
             headers |= {"X-Model": "*", "X-Token-Usage": "800,50"}
         before = self._process_number(attempt.host)
-        limit_s = self._random.uniform(0.01, 0.3) if disconnects else DEADLINE_S + 2.0
+        limit_s = attempt.deadline_s + 2.0
+        if disconnects:
+            limit_s = self._random.uniform(0.01, 0.3)
         try:
             async with asyncio.timeout(limit_s):
                 await self._receive_answer(session, attempt, headers)
@@ -145,6 +190,7 @@
         except (aiohttp.ClientError, OSError):
             # The connection broke; what was received before stays recorded.
             attempt.complete = False
+        attempt.ended_at = asyncio.get_running_loop().time()
         attempt.process_numbers = (before, self._process_number(attempt.host))
 
     async def _receive_answer(
@@ -155,10 +201,25 @@
     ) -> None:
         url = f"http://{self._addresses[attempt.host]}{attempt.path}"
         async with session.request(
-            attempt.method, url, headers=headers, data=attempt.request_body or None
+            attempt.method,
+            url,
+            headers=headers,
+            data=attempt.request_body or None,
+            trace_request_ctx=attempt,
         ) as resp:
             attempt.status = resp.status
             attempt.headers = dict(resp.headers)
             async for data in resp.content.iter_any():
                 attempt.body += data
             attempt.complete = True
+
+
+async def _record_headers_sent(session, context, params) -> None:
+    attempt = context.trace_request_ctx
+    attempt.sent_at = asyncio.get_running_loop().time()
+    if not attempt.request_body:
+        attempt.last_byte_at = attempt.sent_at
+
+
+async def _record_body_sent(session, context, params) -> None:
+    context.trace_request_ctx.last_byte_at = asyncio.get_running_loop().time()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,47 +1,79 @@
 """Faults that a soak test injects; each ends by itself."""
 
 import asyncio
+import math
 import random
 import signal
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 
 from users_platform.standins import EndpointFaults
 
 from tests.soak.links import Link
+from tests.soak.modes import Mode
 from tests.soak.worlds import SoakWorld
 
 __all__ = ["FAULTS", "fault", "inject"]
 
 Fault = Callable[[SoakWorld, random.Random], Awaitable[None]]
-FAULTS: dict[str, Fault] = {}
+FAULTS: dict[str, dict[str, Fault]] = defaultdict(dict)  # by mode and name
+PLANNED_FAULTS: set[str] = set()
 
 
-def fault(name: str) -> Callable[[Fault], Fault]:
-    """Register a function as the fault of this name."""
+def fault(
+    name: str, modes: tuple[str, ...] = ("all",), planned: bool = False
+) -> Callable[[Fault], Fault]:
+    """Register a function as the fault of this name in some modes.
+
+    A planned fault is work of the operators, around which no request may be lost.
+    """
 
     def register(func: Fault) -> Fault:
-        FAULTS[name] = func
+        for mode in modes:
+            FAULTS[mode][name] = func
+        if planned:
+            PLANNED_FAULTS.add(name)
         return func
 
     return register
 
 
 async def inject(
-    world: SoakWorld, rng: random.Random, time_s: float, on_fault: Callable[[str], None]
+    world: SoakWorld,
+    rng: random.Random,
+    mode: Mode,
+    time_s: float,
+    on_fault: Callable[[str], None],
 ) -> None:
-    """Inject overlapping random faults for a time.
+    """Inject overlapping random faults of a mode for a time.
 
     `on_fault` is called with the name of each.
     """
+    faults = FAULTS[mode.name]
     deadline = asyncio.get_running_loop().time() + time_s
     async with asyncio.TaskGroup() as group:
         while asyncio.get_running_loop().time() < deadline:
-            name = rng.choice(sorted(FAULTS))
+            name = rng.choice(sorted(faults))
             on_fault(name)
             # Each fault has its own generator, as the order in which concurrent faults
             # draw from a shared one differs between runs of a seed.
-            group.create_task(FAULTS[name](world, random.Random(rng.random())))
-            await asyncio.sleep(rng.uniform(0.05, 0.8))
+            fault_rng = random.Random(rng.random())
+            group.create_task(_perform(name, faults[name], world, fault_rng))
+            await asyncio.sleep(rng.uniform(*mode.fault_gap_s))
+
+
+async def _perform(
+    name: str, fault_func: Fault, world: SoakWorld, rng: random.Random
+) -> None:
+    """Perform a fault, and record its time if it is a disturbance."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    if name not in PLANNED_FAULTS:
+        world.disturbances.append((began_at, math.inf))
+    await fault_func(world, rng)
+    if name not in PLANNED_FAULTS:
+        world.disturbances.remove((began_at, math.inf))
+        world.disturbances.append((began_at, loop.time()))
 
 
 def _host(world: SoakWorld, rng: random.Random):
@@ -64,13 +96,23 @@
         await asyncio.sleep(rng.choice((0.0, 0.05)))
 
 
-@fault("host-stopped")
+@fault("host-stopped", ("all", "stops"), planned=True)
 async def _host_stopped(world, rng):
     host = _host(world, rng)
-    host.signal(signal.SIGTERM)
+    host.terminate()
     if rng.random() < 0.3:
         await asyncio.sleep(rng.uniform(0.0, 0.5))
-        host.signal(signal.SIGTERM)
+        host.terminate()
+
+
+@fault("hosts-stopped-in-series", ("stops",), planned=True)
+async def _hosts_stopped_in_series(world, rng):
+    names = rng.sample(sorted(world.hosts), rng.randint(1, len(world.hosts)))
+    pause_s = rng.choice((0.0, 0.2, 1.0, 3.0))
+    for _ in range(rng.choice((1, 1, 2))):
+        for name in names:
+            world.hosts[name].terminate()
+            await asyncio.sleep(rng.uniform(0.0, pause_s))
 
 
 @fault("host-paused")
@@ -78,13 +120,13 @@
     await _host(world, rng).pause(rng.uniform(0.1, 2.0))
 
 
-@fault("settings-read-again")
+@fault("settings-read-again", planned=True)
 async def _settings_read_again(world, rng):
     for host in world.hosts.values():
         host.signal(signal.SIGHUP)
 
 
-@fault("configuration-changed")
+@fault("configuration-changed", ("all", "stops"), planned=True)
 async def _configuration_changed(world, rng):
     for _ in range(rng.randint(1, 3)):
         world.change_configuration()
@@ -146,7 +188,7 @@
 fault("endpoints-break-unframed")(_endpoint_fault("unframed", "resets_within"))
 
 
-@fault("endpoint-replaced")
+@fault("endpoint-replaced", planned=True)
 async def _endpoint_replaced(world, rng):
     await world.replace_endpoint(_endpoint(world, rng))
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,20 +1,44 @@
 """Host processes, which are killed, stopped and paused by signals."""
 
 import asyncio
+import math
 import os
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from users_platform.settings import SETTINGS_VARIABLE
 
-__all__ = ["HostProcess"]
+__all__ = ["HostProcess", "HostStop"]
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 RESTART_DELAY_S = 0.2  # from the end of a process to its next start
 
 
+@dataclass
+class HostStop:
+    """A process that got SIGTERM, and its end.
+
+    Attributes
+    ----------
+    process : int
+        Number of the process of this host.
+    signalled_at : float
+        Instant of the first SIGTERM.
+    ended_at : float
+        Infinite while the process runs.
+    killed : bool
+        Whether it was killed, by the end of the grace time or by a fault.
+    """
+
+    host: str
+    process: int
+    signalled_at: float
+    ended_at: float = math.inf
+    killed: bool = False
+
+
 @dataclass
 class HostProcess:
     """One host, whose process is restarted whenever it ends.
@@ -24,13 +48,18 @@
     name : str
     settings : Path
         Settings file of the process; its log is written next to it.
+    grace_s : float
+        Time from SIGTERM until the process is killed.
     start_count : int
         Processes started so far. No state passes from one to the next.
+    stops : list of HostStop
     """
 
     name: str
     settings: Path
+    grace_s: float
     start_count: int = 0
+    stops: list[HostStop] = field(default_factory=list)
     _proc: asyncio.subprocess.Process | None = None
     _supervisor: asyncio.Task | None = None
 
@@ -51,6 +80,9 @@
                 )
                 self.start_count += 1
                 await self._proc.wait()
+            if self.stops and self.stops[-1].process == self.start_count:
+                self.stops[-1].ended_at = asyncio.get_running_loop().time()
+                self.stops[-1].killed = self._proc.returncode == -signal.SIGKILL
             await asyncio.sleep(RESTART_DELAY_S)
 
     def signal(self, number: signal.Signals) -> None:
@@ -59,6 +91,21 @@
             return
         self._proc.send_signal(number)
 
+    def terminate(self) -> None:
+        """Send SIGTERM, and SIGKILL after the grace time, as the platform does."""
+        if self._proc is None or self._proc.returncode is not None:
+            return
+        if not self.stops or self.stops[-1].process != self.start_count:
+            loop = asyncio.get_running_loop()
+            self.stops.append(HostStop(self.name, self.start_count, loop.time()))
+            loop.call_later(self.grace_s, self._kill, self._proc)
+        self.signal(signal.SIGTERM)
+
+    @staticmethod
+    def _kill(proc: asyncio.subprocess.Process) -> None:
+        if proc.returncode is None:
+            proc.kill()
+
     async def pause(self, time_s: float) -> None:
         """Suspend the process for a time."""
         self.signal(signal.SIGSTOP)
--- /dev/null
+++ b/tests/soak/modes.py
@@ -0,0 +1,82 @@
+"""Modes of a soak test: its faults, and how hosts, endpoints and callers behave."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["MODES", "Mode"]
+
+DEADLINE_S = 4.0
+
+
+@dataclass(frozen=True)
+class Mode:
+    """Faults of a soak test, and the behaviour of hosts, endpoints and callers.
+
+    Attributes
+    ----------
+    name : str
+        The faults that are registered for this mode are injected.
+    fault_gap_s : pair of float
+        Shortest and longest time between the starts of two faults.
+    grace_s : float
+        Time from SIGTERM until a host is killed.
+    work_s : pair of float
+        Shortest and longest time that an endpoint works before its answer begins; most
+        are near the shortest.
+    event_gap_s : float
+        Time between the events of a stream.
+    caller_count : int
+        Callers that send to any host, with hardly a pause.
+    idle_callers_per_host : int
+        Callers that stay with one host and pause for up to `idle_s`.
+    idle_s : float
+    kinds : tuple of str
+        Kinds of requests to choose from.
+    deadlines_s : dict of str to tuple of float
+        Deadlines to choose from during the faults, by kind of request.
+    callers_outlast_stops : bool
+        Whether callers go on until all hosts that are stopping have ended.
+    recovery_s : float
+        Time without requests between the last fault and the check that all is served.
+    links : bool
+        Whether callers reach the hosts over links.
+    """
+
+    name: str
+    fault_gap_s: tuple[float, float]
+    grace_s: float
+    work_s: tuple[float, float] = (0.0, 0.0)
+    event_gap_s: float = 0.02
+    caller_count: int = 12
+    idle_callers_per_host: int = 0
+    idle_s: float = 0.0
+    kinds: tuple[str, ...] = ("check", "book", "plan", "plan")
+    deadlines_s: dict[str, tuple[float, ...]] = field(default_factory=dict)
+    callers_outlast_stops: bool = False
+    # Covers the longest open time of a circuit breaker and the refill of retry budgets.
+    recovery_s: float = 6.0
+    links: bool = True
+
+
+MODES = {
+    mode.name: mode
+    for mode in (
+        Mode("all", fault_gap_s=(0.05, 0.8), grace_s=2.0),
+        # Hosts are only stopped. Short answers leave instants without a request in
+        # flight; idle callers use connections again that were open at the signal.
+        Mode(
+            "stops",
+            fault_gap_s=(0.1, 1.5),
+            grace_s=8.0,
+            work_s=(0.02, 0.3),
+            event_gap_s=0.0,
+            caller_count=8,
+            idle_callers_per_host=80,
+            idle_s=8.0,
+            kinds=("check", "check", "book", "book", "plan"),
+            deadlines_s={"check": (1.0,), "book": (1.0,), "plan": (1.0, 4.0)},
+            callers_outlast_stops=True,
+            recovery_s=0.5,
+            links=False,
+        ),
+    )
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,19 +5,16 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-import aiohttp
-
 from tests.soak.callers import Callers
 from tests.soak.faults import inject
+from tests.soak.fleet import HostStop
+from tests.soak.modes import MODES
 from tests.soak.promises import EndpointRun, SoakRecord, broken_promises
 from tests.soak.worlds import API_KEY, CUSTOMER, HOST_HEADER, SoakWorld
 
 __all__ = ["SoakResult", "run_seed"]
 
-CALLER_COUNT = 12
 MAX_ENDPOINTS = {"check": 2, "step": 2, "book": 1, "plan": 3}
-# Covers the longest open time of a circuit breaker and the refill of retry budgets.
-RECOVERY_S = 6.0
 LAST_REQUESTS_TIMEOUT_S = 8.0  # for requests in flight when the faults end
 
 
@@ -33,6 +30,8 @@
         Injected faults by name.
     statuses : Counter
         Number of attempts by status; 0 for no answer.
+    stops : list of HostStop
+        Processes that got SIGTERM.
     log : str
         Log of all hosts; empty if no promise broke.
     """
@@ -41,28 +40,34 @@
     broken: list[str] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
     statuses: Counter = field(default_factory=Counter)
+    stops: list[HostStop] = field(default_factory=list)
     log: str = ""
 
 
-async def run_seed(seed: int, hosts: int, time_s: float) -> SoakResult:
-    """Run one seed: a period with faults, then requests without faults."""
+async def run_seed(
+    seed: int, hosts: int, time_s: float, faults: str = "all"
+) -> SoakResult:
+    """Run one seed: a period with the faults of a mode, then requests without."""
     rng = random.Random(seed)
     result = SoakResult(seed)
-    world = SoakWorld(hosts)
+    mode = MODES[faults]
+    world = SoakWorld(hosts, mode)
     try:
         await world.start()
         callers = Callers(
-            {name: link.address for name, link in world.caller_links.items()},
+            world.caller_addresses(),
             lambda name: world.hosts[name].start_count,
             HOST_HEADER,
             API_KEY,
             seed,
+            mode,
         )
         await _under_faults(world, callers, rng, time_s, result)
         try:
             await _after_faults(world, callers)
         except TimeoutError:
             result.broken.append("calm-is-served: a host did not become ready in time")
+        result.stops = [stop for host in world.hosts.values() for stop in host.stops]
         record = SoakRecord(
             callers.attempts, _endpoint_runs(world), MAX_ENDPOINTS, CUSTOMER
         )
@@ -83,15 +88,25 @@
     result: SoakResult,
 ) -> None:
     loop = asyncio.get_running_loop()
+    mode = world.mode
     until = loop.time() + time_s
-    caller_tasks = [
-        asyncio.create_task(callers.run(until)) for _ in range(CALLER_COUNT)
+    runs = [callers.run() for _ in range(mode.caller_count)]
+    runs += [
+        callers.run(mode.idle_s, host)
+        for host in world.hosts
+        for _ in range(mode.idle_callers_per_host)
     ]
+    caller_tasks = [asyncio.create_task(run) for run in runs]
 
     def on_fault(name: str) -> None:
         result.faults[name] += 1
 
-    await inject(world, rng, time_s, on_fault)
+    if not mode.callers_outlast_stops:
+        loop.call_at(until, callers.stop)
+    await inject(world, rng, mode, time_s, on_fault)
+    if mode.callers_outlast_stops:
+        await world.until_stopped()
+        callers.stop()
     async with asyncio.timeout(LAST_REQUESTS_TIMEOUT_S + time_s):
         await asyncio.gather(*caller_tasks)
 
@@ -100,11 +115,11 @@
     """Let the hosts recover, then send each kind of request to each."""
     world.heal()
     await world.until_ready()
-    await asyncio.sleep(RECOVERY_S)
+    await asyncio.sleep(world.mode.recovery_s)
     await world.until_ready()
     callers.after_faults = True
     steps = [f"step-{number}" for number in range(1, world.added_route_count + 1)]
-    async with aiohttp.ClientSession(auto_decompress=False) as session:
+    async with callers.session() as session:
         for host in world.hosts:
             for kind in ("check", "book", "plan"):
                 await callers.send_attempt(session, kind, host)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,8 +13,8 @@
 
 
 class SoakTest(TestCase):
-    def _run_seed(self, seed, hosts, time_s):
-        result = asyncio.run(run_seed(seed, hosts, time_s))
+    def _run_seed(self, seed, hosts, time_s, faults="all"):
+        result = asyncio.run(run_seed(seed, hosts, time_s, faults))
         self.assertEqual([], result.broken, result.log[-20_000:])
         return result
 
@@ -24,9 +24,9 @@
         self.assertGreater(result.statuses[200], 0)
 
     def test_seeds_that_broke_a_promise_keep_them_now(self):
-        """Each line of the file holds seed, hosts, seconds, and what broke."""
+        """Each line of the file holds seed, hosts, seconds, mode, and what broke."""
         for line in FAILED_SEEDS_FILE.read_text(encoding="utf-8").splitlines():
             if line.startswith("#"):
                 continue
-            seed, hosts, time_s = line.split()[:3]
-            self._run_seed(int(seed), int(hosts), float(time_s))
+            seed, hosts, time_s, faults = line.split()[:4]
+            self._run_seed(int(seed), int(hosts), float(time_s), faults)
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -1,12 +1,16 @@
 """The stand-ins, hosts and links of a soak test on one machine."""
 
 import asyncio
+import math
 import os
+import random
 import tempfile
 from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
+from aiohttp import web
 from users_platform.standins import (
     StandinEndpoint,
     StandinPlatform,
@@ -17,16 +21,22 @@
 from tests.soak.callers import STREAM_EVENTS
 from tests.soak.fleet import HostProcess
 from tests.soak.links import Link
+from tests.soak.modes import Mode
 
-__all__ = ["API_KEY", "CUSTOMER", "HOST_HEADER", "SERVICES", "SoakWorld"]
+__all__ = [
+    "API_KEY",
+    "CUSTOMER",
+    "HOST_HEADER",
+    "SERVICES",
+    "SoakEndpoint",
+    "SoakWorld",
+]
 
 API_KEY = "soak-key"
 HOST_HEADER = "ring.example"
 CUSTOMER = "ring"
 SERVICES = {"desk": 3, "advice": 3}
 DATA_CENTRES = ("mbeya", "iringa")
-STOP_GRACE_S = 2.0
-EVENT_INTERVAL_S = 0.02  # between the events of a stream
 READY_TIMEOUT_S = 30.0  # a start takes 1 s on a machine that is not overloaded
 # Below the kernel's range of ephemeral ports.
 CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7001, 7002, 7003, 7004
@@ -46,12 +56,40 @@
     }
 
 
+@dataclass
+class SoakEndpoint(StandinEndpoint):
+    """A simulated endpoint that works for a random time and records its ends.
+
+    Attributes
+    ----------
+    work_s : pair of float
+        Shortest and longest time until an answer begins.
+    ended_at : dict of int to float
+        Instant at which the work ended or was broken off, by index in `ran`.
+    """
+
+    work_s: tuple[float, float] = (0.0, 0.0)
+    ended_at: dict[int, float] = field(default_factory=dict)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        number = len(self.ran) - 1
+        shortest_s, longest_s = self.work_s
+        try:
+            if longest_s:
+                share = random.random() ** 6
+                await asyncio.sleep(shortest_s + (longest_s - shortest_s) * share)
+            return await super()._answer(request)
+        finally:
+            self.ended_at[number] = asyncio.get_running_loop().time()
+
+
 class SoakWorld:
     """A store, endpoints and hosts, with a fault-injecting link to each.
 
     Parameters
     ----------
     hosts : int
+    mode : Mode
 
     Attributes
     ----------
@@ -63,14 +101,18 @@
         Services of the registered endpoints that are not being replaced.
     added_route_count : int
         Number of configuration changes so far; each adds a route.
+    disturbances : list of pair of float
+        Beginning and end of all faults that were not planned work.
     """
 
-    def __init__(self, hosts: int) -> None:
+    def __init__(self, hosts: int, mode: Mode) -> None:
+        self.mode = mode
+        self.disturbances: list[tuple[float, float]] = []
         self.hosts: dict[str, HostProcess] = {}
         self.store_links: dict[str, Link] = {}
         self.caller_links: dict[str, Link] = {}
         self.endpoint_links: dict[str, Link] = {}
-        self.endpoints: dict[str, StandinEndpoint] = {}
+        self.endpoints: dict[str, SoakEndpoint] = {}
         self.service_by_endpoint: dict[str, str] = {}
         self.platform: StandinPlatform | None = None
         self.added_route_count = 0
@@ -117,13 +159,13 @@
 frontend = "{ip}:{CALLER_PORT}"
 ready = "{ip}:{READY_PORT}"
 [bounds]
-graceS = {STOP_GRACE_S}
+graceS = {self.mode.grace_s}
 [platform]
 address = "{self.store_links[name].address}"
 """,
             encoding="utf-8",
         )
-        host = HostProcess(name, path)
+        host = HostProcess(name, path, self.mode.grace_s)
         host.start()
         self._stack.push_async_callback(host.stop)
         self.hosts[name] = host
@@ -140,20 +182,42 @@
                 while not await _is_ready(session, address):
                     await asyncio.sleep(0.05)
 
+    async def until_stopped(self) -> None:
+        """Wait until all processes that got SIGTERM have ended."""
+        for host in self.hosts.values():
+            while any(stop.ended_at == math.inf for stop in host.stops):
+                await asyncio.sleep(0.05)
+
     async def add_endpoint(self, name: str, service: str) -> None:
         """Start an endpoint, which hosts reach over a link."""
-        endpoint = await self.platform.add_endpoint(name, service)
-        endpoint.echoes_id = True
-        endpoint.event_count = STREAM_EVENTS
-        endpoint.gap_s = EVENT_INTERVAL_S
-        endpoint.confidence = {"small": 30.0, "large": 90.0}
-        link = await self._link(self.platform.addresses[name])
+        endpoint = SoakEndpoint(
+            name,
+            event_count=STREAM_EVENTS,
+            gap_s=self.mode.event_gap_s,
+            confidence={"small": 30.0, "large": 90.0},
+            echoes_id=True,
+            work_s=self.mode.work_s,
+        )
+        listener = await asyncio.get_running_loop().create_server(
+            endpoint.server(), "127.0.0.1", 0
+        )
+        self._stack.callback(listener.close)
+        ip, port = listener.sockets[0].getsockname()
+        link = await self._link(f"{ip}:{port}")
+        self.platform.endpoints[name] = endpoint
         self.platform.addresses[name] = link.address
         self.platform.register(name, service)
         self.endpoints[name] = endpoint
         self.endpoint_links[name] = link
         self.service_by_endpoint[name] = service
 
+    def caller_addresses(self) -> dict[str, str]:
+        """Return the addresses at which callers reach the hosts."""
+        return {
+            name: link.address if self.mode.links else link.target
+            for name, link in self.caller_links.items()
+        }
+
     def _config(self) -> dict:
         steps = [
             _route(f"step-{number}", "safe", "desk", 2)
