Check in the soak that a stopping host answers the requests that it takes

Nothing in the soak noticed that a host took a request after SIGTERM and gave it up: callers of unsafe requests may see a closed connection after a kill, and the other promises judge answers. The new promise finds connections that closed without a complete answer around a SIGTERM with no disturbance since 3 s before the request, once the request was at an endpoint or later than 200 ms after its last byte.

Not counted, as the users' rule says: the deadline was reached, or an endpoint worked on a request of the first 3 s until the last sixth of the grace time. Endpoints break answers off only under a fault of theirs, which is a disturbance.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,5 +1,6 @@
 """Invariants of a soak test, checked on what callers and endpoints recorded."""
 
+import math
 import re
 from collections import defaultdict
 from collections.abc import Callable, Iterator
@@ -11,23 +12,35 @@
     STREAM_EVENTS,
     CallerAttempt,
 )
+from tests.soak.fleet import HostStop
 
 __all__ = ["EndpointRun", "SoakRecord", "broken_promises", "promise"]
 
 SIGNATURE_HEADER = "X-Replica-Signature"
 CUSTOMER_HEADER = "X-Tenant"
 ROUTER_ONLY_HEADERS = frozenset(("x-key", "x-retain", "x-pin-ms"))
+CLOSE_SLACK_S = 0.2  # a request may cross the close of its connection for this long
+# A request that an endpoint works on near the end of the grace time may be broken off
+# if it was sent no later than this after the signal.
+EARLY_S = 3.0
+LAST_SHARE = 1 / 6  # of the grace time
+KILL_SLACK_S = 1.0  # for a process to be killed after the grace time
+SETTLE_S = 3.0  # time for which a disturbance is felt
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 
 
 @dataclass
 class EndpointRun:
-    """An attempt that an endpoint received; the body is None if it was not read."""
+    """An attempt that an endpoint received; the body is None if it was not read.
+
+    It was broken off or completed at the instant `ended_at`.
+    """
 
     endpoint: str
     path: str
     headers: dict[str, str]
     body: bytes | None
+    ended_at: float = math.inf
 
     @property
     def attempt_id(self) -> str:
@@ -43,12 +56,28 @@
     ----------
     max_endpoints : dict of str to int
         Most endpoints that one attempt may be sent to, by kind.
+    stops : list of HostStop
+        Processes that got SIGTERM.
+    disturbances : list of pair of float
+        Beginning and end of all faults that were not planned work.
+    grace_s : float
+        Time from SIGTERM until a process is killed.
     """
 
     attempts: list[CallerAttempt] = field(default_factory=list)
     runs: list[EndpointRun] = field(default_factory=list)
     max_endpoints: dict[str, int] = field(default_factory=dict)
     customer: str = ""
+    stops: list[HostStop] = field(default_factory=list)
+    disturbances: list[tuple[float, float]] = field(default_factory=list)
+    grace_s: float = 0.0
+
+    def disturbed(self, since: float, until: float) -> bool:
+        """Return whether any disturbance falls into a period."""
+        return any(
+            began_at <= until and ended_at >= since
+            for began_at, ended_at in self.disturbances
+        )
 
     def runs_by_attempt(self) -> dict[str, list[EndpointRun]]:
         """Return the runs grouped by the id of the caller's attempt."""
@@ -201,3 +230,46 @@
                 f"{attempt.attempt_id} ({attempt.kind}) got {attempt.status} "
                 f"from {attempt.host}"
             )
+
+
+@promise("taken-requests-are-answered")
+def _taken_requests_are_answered(record: SoakRecord) -> Iterator[str]:
+    """Find requests that a stopping process took and gave up.
+
+    A request is taken once it is at an endpoint, or if its connection closes too late
+    for the close to have crossed the request. Exempt are requests that have reached
+    their deadline, and early ones on which an endpoint worked for nearly all of the
+    grace time.
+    """
+    runs = record.runs_by_attempt()
+    stops = {(stop.host, stop.process): stop for stop in record.stops}
+    for attempt in record.attempts:
+        stop = stops.get((attempt.host, attempt.process_numbers[0]))
+        if stop is None or not attempt.last_byte_at:
+            continue
+        if attempt.complete or attempt.disconnected:
+            continue
+        last_at = stop.signalled_at + record.grace_s + KILL_SLACK_S
+        if attempt.ended_at < stop.signalled_at or attempt.sent_at > last_at:
+            continue
+        if attempt.ended_at >= attempt.sent_at + attempt.deadline_s:
+            continue
+        if record.disturbed(attempt.sent_at - SETTLE_S, attempt.ended_at):
+            continue
+        attempt_runs = runs[attempt.attempt_id]
+        closed_after_s = attempt.ended_at - attempt.last_byte_at
+        if not attempt_runs and closed_after_s <= CLOSE_SLACK_S:
+            continue
+        worked_until = max((run.ended_at for run in attempt_runs), default=0.0)
+        sent_after_s = attempt.sent_at - stop.signalled_at
+        late_work_at = stop.signalled_at + record.grace_s * (1 - LAST_SHARE)
+        if sent_after_s <= EARLY_S and worked_until >= late_work_at:
+            continue
+        end = "was killed" if stop.killed else "ended"
+        yield (
+            f"{attempt.attempt_id} ({attempt.kind}) was sent {sent_after_s:.3f} s "
+            f"after SIGTERM to {attempt.host}, reached "
+            f"{[run.endpoint for run in attempt_runs]}, and its connection closed "
+            f"{closed_after_s:.3f} s after its last byte; the process {end} "
+            f"{stop.ended_at - stop.signalled_at:.3f} s after SIGTERM"
+        )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 """One seed of a soak test: a period with faults, recovery, a check of promises."""
 
 import asyncio
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -69,7 +70,13 @@
             result.broken.append("calm-is-served: a host did not become ready in time")
         result.stops = [stop for host in world.hosts.values() for stop in host.stops]
         record = SoakRecord(
-            callers.attempts, _endpoint_runs(world), MAX_ENDPOINTS, CUSTOMER
+            callers.attempts,
+            _endpoint_runs(world),
+            MAX_ENDPOINTS,
+            CUSTOMER,
+            result.stops,
+            world.disturbances,
+            mode.grace_s,
         )
         result.broken += broken_promises(record)
         result.statuses = Counter(attempt.status for attempt in callers.attempts)
@@ -129,7 +136,7 @@
 
 def _endpoint_runs(world: SoakWorld) -> list[EndpointRun]:
     return [
-        EndpointRun(name, path, headers, body)
+        EndpointRun(name, path, headers, body, endpoint.ended_at.get(number, math.inf))
         for name, endpoint in world.endpoints.items()
-        for path, headers, body in endpoint.ran
+        for number, (path, headers, body) in enumerate(endpoint.ran)
     ]
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,9 +4,12 @@
 
 from tests.cases import TestCase
 from tests.soak.callers import STREAM_EVENTS, CallerAttempt
+from tests.soak.fleet import HostStop
 from tests.soak.promises import EndpointRun, SoakRecord, broken_promises
 
 CUSTOMER = "ring"
+GRACE_S = 8.0
+STOP = HostStop("edge-1", process=1, signalled_at=100.0, ended_at=104.5)
 SIGNED = {"X-Replica-Signature": "signed-desk-1", "X-Attempt-Id": "a1"}
 
 
@@ -30,8 +33,26 @@
     return "".join(parts).encode()
 
 
-def _broken(attempts, runs):
-    record = SoakRecord(attempts, runs, {"book": 1, "check": 2, "plan": 3}, CUSTOMER)
+def _cut(sent_after_s, closed_after_s, **changes):
+    """Return an attempt without an answer, sent to the process of STOP."""
+    sent_at = STOP.signalled_at + sent_after_s
+    return _attempt(
+        status=0,
+        body=b"",
+        complete=False,
+        deadline_s=8.0,
+        sent_at=sent_at,
+        last_byte_at=sent_at,
+        ended_at=sent_at + closed_after_s,
+        **changes,
+    )
+
+
+def _broken(attempts, runs, stops=(), disturbances=()):
+    limits = {"book": 1, "check": 2, "plan": 3}
+    record = SoakRecord(
+        attempts, runs, limits, CUSTOMER, list(stops), list(disturbances), GRACE_S
+    )
     return {line.partition(":")[0] for line in broken_promises(record)}
 
 
@@ -107,3 +128,57 @@
     def test_a_request_after_the_last_fault_that_is_not_served(self):
         attempt = _attempt(status=503, body=b"", after_faults=True)
         self.assertEqual({"calm-is-served"}, _broken([attempt], []))
+
+    def test_a_request_at_an_endpoint_that_a_stopping_host_gave_up(self):
+        for attempt in (_cut(4.4, 0.05), _cut(1.0, 3.4), _cut(-0.5, 5.0)):
+            run = _run(attempt, ended_at=attempt.ended_at)
+            broken = _broken([attempt], [run], [STOP])
+            self.assertEqual({"taken-requests-are-answered"}, broken)
+
+    def test_a_stream_that_a_stopping_host_gave_up(self):
+        attempt = _cut(4.4, 0.05, kind="plan")
+        attempt = replace(attempt, status=200, body=_stream([1]))
+        broken = _broken([attempt], [_run(attempt)], [STOP])
+        self.assertEqual({"taken-requests-are-answered"}, broken)
+
+    def test_a_request_whose_connection_a_stopping_host_closed_late(self):
+        late = _cut(4.0, 0.3)
+        broken = _broken([late], [], [STOP])
+        self.assertEqual({"taken-requests-are-answered"}, broken)
+        crossed = _cut(4.4, 0.1)
+        self.assertEqual(set(), _broken([crossed], [], [STOP]))
+
+    def test_a_request_that_endpoints_worked_on_until_the_kill(self):
+        killed = replace(STOP, ended_at=108.0, killed=True)
+        early, late = _cut(2.9, 5.0), _cut(3.1, 4.8)
+        for attempt, at, expected in (
+            (early, 107.0, set()),
+            (early, 106.0, {"taken-requests-are-answered"}),
+            (late, 107.0, {"taken-requests-are-answered"}),
+        ):
+            run = _run(attempt, ended_at=at)
+            self.assertEqual(expected, _broken([attempt], [run], [killed]))
+
+    def test_attempts_that_a_stopping_host_need_not_answer(self):
+        attempt = _cut(4.4, 0.05)
+        for other in (
+            replace(attempt, complete=True, status=503),
+            replace(attempt, disconnected=True),
+            replace(attempt, deadline_s=0.04),
+            replace(attempt, last_byte_at=0.0),
+            replace(attempt, process_numbers=(2, 2)),
+            replace(attempt, host="edge-2"),
+        ):
+            runs = [] if other.complete else [_run(other)]
+            self.assertEqual(set(), _broken([other], runs, [STOP]))
+
+    def test_a_disturbance_excuses_a_stopping_host_for_a_while(self):
+        attempt = _cut(4.4, 0.05)
+        for span, expected in (
+            ((99.0, 102.0), set()),
+            ((104.42, 104.43), set()),
+            ((99.0, 101.0), {"taken-requests-are-answered"}),
+            ((104.5, 105.0), {"taken-requests-are-answered"}),
+        ):
+            broken = _broken([attempt], [_run(attempt)], [STOP], [span])
+            self.assertEqual(expected, broken)
