Let callers of a stopping host send in turn, so that its drain ends between two

Now 100 callers of each host take turns, each on a kept connection of its own: the host has one request in flight and none for an instant after each answer, so that the next one arrives just when the drain ends.

A connection is no longer counted as closed late for the time in which the soak's own process did not run. Lines say how the connection ended.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from contextlib import AbstractAsyncContextManager, nullcontext
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -12,6 +13,8 @@
 __all__ = ["ANSWERED_STATUS", "CallerAttempt", "Callers"]
 
 STREAM_EVENTS = 30
+RECONNECT_DELAY_S = 0.05  # after a connection could not be opened
+NO_TURN = nullcontext()
 RETRIES = 2
 ANSWERED_STATUS = 200
 # Statuses that assert that the request has not run and never will.
@@ -45,6 +48,8 @@
         Instants at which the first and the last byte were sent; 0 if none was.
     ended_at : float
         Instant at which the answer was complete or the connection broke.
+    error : str
+        How the connection broke.
     """
 
     attempt_id: str
@@ -64,6 +69,7 @@
     sent_at: float = 0.0
     last_byte_at: float = 0.0
     ended_at: float = 0.0
+    error: str = ""
 
 
 class Callers:
@@ -98,18 +104,22 @@
         self.after_faults = False
         self._stopped = asyncio.Event()
 
-    async def run(self, max_pause_s: float = 0.05, host: str = "") -> None:
-        """Send requests over persistent connections until `stop` is called.
+    async def run(self) -> None:
+        """Send requests to any host over kept connections until `stop` is called."""
+        async with self.session() as session:
+            while not self._stopped.is_set():
+                await self._send_request(session)
+                await asyncio.sleep(self._random.uniform(0.0, 0.05))
+
+    async def run_in_turn(self, host: str, turn: asyncio.Lock) -> None:
+        """Send requests to one host, over a kept connection, until `stop` is called.
 
-        Each goes to `host` first if one is given.
+        Callers that share `turn` have one request in flight at most. Retries go to any
+        host.
         """
         async with self.session() as session:
             while not self._stopped.is_set():
-                try:
-                    async with asyncio.timeout(self._random.uniform(0.0, max_pause_s)):
-                        await self._stopped.wait()
-                except TimeoutError:
-                    await self._send_request(session, host)
+                await self._send_request(session, host, turn)
 
     def stop(self) -> None:
         """Let the callers finish after their current requests."""
@@ -125,21 +135,29 @@
         session._retry_connection = False
         return session
 
-    async def _send_request(self, session: aiohttp.ClientSession, host: str) -> None:
+    async def _send_request(
+        self,
+        session: aiohttp.ClientSession,
+        host: str = "",
+        turn: AbstractAsyncContextManager = NO_TURN,
+    ) -> None:
         """Send one request, with a few retries where a retry is safe."""
         kind = self._random.choice(self._mode.kinds)
         disconnects = self._random.random() < 0.05
-        for attempt_number in range(1 + RETRIES):
-            if not host or attempt_number:
-                host = self._random.choice(sorted(self._addresses))
-            attempt = await self.send_attempt(
-                session, kind, host, disconnects=disconnects
-            )
+        for _ in range(1 + RETRIES):
+            host = host or self._random.choice(sorted(self._addresses))
+            async with turn:
+                attempt = await self.send_attempt(
+                    session, kind, host, disconnects=disconnects
+                )
+                if not attempt.sent_at:
+                    await asyncio.sleep(RECONNECT_DELAY_S)
             if attempt.status == ANSWERED_STATUS and attempt.complete:
                 return
             if kind == "book" and attempt.status not in NOT_RUN_STATUSES:
                 return
             await asyncio.sleep(float(attempt.headers.get("Retry-After", "0.1")))
+            host, turn = "", NO_TURN
 
     async def send_attempt(
         self,
@@ -187,9 +205,10 @@
                 await self._receive_answer(session, attempt, headers)
         except TimeoutError:
             attempt.disconnected = True
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as exc:
             # The connection broke; what was received before stays recorded.
             attempt.complete = False
+            attempt.error = type(exc).__name__
         attempt.ended_at = asyncio.get_running_loop().time()
         attempt.process_numbers = (before, self._process_number(attempt.host))
 
--- a/tests/soak/modes.py
+++ b/tests/soak/modes.py
@@ -26,9 +26,9 @@
         Time between the events of a stream.
     caller_count : int
         Callers that send to any host, with hardly a pause.
-    idle_callers_per_host : int
-        Callers that stay with one host and pause for up to `idle_s`.
-    idle_s : float
+    callers_in_turn : int
+        Callers that stay with one host, for each host. One after the other sends a
+        request, so that the host has none in flight for an instant between two.
     kinds : tuple of str
         Kinds of requests to choose from.
     deadlines_s : dict of str to tuple of float
@@ -38,7 +38,7 @@
     recovery_s : float
         Time without requests between the last fault and the check that all is served.
     links : bool
-        Whether callers reach the hosts over links.
+        Whether callers reach the hosts, and hosts the endpoints, over links.
     """
 
     name: str
@@ -47,8 +47,7 @@
     work_s: tuple[float, float] = (0.0, 0.0)
     event_gap_s: float = 0.02
     caller_count: int = 12
-    idle_callers_per_host: int = 0
-    idle_s: float = 0.0
+    callers_in_turn: int = 0
     kinds: tuple[str, ...] = ("check", "book", "plan", "plan")
     deadlines_s: dict[str, tuple[float, ...]] = field(default_factory=dict)
     callers_outlast_stops: bool = False
@@ -61,17 +60,16 @@
     mode.name: mode
     for mode in (
         Mode("all", fault_gap_s=(0.05, 0.8), grace_s=2.0),
-        # Hosts are only stopped. Short answers leave instants without a request in
-        # flight; idle callers use connections again that were open at the signal.
+        # Hosts are only stopped. Callers in turn use connections that were open at the
+        # signal until the end of the grace time.
         Mode(
             "stops",
             fault_gap_s=(0.1, 1.5),
             grace_s=8.0,
             work_s=(0.02, 0.3),
             event_gap_s=0.0,
-            caller_count=8,
-            idle_callers_per_host=80,
-            idle_s=8.0,
+            caller_count=2,
+            callers_in_turn=100,
             kinds=("check", "check", "book", "book", "plan"),
             deadlines_s={"check": (1.0,), "book": (1.0,), "plan": (1.0, 4.0)},
             callers_outlast_stops=True,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -60,6 +60,8 @@
         Processes that got SIGTERM.
     disturbances : list of pair of float
         Beginning and end of all faults that were not planned work.
+    stalls : list of pair of float
+        Beginning and end of all times in which callers recorded nothing.
     grace_s : float
         Time from SIGTERM until a process is killed.
     """
@@ -70,6 +72,7 @@
     customer: str = ""
     stops: list[HostStop] = field(default_factory=list)
     disturbances: list[tuple[float, float]] = field(default_factory=list)
+    stalls: list[tuple[float, float]] = field(default_factory=list)
     grace_s: float = 0.0
 
     def disturbed(self, since: float, until: float) -> bool:
@@ -79,6 +82,13 @@
             for began_at, ended_at in self.disturbances
         )
 
+    def stalled_s(self, since: float, until: float) -> float:
+        """Return for how much of a period callers recorded nothing."""
+        return sum(
+            max(0.0, min(until, ended_at) - max(since, began_at))
+            for began_at, ended_at in self.stalls
+        )
+
     def runs_by_attempt(self) -> dict[str, list[EndpointRun]]:
         """Return the runs grouped by the id of the caller's attempt."""
         grouped = defaultdict(list)
@@ -258,7 +268,8 @@
             continue
         attempt_runs = runs[attempt.attempt_id]
         closed_after_s = attempt.ended_at - attempt.last_byte_at
-        if not attempt_runs and closed_after_s <= CLOSE_SLACK_S:
+        stalled_s = record.stalled_s(attempt.last_byte_at, attempt.ended_at)
+        if not attempt_runs and closed_after_s - stalled_s <= CLOSE_SLACK_S:
             continue
         worked_until = max((run.ended_at for run in attempt_runs), default=0.0)
         sent_after_s = attempt.sent_at - stop.signalled_at
@@ -270,6 +281,7 @@
             f"{attempt.attempt_id} ({attempt.kind}) was sent {sent_after_s:.3f} s "
             f"after SIGTERM to {attempt.host}, reached "
             f"{[run.endpoint for run in attempt_runs]}, and its connection closed "
-            f"{closed_after_s:.3f} s after its last byte; the process {end} "
+            f"{closed_after_s:.3f} s after its last byte ({attempt.error}, "
+            f"{stalled_s:.3f} s not observed); the process {end} "
             f"{stop.ended_at - stop.signalled_at:.3f} s after SIGTERM"
         )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
 __all__ = ["SoakResult", "run_seed"]
 
 MAX_ENDPOINTS = {"check": 2, "step": 2, "book": 1, "plan": 3}
+STALL_CHECK_S = 0.01
 LAST_REQUESTS_TIMEOUT_S = 8.0  # for requests in flight when the faults end
 
 
@@ -53,6 +54,8 @@
     result = SoakResult(seed)
     mode = MODES[faults]
     world = SoakWorld(hosts, mode)
+    stalls: list[tuple[float, float]] = []
+    watching = asyncio.create_task(_watch_stalls(stalls))
     try:
         await world.start()
         callers = Callers(
@@ -76,6 +79,7 @@
             CUSTOMER,
             result.stops,
             world.disturbances,
+            stalls,
             mode.grace_s,
         )
         result.broken += broken_promises(record)
@@ -83,10 +87,21 @@
         if result.broken:
             result.log = world.log()
     finally:
+        watching.cancel()
         await world.stop()
     return result
 
 
+async def _watch_stalls(stalls: list[tuple[float, float]]) -> None:
+    """Record the times in which this process did not run."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due_at = loop.time() + STALL_CHECK_S
+        await asyncio.sleep(STALL_CHECK_S)
+        if loop.time() > due_at + STALL_CHECK_S:
+            stalls.append((due_at, loop.time()))
+
+
 async def _under_faults(
     world: SoakWorld,
     callers: Callers,
@@ -98,11 +113,9 @@
     mode = world.mode
     until = loop.time() + time_s
     runs = [callers.run() for _ in range(mode.caller_count)]
-    runs += [
-        callers.run(mode.idle_s, host)
-        for host in world.hosts
-        for _ in range(mode.idle_callers_per_host)
-    ]
+    for host in world.hosts:
+        turn = asyncio.Lock()
+        runs += [callers.run_in_turn(host, turn) for _ in range(mode.callers_in_turn)]
     caller_tasks = [asyncio.create_task(run) for run in runs]
 
     def on_fault(name: str) -> None:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -48,10 +48,10 @@
     )
 
 
-def _broken(attempts, runs, stops=(), disturbances=()):
+def _broken(attempts, runs, stops=(), disturbances=(), stalls=()):
     limits = {"book": 1, "check": 2, "plan": 3}
     record = SoakRecord(
-        attempts, runs, limits, CUSTOMER, list(stops), list(disturbances), GRACE_S
+        attempts, runs, limits, CUSTOMER, stops, disturbances, stalls, GRACE_S
     )
     return {line.partition(":")[0] for line in broken_promises(record)}
 
@@ -148,6 +148,20 @@
         crossed = _cut(4.4, 0.1)
         self.assertEqual(set(), _broken([crossed], [], [STOP]))
 
+    def test_a_close_that_callers_noticed_late(self):
+        late = _cut(4.0, 0.3)  # sent at 104.0
+        for stall, expected in (
+            ((104.1, 104.25), set()),
+            ((103.5, 104.15), set()),
+            ((104.1, 104.15), {"taken-requests-are-answered"}),
+            ((103.0, 104.0), {"taken-requests-are-answered"}),
+        ):
+            broken = _broken([late], [], [STOP], stalls=[stall])
+            self.assertEqual(expected, broken)
+        run = _run(late, ended_at=104.3)
+        broken = _broken([late], [run], [STOP], stalls=[(104.1, 104.25)])
+        self.assertEqual({"taken-requests-are-answered"}, broken)
+
     def test_a_request_that_endpoints_worked_on_until_the_kill(self):
         killed = replace(STOP, ended_at=108.0, killed=True)
         early, late = _cut(2.9, 5.0), _cut(3.1, 4.8)
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -205,7 +205,7 @@
         ip, port = listener.sockets[0].getsockname()
         link = await self._link(f"{ip}:{port}")
         self.platform.endpoints[name] = endpoint
-        self.platform.addresses[name] = link.address
+        self.platform.addresses[name] = self._address(link)
         self.platform.register(name, service)
         self.endpoints[name] = endpoint
         self.endpoint_links[name] = link
@@ -213,10 +213,10 @@
 
     def caller_addresses(self) -> dict[str, str]:
         """Return the addresses at which callers reach the hosts."""
-        return {
-            name: link.address if self.mode.links else link.target
-            for name, link in self.caller_links.items()
-        }
+        return {name: self._address(link) for name, link in self.caller_links.items()}
+
+    def _address(self, link: Link) -> str:
+        return link.address if self.mode.links else link.target
 
     def _config(self) -> dict:
         steps = [
