--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -48,6 +48,8 @@
         Instants at which the first and the last byte were sent; 0 if none was.
     ended_at : float
         Instant at which the answer was complete or the connection broke.
+    kept : bool
+        Whether the connection had been used before.
     error : str
         How the connection broke.
     """
@@ -69,6 +71,7 @@
     sent_at: float = 0.0
     last_byte_at: float = 0.0
     ended_at: float = 0.0
+    kept: bool = False
     error: str = ""
 
 
@@ -111,13 +114,22 @@
                 await self._send_request(session)
                 await asyncio.sleep(self._random.uniform(0.0, 0.05))
 
-    async def run_in_turn(self, host: str, turn: asyncio.Lock) -> None:
+    async def run_in_turn(
+        self,
+        host: str,
+        opening: asyncio.Semaphore,
+        opened: asyncio.Barrier,
+        turn: asyncio.Lock,
+    ) -> None:
         """Send requests to one host, over a kept connection, until `stop` is called.
 
-        Callers that share `turn` have one request in flight at most. Retries go to any
+        The first request opens the connection. Once all callers have passed `opened`,
+        those that share `turn` have one request in flight at most. Retries go to any
         host.
         """
         async with self.session() as session:
+            await self._send_request(session, host, opening)
+            await opened.wait()
             while not self._stopped.is_set():
                 await self._send_request(session, host, turn)
 
@@ -128,6 +140,7 @@
     def session(self) -> aiohttp.ClientSession:
         """Return a client that sends each request once and records when."""
         trace = aiohttp.TraceConfig()
+        trace.on_connection_reuseconn.append(_record_reuse)
         trace.on_request_headers_sent.append(_record_headers_sent)
         trace.on_request_chunk_sent.append(_record_body_sent)
         session = aiohttp.ClientSession(auto_decompress=False, trace_configs=[trace])
@@ -147,6 +160,8 @@
         for _ in range(1 + RETRIES):
             host = host or self._random.choice(sorted(self._addresses))
             async with turn:
+                if self._stopped.is_set():
+                    return
                 attempt = await self.send_attempt(
                     session, kind, host, disconnects=disconnects
                 )
@@ -233,6 +248,10 @@
             attempt.complete = True
 
 
+async def _record_reuse(session, context, params) -> None:
+    context.trace_request_ctx.kept = True
+
+
 async def _record_headers_sent(session, context, params) -> None:
     attempt = context.trace_request_ctx
     attempt.sent_at = asyncio.get_running_loop().time()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -276,11 +276,12 @@
         late_work_at = stop.signalled_at + record.grace_s * (1 - LAST_SHARE)
         if sent_after_s <= EARLY_S and worked_until >= late_work_at:
             continue
+        connection = "kept connection" if attempt.kept else "new connection"
         end = "was killed" if stop.killed else "ended"
         yield (
             f"{attempt.attempt_id} ({attempt.kind}) was sent {sent_after_s:.3f} s "
             f"after SIGTERM to {attempt.host}, reached "
-            f"{[run.endpoint for run in attempt_runs]}, and its connection closed "
+            f"{[run.endpoint for run in attempt_runs]}, and its {connection} closed "
             f"{closed_after_s:.3f} s after its last byte ({attempt.error}, "
             f"{stalled_s:.3f} s not observed); the process {end} "
             f"{stop.ended_at - stop.signalled_at:.3f} s after SIGTERM"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,8 @@
 
 MAX_ENDPOINTS = {"check": 2, "step": 2, "book": 1, "plan": 3}
 STALL_CHECK_S = 0.01
+OPENING_TIMEOUT_S = 30.0
+OPENING_REQUESTS = 4  # concurrent at each host while callers open their connections
 LAST_REQUESTS_TIMEOUT_S = 8.0  # for requests in flight when the faults end
 
 
@@ -111,12 +113,19 @@
 ) -> None:
     loop = asyncio.get_running_loop()
     mode = world.mode
-    until = loop.time() + time_s
-    runs = [callers.run() for _ in range(mode.caller_count)]
+    opened = asyncio.Barrier(1 + len(world.hosts) * mode.callers_in_turn)
+    caller_tasks = []
     for host in world.hosts:
-        turn = asyncio.Lock()
-        runs += [callers.run_in_turn(host, turn) for _ in range(mode.callers_in_turn)]
-    caller_tasks = [asyncio.create_task(run) for run in runs]
+        opening, turn = asyncio.Semaphore(OPENING_REQUESTS), asyncio.Lock()
+        for _ in range(mode.callers_in_turn):
+            run = callers.run_in_turn(host, opening, opened, turn)
+            caller_tasks.append(asyncio.create_task(run))
+    async with asyncio.timeout(OPENING_TIMEOUT_S):
+        await opened.wait()
+    until = loop.time() + time_s
+    caller_tasks += [
+        asyncio.create_task(callers.run()) for _ in range(mode.caller_count)
+    ]
 
     def on_fault(name: str) -> None:
         result.faults[name] += 1
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""A short soak test with a fixed seed, and seeds that broke a promise before."""
+"""Short soak tests with fixed seeds, and seeds that broke a promise before."""
 
 import asyncio
 from pathlib import Path
@@ -9,6 +9,10 @@
 SEED = 1
 HOSTS = 3
 FAULTS_TIME_S = 6.0
+# The seed changes the configuration and stops all hosts, twice.
+STOPS_SEED = 32
+STOPS_HOSTS = 4
+STOPS_TIME_S = 1.2
 FAILED_SEEDS_FILE = Path(__file__).parent / "failed-seeds.txt"
 
 
@@ -23,6 +27,11 @@
         self.assertGreater(sum(result.faults.values()), 0)
         self.assertGreater(result.statuses[200], 0)
 
+    def test_a_stopping_host_gives_up_no_request_that_it_took(self):
+        result = self._run_seed(STOPS_SEED, STOPS_HOSTS, STOPS_TIME_S, "stops")
+        self.assertGreater(len(result.stops), 0)
+        self.assertGreater(result.statuses[200], 0)
+
     def test_seeds_that_broke_a_promise_keep_them_now(self):
         """Each line of the file holds seed, hosts, seconds, mode, and what broke."""
         for line in FAILED_SEEDS_FILE.read_text(encoding="utf-8").splitlines():
