--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -4,7 +4,7 @@
 
 from radishshift.decisions.crashes import Traits
 from radishshift.decisions.retry_budget import RATIO_MARGIN
-from radishshift.gateway.deployment import RouteKind
+from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.messages import PromptPart
 from tests.cases import VirtualTestCase
@@ -338,3 +338,40 @@
         self.assertEqual(["rpoison"], list(world.suspects.blocked(now)))
         caller = await world.send_request()
         self.assertEqual(200, caller.status)
+
+
+class RolloutTest(VirtualTestCase):
+    """Streams during the roll-out of a version whose streams begin after 4 s."""
+
+    def _world(self):
+        slow = [stream_script(first_s=4.0)]
+        world = World(
+            [STREAM],
+            {"a": [stream_script()], "b": slow, "c": slow},
+            versions={"b": "v2", "c": "v2"},
+        )
+        rollout = Rollout("advice", "v2", 60.0, RolloutState.RUNNING, 1)
+        world.versions.update_rollouts([rollout], world.clock.now())
+        return world
+
+    async def _send_until(self, world, elapsed_share):
+        """Send one request after the other; return the canary."""
+        canary = world.versions.canaries["advice"]
+        number = 0
+        while canary.elapsed_share(world.clock.now()) < elapsed_share:
+            number += 1
+            await world.send_request(number)
+        return canary
+
+    async def test_a_version_whose_streams_stall_is_rolled_back(self):
+        """Guards rule EXPOSURE: streams given up before they began did not count."""
+        world = self._world()
+        await self._send_until(world, 0.9)
+        due = world.versions.due_state("advice", world.clock.now(), old_is_idle=True)
+        self.assertEqual(RolloutState.ROLLED_BACK, due)
+
+    async def test_a_version_whose_endpoints_are_unreachable_is_not_stopped(self):
+        world = self._world()
+        world.endpoints.cut_off.update("bc")
+        canary = await self._send_until(world, 0.5)
+        self.assertFalse(canary.stopped)
