--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -118,6 +118,15 @@
             guard.record_time(SERVICE, "v2", "r", 1.6 if number % 2 else 2.4)
         self.assertTrue(guard.canaries[SERVICE].stopped)
 
+    def test_a_version_slow_on_half_of_its_answers_gets_no_more_sessions(self):
+        """Guards rule EXPOSURE: it got all sessions at 0.72 of its time."""
+        guard = version_guard()
+        for number in range(60):
+            ratio = (0.8, 1.0, 1.3, 1.8)[number % 4]
+            guard.record_time(SERVICE, "v2", "r", ratio)
+        record_answers(guard, 20, 0)
+        self.assertEqual(CANARY, guard.new_version_share(SERVICE, 15.0))
+
     def test_a_version_as_fast_as_the_old_is_kept_despite_stalls(self):
         guard = version_guard()
         for number in range(500):
