Count attempts given up for silence by their time so far

Callers were sent to a version whose streams do not begin in time, until it was completed (test_a_version_whose_streams_stall_is_rolled_back, red until now).

Cause: the times of a version were those of its answers alone. The attempts that took longest had none: they are given up after 1 s and four times the mean. Class of fault: slowness judged from what survives it.

Change: such an attempt counts for its version with the time that has passed, which is less than it would have taken. It does not enter the old version's mean, and does not count at an unreachable endpoint, as a partition is not slowness (a test fails without that).

The test is the evidence.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -285,6 +285,28 @@
         self._share_outcome(attempt, ratio)
         self.versions.record_time(job.service, version, job.route.name, ratio)
 
+    def _record_stall(self, attempt: Attempt) -> None:
+        """Record the time so far of an attempt given up for silence.
+
+        It is less than the attempt would have taken, so it doesn't enter the mean. An
+        unreachable endpoint says nothing about the speed of its version.
+        """
+        if attempt.view.unreachable:
+            return
+        job = attempt.job
+        now = self.clock.now()
+        if job.route.kind is not RouteKind.STREAM:
+            kind, took_s = "whole", now - attempt.began_at
+        elif attempt.answer is None:
+            kind, took_s = "first", (now - attempt.began_at) / _prompt_units(job)
+        else:
+            kind, took_s = "event", now - attempt.last_byte_at
+        key = (job.route.name, attempt.model, kind)
+        ratio = self.times.observe(key, took_s, learn=False)
+        self.versions.record_time(
+            job.service, attempt.member.version, job.route.name, ratio
+        )
+
     def _record_failure(self, attempt: Attempt, exc: EndpointError) -> None:
         now = self.clock.now()
         job = attempt.job
@@ -299,6 +321,8 @@
         refused = isinstance(exc, EndpointRefusedError)
         if isinstance(exc, EndpointUnreachableError):
             attempt.view.record_unreachable(now)
+        if isinstance(exc, StreamStalledError):
+            self._record_stall(attempt)
         if not refused or isinstance(exc, EndpointReplacedError):
             attempt.view.circuit_breaker.record_outcome(False, now)
             unreachable = isinstance(exc, EndpointUnreachableError)
