Settle own and copied bills of a stopping entry daemon within one time

A stop took up to 42.45 s where docs/operators/stopping.md says that a limit of 38 s is enough: own bills and copies of peers' bills were each given 5 s while the platform was away, and the page counts one. A service manager could kill the daemon in between. Copies that aren't handed over are settled by the peers that hold them, as before.

--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -98,8 +98,8 @@
         the load balancer has noticed. Then it rejects new requests and waits for those
         in flight for up to `stop_s` of the settings. Those that remain are cancelled
         and have `CANCEL_TIMEOUT_S` to end. Last, the host settles its own bills and
-        then its copies of other hosts' bills; it starts attempts at each for up to
-        `BILL_SETTLE_TIMEOUT_S`.
+        then its copies of other hosts' bills; it starts attempts at both together for
+        up to `BILL_SETTLE_TIMEOUT_S`, and at least one at each.
 
         Parameters
         ----------
@@ -128,12 +128,9 @@
                 clock,
                 clock.now() + CANCEL_TIMEOUT_S,
             )
-        await self._settle_bills(
-            self.router.biller.flush, clock.now() + BILL_SETTLE_TIMEOUT_S
-        )
-        await self._settle_bills(
-            self.copies.hand_over, clock.now() + BILL_SETTLE_TIMEOUT_S
-        )
+        settle_until = clock.now() + BILL_SETTLE_TIMEOUT_S
+        await self._settle_bills(self.router.biller.flush, settle_until)
+        await self._settle_bills(self.copies.hand_over, settle_until)
         return cancelled
 
     async def drain(
