Let answers leave a stopping entry daemon before its process ends

As at a gateway host: a caller that reads slowly got a part of its answer, while the bill was settled and the exit code 0. The wait of the gateway host moves to listening.py and serves both.

--- a/radishshift/caller_connections.py
+++ b/radishshift/caller_connections.py
@@ -19,6 +19,7 @@
     RadishshiftError,
     ShuttingDownError,
 )
+from radishshift.listening import open_transports, wait_until_sent
 from radishshift.requests import new_request_id
 from radishshift.settings import BoundSettings, TimeSettings
 from radishshift.tls import ServerTls
@@ -30,6 +31,7 @@
 HEADERS_MAX = 64
 LISTEN_BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
+UNSENT_TIMEOUT_S = 2.0  # for the end of answers that callers read slowly
 NO_RETRY_STATUSES = frozenset({400, 401, 403, 404, 410, 413, 422, 431})
 
 logger = logbook.Logger("callers")
@@ -256,4 +258,6 @@
         yield f"{scheme}://{ip}:{bound_port}"
     finally:
         server.close()
+        transports = open_transports(runner.server)
         await runner.cleanup()
+        await wait_until_sent(transports, UNSENT_TIMEOUT_S)
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -29,6 +29,7 @@
 from radishshift.gateway.rollout_duty import RolloutDuty
 from radishshift.gateway.shared_placement import PATH as PLACEMENT_PATH
 from radishshift.gateway.shared_placement import SharedPlacement
+from radishshift.listening import open_transports, wait_until_sent
 from radishshift.objects import Kind
 from radishshift.platform import Platform
 
@@ -231,16 +232,11 @@
         self.request_path.exits_at = self.clock.now()
         # Closing a connection with an unread request would reset it.
         await asyncio.sleep(LAST_REFUSALS_S)
-        transports = self._caller_transports()
+        transports = open_transports(self._caller_server)
         self._caller_server.pre_shutdown()
         await self._caller_server.shutdown(CONNECTION_CLOSE_TIMEOUT_S)
-        until = min(self._drain_until, self.clock.now() + UNSENT_TIMEOUT_S)
-        while _unsent_bytes(transports) and self.clock.now() < until:
-            await asyncio.sleep(DRAIN_POLL_S)
-
-    def _caller_transports(self) -> list[asyncio.Transport]:
-        connections = self._caller_server.connections
-        return [conn.transport for conn in connections if conn.transport is not None]
+        left_s = self._drain_until - self.clock.now()
+        await wait_until_sent(transports, min(left_s, UNSENT_TIMEOUT_S))
 
     async def _close_client(self) -> None:
         """Close idle connections; running attempts are left until the process exits."""
@@ -377,8 +373,3 @@
             await asyncio.sleep(DRAIN_POLL_S)
             if self.clock.now() >= earliest_exit and not self.request_path.in_flight:
                 return
-
-
-def _unsent_bytes(transports: Iterable[asyncio.Transport]) -> int:
-    """Return the bytes of answers that slow callers have not let leave the process."""
-    return sum(transport.get_write_buffer_size() for transport in transports)
