Stop a version that is slower than the old one while it has a canary's share

Cause: one tolerance, 1.3 times the old version's mean, for all stages. Until a version gets all sessions its endpoints are less loaded, so a good one is well below the mean, and one four times slower on half of its answers is just above it and passes. Class of fault: a bound for one load applied at another.

Change: 1.07 times the mean until 0.72 of the time, 1.3 after it. record_time takes the time; existing tests pass one, with the same times and verdicts.

--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -32,10 +32,11 @@
 MAX_EXCESS_BAD_TO_EXPAND = 1.0  # above this the version gets no more sessions
 MAX_EXCESS_BAD = 3.0  # above this the version is stopped
 BAD_RATE_TOLERANCE = 0.06  # a smaller difference between the two rates is ignored
-# Times are compared as log2 of their ratio to the old version's mean. The tolerance of
-# 1.3 times the mean lies between the averages of good versions (-0.7 to 0.1, as their
-# endpoints are less loaded) and of slow ones (0.5 to 1.3).
-LOG2_RATIO_TOLERANCE = 0.4
+# Times are compared as log2 of their ratio to the old version's mean. Until a version
+# gets all sessions, its endpoints are less loaded than the old ones, so that a good
+# version is faster than the mean (-0.7 to 0) and a slow one is not (0.2 to 1.3).
+CANARY_LOG2_RATIO_TOLERANCE = 0.1
+LOG2_RATIO_TOLERANCE = 0.4  # once the version gets all sessions
 # Limits for the time of a single answer, so that one stall cannot stop a version.
 MIN_LOG2_RATIO, MAX_LOG2_RATIO = -1.5, 2.0
 # Slowness is the sum of the log2 ratios, each less the tolerance. The lower limit, for
@@ -251,15 +252,20 @@
             counts.bad += not ok
             self.canaries[service].stop_if_bad()
 
-    def record_time(self, service: str, version: str, route: str, ratio: float) -> None:
+    def record_time(
+        self, service: str, version: str, route: str, ratio: float, now: float
+    ) -> None:
         """Add the ratio of a new version's time to the old version's mean."""
         counts = self._counts(service, version, route)
-        if counts is not None and self.is_new(service, version):
-            log2_ratio = math.log2(max(ratio, 0.01))
-            log2_ratio = min(max(log2_ratio, MIN_LOG2_RATIO), MAX_LOG2_RATIO)
-            slowness = counts.slowness + log2_ratio - LOG2_RATIO_TOLERANCE
-            counts.slowness = max(slowness, MIN_SLOWNESS)
-            self.canaries[service].stop_if_bad()
+        if counts is None or not self.is_new(service, version):
+            return
+        canary = self.canaries[service]
+        gets_all = canary.elapsed_share(now) >= FULL_AT
+        tolerance = LOG2_RATIO_TOLERANCE if gets_all else CANARY_LOG2_RATIO_TOLERANCE
+        log2_ratio = math.log2(max(ratio, 0.01))
+        log2_ratio = min(max(log2_ratio, MIN_LOG2_RATIO), MAX_LOG2_RATIO)
+        counts.slowness = max(counts.slowness + log2_ratio - tolerance, MIN_SLOWNESS)
+        canary.stop_if_bad()
 
     def is_new(self, service: str, version: str) -> bool:
         """Return whether a version is the target of a roll-out."""
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -283,7 +283,9 @@
         ratio = self.times.observe(key, took_s, learn)
         attempt.view.record_latency_ratio(ratio)
         self._share_outcome(attempt, ratio)
-        self.versions.record_time(job.service, version, job.route.name, ratio)
+        self.versions.record_time(
+            job.service, version, job.route.name, ratio, self.clock.now()
+        )
 
     def _record_stall(self, attempt: Attempt) -> None:
         """Record the time so far of an attempt given up for silence.
@@ -304,7 +306,7 @@
         key = (job.route.name, attempt.model, kind)
         ratio = self.times.observe(key, took_s, learn=False)
         self.versions.record_time(
-            job.service, attempt.member.version, job.route.name, ratio
+            job.service, attempt.member.version, job.route.name, ratio, now
         )
 
     def _record_failure(self, attempt: Attempt, exc: EndpointError) -> None:
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -115,7 +115,7 @@
         guard = version_guard()
         record_answers(guard, 100, 1, version="v1")
         for number in range(24):
-            guard.record_time(SERVICE, "v2", "r", 1.6 if number % 2 else 2.4)
+            guard.record_time(SERVICE, "v2", "r", 1.6 if number % 2 else 2.4, 1.0)
         self.assertTrue(guard.canaries[SERVICE].stopped)
 
     def test_a_version_slow_on_half_of_its_answers_gets_no_more_sessions(self):
@@ -123,23 +123,31 @@
         guard = version_guard()
         for number in range(60):
             ratio = (0.8, 1.0, 1.3, 1.8)[number % 4]
-            guard.record_time(SERVICE, "v2", "r", ratio)
+            guard.record_time(SERVICE, "v2", "r", ratio, number / 6)
         record_answers(guard, 20, 0)
         self.assertEqual(CANARY, guard.new_version_share(SERVICE, 15.0))
 
+    def test_a_version_with_all_sessions_may_be_as_slow_as_the_old(self):
+        guard = version_guard()
+        record_answers(guard, 20, 0)
+        for number in range(200):
+            guard.record_time(SERVICE, "v2", "r", 1.2, 15.0 + number / 100)
+        self.assertEqual(1.0, guard.new_version_share(SERVICE, 17.0))
+
     def test_a_version_as_fast_as_the_old_is_kept_despite_stalls(self):
         guard = version_guard()
         for number in range(500):
-            guard.record_time(SERVICE, "v2", "r", 20.0 if number % 12 == 0 else 0.9)
+            ratio = 20.0 if number % 12 == 0 else 0.9
+            guard.record_time(SERVICE, "v2", "r", ratio, number / 25)
         self.assertFalse(guard.canaries[SERVICE].stopped)
         self.assertFalse(guard.canaries[SERVICE].looks_suspect())
 
     def test_a_version_that_becomes_slow_late_is_stopped_soon(self):
         guard = version_guard()
         for _ in range(500):
-            guard.record_time(SERVICE, "v2", "r", 0.5)
+            guard.record_time(SERVICE, "v2", "r", 0.5, 1.0)
         for _ in range(12):
-            guard.record_time(SERVICE, "v2", "r", 2.4)
+            guard.record_time(SERVICE, "v2", "r", 2.4, 17.0)
         self.assertTrue(guard.canaries[SERVICE].stopped)
 
     def test_a_roll_out_completes_once_the_old_version_is_idle(self):
