Show that a part that crashes endpoints in quick succession is not blocked

Callers: where requests with the part end endpoints more than 20 times a second, each crash is within COINCIDENCE_S of the one before it, so the count stays 1 for as long as that goes on: _count moves last_at with each crash, also with those that it doesn't count.

Ruled out: the limits of the table (100 crashes of 256).

--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -184,3 +184,11 @@
         one = Traits.of("x", "advice", ["d"])
         two = Traits.of("x", "desk", ["d"])
         self.assertNotEqual(one.parts, two.parts)
+
+    def test_a_part_whose_crashes_follow_each_other_closely_is_blocked(self):
+        """Crashes less than 50 ms apart counted once, however long that went on."""
+        suspects = CrashSuspects()
+        for number in range(100):
+            at = number * 0.04
+            _crash(suspects, number, _prompt(number, "pshared", "pbad"), at=at)
+        self.assertIn("pbad", suspects.blocked(4.0))
