Show that a crash is not reported after an answer of the same endpoint was lost

Callers: other hosts do not learn of a crashing part where each endpoint that crashes has lost one answer, with no harm done, over 30 s before (a reset, a lossy link).

Cause: _record_crash notes every answer that was lost as a crash of its endpoint and incarnation, and a second entry with this key keeps the time of the first, so that reports() leaves it out. At the host itself such crashes also have one and the same time, so they count once.

--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -91,6 +91,17 @@
         self.assertLessEqual(len(suspects.reports(0.0)), MAX_CRASHES_REPORTED)
         self.assertEqual([], suspects.reports(REPORT_TIME_S + 1))
 
+    def test_a_crash_of_an_endpoint_that_had_lost_an_answer_before_is_reported(self):
+        """A crash was as old, to peers, as the first answer that its endpoint lost."""
+        one, two = CrashSuspects(), CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_PART):
+            _crash(one, number, _prompt("lost", "psound"), answering=False, at=0.0)
+        late = REPORT_TIME_S + 10.0
+        for number in range(CRASHES_TO_BLOCK_PART):
+            _crash(one, number, _prompt(number, "pbad"), at=late + number)
+        _merge(two, one, late + 3.0)
+        self.assertEqual("pbad", two.blocking(_prompt(99, "pbad"), late + 3.0))
+
 
 class PartsTest(TestCase):
     def test_different_requests_with_a_crashing_part_are_blocked_by_it(self):
