--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -203,3 +203,13 @@
             at = number * 0.04
             _crash(suspects, number, _prompt(number, "pshared", "pbad"), at=at)
         self.assertIn("pbad", suspects.blocked(4.0))
+
+    def test_a_part_is_blocked_after_all_connections_of_a_host_were_reset(self):
+        """Crashes had the time of the reset on all hosts, so they counted as one."""
+        cut, other = CrashSuspects(), CrashSuspects()
+        for number in range(5):
+            _crash(cut, number, _prompt("lost", "psound"), answering=False, at=0.0)
+        _merge(other, cut, 0.5)
+        for number in range(5):
+            _crash(other, number, _prompt(number, "pbad"), at=20.0 + number)
+        self.assertIn("pbad", other.blocked(25.0))
