Show that a sound part is blocked where all endpoints of a service are lost

Callers: every request of the route or customer is refused for 10 minutes, though its endpoints are back.

Cause: suspects that only waited count as those being answered do, and a blocked part gets no attempt, so that nothing can clear it. The store keeps it on hosts that start.

Ruled out: sound answers before (one at 0 s); they raise the threshold to 6, and six endpoints are the whole service on the deployments of today. Without one it is 3.

--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -213,3 +213,16 @@
         for number in range(5):
             _crash(other, number, _prompt(number, "pbad"), at=20.0 + number)
         self.assertIn("pbad", other.blocked(25.0))
+
+    def test_a_sound_part_that_waited_where_all_endpoints_crashed_is_not_blocked(self):
+        """Endpoints lost within a second, with no answer between, blocked their route.
+
+        Its requests were refused from then on, so no sound answer could clear it.
+        """
+        suspects = CrashSuspects()
+        suspects.record_sound(_prompt(98, "pshared", "pdoc"), 0.0)
+        for number in range(CRASHES_TO_BLOCK_SOUND_PART):
+            waiting = _prompt(number, "pshared", f"pdoc{number}")
+            _crash(suspects, number, waiting, answering=False, at=1.0 + 0.1 * number)
+        self.assertEqual({}, suspects.blocked(2.0))
+        self.assertEqual({}, suspects.blocked(CRASH_RETENTION_S / 2))
