Show that each crash keeps every trait that had a sound answer since

Hosts: memory grows by crashes x answers for the 600 s that a crash is kept.

Cause: _record_sound adds the trait to cleared of all crashes before it, whether it is a suspect of theirs or not. _crash copies up to 8,192 traits of _sound_at in the same way.

--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -8,6 +8,7 @@
     CRASHES_TO_BLOCK_SOUND_PART,
     MAX_CRASHES,
     MAX_CRASHES_REPORTED,
+    MAX_SUSPECTS_PER_CRASH,
     REPORT_TIME_S,
     CrashSuspects,
     Traits,
@@ -226,3 +227,25 @@
             _crash(suspects, number, waiting, answering=False, at=1.0 + 0.1 * number)
         self.assertEqual({}, suspects.blocked(2.0))
         self.assertEqual({}, suspects.blocked(CRASH_RETENTION_S / 2))
+
+    def test_of_many_that_waited_the_one_in_all_crashes_is_blocked(self):
+        """Where 30 requests waited, only those of the first 21 were suspects."""
+        suspects = CrashSuspects()
+        for number in range(5):
+            requests = [
+                _prompt(f"{number}-{other}", "pshared", f"pdoc{number}-{other}")
+                for other in range(29)
+            ]
+            bad = _prompt(f"{number}-bad", "pshared", "pbad")
+            _crash(suspects, number, *requests, bad, answering=False)
+        self.assertEqual(["pbad"], list(suspects.blocked(5.0)))
+
+    def test_what_a_crash_holds_does_not_grow_with_the_sound_answers(self):
+        """Each crash kept every trait with a sound answer for ten minutes."""
+        suspects = CrashSuspects()
+        for number in range(4):
+            _crash(suspects, number, _prompt(number, "pbad"), at=0.0)
+        for number in range(1000):
+            suspects.record_sound(_prompt(f"sound{number}", f"p{number}"), 1.0)
+        held = max(len(crash.cleared) for crash in suspects._crashes.values())
+        self.assertLessEqual(held, MAX_SUSPECTS_PER_CRASH)
