Show that a peer blocks a sound part as reports leave out suspects

Callers: every request of the route is refused at the hosts that only heard of the crashes, and requests with the crashing part run there.

Cause: reports() sends the first MAX_SUSPECTS_REPORTED traits in the order in which the answers failed, though the sender's own attribution knows better. It needs crashes of which no host saw the answer begin; the logs of the incident show none.

--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -229,7 +229,7 @@
         self.assertEqual({}, suspects.blocked(CRASH_RETENTION_S / 2))
 
     def test_of_many_that_waited_the_one_in_all_crashes_is_blocked(self):
-        """Where 30 requests waited, only those of the first 21 were suspects."""
+        """Thirty requests waited there, as many as in the second incident."""
         suspects = CrashSuspects()
         for number in range(5):
             requests = [
@@ -277,3 +277,17 @@
             _merge(two, one, now)
             two.blocked(now)
         self.assertEqual([], attributions)
+
+    def test_a_peer_blocks_the_part_that_many_reported_crashes_have_in_common(self):
+        """A peer heard of 16 suspects, which left out the crashing part."""
+        one, two = CrashSuspects(), CrashSuspects()
+        for number in range(5):
+            requests = [
+                _prompt(f"{number}-{other}", "pshared", f"pdoc{number}-{other}")
+                for other in range(9)
+            ]
+            bad = _prompt(f"{number}-bad", "pshared", "pbad")
+            _crash(one, number, *requests, bad, answering=False)
+        self.assertEqual(["pbad"], list(one.blocked(5.0)))
+        _merge(two, one, 5.0)
+        self.assertEqual(["pbad"], list(two.blocked(5.0)))
