Show that an answer without any event clears the part that crashed its endpoint

Cause: StreamRelay._relay takes the end of the connection as the end of the stream at any event boundary, also before the first event, and record_completion clears all traits of the request.

Ruled out: a boundary after events. With a length or chunks the client raises StreamBrokenError.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -8,7 +8,7 @@
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.messages import PromptPart
 from tests.cases import VirtualTestCase
-from tests.gateway.worlds import Script, World, route
+from tests.gateway.worlds import SERVICE, Script, World, route
 
 EVENTS = tuple(f"id: {number}\ndata: x\n\n".encode() for number in range(1, 21))
 COMPLETE_STREAM = b"".join(EVENTS)
@@ -339,6 +339,13 @@
         caller = await world.send_request()
         self.assertEqual(200, caller.status)
 
+    async def test_an_answer_that_ends_without_an_event_clears_no_part(self):
+        """The crash of an engine looked like the end of an answer without a length."""
+        world = World([STREAM], {"a": [Script(events=())]})
+        await world.send_request(1, parts=_parts("shared", "bad", "own"))
+        bad = Traits.of("x", SERVICE, ["shared", "bad"]).parts[-1]
+        self.assertNotIn(bad, world.suspects._sound_at)
+
 
 class RolloutTest(VirtualTestCase):
     """Streams during the roll-out of a version whose streams begin after 4 s."""
