Show that requests are not suspected once their small answer was dropped

Callers: sound requests that waited at the endpoint are suspected in place of the one that crashed it, and their first part can be blocked (3 crashes on a fleet that has just started).

Cause: _escalate leaves the attempt after the status and before the first event, which is when such requests crash their endpoint; the connection is closed, so its failure is never seen. A caller who leaves at that moment has the same effect (not tested).

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -346,6 +346,20 @@
         bad = Traits.of("x", SERVICE, ["shared", "bad"]).parts[-1]
         self.assertNotIn(bad, world.suspects._sound_at)
 
+    async def test_a_dropped_small_answer_is_suspected_of_the_crash_that_follows(self):
+        """The small model's answer crashed its endpoint after it had been dropped."""
+        drops = stream_script(confidence=1.0)
+        waits = Script(error="crash", first_s=0.08)
+        gone = Script(error="unreachable")
+        world = World([CASCADE], {"a": [drops, waits, gone]})
+        await asyncio.gather(
+            world.send_request(1, parts=_parts("shared", "bad", "own")),
+            world.send_request(2, body=b"2", parts=_parts("shared", "doc", "two")),
+        )
+        (report,) = world.suspects.reports(world.clock.now())
+        bad = Traits.of("x", SERVICE, ["shared", "bad"]).parts[-1]
+        self.assertIn(bad, dict(report.answering))
+
 
 class RolloutTest(VirtualTestCase):
     """Streams during the roll-out of a version whose streams begin after 4 s."""
