Show that an attempt starts for a part that was blocked during its placement

Callers: the requests that are being placed when a part becomes known end one more endpoint each, on fleets large enough for coordinators.

Cause: check_before_attempt runs before the wait for the coordinator and not after it. The window is 0.15 s at most, so it matters for the endpoints rather than for the 3 s of the rule.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from radishshift.decisions.crashes import Traits
+from radishshift.decisions.crashes import CRASHES_TO_BLOCK_PART, Traits
 from radishshift.decisions.retry_budget import RATIO_MARGIN
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -360,6 +360,30 @@
         bad = Traits.of("x", SERVICE, ["shared", "bad"]).parts[-1]
         self.assertIn(bad, dict(report.answering))
 
+    async def test_no_attempt_starts_for_a_part_blocked_during_placement(self):
+        """A crashing part became known while the coordinator chose the endpoint."""
+        world = World([STREAM], {name: [stream_script()] for name in "abcd"})
+
+        class _Coordinator:
+            async def suggest(self, request, avoided, timeout_s):
+                now = world.clock.now()
+                for number in range(CRASHES_TO_BLOCK_PART):
+                    traits = Traits.of(f"{number}", SERVICE, ["shared", "bad"])
+                    world.suspects.record_crash(
+                        f"x-{number}@1", traits, True, now - number
+                    )
+                await asyncio.sleep(timeout_s / 2)
+                return ""
+
+            def record_outcome(self, endpoint, ratio):
+                pass
+
+        world.dispatcher.placement.shared = _Coordinator()
+        parts = _parts("shared", "bad", "own")
+        caller = await world.send_request(1, parts=parts)
+        self.assertEqual([], world.attempted_endpoints())
+        self.assertEqual(503, caller.status)
+
 
 class RolloutTest(VirtualTestCase):
     """Streams during the roll-out of a version whose streams begin after 4 s."""
