Show that a part that crashes endpoints within a whole answer is never blocked

Callers: on a route without streams such a part ends endpoints without end.

Cause: _record_failure takes a failure after the status as a crash for streams only.

--- a/tests/gateway/test_complete_answers.py
+++ b/tests/gateway/test_complete_answers.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from radishshift.gateway.deployment import RouteKind
+from radishshift.gateway.messages import PromptPart
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import Script, World, route
 
@@ -98,6 +99,18 @@
         self.assertIn("Retry-After", dict(caller.headers))
         self.assertIn(b'"not-run"', caller.body)
 
+    async def test_a_part_that_crashes_endpoints_within_a_whole_answer_is_blocked(self):
+        """Answers that broke off after their headers were not suspected."""
+        breaks = [Script(breaks_after=0)]
+        world = World([IDEMPOTENT], dict.fromkeys("abcdef", breaks))
+        for number in range(10):
+            parts = (PromptPart("bad", 300), PromptPart(f"own-{number}", 50))
+            await world.send_request(number, body=b"%d" % number, parts=parts)
+        before = len(world.attempted_endpoints())
+        parts = (PromptPart("bad", 300), PromptPart("own", 50))
+        await world.send_request(99, body=b"99", parts=parts)
+        self.assertEqual(before, len(world.attempted_endpoints()))
+
 
 class RetryTest(VirtualTestCase):
     async def test_an_endpoint_that_refuses_a_retry_still_counts_as_used(self):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -384,6 +384,19 @@
         self.assertEqual([], world.attempted_endpoints())
         self.assertEqual(503, caller.status)
 
+    async def test_a_part_that_crashes_endpoints_after_the_first_event_is_blocked(self):
+        """Only answers without a byte of their body were suspected."""
+        crash = [stream_script(breaks_after=1)]
+        world = World([STREAM], dict.fromkeys("abcdef", crash))
+        for number in range(30):
+            parts = _parts("shared", "bad", f"own-{number}")
+            await world.send_request(number, body=b"%d" % number, parts=parts)
+        before = len(world.attempted_endpoints())
+        parts = _parts("shared", "bad", "own")
+        caller = await world.send_request(99, body=b"99", parts=parts)
+        self.assertEqual(before, len(world.attempted_endpoints()))
+        self.assertEqual(503, caller.status)
+
 
 class RolloutTest(VirtualTestCase):
     """Streams during the roll-out of a version whose streams begin after 4 s."""
