--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -30,6 +30,8 @@
 # Endpoints that crash within this time of each other have a cause in common that is not
 # a request.
 COINCIDENCE_S = 0.05
+# An endpoint that loses an answer later than this after another was alive in between.
+SAME_CRASH_S = 1.0
 CRASH_RETENTION_S = 600.0  # since the crash
 SOUND_RETENTION_S = 60.0  # since the last sound answer
 REPORT_TIME_S = 30.0  # since the crash; by then all hosts have heard of it
@@ -141,9 +143,8 @@
             Whether it had begun to answer the request.
         """
         crash = self._crash(endpoint, now)
-        suspects = crash.answering if answering else crash.waiting
-        _add(suspects, traits.depths().items())
-        self._outdated = True
+        if crash is not None:
+            self._add_suspects(crash, traits.depths().items(), answering)
 
     def record_sound(self, traits: Traits, now: float) -> None:
         """Record an answer that the traits of its request did not prevent."""
@@ -205,14 +206,13 @@
             for endpoint, crash in list(self._crashes.items())[-MAX_CRASHES_REPORTED:]
             if now - crash.at <= REPORT_TIME_S
         ]
+        counts, _ = _count((crash.at, crash.candidates()) for _, crash in newest)
         return [
             CrashReport(
                 endpoint,
                 round(now - crash.at, 3),
-                list(crash.answering.items())[:MAX_SUSPECTS_REPORTED],
-                []
-                if crash.answering
-                else list(crash.waiting.items())[:MAX_SUSPECTS_REPORTED],
+                _foremost(crash.answering, counts),
+                [] if crash.answering else _foremost(crash.waiting, counts),
             )
             for endpoint, crash in newest
         ]
@@ -239,24 +239,44 @@
             if now - at > REPORT_TIME_S:
                 continue
             crash = self._crash(report.endpoint, at)
+            if crash is None:
+                continue
             crash.at = min(crash.at, at)
-            _add(crash.answering, report.answering)
-            _add(crash.waiting, report.waiting)
-            self._outdated = True
+            self._add_suspects(crash, report.answering, True)
+            self._add_suspects(crash, report.waiting, False)
         for trait, age_s in sound_ages_s.items():
             self._record_sound(trait, now - age_s)
 
-    def _crash(self, endpoint: str, at: float) -> _Crash:
+    def _crash(self, endpoint: str, at: float) -> _Crash | None:
+        """Return the record of a crash, or None if a later one is known."""
         crash = self._crashes.get(endpoint)
-        if crash is None:
+        if crash is not None and crash.at > at + SAME_CRASH_S:
+            return None
+        if crash is None or at > crash.at + SAME_CRASH_S:
             crash = self._crashes[endpoint] = _Crash(at)
-            crash.cleared |= {
-                trait for trait, sound_at in self._sound_at.items() if sound_at >= at
-            }
+            self._crashes.move_to_end(endpoint)
             if len(self._crashes) > MAX_CRASHES:
                 self._crashes.popitem(last=False)
         return crash
 
+    def _add_suspects(
+        self, crash: _Crash, traits: Iterable[tuple[str, int]], answering: bool
+    ) -> None:
+        """Add suspects up to the limit; the deeper one counts for a trait known."""
+        suspects = crash.answering if answering else crash.waiting
+        for trait, depth in traits:
+            # While all endpoints are lost, nothing could clear a part in all prompts.
+            if not answering and trait in self._sound_at:
+                continue
+            known = suspects.get(trait)
+            if known is None and len(suspects) >= MAX_SUSPECTS_PER_CRASH:
+                continue
+            if known is None or depth > known:
+                suspects[trait] = depth
+                self._outdated = True
+            if self._sound_at.get(trait, -math.inf) >= crash.at:
+                crash.cleared.add(trait)
+
     def _record_sound(self, trait: str, at: float) -> None:
         if at <= self._sound_at.get(trait, -math.inf):
             return
@@ -264,10 +284,12 @@
         self._sound_at.move_to_end(trait)
         if len(self._sound_at) > MAX_SOUND_TRAITS:
             self._sound_at.popitem(last=False)
-        self._outdated = self._outdated or bool(self._crashes or self._stored)
+        self._outdated = self._outdated or trait in self._stored
         for crash in self._crashes.values():
-            if crash.at <= at:
+            suspected = trait in crash.answering or trait in crash.waiting
+            if suspected and crash.at <= at and trait not in crash.cleared:
                 crash.cleared.add(trait)
+                self._outdated = True
 
     def _expire(self, now: float) -> bool:
         """Delete what has expired; return whether that may change the attribution."""
@@ -331,7 +353,7 @@
             pause_s = at - last_at.get(trait, -math.inf)
             if _is_request(trait) or pause_s >= COINCIDENCE_S:
                 counts[trait] = counts.get(trait, 0) + 1
-            last_at[trait] = at
+                last_at[trait] = at
     return counts, depths
 
 
@@ -339,8 +361,9 @@
     return trait.startswith("r")
 
 
-def _add(suspects: dict[str, int], traits: Iterable[tuple[str, int]]) -> None:
-    """Add traits up to the limit; deeper ones count for a trait that is there."""
-    for trait, depth in traits:
-        if trait in suspects or len(suspects) < MAX_SUSPECTS_PER_CRASH:
-            suspects[trait] = max(depth, suspects.get(trait, 0))
+def _foremost(
+    suspects: dict[str, int], counts: dict[str, int]
+) -> list[tuple[str, int]]:
+    """Return the suspects with most crashes, as many as are reported."""
+    items = sorted(suspects.items(), key=lambda item: -counts.get(item[0], 0))
+    return items[:MAX_SUSPECTS_REPORTED]
