Suspect answers that had only just begun, and none that ended without a body

A part that crashed endpoints after the first event, or within an answer that isn't a stream, was never blocked; the crash of an endpoint that looked like the end of a stream without a length cleared its part; an attempt started for a part that became blocked while its endpoint was chosen.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -49,7 +49,7 @@
     Attributes
     ----------
     request : str
-        Hash of the whole request.
+        Hash of the whole request; empty if only its parts matter.
     parts : tuple of str
         Hashes of the parts of its prompt, without the last.
     """
@@ -70,7 +70,8 @@
 
     def depths(self) -> dict[str, int]:
         """Return all traits with their depth: 0 the request, from 1 on its parts."""
-        return {trait: depth for depth, trait in enumerate((self.request, *self.parts))}
+        depths = {part: depth for depth, part in enumerate(self.parts, 1)}
+        return {self.request: 0} | depths if self.request else depths
 
 
 class CrashReport(msgspec.Struct, array_like=True):
--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -52,6 +52,7 @@
 async def _attempt(dispatcher: Dispatcher, job: Job) -> tuple[EndpointAnswer, bytes]:
     dispatcher.check_before_attempt(job)
     member = await dispatcher.placement.place(job)
+    dispatcher.check_before_attempt(job)  # placement takes time
     with dispatcher.attempt(job, member, "") as attempt:
         answer = await dispatcher.open(attempt)
         body = await answer.read()
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 import logbook
 
@@ -248,7 +249,9 @@
         now = self.clock.now()
         attempt.view.circuit_breaker.record_outcome(True, now)
         self.record_version_answer(attempt, True)
-        self._record_sound(attempt, now)
+        # The crash of an endpoint may look like the end of a stream without a length.
+        if attempt.body_began or attempt.job.route.kind is not RouteKind.STREAM:
+            self._record_sound(attempt, now)
 
     def _record_sound(self, attempt: Attempt, now: float) -> None:
         attempt.sound = True
@@ -335,8 +338,7 @@
         if not refused and not isinstance(
             exc, EndpointUnreachableError | StreamStalledError
         ):
-            streaming = job.route.kind is RouteKind.STREAM
-            if attempt.answer is None or (streaming and not attempt.body_began):
+            if self._may_have_crashed(attempt, now):
                 self._record_crash(attempt, now)
             self.record_version_answer(attempt, False)
         logger.info(
@@ -359,12 +361,23 @@
             },
         )
 
+    def _may_have_crashed(self, attempt: Attempt, now: float) -> bool:
+        """Return whether a lost answer may be due to what its request holds."""
+        if attempt.answer is None:
+            return True
+        if attempt.job.route.kind is not RouteKind.STREAM:
+            return bool(attempt.job.traits.parts)
+        return now - attempt.answered_at <= SOUND_AFTER_S
+
     def _record_crash(self, attempt: Attempt, now: float) -> None:
         name, born_ms = attempt.member.incarnation
+        traits = attempt.job.traits
         answering = attempt.answer is not None
-        self.suspects.record_crash(
-            f"{name}@{born_ms}", attempt.job.traits, answering, now
-        )
+        streaming = attempt.job.route.kind is RouteKind.STREAM
+        if attempt.body_began or (answering and not streaming):
+            # Two endpoints that break off an answer must not end its retries.
+            traits = replace(traits, request="")
+        self.suspects.record_crash(f"{name}@{born_ms}", traits, answering, now)
         self.on_crash()
 
     def _share_outcome(self, attempt: Attempt, latency_ratio: float) -> None:
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -105,6 +105,7 @@
         job = self._job
         dispatcher.check_before_attempt(job)
         member = await dispatcher.placement.place(job, self.model)
+        dispatcher.check_before_attempt(job)  # placement takes time
         with dispatcher.attempt(job, member, self.model) as attempt:
             resume_after_id = self._buffer.last_event_id or job.req.last_event_id
             answer = await dispatcher.open(attempt, resume_after_id)
