Show that hosts block a sound part until the reports of others arrive

Callers: requests of a route are refused, with Retry-After 30 s, at hosts that saw three endpoints crash and no answer begin, until the host that saw it has reported.

Cause: a crash that this host knows only by requests that waited counts at once and in full.

--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -291,3 +291,19 @@
         self.assertEqual(["pbad"], list(one.blocked(5.0)))
         _merge(two, one, 5.0)
         self.assertEqual(["pbad"], list(two.blocked(5.0)))
+
+    def test_a_sound_part_is_not_blocked_before_other_hosts_have_reported(self):
+        """Hosts of a fleet that had just started blocked the first part of a route.
+
+        Each saw sound requests wait at three endpoints that crashed within half a
+        second; the requests at fault ran through other hosts.
+        """
+        one, two = CrashSuspects(), CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_PART):
+            at = 0.15 * number
+            sound = _prompt(f"sound{number}", "pshared", f"pdoc{number}")
+            _crash(one, number, sound, answering=False, at=at)
+            _crash(two, number, _prompt(number, "pshared", "pbad"), at=at)
+        self.assertEqual({}, one.blocked(0.35))
+        _merge(one, two, 0.5)
+        self.assertEqual(["pbad"], list(one.blocked(0.5)))
