Show that a request that waited is refused before a peer names the one at fault

Callers: a request that waited at two endpoints that crashed in quick succession is refused, or fails with 502 for a stream, with most of its time left.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from radishshift.decisions.crashes import CRASHES_TO_BLOCK_PART, Traits
+from radishshift.decisions.crashes import CRASHES_TO_BLOCK_PART, CrashSuspects, Traits
 from radishshift.decisions.retry_budget import RATIO_MARGIN
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -397,6 +397,31 @@
         self.assertEqual(before, len(world.attempted_endpoints()))
         self.assertEqual(503, caller.status)
 
+    async def test_a_request_that_waited_is_served_once_a_peer_names_the_one_at_fault(
+        self,
+    ):
+        """It was refused in place of its third attempt, as peers reported later."""
+        waits = [Script(error="crash", first_s=0.08)]
+        world = World([STREAM], {"a": waits, "b": waits, "c": [stream_script()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        world.placer.view(world.member("c")).in_flight = 50
+        peer = CrashSuspects()
+
+        async def report_later():
+            for number, endpoint in enumerate("ab"):
+                traits = Traits.of(f"{number}", SERVICE, ["shared", "bad"])
+                peer.record_crash(f"{endpoint}@1", traits, True, world.clock.now())
+            await asyncio.sleep(0.3)
+            now = world.clock.now()
+            world.suspects.merge(peer.reports(now), peer.sound_ages_s(now), now)
+
+        caller, _ = await asyncio.gather(
+            world.send_request(1, parts=_parts("shared", "doc", "own")), report_later()
+        )
+        self.assertEqual(
+            (200, list("abc")), (caller.status, world.attempted_endpoints())
+        )
+
 
 class RolloutTest(VirtualTestCase):
     """Streams during the roll-out of a version whose streams begin after 4 s."""
