Suspect parts of prompts that only waited after the reports of other hosts are in

For parts a crash known only by waiting requests counts from 1 s of age. Blocked parts are not written while the store is known to be away.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -32,6 +32,8 @@
 COINCIDENCE_S = 0.05
 # An endpoint that loses an answer later than this after another was alive in between.
 SAME_CRASH_S = 1.0
+# By then another host has reported the request that was being answered, if any was.
+WAITING_SETTLE_S = 1.0
 CRASH_RETENTION_S = 600.0  # since the crash
 SOUND_RETENTION_S = 60.0  # since the last sound answer
 REPORT_TIME_S = 30.0  # since the crash; by then all hosts have heard of it
@@ -103,12 +105,12 @@
     waiting: dict[str, int] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
 
-    def candidates(self) -> dict[str, int]:
-        suspects = self.answering or self.waiting
+    def candidates(self, now: float) -> dict[str, int]:
+        settled = self.answering or now >= self.at + WAITING_SETTLE_S
         return {
             trait: depth
-            for trait, depth in suspects.items()
-            if trait not in self.cleared
+            for trait, depth in (self.answering or self.waiting).items()
+            if trait not in self.cleared and (settled or _is_request(trait))
         }
 
 
@@ -128,6 +130,8 @@
         self._attributed: dict[str, int] = {}
         self._blocked: dict[str, int] = {}
         self._outdated = False
+        self._attributed_at = 0.0
+        self._settles_at = math.inf
         self.on_change: Callable[[dict[str, int]], None] = lambda _: None
 
     def record_crash(
@@ -181,8 +185,9 @@
         The count is 0 for a part that was only read from the platform.
         """
         expired = self._expire(now)
-        if expired or self._outdated:
+        if expired or self._outdated or now >= self._settles_at:
             self._outdated = False
+            self._attributed_at = now
             self._attributed = self._attribute()
             obsolete = set(self.obsolete_stored(now))
             stored = {part: 0 for part in self._stored if part not in obsolete}
@@ -207,7 +212,7 @@
             for endpoint, crash in list(self._crashes.items())[-MAX_CRASHES_REPORTED:]
             if now - crash.at <= REPORT_TIME_S
         ]
-        counts, _ = _count((crash.at, crash.candidates()) for _, crash in newest)
+        counts, _ = _count((crash.at, crash.candidates(now)) for _, crash in newest)
         return [
             CrashReport(
                 endpoint,
@@ -310,8 +315,15 @@
 
     def _attribute(self) -> dict[str, int]:
         """Attribute the crashes to traits; return those to block, with their counts."""
+        now = self._attributed_at
+        settling = (
+            crash.at + WAITING_SETTLE_S
+            for crash in self._crashes.values()
+            if not crash.answering and crash.at + WAITING_SETTLE_S > now
+        )
+        self._settles_at = min(settling, default=math.inf)
         unexplained = sorted(
-            ((crash.at, crash.candidates()) for crash in self._crashes.values()),
+            ((crash.at, crash.candidates(now)) for crash in self._crashes.values()),
             key=lambda item: item[0],
         )
         blocked: dict[str, int] = {}
--- a/radishshift/gateway/blocked_part_duty.py
+++ b/radishshift/gateway/blocked_part_duty.py
@@ -69,6 +69,8 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def _write_due(self) -> None:
+        if self._gossip.store_lost():
+            return
         now = self._clock.now()
         stored = self._host_view.blocked_parts
         due = {
