--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -130,7 +130,6 @@
         self._attributed: dict[str, int] = {}
         self._blocked: dict[str, int] = {}
         self._outdated = False
-        self._attributed_at = 0.0
         self._settles_at = math.inf
         self.on_change: Callable[[dict[str, int]], None] = lambda _: None
 
@@ -187,8 +186,7 @@
         expired = self._expire(now)
         if expired or self._outdated or now >= self._settles_at:
             self._outdated = False
-            self._attributed_at = now
-            self._attributed = self._attribute()
+            self._attributed = self._attribute(now)
             obsolete = set(self.obsolete_stored(now))
             stored = {part: 0 for part in self._stored if part not in obsolete}
             blocked = stored | self._attributed
@@ -313,9 +311,8 @@
             changed = True
         return changed
 
-    def _attribute(self) -> dict[str, int]:
+    def _attribute(self, now: float) -> dict[str, int]:
         """Attribute the crashes to traits; return those to block, with their counts."""
-        now = self._attributed_at
         settling = (
             crash.at + WAITING_SETTLE_S
             for crash in self._crashes.values()
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -258,7 +258,7 @@
         suspects.blocked(5.0)
         attributions = []
         attribute = suspects._attribute
-        suspects._attribute = lambda: attributions.append(1) or attribute()
+        suspects._attribute = lambda now: attributions.append(1) or attribute(now)
         for number in range(10):
             suspects.record_sound(_prompt(f"sound{number}", "pother"), 6.0 + number)
             suspects.blocked(6.0 + number)
@@ -272,7 +272,7 @@
         two.blocked(5.0)
         attributions = []
         attribute = two._attribute
-        two._attribute = lambda: attributions.append(1) or attribute()
+        two._attribute = lambda now: attributions.append(1) or attribute(now)
         for now in (6.0, 7.0, 8.0):
             _merge(two, one, now)
             two.blocked(now)
