--- a/radishshift/caller_connections.py
+++ b/radishshift/caller_connections.py
@@ -19,7 +19,7 @@
     RadishshiftError,
     ShuttingDownError,
 )
-from radishshift.listening import open_transports, wait_until_sent
+from radishshift.open_connections import open_transports, wait_until_sent
 from radishshift.requests import new_request_id
 from radishshift.settings import BoundSettings, TimeSettings
 from radishshift.tls import ServerTls
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -29,8 +29,8 @@
 from radishshift.gateway.rollout_duty import RolloutDuty
 from radishshift.gateway.shared_placement import PATH as PLACEMENT_PATH
 from radishshift.gateway.shared_placement import SharedPlacement
-from radishshift.listening import open_transports, wait_until_sent
 from radishshift.objects import Kind
+from radishshift.open_connections import open_transports, wait_until_sent
 from radishshift.platform import Platform
 
 __all__ = ["Adapter", "GatewayHost"]
@@ -239,7 +239,7 @@
         await wait_until_sent(transports, min(left_s, UNSENT_TIMEOUT_S))
 
     async def _close_client(self) -> None:
-        """Close idle connections; running attempts are left until the process exits."""
+        """Close the connections to endpoints, unless attempts still run."""
         if not self.request_path.in_flight:
             await self.endpoint_client.close()
 
--- a/radishshift/listening.py
+++ b/radishshift/listening.py
@@ -1,6 +1,5 @@
-"""Serves a web application on an address, and ends what it serves."""
+"""Context manager that serves a web application on an address."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -8,9 +7,7 @@
 
 from radishshift.tls import ServerTls
 
-__all__ = ["listening", "open_transports", "wait_until_sent"]
-
-SENT_POLL_S = 0.02
+__all__ = ["listening"]
 
 
 @asynccontextmanager
@@ -45,24 +42,3 @@
         yield f"{scheme}://{ip}:{bound_port}"
     finally:
         await runner.cleanup()
-
-
-def open_transports(server: web.Server) -> list[asyncio.Transport]:
-    """Return the transports of a server's open connections."""
-    connections = server.connections
-    return [conn.transport for conn in connections if conn.transport is not None]
-
-
-async def wait_until_sent(
-    transports: list[asyncio.Transport], timeout_s: float
-) -> None:
-    """Wait until the write buffers of connections are empty, at most for a time.
-
-    A process that ends drops what slow callers have not let leave it.
-    """
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + timeout_s
-    while loop.time() < deadline:
-        if not any(transport.get_write_buffer_size() for transport in transports):
-            return
-        await asyncio.sleep(SENT_POLL_S)
