Block a request that crashes endpoints after the first event of its answer

Callers saw: a request under which an engine ends after its first event was sent to engines each time that its caller sent it again, and ended one each time, with all that ran and waited there.

Cause: of a crash after the first event only the shared parts of the prompt were suspected, so that two endpoints that break off an answer don't end its retries. A request whose own content is at fault then had no trait that could be blocked.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -16,15 +16,19 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 import xxhash
 
 __all__ = ["CrashReport", "CrashSuspects", "Traits"]
 
+REQUEST_PREFIX = "r"
+BEGUN_REQUEST_PREFIX = "b"  # a request whose answer had begun
+PART_PREFIX = "p"
 # Crashes from which a trait is blocked.
 CRASHES_TO_BLOCK_REQUEST = 2
+CRASHES_TO_BLOCK_BEGUN_REQUEST = 3
 CRASHES_TO_BLOCK_PART = 3
 CRASHES_TO_BLOCK_SOUND_PART = 6  # of a part with sound answers before the crashes
 # Endpoints that crash within this time of each other have a cause in common that is not
@@ -65,16 +69,29 @@
     ) -> "Traits":
         """Return the traits of a request, given its own hash and its shared parts."""
         parts = (
-            f"p{xxhash.xxh64_hexdigest(f'{service} {digest}'.encode())}"
+            PART_PREFIX + xxhash.xxh64_hexdigest(f"{service} {digest}".encode())
             for digest in part_digests
         )
-        return cls(f"r{request_hash}", tuple(parts))
+        return cls(REQUEST_PREFIX + request_hash, tuple(parts))
+
+    def once_begun(self) -> "Traits":
+        """Return what is suspected of a crash after the first event of an answer.
+
+        Endpoints may break off an answer for other reasons, so the request is counted
+        apart from the crashes before the first event.
+        """
+        return replace(self, request=_begun(self.request))
 
     def depths(self) -> dict[str, int]:
         """Return all traits with their depth: 0 the request, from 1 on its parts."""
         depths = {part: depth for depth, part in enumerate(self.parts, 1)}
         return {self.request: 0} | depths if self.request else depths
 
+    def all(self) -> tuple[str, ...]:
+        """Return every trait by which the request may be blocked."""
+        requests = (self.request, _begun(self.request)) if self.request else ()
+        return requests + self.parts
+
 
 class CrashReport(msgspec.Struct, array_like=True):
     """Crash of an endpoint, as hosts report it to each other.
@@ -152,7 +169,7 @@
 
     def record_sound(self, traits: Traits, now: float) -> None:
         """Record an answer that the traits of its request did not prevent."""
-        for trait in traits.depths():
+        for trait in traits.all():
             self._record_sound(trait, now)
 
     def set_stored(self, parts: dict[str, float]) -> None:
@@ -201,7 +218,7 @@
         blocked = self.blocked(now)
         if not blocked:
             return ""
-        return next((trait for trait in traits.depths() if trait in blocked), "")
+        return next((trait for trait in traits.all() if trait in blocked), "")
 
     def reports(self, now: float) -> list[CrashReport]:
         """Return the newest crashes that this host knows of, for its peers."""
@@ -343,6 +360,8 @@
             unexplained = [item for item in unexplained if worst not in item[1]]
 
     def _threshold(self, trait: str) -> int:
+        if trait.startswith(BEGUN_REQUEST_PREFIX):
+            return CRASHES_TO_BLOCK_BEGUN_REQUEST
         if _is_request(trait):
             return CRASHES_TO_BLOCK_REQUEST
         if trait in self._sound_at:
@@ -368,7 +387,11 @@
 
 
 def _is_request(trait: str) -> bool:
-    return trait.startswith("r")
+    return trait.startswith((REQUEST_PREFIX, BEGUN_REQUEST_PREFIX))
+
+
+def _begun(request: str) -> str:
+    return BEGUN_REQUEST_PREFIX + request.removeprefix(REQUEST_PREFIX)
 
 
 def _foremost(
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import replace
 
 import logbook
 
@@ -375,8 +374,7 @@
         answering = attempt.answer is not None
         streaming = attempt.job.route.kind is RouteKind.STREAM
         if attempt.body_began or (answering and not streaming):
-            # Two endpoints that break off an answer must not end its retries.
-            traits = replace(traits, request="")
+            traits = traits.once_begun()
         self.suspects.record_crash(f"{name}@{born_ms}", traits, answering, now)
         self.on_crash()
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -397,6 +397,33 @@
         self.assertEqual(before, len(world.attempted_endpoints()))
         self.assertEqual(503, caller.status)
 
+    async def test_a_request_that_crashes_endpoints_after_the_first_event_is_blocked(
+        self,
+    ):
+        """It was sent to endpoints each time that its caller sent it again."""
+        crash = [stream_script(breaks_after=1)]
+        stream = route(RouteKind.STREAM, resumable=False)
+        world = World([stream], dict.fromkeys("abcdef", crash))
+        for number in range(20):
+            caller = await world.send_request(number)
+            await asyncio.sleep(0.3)
+        self.assertEqual(3, len(set(world.attempted_endpoints())))
+        self.assertEqual(503, caller.status)
+
+    async def test_an_answer_that_two_endpoints_broke_off_is_resumed(self):
+        """Endpoints may break off an answer for reasons other than its request."""
+        scripts = {
+            "a": [stream_script(breaks_after=2)],
+            "b": [stream_script(breaks_after=4)],
+            "c": [stream_script()],
+        }
+        world = World([STREAM], scripts)
+        world.placer.view(world.member("b")).in_flight = 5
+        world.placer.view(world.member("c")).in_flight = 50
+        caller = await world.send_request()
+        self.assertEqual(list("abc"), world.attempted_endpoints())
+        self.assertEqual(COMPLETE_STREAM, caller.body)
+
     async def test_a_request_that_waited_is_served_once_a_peer_names_the_one_at_fault(
         self,
     ):
