Block a session's own part of the prompt if it crashes endpoints

Callers saw: requests of a session whose own part, the last of their prompts, crashes engines are all different, so each of them ended engines anew.

Cause: the last part was never a trait, as a request's own. In a session it is the session's, and its requests share it.

Evidence: the new test, three requests of a session crash three endpoints while other parts have sound answers; a fourth was sent to a fourth endpoint before, and is refused as not run now.

Requests without a session keep the last part out: it would be one more name of the same request. More traits a crash: at most one a request.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -6,11 +6,12 @@
 their customer and their other parts and were running or waiting at the same endpoints.
 
 What requests may have in common are their traits: a hash of the whole request, and one
-of each part of the prompt but the last, which is the request's own. Each crash has many
-suspects. Requests that an endpoint had begun to answer come before those that waited
-there, and a trait with sound answers is cleared of the crashes before them. The crashes
-left are attributed to as few traits as possible, the one with most crashes first, so
-that a sound trait is not blamed for crashes that another one explains.
+of each part of the prompt. The last part counts in a session only; elsewhere it is the
+request's own. Each crash has many suspects. Requests that an endpoint had begun to
+answer come before those that waited there, and a trait with sound answers is cleared of
+the crashes before them. The crashes left are attributed to as few traits as possible,
+the one with most crashes first, so that a sound trait is not blamed for crashes that
+another one explains.
 """
 
 import math
@@ -57,7 +58,7 @@
     request : str
         Hash of the whole request; empty if only its parts matter.
     parts : tuple of str
-        Hashes of the parts of its prompt, without the last.
+        Hashes of the parts of its prompt that others may share.
     """
 
     request: str
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -58,7 +58,9 @@
         name = "" if self.customer is None else self.customer.name
         digest = xxhash.xxh64(f"{name} {self.req.method} {self.req.target}".encode())
         digest.update(self.req.body)
-        shared = (part.digest for part in self.req.parts[:-1])
+        # The last part is the request's own, or its session's.
+        parts = self.req.parts if self.req.session else self.req.parts[:-1]
+        shared = (part.digest for part in parts)
         self.traits = Traits.of(digest.hexdigest(), self.service, shared)
 
     @property
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -410,6 +410,28 @@
         self.assertEqual(3, len(set(world.attempted_endpoints())))
         self.assertEqual(503, caller.status)
 
+    async def test_the_last_part_that_crashes_endpoints_is_blocked_in_its_session(self):
+        """Each request of a session whose own part is at fault crashed endpoints."""
+        crash = [stream_script(breaks_after=0, break_delay_s=0.03)]
+        world = World([STREAM], dict.fromkeys("abcdef", crash), bounds=NO_RETRIES)
+        parts = _parts("shared", "doc", "own")
+        for number in range(3):
+            # Crashed endpoints do not run until they have started again.
+            world.list_members(["abc"[number]])
+            await world.send_request(
+                number, body=b"%d" % number, parts=parts, session="s"
+            )
+            await asyncio.sleep(0.3)
+            sound = _parts("shared", "doc", f"own-{number}")
+            world.suspects.record_sound(
+                Traits.of("x", SERVICE, [part.digest for part in sound[:-1]]),
+                world.clock.now(),
+            )
+        world.list_members("def")
+        caller = await world.send_request(9, body=b"9", parts=parts, session="s")
+        self.assertEqual(list("abc"), world.attempted_endpoints())
+        self.assertEqual(503, caller.status)
+
     async def test_an_answer_that_two_endpoints_broke_off_is_resumed(self):
         """Endpoints may break off an answer for reasons other than its request."""
         scripts = {
