--- /dev/null
+++ b/tests/users_platform/fleets.py
@@ -0,0 +1,85 @@
+"""Several gateway hosts of one process, before a simulated users' platform."""
+
+import asyncio
+import os
+from dataclasses import replace
+
+from entry import ADAPTER
+from users_platform.settings import read_settings
+from users_platform.standins import StandinPlatform
+
+from radishshift.gateway.gateway_host import GatewayHost
+
+__all__ = ["DATA_CENTRES", "GatewayFleet"]
+
+DATA_CENTRES = ("mbeya", "iringa", "dodoma")
+# Below the kernel's range of ephemeral ports.
+CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7101, 7102, 7103, 7104
+
+
+def _loopback_ip(number: int) -> str:
+    """Return a loopback address of this process that no soak test uses."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 8) % 250}.{pid % 256}.{101 + number}"
+
+
+class GatewayFleet:
+    """Hosts that gossip with each other.
+
+    Parameters
+    ----------
+    platform : StandinPlatform
+    host_count : int
+    """
+
+    def __init__(self, platform: StandinPlatform, host_count: int) -> None:
+        self.platform = platform
+        self._host_count = host_count
+        self._running: list[asyncio.Task] = []
+        self.hosts = self._make_hosts()
+
+    def _make_hosts(self) -> list[GatewayHost]:
+        return [GatewayHost(self._adapter(n)) for n in range(self._host_count)]
+
+    def _adapter(self, number):
+        ip = _loopback_ip(number)
+        seeds = [f"{_loopback_ip(n)}:{PEER_PORT}" for n in range(self._host_count)]
+        text = f"""
+nodeName = "edge-{number}"
+ip = "{ip}"
+zone = "{DATA_CENTRES[number % len(DATA_CENTRES)]}"
+portRange = [{PEER_PORT}, {METRICS_PORT}]
+seedNodes = {[seed for seed in seeds if not seed.startswith(f"{ip}:")]!r}
+[listen]
+frontend = "{ip}:{CALLER_PORT}"
+ready = "{ip}:{READY_PORT}"
+[bounds]
+graceS = 1.0
+[platform]
+address = "{self.platform.store_address}"
+"""
+        return replace(ADAPTER, load_settings=lambda: read_settings(text))
+
+    async def start(self) -> None:
+        """Start the hosts; return once each knows the others and all endpoints."""
+        self._running = [asyncio.create_task(host.run()) for host in self.hosts]
+        async with asyncio.timeout(20):
+            while not all(map(self._is_complete, self.hosts)):
+                await asyncio.sleep(0.02)
+
+    async def restart(self) -> None:
+        """Stop all hosts and start them again, without what they knew."""
+        await self.stop()
+        self.hosts = self._make_hosts()
+        await self.start()
+
+    def _is_complete(self, host):
+        others = host.gossip.host_count() >= self._host_count - 1
+        endpoint_count = len(self.platform.endpoints)
+        return others and len(host.host_view.members) == endpoint_count
+
+    async def stop(self) -> None:
+        """Stop the hosts."""
+        for host in self.hosts:
+            host.stop("test ends")
+        await asyncio.gather(*self._running)
--- a/tests/users_platform/test_crashing_parts.py
+++ b/tests/users_platform/test_crashing_parts.py
@@ -4,27 +4,21 @@
 """
 
 import asyncio
-import os
 import random
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import aiohttp
-from entry import ADAPTER
-from users_platform.settings import read_settings
-from users_platform.standins import StandinPlatform, standin_platform
+from users_platform.standins import standin_platform
 
-from radishshift.gateway.gateway_host import GatewayHost
 from tests.cases import TestCase
+from tests.users_platform.fleets import DATA_CENTRES, GatewayFleet
 
 KEY = "key-of-ring"
 HOST_HEADER = "ring.example"
 SERVICE = "advice"
-DATA_CENTRES = ("mbeya", "iringa", "dodoma")
 HOST_COUNT = 3
 ENDPOINT_COUNT = 5
-# Below the kernel's range of ephemeral ports.
-CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7101, 7102, 7103, 7104
 # The rule: hosts know a crashing part this long after the fifth crash, and sound
 # requests are served again after twice that time.
 CONTACT_S = 3.0
@@ -58,12 +52,6 @@
 EVENTS = "".join(f"id: {number}\ndata: tokens\n\n" for number in range(1, 11)).encode()
 
 
-def _loopback_ip(number):
-    """Return a loopback address of this process that no soak test uses."""
-    pid = os.getpid()
-    return f"127.{1 + (pid >> 8) % 250}.{pid % 256}.{101 + number}"
-
-
 @dataclass
 class _Sent:
     """A request of the test and how it ended."""
@@ -73,35 +61,11 @@
     served: bool = False
 
 
-class _Fleet:
-    """Hosts that gossip with each other, and a platform with endpoints that crash."""
-
-    def __init__(self, platform: StandinPlatform) -> None:
-        self.platform = platform
-        self.hosts = [GatewayHost(self._adapter(n)) for n in range(HOST_COUNT)]
-        self._running: list[asyncio.Task] = []
-
-    def _adapter(self, number):
-        ip = _loopback_ip(number)
-        seeds = [f"{_loopback_ip(n)}:{PEER_PORT}" for n in range(HOST_COUNT)]
-        text = f"""
-nodeName = "edge-{number}"
-ip = "{ip}"
-zone = "{DATA_CENTRES[number]}"
-portRange = [{PEER_PORT}, {METRICS_PORT}]
-seedNodes = {[seed for seed in seeds if not seed.startswith(f"{ip}:")]!r}
-[listen]
-frontend = "{ip}:{CALLER_PORT}"
-ready = "{ip}:{READY_PORT}"
-[bounds]
-graceS = 1.0
-[platform]
-address = "{self.platform.store_address}"
-"""
-        return replace(ADAPTER, load_settings=lambda: read_settings(text))
+class _Fleet(GatewayFleet):
+    """Hosts before endpoints that crash."""
 
-    async def start(self) -> None:
-        """Start the hosts; return once each knows the others and all endpoints."""
+    async def start_all(self) -> None:
+        """Start endpoints and hosts; return once each host knows all of them."""
         for number in range(1, ENDPOINT_COUNT + 1):
             zone = DATA_CENTRES[number % len(DATA_CENTRES)]
             endpoint = await self.platform.add_endpoint(
@@ -110,29 +74,7 @@
             endpoint.crashing_parts = {BAD_PART}
             endpoint.head_delay_s = 0.15
             endpoint.gap_s = 0.02
-        await self._run_hosts()
-
-    async def _run_hosts(self) -> None:
-        self._running = [asyncio.create_task(host.run()) for host in self.hosts]
-        async with asyncio.timeout(20):
-            while not all(map(self._is_complete, self.hosts)):
-                await asyncio.sleep(0.02)
-
-    async def restart_hosts(self) -> None:
-        """Stop all hosts and start them again, without what they knew."""
-        await self.stop()
-        self.hosts = [GatewayHost(self._adapter(n)) for n in range(HOST_COUNT)]
-        await self._run_hosts()
-
-    def _is_complete(self, host):
-        others = host.gossip.host_count() >= HOST_COUNT - 1
-        return others and len(host.host_view.members) == ENDPOINT_COUNT
-
-    async def stop(self) -> None:
-        """Stop the hosts."""
-        for host in self.hosts:
-            host.stop("test ends")
-        await asyncio.gather(*self._running)
+        await self.start()
 
     def crashes(self):
         """Return the instants of all crashes, in order."""
@@ -220,15 +162,15 @@
         """Hosts forgot a crashing part when all of them lost power at once."""
         async with AsyncExitStack() as stack:
             platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
-            fleet = _Fleet(platform)
+            fleet = _Fleet(platform, HOST_COUNT)
             stack.push_async_callback(fleet.stop)
-            await fleet.start()
+            await fleet.start_all()
             session = await stack.enter_async_context(aiohttp.ClientSession())
             callers = _Callers(fleet, session)
             await callers.send_crashing(8)
             await asyncio.sleep(CONTACT_S)
             self.assertTrue(fleet.crashes())
-            await fleet.restart_hosts()
+            await fleet.restart()
             before = len(fleet.bad_arrivals())
             await callers.send_crashing(8)
             self.assertEqual(before, len(fleet.bad_arrivals()))
@@ -240,9 +182,9 @@
         """
         async with AsyncExitStack() as stack:
             platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
-            fleet = _Fleet(platform)
+            fleet = _Fleet(platform, HOST_COUNT)
             stack.push_async_callback(fleet.stop)
-            await fleet.start()
+            await fleet.start_all()
             connector = aiohttp.TCPConnector(limit=0)
             session = await stack.enter_async_context(
                 aiohttp.ClientSession(connector=connector)
