Keep to the limit that an endpoint states, over all hosts together

Callers saw: an engine in need, which asked for 1.2 requests a second from all hosts, got as many as before and answered late; the report has 23 in 4 s, 14 allowed.

Cause: the statement in its answers was dropped by the adapter. As an engine that is spared has few requests in flight, each host took it for the least loaded one.

Change: the latest statement of each endpoint travels by gossip. One host keeps the whole budget of an endpoint, and each attempt, first or repeated, needs a permit of that host. A request for which no endpoint is left is refused at once with the time of the next permit; a session isn't moved to another version for it.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -12,11 +12,15 @@
 
 from radishshift.clocks import Clock, SystemClock
 from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
 from radishshift.gateway.blocked_part_duty import BlockedPartDuty
+from radishshift.gateway.deployment import Member
 from radishshift.gateway.dispatch import Dispatcher
+from radishshift.gateway.endpoint_permits import PATH as PERMIT_PATH
+from radishshift.gateway.endpoint_permits import EndpointPermits
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.host_view import HostView
@@ -109,6 +113,8 @@
             adapter.make_platform(settings.store_address), self.clock
         )
         self.endpoint_client = adapter.make_endpoint_client(self.clock)
+        self.endpoint_client.on_answer = self._record_limit
+        self.endpoint_limits = EndpointLimits()
         self.dispatcher = Dispatcher(
             self.clock,
             settings.data_centre,
@@ -126,14 +132,24 @@
             self.placer,
             self.crash_suspects,
             self.versions,
+            self.endpoint_limits,
         )
         self.gossip.on_change = self._on_peer_update
         self.dispatcher.on_crash = lambda: self._spawn(self.gossip.announce_change())
         self.gossip.store_lost = lambda: self.platform.unavailable_since is not None
+        self.permits = EndpointPermits(
+            settings, self.clock, self.endpoint_limits, self.gossip.peers
+        )
         self.shared_placement = SharedPlacement(
-            settings, self.clock, self.host_view, self.placer, self.gossip
+            settings,
+            self.clock,
+            self.host_view,
+            self.placer,
+            self.gossip,
+            self.permits,
         )
         self.dispatcher.placement.shared = self.shared_placement
+        self.dispatcher.placement.permits = self.permits
         self.platform_sync = PlatformSync(
             settings.host,
             self.platform,
@@ -199,6 +215,7 @@
             stack.push_async_callback(self._close_client)
             stack.push_async_callback(self.platform.close)
             stack.push_async_callback(self.shared_placement.close)
+            stack.push_async_callback(self.permits.close)
             await self._listen(stack)
             self._spawn(self.platform_sync.run())
             self._spawn(self.gossip.run())
@@ -278,6 +295,8 @@
     async def _answer_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == PLACEMENT_PATH:
             return await self.shared_placement.handle(request)
+        if request.path == PERMIT_PATH:
+            return await self.permits.handle(request)
         return await self.gossip.handle(request)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -293,6 +312,7 @@
         register(
             "blocked_traits", lambda: len(self.crash_suspects.blocked(self.clock.now()))
         )
+        register("limited_endpoints", self.endpoint_limits.count)
         register("store_calls", lambda: self.platform.calls)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
@@ -300,6 +320,16 @@
         """Log the traits whose requests are refused, as they crash endpoints."""
         logger.warning("blocked traits changed", extra={"crashes": blocked})
 
+    def _record_limit(self, member: Member, per_s: float | None) -> None:
+        """Record the limit that an answer states, and tell peers of a change."""
+        now = self.clock.now()
+        if self.endpoint_limits.record(member.incarnation, per_s, now):
+            logger.info(
+                "endpoint limit changed",
+                extra={"endpoint": member.name, "per_s": per_s, "source": "answer"},
+            )
+            self._spawn(self.gossip.announce_change())
+
     def _spawn(self, coroutine: Awaitable[None]) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -338,6 +368,8 @@
                 if view.member.incarnation not in members and not view.in_flight:
                     self.endpoint_client.forget(view.member)
             self.placer.keep_only(members)
+            self.endpoint_limits.keep_only(members, self.clock.now())
+            self.permits.keep_only(members)
 
     async def _watch_settings(self) -> None:
         """Reload the settings on SIGHUP and periodically."""
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -18,6 +18,7 @@
 
 from radishshift.clocks import Clock
 from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.fleet_load import FleetLoad
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import Counts, VersionGuard
@@ -51,6 +52,7 @@
     placer : Placer
     suspects : CrashSuspects
     versions : VersionGuard
+    limits : EndpointLimits
 
     Attributes
     ----------
@@ -67,6 +69,7 @@
         placer: Placer,
         suspects: CrashSuspects,
         versions: VersionGuard,
+        limits: EndpointLimits,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -74,6 +77,7 @@
         self._placer = placer
         self._suspects = suspects
         self._versions = versions
+        self._limits = limits
         self._incarnation = int(clock.now() * 1000)
         self.peers = PeerTable(settings, random.Random(f"peers of {settings.host}"))
         self.fleet_load = FleetLoad()
@@ -245,6 +249,7 @@
             centre_load=self._centre_load(now) if coordinates and not brief else {},
             crash_reports=self._suspects.reports(now),
             sound_ages_s=self._suspects.sound_ages_s(now),
+            limits=self._limits.reports(now),
             trials={
                 service: RolloutEvidence(
                     canary.rollout.target,
@@ -325,6 +330,7 @@
             return
         self._record_load(message, now)
         self._suspects.merge(message.crash_reports, message.sound_ages_s, now)
+        self._merge_limits(message, now)
         self._merge_rollout_evidence(message, now)
         changed = [
             Kind(name)
@@ -342,6 +348,18 @@
         elif message.centre_load:
             self.fleet_load.report(message.data_centre, message.centre_load, now)
 
+    def _merge_limits(self, message: GossipMessage, now: float) -> None:
+        for report in self._limits.merge(message.limits, now):
+            logger.info(
+                "endpoint limit changed",
+                extra={
+                    "endpoint": report.endpoint,
+                    "per_s": report.per_s,
+                    "age_s": report.age_s,
+                    "source": message.host,
+                },
+            )
+
     def _merge_rollout_evidence(self, message: GossipMessage, now: float) -> None:
         for service, evidence in message.trials.items():
             canary = self._versions.canaries.get(service)
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from radishshift.decisions.crashes import CrashReport
+from radishshift.decisions.endpoint_limits import LimitReport
 from radishshift.object_table import Head, TableDelta
 
 __all__ = ["CentreSummary", "GossipMessage", "RolloutEvidence"]
@@ -77,6 +78,8 @@
         Recent crashes of endpoints that the sender knows of.
     sound_ages_s : dict of str to float
         Time since the last sound answer of some of their suspects, by trait.
+    limits : list of LimitReport
+        What endpoints have last stated of their limits, as far as the sender knows.
     trials : dict of str to RolloutEvidence
         Evidence on the roll-outs in progress, by service.
     tables : dict of str to TableDelta
@@ -97,5 +100,6 @@
     centre_load: dict[str, float] = {}
     crash_reports: list[CrashReport] = []
     sound_ages_s: dict[str, float] = {}
+    limits: list[LimitReport] = []
     trials: dict[str, RolloutEvidence] = {}
     tables: dict[str, TableDelta] = {}
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -1,7 +1,7 @@
 """Requests, attempts and answers as the caller side and endpoint side exchange them."""
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from radishshift.gateway.deployment import Member
@@ -153,8 +153,21 @@
     UNANSWERED = "unanswered"
 
 
+def _ignore_limit(member: Member, per_s: float | None) -> None:
+    pass
+
+
 class EndpointClient:
-    """Sends attempts to endpoints."""
+    """Sends attempts to endpoints.
+
+    Attributes
+    ----------
+    on_answer : callable
+        Called for each answer with the endpoint and the requests per second to which it
+        limits all hosts together, or None if it states no limit.
+    """
+
+    on_answer: Callable[[Member, float | None], None] = staticmethod(_ignore_limit)
 
     async def send(self, order: AttemptOrder) -> EndpointAnswer:
         """Send an attempt and return the answer once its headers are received.
--- a/radishshift/gateway/peer_table.py
+++ b/radishshift/gateway/peer_table.py
@@ -13,6 +13,7 @@
 )
 from radishshift.gateway.gossip_messages import CentreSummary, GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
+from radishshift.hosts import rendezvous_order
 from radishshift.object_table import Head
 
 __all__ = ["HOST_TIMEOUT_S", "Centre", "Peer", "PeerTable"]
@@ -210,6 +211,41 @@
         centre = self._own_centre(now)
         return centre.coordinator if centre.hosts >= MIN_COORDINATED_HOSTS else None
 
+    def keeper(self, endpoint: str, data_centre: str, now: float) -> str:
+        """Return the host that keeps the request budget of an endpoint.
+
+        It is the coordinator of the endpoint's data centre, or the host that would be
+        if the data centre were large. If it has no live host, the coordinator of
+        another one takes its place.
+
+        Parameters
+        ----------
+        endpoint, data_centre : str
+            Names of the endpoint and of its data centre.
+        """
+        if data_centre == self._settings.data_centre:
+            return self.candidate(now)
+        candidates = self._candidates(now)
+        if data_centre in candidates:
+            return candidates[data_centre]
+        return rendezvous_order(list(candidates.values()), endpoint)[0]
+
+    def _candidates(self, now: float) -> dict[str, str]:
+        """Return the coordinator, or who would be, of each data centre with hosts."""
+        hosts: dict[str, list[str]] = {}
+        for name, peer in self.live(now):
+            hosts.setdefault(peer.data_centre, []).append(name)
+        candidates = {
+            data_centre: first_coordinator(names)
+            for data_centre, names in hosts.items()
+        }
+        candidates |= {
+            data_centre: centre.coordinator
+            for data_centre, centre in self._fresh_centres(now)
+        }
+        candidates.pop("", None)
+        return candidates
+
     def control_hosts(self, now: float) -> list[str]:
         """Return the hosts that follow the platform for all, sorted.
 
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -8,6 +8,7 @@
 from radishshift.errors import NoEndpointError
 from radishshift.gateway.connection_prober import ConnectionProber
 from radishshift.gateway.deployment import Member, RouteKind
+from radishshift.gateway.endpoint_permits import EndpointPermits
 from radishshift.gateway.host_view import HostView
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.shared_placement import SharedPlacement
@@ -20,6 +21,9 @@
 # time pauses for up to 0.1 s.
 STREAM_PLACEMENT_TIMEOUT_S = 0.15
 CALL_PLACEMENT_TIMEOUT_S = 0.04  # a call's objective is a few tenths of a second
+# Endpoints whose permits are asked for before a request is refused; each question takes
+# a few milliseconds.
+MAX_PERMIT_QUESTIONS = 4
 
 
 class Placement:
@@ -39,6 +43,8 @@
     ----------
     shared : SharedPlacement or None
         Asks the coordinator of a large data centre; None where each host chooses alone.
+    permits : EndpointPermits or None
+        Permits for endpoints that limit their requests; None if none does.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
     ) -> None:
         self.drain_s = drain_s
         self.shared: SharedPlacement | None = None
+        self.permits: EndpointPermits | None = None
         self._clock = clock
         self._data_centre = data_centre
         self._host_view = host_view
@@ -59,9 +66,8 @@
         self._prober = prober
 
     async def place(self, job: Job, model: str = "") -> Member:
-        """Return the endpoint for the next attempt.
+        """Return the endpoint for the next attempt, with its permit if it needs one.
 
-        The coordinator's advice is used only if this host, too, would send there.
         Unreachable endpoints that are due for a connection probe are probed in the
         background.
 
@@ -75,6 +81,17 @@
         ------
         NoEndpointError
         """
+        for _ in range(MAX_PERMIT_QUESTIONS):
+            member = await self._place_without_permit(job, model)
+            if self.permits is None or await self.permits.acquire(member):
+                return member
+        raise self._no_endpoint(job)
+
+    async def _place_without_permit(self, job: Job, model: str) -> Member:
+        """Return the endpoint to use if it permits the attempt.
+
+        The coordinator's advice is used only if this host, too, would send there.
+        """
         members = self._allowed(job)
         for view in self._placer.to_probe(members, self._clock.now()):
             self._prober.probe(view)
@@ -120,6 +137,8 @@
         chosen = self._placer.choose(members, request, now)
         if chosen is None and job.failed_endpoints and len(members) == 1:
             chosen = self._placer.choose(members, replace(request, tried=()), now)
+        if chosen is None and self._lacks_permits(job):
+            raise self._no_endpoint(job)
         if chosen is None and job.version:
             job.version = ""
             return self._choose(job, model)
@@ -128,11 +147,20 @@
             departed = self._host_view.departed_since(job.service, since)
             chosen = self._placer.choose(departed, request, now)
         if chosen is None:
-            raise NoEndpointError(
-                f"no endpoint of {job.service} is available out of {len(members)}"
-            )
+            raise self._no_endpoint(job)
         return chosen
 
+    def _no_endpoint(self, job: Job) -> NoEndpointError:
+        members = list(self._host_view.members_of(job.service))
+        limited = [self._retry_at(member) for member in members]
+        limited = [at for at in limited if at > self._clock.now()]
+        retry_after_s = min(limited) - self._clock.now() if limited else None
+        return NoEndpointError(
+            f"no endpoint of {job.service} is available out of {len(members)}, "
+            f"{len(limited)} of which limit their requests",
+            retry_after_s=retry_after_s,
+        )
+
     def has_alternative(self, job: Job, model: str, member: Member) -> bool:
         """Return whether an endpoint other than `member` could be tried."""
         request = replace(
@@ -167,7 +195,27 @@
 
     def _allowed(self, job: Job) -> list[Member]:
         """Return the endpoints that a job may still be sent to."""
+        now = self._clock.now()
+        return [
+            member for member in self._in_reach(job) if self._retry_at(member) <= now
+        ]
+
+    def _lacks_permits(self, job: Job) -> bool:
+        """Return whether a job waits for permits of endpoints of its version."""
+        now = self._clock.now()
+        return any(
+            self._retry_at(member) > now
+            for member in self._in_reach(job)
+            if not job.version or member.version == job.version
+        )
+
+    def _in_reach(self, job: Job) -> list[Member]:
+        """Return the endpoints that a job may still be sent to, permits aside."""
         members = list(self._host_view.members_of(job.service))
         if job.endpoints_left > 0:
             return members
         return [member for member in members if member.name in job.used_endpoints]
+
+    def _retry_at(self, member: Member) -> float:
+        """Return the instant from which a permit may be asked for, 0 for now."""
+        return 0.0 if self.permits is None else self.permits.retry_at(member)
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -21,6 +21,7 @@
     Placer,
 )
 from radishshift.gateway.deployment import Member
+from radishshift.gateway.endpoint_permits import EndpointPermits
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.host_view import HostView
@@ -85,6 +86,7 @@
     host_view : HostView
     placer : Placer
     gossip : Gossip
+    permits : EndpointPermits
     """
 
     def __init__(
@@ -94,12 +96,14 @@
         host_view: HostView,
         placer: Placer,
         gossip: Gossip,
+        permits: EndpointPermits,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._host_view = host_view
         self._placer = placer
         self._gossip = gossip
+        self._permits = permits
         self._outcomes: list[tuple[str, float]] = []
         self._retry_at = 0.0
         self._quota = PlacementQuota()
@@ -202,7 +206,9 @@
             question.version,
             COORDINATED_REMOTE_COST,
         )
-        chosen = self._placer.choose(members.values(), request, now)
+        # The other host acquires the permit before it sends the attempt.
+        usable = filter(self._permits.can_grant, members.values())
+        chosen = self._placer.choose(usable, request, now)
         if chosen is None:
             return ""
         fleet_load.add(question.host, chosen.name, request.own_load)
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -27,6 +27,7 @@
             world.placer,
             world.suspects,
             world.versions,
+            world.limits,
         )
 
     def receive_from(self, other):
--- a/tests/gateway/test_shared_placement.py
+++ b/tests/gateway/test_shared_placement.py
@@ -8,6 +8,7 @@
 from radishshift.decisions.fleet_load import PlacementQuota
 from radishshift.decisions.placing import PlacementRequest
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
+from radishshift.gateway.endpoint_permits import EndpointPermits
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
@@ -43,9 +44,18 @@
             world.placer,
             world.suspects,
             world.versions,
+            world.limits,
+        )
+        self.permits = EndpointPermits(
+            settings, world.clock, world.limits, self.gossip.peers
         )
         self.placement = SharedPlacement(
-            settings, world.clock, world.host_view, world.placer, self.gossip
+            settings,
+            world.clock,
+            world.host_view,
+            world.placer,
+            self.gossip,
+            self.permits,
         )
         self.placement._ask = self._ask
         world.dispatcher.placement.shared = self.placement
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.endpoints import EndpointState
@@ -255,10 +256,21 @@
     routes : tuple of Route
     endpoints : dict of str to list of Script
         The last script of a list applies to all further attempts.
+    data_centre : str
+        That of the host.
+    data_centres : dict of str to str
+        Data centres of endpoints, where they differ from the default.
     """
 
     def __init__(
-        self, routes, endpoints, bounds=None, versions=None, costs=MODEL_COSTS
+        self,
+        routes,
+        endpoints,
+        bounds=None,
+        versions=None,
+        costs=MODEL_COSTS,
+        data_centre="mbeya",
+        data_centres=None,
     ):
         self.clock = LoopClock()
         self.host_view = HostView(SimpleObjectDecoder(), self.clock)
@@ -266,10 +278,11 @@
         bounds = bounds or Bounds()
         self.versions = VersionGuard("edge-1", bounds)
         self.suspects = CrashSuspects()
+        self.limits = EndpointLimits()
         self.placer = Placer()
         self.dispatcher = Dispatcher(
             self.clock,
-            "mbeya",
+            data_centre,
             self.host_view,
             self.placer,
             self.endpoints,
@@ -283,6 +296,7 @@
         )
         self.revision = 1
         self._version_of = versions or {}
+        self._data_centre_of = data_centres or {}
         self._costs = costs
         if routes:
             self.configure(routes)
@@ -308,7 +322,10 @@
 
     def member(self, name, state=EndpointState.LIVE, born_ms=1):
         version = self._version_of.get(name, "v1")
-        return Member(name, SERVICE, "10.0.0.1:1", "mbeya", version, 6, born_ms, state)
+        data_centre = self._data_centre_of.get(name, "mbeya")
+        return Member(
+            name, SERVICE, "10.0.0.1:1", data_centre, version, 6, born_ms, state
+        )
 
     def list_members(self, names, leaving=()):
         """Apply a listing of endpoints."""
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -95,6 +95,23 @@
             )
         self.assertEqual(Verdict.NOT_RUN, exc.verdict)
 
+    async def test_the_limit_that_an_endpoint_states_is_passed_on(self):
+        """With each answer, also one that says that the attempt was not run."""
+        seen = []
+        async with _client() as (platform, client, clock):
+            client.on_answer = lambda member, per_s: seen.append((member.name, per_s))
+            endpoint = platform.endpoints[NAME]
+            order = _order(clock, platform.addresses[NAME])
+            for limit in (1.5, None, "many", "nan", "-1"):
+                endpoint.limit_per_s = limit
+                await (await client.send(order)).read()
+            endpoint.limit_per_s = 0.25
+            endpoint.set_faults(refuses=True)
+            await self.assert_raises_async(EndpointRefusedError, client.send(order))
+            other = _order(clock, platform.addresses[NAME], name="i-before")
+            await self.assert_raises_async(EndpointReplacedError, client.send(other))
+        self.assertEqual([(NAME, 1.5), (NAME, None), (NAME, 0.25)], seen)
+
     async def test_an_attempt_without_a_connection_was_not_run(self):
         async with _client() as (_, client, clock):
             exc = await self.assert_raises_async(
