Break off answers without end

Callers would see: an endpoint in trouble that sends bytes until its caller closes takes the whole memory of a host, which is killed with all its requests, or a whole core of it until the deadline.

Cause: a body was read whole whatever its length, and the HTTP library bounds the lines of a head only, not what it skips: interim answers, blank lines, sizes and extensions of chunks. Heads of long lines or of many headers and trailers were broken off before.

Received bytes are now counted per answer, the only place that sees all of them. Such an answer is no crash: its request isn't suspected.

--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -17,6 +17,7 @@
     "CallerDisconnectedError",
     "ConflictError",
     "DeadlineError",
+    "EndlessAnswerError",
     "EndpointCrashedError",
     "EndpointError",
     "EndpointRefusedError",
@@ -361,6 +362,12 @@
     """A connection was idle for too long; its endpoint may still be alive."""
 
 
+class EndlessAnswerError(StreamBrokenError):
+    """An endpoint sent more bytes than an answer may have; it has not crashed."""
+
+    code = "endless-answer"
+
+
 class ResumeRefusedError(EndpointError):
     """An endpoint cannot resume a stream after its connection failed."""
 
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -14,6 +14,7 @@
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import (
     DeadlineError,
+    EndlessAnswerError,
     EndpointError,
     EndpointRefusedError,
     EndpointReplacedError,
@@ -337,7 +338,8 @@
         if not refused and not isinstance(
             exc, EndpointUnreachableError | StreamStalledError
         ):
-            if self._may_have_crashed(attempt, now):
+            crashed = not isinstance(exc, EndlessAnswerError)
+            if crashed and self._may_have_crashed(attempt, now):
                 self._record_crash(attempt, now)
             self.record_version_answer(attempt, False)
         logger.info(
--- a/radishshift/gateway/event_buffer.py
+++ b/radishshift/gateway/event_buffer.py
@@ -1,12 +1,12 @@
 """Splits a stream of server-sent events at event boundaries."""
 
-from radishshift.errors import StreamBrokenError
+from radishshift.errors import EndlessAnswerError
 
 __all__ = ["EventBuffer"]
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
-MAX_EVENT_BYTES = 1 << 20
+MAX_EVENT_BYTES = 1 << 18
 
 
 class EventBuffer:
@@ -35,14 +35,14 @@
 
         Raises
         ------
-        StreamBrokenError
+        EndlessAnswerError
             An event exceeds the size limit.
         """
         data = self._partial + data
         end = data.rfind(EVENT_END)
         if end < 0:
             if len(data) > MAX_EVENT_BYTES:
-                raise StreamBrokenError("an event is too long")
+                raise EndlessAnswerError("an event is too long")
             self._partial = data
             return b""
         end += len(EVENT_END)
--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -1,11 +1,13 @@
 """TCP connections and HTTP sessions that detect an unresponsive peer."""
 
 import asyncio
+import functools
 import socket
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["enable_keepalive", "keepalive_session"]
+__all__ = ["EndlessResponseError", "enable_keepalive", "keepalive_session"]
 
 # A dead connection fails after 3 s without traffic: probes begin after 1 s and fail
 # after 2 s more, the time in which a host that was cut off counts as reachable again.
@@ -27,6 +29,53 @@
     )
 
 
+class EndlessResponseError(aiohttp.ClientPayloadError):
+    """A response is longer than the bound of its session."""
+
+
+class _BoundedResponseHandler(ResponseHandler):
+    """Breaks off a response of which too many bytes have been received.
+
+    The library bounds each line of a head. Bytes that it skips have no bound: interim
+    responses, blank lines, extensions of chunks.
+    """
+
+    def __init__(
+        self, head_bytes: int, response_bytes: int, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        super().__init__(loop)
+        self._max_head_bytes = head_bytes
+        self._max_response_bytes = response_bytes
+        self._received_bytes = 0
+        self._head_complete = False
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the response to a new request."""
+        self._received_bytes = 0
+        self._head_complete = False
+        super().set_response_params(**params)
+
+    def feed_data(self, data, size: int = 0) -> None:
+        """Take a complete head with its payload."""
+        message, _ = data
+        self._head_complete = self._head_complete or message.code >= 200
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the connection, unless they exceed a bound."""
+        self._received_bytes += len(data)
+        super().data_received(data)
+        bound = (
+            self._max_response_bytes if self._head_complete else self._max_head_bytes
+        )
+        if self._received_bytes > bound and self.transport is not None:
+            exc = EndlessResponseError(f"more than {bound} bytes received")
+            self.set_exception(exc)
+            if self._payload is not None and not self._payload.is_eof():
+                self._payload.set_exception(exc)
+            self.transport.abort()
+
+
 def _open_socket(address: tuple) -> socket.socket:
     sock = socket.socket(address[0], address[1], address[2])
     sock.setblocking(False)
@@ -35,7 +84,9 @@
 
 
 def keepalive_session(
-    idle_s: float = 15.0, read_bytes: int = 1 << 16
+    idle_s: float = 15.0,
+    read_bytes: int = 1 << 16,
+    max_bytes: tuple[int, int] | None = None,
 ) -> aiohttp.ClientSession:
     """Return a client session for numeric IP addresses with TCP keepalive.
 
@@ -47,6 +98,9 @@
         Time after which an idle connection is not reused.
     read_bytes : int
         Size of the read buffer of a body.
+    max_bytes : tuple of int, optional
+        Received bytes of a head, and of a complete response, over which a connection is
+        closed.
     """
     connector = aiohttp.TCPConnector(
         limit=0,
@@ -55,6 +109,11 @@
         resolver=aiohttp.ThreadedResolver(loop=asyncio.get_running_loop()),
         use_dns_cache=False,
     )
+    if max_bytes is not None:
+        # The library has no option for the class of its protocol.
+        connector._factory = functools.partial(
+            _BoundedResponseHandler, *max_bytes, loop=asyncio.get_running_loop()
+        )
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
