Soak endpoints that limit the requests of all hosts

A mode of its own, as a new fault among those of a mode changes what its seeds draw: endpoints limit their requests for 5 to 10 s while endpoints refuse, and hosts are stopped, killed and paused. Its promise follows the users' rule; a test breaks it.

A seed of 9 s is part of the tests.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,8 @@
 
 __all__ = ["FAULTS", "fault", "inject"]
 
+MIN_LIMIT_S = 5.0  # hosts may take 3 s to learn a limit
+
 Fault = Callable[[SoakWorld, random.Random], Awaitable[None]]
 FAULTS: dict[str, dict[str, Fault]] = defaultdict(dict)  # by mode and name
 PLANNED_FAULTS: set[str] = set()
@@ -84,7 +86,7 @@
     return rng.choice(sorted(world.service_by_endpoint))
 
 
-@fault("host-killed")
+@fault("host-killed", ("all", "limits"))
 async def _host_killed(world, rng):
     _host(world, rng).signal(signal.SIGKILL)
 
@@ -96,7 +98,7 @@
         await asyncio.sleep(rng.choice((0.0, 0.05)))
 
 
-@fault("host-stopped", ("all", "stops"), planned=True)
+@fault("host-stopped", ("all", "stops", "limits"), planned=True)
 async def _host_stopped(world, rng):
     host = _host(world, rng)
     host.terminate()
@@ -115,7 +117,7 @@
             await asyncio.sleep(rng.uniform(0.0, pause_s))
 
 
-@fault("host-paused")
+@fault("host-paused", ("all", "limits"))
 async def _host_paused(world, rng):
     await _host(world, rng).pause(rng.uniform(0.1, 2.0))
 
@@ -188,6 +190,19 @@
 fault("endpoints-break-unframed")(_endpoint_fault("unframed", "resets_within"))
 
 
+fault("endpoints-refuse", ("limits",))(_endpoint_fault("refuses"))
+
+
+@fault("endpoint-limits-requests", ("limits",))
+async def _endpoint_limits(world, rng):
+    endpoint = world.endpoints[_endpoint(world, rng)]
+    if endpoint.limit_per_s is not None:
+        return
+    endpoint.limit_per_s = rng.uniform(0.5, 6.0)
+    await asyncio.sleep(rng.uniform(MIN_LIMIT_S, 10.0))
+    endpoint.limit_per_s = None
+
+
 @fault("endpoint-replaced", planned=True)
 async def _endpoint_replaced(world, rng):
     await world.replace_endpoint(_endpoint(world, rng))
--- a/tests/soak/modes.py
+++ b/tests/soak/modes.py
@@ -76,5 +76,8 @@
             recovery_s=0.5,
             links=False,
         ),
+        # Endpoints limit the requests of all hosts together, for long enough that hosts
+        # have to know.
+        Mode("limits", fault_gap_s=(0.1, 1.5), grace_s=2.0, event_gap_s=0.0),
     )
 }
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from users_platform.standins import Arrival, LimitedAnswer
+
+from tests.limit_rule import MAX_LEARNING_S, most_allowed, most_in_window
 from tests.soak.callers import (
     ANSWERED_STATUS,
     NOT_RUN_STATUSES,
@@ -25,6 +28,7 @@
 EARLY_S = 3.0
 LAST_SHARE = 1 / 6  # of the grace time
 KILL_SLACK_S = 1.0  # for a process to be killed after the grace time
+TOLD_S = 0.5  # after which a process that got a limited answer has to keep to it
 SETTLE_S = 3.0  # time for which a disturbance is felt
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 
@@ -64,6 +68,10 @@
         Beginning and end of all times in which callers recorded nothing.
     grace_s : float
         Time from SIGTERM until a process is killed.
+    arrivals : list of Arrival
+        Attempts that reached endpoints, whether or not they ran.
+    limited_answers : list of LimitedAnswer
+        Answers in which endpoints limited the requests of all hosts together.
     """
 
     attempts: list[CallerAttempt] = field(default_factory=list)
@@ -74,6 +82,8 @@
     disturbances: list[tuple[float, float]] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
     grace_s: float = 0.0
+    arrivals: list[Arrival] = field(default_factory=list)
+    limited_answers: list[LimitedAnswer] = field(default_factory=list)
 
     def disturbed(self, since: float, until: float) -> bool:
         """Return whether any disturbance falls into a period."""
@@ -242,6 +252,43 @@
             )
 
 
+@promise("limits-are-kept")
+def _limits_are_kept(record: SoakRecord) -> Iterator[str]:
+    """Find endpoints that got too many requests from hosts that knew their limit."""
+    attempts = {attempt.attempt_id: attempt for attempt in record.attempts}
+    periods = defaultdict(list)
+    for answer in record.limited_answers:
+        periods[answer.endpoint, answer.per_s].append(answer)
+    for (endpoint, per_s), answers in periods.items():
+        told_at: dict[tuple[str, int], float] = {}
+        for answer in answers:
+            process = _process(attempts.get(answer.request_id))
+            if process is not None:
+                told_at.setdefault(process, answer.at)
+        due_at = answers[0].at + MAX_LEARNING_S
+        counted = sorted(
+            arrival.at
+            for arrival in record.arrivals
+            if arrival.endpoint == endpoint
+            and due_at <= arrival.at <= answers[-1].at
+            and told_at.get(_process(attempts.get(arrival.request_id)), math.inf)
+            <= arrival.at - TOLD_S
+        )
+        most = most_in_window(counted)
+        if most > most_allowed(per_s):
+            yield (
+                f"{endpoint}, limited to {per_s:.2f} a second, got {most} requests "
+                f"within 4 s, {most_allowed(per_s):.0f} allowed"
+            )
+
+
+def _process(attempt: CallerAttempt | None) -> tuple[str, int] | None:
+    """Return the host and process that took an attempt, if it was one process."""
+    if attempt is None or len(set(attempt.process_numbers)) > 1:
+        return None
+    return attempt.host, attempt.process_numbers[0]
+
+
 @promise("taken-requests-are-answered")
 def _taken_requests_are_answered(record: SoakRecord) -> Iterator[str]:
     """Find requests that a stopping process took and gave up.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -74,6 +74,7 @@
         except TimeoutError:
             result.broken.append("calm-is-served: a host did not become ready in time")
         result.stops = [stop for host in world.hosts.values() for stop in host.stops]
+        endpoints = world.endpoints.values()
         record = SoakRecord(
             callers.attempts,
             _endpoint_runs(world),
@@ -83,6 +84,8 @@
             world.disturbances,
             stalls,
             mode.grace_s,
+            [at for endpoint in endpoints for at in endpoint.arrivals],
+            [at for endpoint in endpoints for at in endpoint.limited_answers],
         )
         result.broken += broken_promises(record)
         result.statuses = Counter(attempt.status for attempt in callers.attempts)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+from users_platform.standins import Arrival, LimitedAnswer
+
 from tests.cases import TestCase
 from tests.soak.callers import STREAM_EVENTS, CallerAttempt
 from tests.soak.fleet import HostStop
@@ -186,6 +188,28 @@
             runs = [] if other.complete else [_run(other)]
             self.assertEqual(set(), _broken([other], runs, [STOP]))
 
+    def test_more_requests_than_an_endpoint_allows(self):
+        told = LimitedAnswer("desk-1", "a0", 1.0, 100.0)
+        last = LimitedAnswer("desk-1", "a0", 1.0, 120.0)
+        for count, gap_s, since, host, expected in (
+            (12, 0.3, 103.5, "edge-1", {"limits-are-kept"}),
+            (11, 0.3, 103.5, "edge-1", set()),
+            (30, 1.0, 103.5, "edge-1", set()),
+            (12, 0.3, 99.0, "edge-1", set()),
+            (12, 0.3, 103.5, "edge-2", set()),
+        ):
+            instants = [since + number * gap_s for number in range(count)]
+            record = SoakRecord(
+                [
+                    _attempt("check", attempt_id="a0"),
+                    _attempt("check", attempt_id="a9", host=host),
+                ],
+                arrivals=[Arrival("desk-1", "a9", (), at) for at in instants],
+                limited_answers=[told, last],
+            )
+            broken = [line.split(":")[0] for line in broken_promises(record)]
+            self.assertEqual(expected, set(broken) & {"limits-are-kept"})
+
     def test_a_disturbance_excuses_a_stopping_host_for_a_while(self):
         attempt = _cut(4.4, 0.05)
         for span, expected in (
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,9 @@
 STOPS_SEED = 32
 STOPS_HOSTS = 4
 STOPS_TIME_S = 1.2
+LIMITS_SEED = 14  # an endpoint limits its requests for most of the time
+LIMITS_HOSTS = 4
+LIMITS_TIME_S = 9.0
 FAILED_SEEDS_FILE = Path(__file__).parent / "failed-seeds.txt"
 
 
@@ -32,6 +35,11 @@
         self.assertGreater(len(result.stops), 0)
         self.assertGreater(result.statuses[200], 0)
 
+    def test_hosts_keep_to_the_limits_of_endpoints(self):
+        result = self._run_seed(LIMITS_SEED, LIMITS_HOSTS, LIMITS_TIME_S, "limits")
+        self.assertGreater(result.faults["endpoint-limits-requests"], 0)
+        self.assertGreater(result.statuses[200], 0)
+
     def test_seeds_that_broke_a_promise_keep_them_now(self):
         """Each line of the file holds seed, hosts, seconds, mode, and what broke."""
         for line in FAILED_SEEDS_FILE.read_text(encoding="utf-8").splitlines():
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -268,6 +268,7 @@
                 link.heal()
         for endpoint in self.endpoints.values():
             endpoint.set_faults()
+            endpoint.limit_per_s = None
         self.platform.store.faults = StoreFaults()
 
     def log(self) -> str:
