--- /dev/null
+++ b/radishshift/gateway/endpoint_statements.py
@@ -0,0 +1,43 @@
+"""What endpoints say of themselves, as a host records it and tells its peers."""
+
+from collections.abc import Callable
+
+import logbook
+
+from radishshift.clocks import Clock
+from radishshift.decisions.endpoint_limits import EndpointLimits
+from radishshift.gateway.deployment import Member
+from radishshift.gateway.messages import EndpointNotices
+
+__all__ = ["EndpointStatements"]
+
+logger = logbook.Logger("endpoints")
+
+
+class EndpointStatements(EndpointNotices):
+    """Records the statements in answers that this host receives.
+
+    Parameters
+    ----------
+    clock : Clock
+    limits : EndpointLimits
+
+    Attributes
+    ----------
+    on_change : callable
+        Called after a statement of which peers should hear at once.
+    """
+
+    def __init__(self, clock: Clock, limits: EndpointLimits) -> None:
+        self._clock = clock
+        self._limits = limits
+        self.on_change: Callable[[], None] = lambda: None
+
+    def limits(self, member: Member, per_s: float | None) -> None:
+        """Record the limit that an answer states, or that it states none."""
+        if self._limits.record(member.incarnation, per_s, self._clock.now()):
+            logger.info(
+                "endpoint limit changed",
+                extra={"endpoint": member.name, "per_s": per_s, "source": "answer"},
+            )
+            self.on_change()
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -17,10 +17,10 @@
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
 from radishshift.gateway.blocked_part_duty import BlockedPartDuty
-from radishshift.gateway.deployment import Member
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.endpoint_permits import PATH as PERMIT_PATH
 from radishshift.gateway.endpoint_permits import EndpointPermits
+from radishshift.gateway.endpoint_statements import EndpointStatements
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.host_view import HostView
@@ -113,8 +113,10 @@
             adapter.make_platform(settings.store_address), self.clock
         )
         self.endpoint_client = adapter.make_endpoint_client(self.clock)
-        self.endpoint_client.on_answer = self._record_limit
         self.endpoint_limits = EndpointLimits()
+        statements = EndpointStatements(self.clock, self.endpoint_limits)
+        statements.on_change = self._announce_change
+        self.endpoint_client.notices = statements
         self.dispatcher = Dispatcher(
             self.clock,
             settings.data_centre,
@@ -135,7 +137,7 @@
             self.endpoint_limits,
         )
         self.gossip.on_change = self._on_peer_update
-        self.dispatcher.on_crash = lambda: self._spawn(self.gossip.announce_change())
+        self.dispatcher.on_crash = self._announce_change
         self.gossip.store_lost = lambda: self.platform.unavailable_since is not None
         self.permits = EndpointPermits(
             settings, self.clock, self.endpoint_limits, self.gossip.peers
@@ -320,15 +322,8 @@
         """Log the traits whose requests are refused, as they crash endpoints."""
         logger.warning("blocked traits changed", extra={"crashes": blocked})
 
-    def _record_limit(self, member: Member, per_s: float | None) -> None:
-        """Record the limit that an answer states, and tell peers of a change."""
-        now = self.clock.now()
-        if self.endpoint_limits.record(member.incarnation, per_s, now):
-            logger.info(
-                "endpoint limit changed",
-                extra={"endpoint": member.name, "per_s": per_s, "source": "answer"},
-            )
-            self._spawn(self.gossip.announce_change())
+    def _announce_change(self) -> None:
+        self._spawn(self.gossip.announce_change())
 
     def _spawn(self, coroutine: Awaitable[None]) -> None:
         task = asyncio.ensure_future(coroutine)
@@ -347,7 +342,7 @@
         self.versions.update_rollouts(
             self.host_view.rollouts.values(), self.clock.now()
         )
-        self._spawn(self.gossip.announce_change())
+        self._announce_change()
 
     def _on_peer_update(self, kinds: Iterable[Kind]) -> None:
         """Apply an update of the host's view that came from a peer."""
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -1,7 +1,7 @@
 """Requests, attempts and answers as the caller side and endpoint side exchange them."""
 
 import enum
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from radishshift.gateway.deployment import Member
@@ -12,6 +12,7 @@
     "CallerRequest",
     "EndpointAnswer",
     "EndpointClient",
+    "EndpointNotices",
     "HeaderList",
     "ProbeOutcome",
     "PromptPart",
@@ -153,8 +154,14 @@
     UNANSWERED = "unanswered"
 
 
-def _ignore_limit(member: Member, per_s: float | None) -> None:
-    pass
+class EndpointNotices:
+    """Receives what endpoints say of themselves in the heads of their answers."""
+
+    def limits(self, member: Member, per_s: float | None) -> None:
+        """Receive the requests per second to which it limits all hosts together.
+
+        It is called for each answer, with None if the answer states no limit.
+        """
 
 
 class EndpointClient:
@@ -162,12 +169,10 @@
 
     Attributes
     ----------
-    on_answer : callable
-        Called for each answer with the endpoint and the requests per second to which it
-        limits all hosts together, or None if it states no limit.
+    notices : EndpointNotices
     """
 
-    on_answer: Callable[[Member, float | None], None] = staticmethod(_ignore_limit)
+    notices = EndpointNotices()
 
     async def send(self, order: AttemptOrder) -> EndpointAnswer:
         """Send an attempt and return the answer once its headers are received.
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -19,7 +19,12 @@
     StreamStalledError,
 )
 from radishshift.gateway.deployment import Member
-from radishshift.gateway.messages import AttemptOrder, CallerRequest, ProbeOutcome
+from radishshift.gateway.messages import (
+    AttemptOrder,
+    CallerRequest,
+    EndpointNotices,
+    ProbeOutcome,
+)
 from radishshift.verdicts import Verdict
 from tests.cases import TestCase
 from tests.users_platform.served import running_platform
@@ -99,7 +104,10 @@
         """With each answer, also one that says that the attempt was not run."""
         seen = []
         async with _client() as (platform, client, clock):
-            client.on_answer = lambda member, per_s: seen.append((member.name, per_s))
+            client.notices = EndpointNotices()
+            client.notices.limits = lambda member, per_s: seen.append(
+                (member.name, per_s)
+            )
             endpoint = platform.endpoints[NAME]
             order = _order(clock, platform.addresses[NAME])
             for limit in (1.5, None, "many", "nan", "-1"):
