Take endpoints out of rotation that say in answers that they leave

Callers saw, or would: requests to an endpoint that leaves while the store is away or its list lags, which then end with it. The rule's bound counts from the first answer.

Cause: only the platform's list was heeded; the adapter dropped the statement.

The statement of any answer counts, at all hosts, for the endpoint's start, and isn't taken back by the list. It travels by gossip, a first statement at once.

In virtual time all of 6, 64 and 195 hosts have taken it out 2 s after one of them heard.

--- a/radishshift/gateway/endpoint_statements.py
+++ b/radishshift/gateway/endpoint_statements.py
@@ -7,6 +7,7 @@
 from radishshift.clocks import Clock
 from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.gateway.deployment import Member
+from radishshift.gateway.host_view import HostView
 from radishshift.gateway.messages import EndpointNotices
 
 __all__ = ["EndpointStatements"]
@@ -21,6 +22,7 @@
     ----------
     clock : Clock
     limits : EndpointLimits
+    host_view : HostView
 
     Attributes
     ----------
@@ -28,9 +30,12 @@
         Called after a statement of which peers should hear at once.
     """
 
-    def __init__(self, clock: Clock, limits: EndpointLimits) -> None:
+    def __init__(
+        self, clock: Clock, limits: EndpointLimits, host_view: HostView
+    ) -> None:
         self._clock = clock
         self._limits = limits
+        self._host_view = host_view
         self.on_change: Callable[[], None] = lambda: None
 
     def limits(self, member: Member, per_s: float | None) -> None:
@@ -41,3 +46,8 @@
                 extra={"endpoint": member.name, "per_s": per_s, "source": "answer"},
             )
             self.on_change()
+
+    def leaves(self, member: Member) -> None:
+        """Take an endpoint out of rotation that says it leaves."""
+        if self._host_view.record_leaving(member):
+            self.on_change()
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -114,7 +114,9 @@
         )
         self.endpoint_client = adapter.make_endpoint_client(self.clock)
         self.endpoint_limits = EndpointLimits()
-        statements = EndpointStatements(self.clock, self.endpoint_limits)
+        statements = EndpointStatements(
+            self.clock, self.endpoint_limits, self.host_view
+        )
         statements.on_change = self._announce_change
         self.endpoint_client.notices = statements
         self.dispatcher = Dispatcher(
@@ -363,6 +365,7 @@
                 if view.member.incarnation not in members and not view.in_flight:
                     self.endpoint_client.forget(view.member)
             self.placer.keep_only(members)
+            self.host_view.expire_departures()
             self.endpoint_limits.keep_only(members, self.clock.now())
             self.permits.keep_only(members)
 
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -250,6 +250,7 @@
             crash_reports=self._suspects.reports(now),
             sound_ages_s=self._suspects.sound_ages_s(now),
             limits=self._limits.reports(now),
+            departures=self._host_view.departure_reports(),
             trials={
                 service: RolloutEvidence(
                     canary.rollout.target,
@@ -331,6 +332,7 @@
         self._record_load(message, now)
         self._suspects.merge(message.crash_reports, message.sound_ages_s, now)
         self._merge_limits(message, now)
+        self._host_view.merge_departures(message.departures, message.host)
         self._merge_rollout_evidence(message, now)
         changed = [
             Kind(name)
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -7,6 +7,7 @@
 
 from radishshift.decisions.crashes import CrashReport
 from radishshift.decisions.endpoint_limits import LimitReport
+from radishshift.decisions.stated_departures import DepartureReport
 from radishshift.object_table import Head, TableDelta
 
 __all__ = ["CentreSummary", "GossipMessage", "RolloutEvidence"]
@@ -80,6 +81,8 @@
         Time since the last sound answer of some of their suspects, by trait.
     limits : list of LimitReport
         What endpoints have last stated of their limits, as far as the sender knows.
+    departures : list of DepartureReport
+        Endpoints that have said in answers that they leave, as far as the sender knows.
     trials : dict of str to RolloutEvidence
         Evidence on the roll-outs in progress, by service.
     tables : dict of str to TableDelta
@@ -101,5 +104,6 @@
     crash_reports: list[CrashReport] = []
     sound_ages_s: dict[str, float] = {}
     limits: list[LimitReport] = []
+    departures: list[DepartureReport] = []
     trials: dict[str, RolloutEvidence] = {}
     tables: dict[str, TableDelta] = {}
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -11,6 +11,7 @@
 
 from radishshift.clocks import Clock
 from radishshift.decisions.routes import RouteTable
+from radishshift.decisions.stated_departures import DepartureReport, StatedDepartures
 from radishshift.endpoints import EndpointState
 from radishshift.errors import NotFoundError, UnreadableObjectError
 from radishshift.gateway.deployment import Deployment, Member, Rollout
@@ -90,6 +91,7 @@
         self.departed: dict[str, Departure] = {}
         self.rollouts: dict[str, Rollout] = {}
         self.blocked_parts: dict[str, float] = {}
+        self._stated_departures = StatedDepartures()
         self._decoded: dict[str, tuple[int, Member | None]] = {}
         self._lapsed_until = 0.0
 
@@ -125,6 +127,33 @@
             self._derive(kind, peer)
         return changed
 
+    def record_leaving(self, member: Member) -> bool:
+        """Take an endpoint that says it leaves out of rotation.
+
+        Returns
+        -------
+        bool
+            Whether it was not known to leave.
+        """
+        news = self._stated_departures.record(member.incarnation, self._clock.now())
+        if news:
+            self._derive_members("answer")
+        return news
+
+    def departure_reports(self) -> list[DepartureReport]:
+        """Return the endpoints that have said that they leave, for peers."""
+        return self._stated_departures.reports(self._clock.now())
+
+    def merge_departures(self, reports: Iterable[DepartureReport], peer: str) -> None:
+        """Take the endpoints out of rotation that a peer knows to leave."""
+        if self._stated_departures.merge(reports, self._clock.now()):
+            self._derive_members(peer)
+
+    def expire_departures(self) -> None:
+        """Forget what endpoints that are gone have said."""
+        listed = {member.incarnation for member in self._listed_members()}
+        self._stated_departures.expire(listed, self._clock.now())
+
     def record_store_recovery(self, recovered_at: float | None) -> None:
         """Record when the platform's store last became available after an outage.
 
@@ -216,8 +245,10 @@
         before = self.members
         self.members = {}
         for member in self._listed_members():
-            if member.state is EndpointState.LEAVING:
-                self._record_departure(member, now, "leaving", source)
+            stated_at = self._stated_departures.since(member.incarnation)
+            if member.state is EndpointState.LEAVING or stated_at is not None:
+                at = now if stated_at is None else stated_at
+                self._record_departure(member, at, "leaving", source)
             else:
                 self.members[member.name] = member
                 self.departed.pop(member.name, None)
@@ -229,6 +260,10 @@
             if previous is None or previous.incarnation != member.incarnation:
                 logger.info("endpoint listed", extra=_log_fields(member, source))
         for name, departure in list(self.departed.items()):
+            stated_at = self._stated_departures.since(departure.member.incarnation)
+            if stated_at is not None:
+                # An endpoint that has only lapsed may be used for a while.
+                self._record_departure(departure.member, stated_at, "leaving", source)
             if now - departure.at > DEPARTED_RETENTION_S:
                 del self.departed[name]
 
@@ -252,12 +287,15 @@
             return None
 
     def _record_departure(
-        self, member: Member, now: float, reason: str, source: str
+        self, member: Member, at: float, reason: str, source: str
     ) -> None:
+        announced = reason == "leaving"
         known = self.departed.get(member.name)
         if known is not None and known.member.incarnation == member.incarnation:
-            return
-        self.departed[member.name] = Departure(member, now, reason == "leaving")
+            if known.announced or not announced:
+                return
+            at = min(at, known.at)
+        self.departed[member.name] = Departure(member, at, announced)
         logger.info(
             "endpoint removed from rotation",
             extra={"how": reason} | _log_fields(member, source),
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -163,6 +163,9 @@
         It is called for each answer, with None if the answer states no limit.
         """
 
+    def leaves(self, member: Member) -> None:
+        """Receive that it is leaving and takes no new requests."""
+
 
 class EndpointClient:
     """Sends attempts to endpoints.
--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -271,6 +271,25 @@
         self.assertGreater(len(arrivals) / 10.0, 0.5 * share)
 
 
+class DepartureTest(VirtualTestCase):
+    async def test_all_hosts_hear_from_one_that_an_endpoint_leaves(self):
+        """The store still lists the endpoint, in the list of each host."""
+        for hosts, centres, endpoints, _ in FLEETS:
+            network = _Network(4, hosts, centres, endpoints)
+            await network.start()
+            name = min(network.centre_of)
+            first = network.hosts["edge-1"].world
+            self.assertTrue(first.host_view.record_leaving(first.member(name)))
+            await asyncio.sleep(2.0)
+            await network.stop()
+            using = [
+                host.name
+                for host in network.hosts.values()
+                if name in host.world.host_view.members
+            ]
+            self.assertEqual([], using, hosts)
+
+
 class PermitsTest(VirtualTestCase):
     async def test_a_host_that_does_not_keep_a_budget_permits_nothing(self):
         network = _Network(1, 6, 3, 1)
--- a/tests/gateway/test_host_view.py
+++ b/tests/gateway/test_host_view.py
@@ -44,6 +44,32 @@
         world.list_members(["a", "b"], leaving=["a"])
         self.assertEqual(["b"], self._names(world))
 
+    async def test_an_endpoint_that_said_it_leaves_stays_out_while_it_is_listed(self):
+        """The store lists it as live, also again, and after it had lapsed."""
+        world = World([route()], {"a": [Script()], "b": [Script()]})
+        view = world.host_view
+        view.record_store_recovery(world.clock.now())
+        world.list_members(["b"])
+        self.assertTrue(view.record_leaving(world.member("a")))
+        self.assertFalse(view.record_leaving(world.member("a")))
+        self.assertEqual(["b"], self._names(world))
+        world.list_members(["a", "b"])
+        self.assertEqual(["b"], self._names(world))
+
+    async def test_an_endpoint_that_started_again_is_used(self):
+        world = World([route()], {"a": [Script()], "b": [Script()]})
+        world.host_view.record_leaving(world.member("a", born_ms=0))
+        world.list_members(["a", "b"])
+        self.assertEqual(["a", "b"], self._names(world))
+
+    async def test_a_departure_that_was_stated_long_ago_is_no_last_resort(self):
+        world = World([route()], {"a": [Script()]})
+        now = world.clock.now()
+        world.host_view.record_leaving(world.member("a"))
+        await world.clock.sleep_until(now + 1.5)
+        world.list_members(["a"])
+        self.assertEqual([], list(world.host_view.departed_since(SERVICE, now + 0.5)))
+
     async def test_without_an_outage_a_delisted_endpoint_is_not_used(self):
         world = World([route()], {"a": [Script()], "b": [Script()]})
         world.list_members(["b"])
--- a/tests/users_platform/fleets.py
+++ b/tests/users_platform/fleets.py
@@ -2,21 +2,55 @@
 
 import asyncio
 import os
+import random
+from collections.abc import Sequence
 from dataclasses import replace
 
+import aiohttp
 from entry import ADAPTER
 from users_platform.settings import read_settings
 from users_platform.standins import StandinPlatform
 
 from radishshift.gateway.gateway_host import GatewayHost
 
-__all__ = ["DATA_CENTRES", "GatewayFleet"]
-
+__all__ = [
+    "CONFIG",
+    "DATA_CENTRES",
+    "HOST_HEADER",
+    "KEY",
+    "SERVICE",
+    "GatewayFleet",
+    "send_plans",
+]
+
+KEY = "key-of-ring"
+HOST_HEADER = "ring.example"
+SERVICE = "advice"
 DATA_CENTRES = ("mbeya", "iringa", "dodoma")
 # Below the kernel's range of ephemeral ports.
 CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7101, 7102, 7103, 7104
 
 
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "plan",
+            "host": HOST_HEADER,
+            "pathPrefix": "/plan/",
+            "type": "streaming",
+            "timeoutMs": 5000,
+            "sloMs": 1000,
+            "service": SERVICE,
+            "maxAttempts": 3,
+            "resumable": True,
+        }
+    ],
+    "services": [{"name": SERVICE}],
+    "tenants": [{"name": "ring", "apiKeys": [KEY]}],
+}
+
+
 def _loopback_ip(number: int) -> str:
     """Return a loopback address of this process that no soak test uses."""
     pid = os.getpid()
@@ -83,3 +117,39 @@
         for host in self.hosts:
             host.stop("test ends")
         await asyncio.gather(*self._running)
+
+
+async def send_plans(
+    session: aiohttp.ClientSession,
+    hosts: Sequence[GatewayHost],
+    rng: random.Random,
+    duration_s: float,
+    interval_s: float,
+) -> list[bool]:
+    """Send requests to random hosts; return whether each was served."""
+    tasks = []
+    for number in range(int(duration_s / interval_s)):
+        request = _send_plan(session, rng.choice(hosts), number)
+        tasks.append(asyncio.create_task(request))
+        await asyncio.sleep(interval_s)
+    return await asyncio.gather(*tasks)
+
+
+async def _send_plan(
+    session: aiohttp.ClientSession, host: GatewayHost, number: int
+) -> bool:
+    headers = {
+        "Host": HOST_HEADER,
+        "X-Key": KEY,
+        "X-Attempt-Id": f"{host.settings.host}-{number}",
+        "X-Deadline-Ms": "4000",
+        "X-Token-Usage": "350,50",
+        "X-Prefix-Hash": f"doc-{number % 7}:300,own-{number}:50",
+    }
+    url = f"http://{host.settings.caller_address}/plan/{number}"
+    try:
+        async with session.post(url, headers=headers, data=b"%d" % number) as resp:
+            await resp.read()
+            return resp.status == 200
+    except aiohttp.ClientError:
+        return False
--- a/tests/users_platform/test_crashing_parts.py
+++ b/tests/users_platform/test_crashing_parts.py
@@ -12,11 +12,15 @@
 from users_platform.standins import standin_platform
 
 from tests.cases import TestCase
-from tests.users_platform.fleets import DATA_CENTRES, GatewayFleet
+from tests.users_platform.fleets import (
+    CONFIG,
+    DATA_CENTRES,
+    HOST_HEADER,
+    KEY,
+    SERVICE,
+    GatewayFleet,
+)
 
-KEY = "key-of-ring"
-HOST_HEADER = "ring.example"
-SERVICE = "advice"
 HOST_COUNT = 3
 ENDPOINT_COUNT = 5
 # The rule: hosts know a crashing part this long after the fifth crash, and sound
@@ -31,24 +35,6 @@
 SOUND_INTERVAL_S, CRASHING_INTERVAL_S = 0.06, 0.15
 BAD_PART = "bad"
 
-CONFIG = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "plan",
-            "host": HOST_HEADER,
-            "pathPrefix": "/plan/",
-            "type": "streaming",
-            "timeoutMs": 5000,
-            "sloMs": 1000,
-            "service": SERVICE,
-            "maxAttempts": 3,
-            "resumable": True,
-        }
-    ],
-    "services": [{"name": SERVICE}],
-    "tenants": [{"name": "ring", "apiKeys": [KEY]}],
-}
 EVENTS = "".join(f"id: {number}\ndata: tokens\n\n" for number in range(1, 11)).encode()
 
 
--- a/tests/users_platform/test_endpoint_limits.py
+++ b/tests/users_platform/test_endpoint_limits.py
@@ -12,8 +12,13 @@
 
 from tests.cases import TestCase
 from tests.limit_rule import MAX_LEARNING_S, most_allowed, most_in_window
-from tests.users_platform.fleets import DATA_CENTRES, GatewayFleet
-from tests.users_platform.test_crashing_parts import CONFIG, KEY, SERVICE
+from tests.users_platform.fleets import (
+    CONFIG,
+    DATA_CENTRES,
+    SERVICE,
+    GatewayFleet,
+    send_plans,
+)
 
 HOST_COUNT = 6
 ENDPOINT_COUNT = 3
@@ -23,25 +28,6 @@
 MIN_SERVED_SHARE = 0.9
 
 
-async def _request(session, host, number):
-    """Send a request to a host; return whether it was served."""
-    headers = {
-        "Host": "ring.example",
-        "X-Key": KEY,
-        "X-Attempt-Id": f"request-{number}",
-        "X-Deadline-Ms": "4000",
-        "X-Token-Usage": "350,50",
-        "X-Prefix-Hash": f"doc-{number % 7}:300,own-{number}:50",
-    }
-    url = f"http://{host.settings.caller_address}/plan/{number}"
-    try:
-        async with session.post(url, headers=headers, data=b"%d" % number) as resp:
-            await resp.read()
-            return resp.status == 200
-    except aiohttp.ClientError:
-        return False
-
-
 class EndpointLimitsTest(TestCase):
     async def test_an_endpoint_that_limits_its_requests_gets_as_many_as_before(self):
         """Six hosts sent 23 requests in 4 s to an engine that allowed 14."""
@@ -58,14 +44,10 @@
             limited = platform.endpoints["llm-0"]
             limited.limit_per_s = LIMIT_PER_S
             rng = random.Random(29)
-            loop = asyncio.get_running_loop()
-            began_at = loop.time()
-            tasks = []
-            for number in range(int((MAX_LEARNING_S + OBSERVED_S) / INTERVAL_S)):
-                host = rng.choice(fleet.hosts)
-                tasks.append(asyncio.create_task(_request(session, host, number)))
-                await asyncio.sleep(INTERVAL_S)
-            served = await asyncio.gather(*tasks)
+            began_at = asyncio.get_running_loop().time()
+            served = await send_plans(
+                session, fleet.hosts, rng, MAX_LEARNING_S + OBSERVED_S, INTERVAL_S
+            )
         arrivals = [
             arrival.at
             for arrival in limited.arrivals
