Send nothing to an endpoint that has asked this host for a pause

Callers saw, or would: an endpoint that is full refuses request after request of a host, each of which then looks for another.

Cause: the pause that an endpoint states as it refuses was read for the one attempt that got it; the next request went there again.

A pause opens no circuit breaker. If all endpoints pause, a request is refused with the end of the first pause.

Values that can't be read, too long or negative ones have tests.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -143,6 +143,9 @@
         Version that the endpoint must run, or empty for any.
     remote_cost : float
         Cost of an endpoint in another data centre, in requests in flight.
+    excluded : sequence of str
+        Endpoints that the host must not use now; they are not among those to choose
+        from at that host.
     """
 
     service: str
@@ -153,6 +156,7 @@
     tried: Sequence[str] = ()
     version: str = ""
     remote_cost: float = REMOTE_CENTRE_COST
+    excluded: Sequence[str] = ()
 
     @property
     def own_load(self) -> float:
--- a/radishshift/gateway/endpoint_statements.py
+++ b/radishshift/gateway/endpoint_statements.py
@@ -6,6 +6,7 @@
 
 from radishshift.clocks import Clock
 from radishshift.decisions.endpoint_limits import EndpointLimits
+from radishshift.decisions.endpoint_pauses import EndpointPauses
 from radishshift.gateway.deployment import Member
 from radishshift.gateway.host_view import HostView
 from radishshift.gateway.messages import EndpointNotices
@@ -23,6 +24,7 @@
     clock : Clock
     limits : EndpointLimits
     host_view : HostView
+    pauses : EndpointPauses
 
     Attributes
     ----------
@@ -31,11 +33,16 @@
     """
 
     def __init__(
-        self, clock: Clock, limits: EndpointLimits, host_view: HostView
+        self,
+        clock: Clock,
+        limits: EndpointLimits,
+        host_view: HostView,
+        pauses: EndpointPauses,
     ) -> None:
         self._clock = clock
         self._limits = limits
         self._host_view = host_view
+        self._pauses = pauses
         self.on_change: Callable[[], None] = lambda: None
 
     def limits(self, member: Member, per_s: float | None) -> None:
@@ -47,6 +54,16 @@
             )
             self.on_change()
 
+    def pauses(self, member: Member, pause_s: float) -> None:
+        """Record a pause, which concerns this host alone."""
+        now = self._clock.now()
+        if self._pauses.until(member.incarnation) <= now:
+            logger.info(
+                "endpoint pauses",
+                extra={"endpoint": member.name, "pause_s": round(pause_s, 3)},
+            )
+        self._pauses.record(member.incarnation, pause_s, now)
+
     def leaves(self, member: Member) -> None:
         """Take an endpoint out of rotation that says it leaves."""
         if self._host_view.record_leaving(member):
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -13,6 +13,7 @@
 from radishshift.clocks import Clock, SystemClock
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
+from radishshift.decisions.endpoint_pauses import EndpointPauses
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
@@ -114,8 +115,9 @@
         )
         self.endpoint_client = adapter.make_endpoint_client(self.clock)
         self.endpoint_limits = EndpointLimits()
+        self.endpoint_pauses = EndpointPauses()
         statements = EndpointStatements(
-            self.clock, self.endpoint_limits, self.host_view
+            self.clock, self.endpoint_limits, self.host_view, self.endpoint_pauses
         )
         statements.on_change = self._announce_change
         self.endpoint_client.notices = statements
@@ -154,6 +156,7 @@
         )
         self.dispatcher.placement.shared = self.shared_placement
         self.dispatcher.placement.permits = self.permits
+        self.dispatcher.placement.pauses = self.endpoint_pauses
         self.platform_sync = PlatformSync(
             settings.host,
             self.platform,
@@ -317,6 +320,9 @@
             "blocked_traits", lambda: len(self.crash_suspects.blocked(self.clock.now()))
         )
         register("limited_endpoints", self.endpoint_limits.count)
+        register(
+            "paused_endpoints", lambda: self.endpoint_pauses.count(self.clock.now())
+        )
         register("store_calls", lambda: self.platform.calls)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
@@ -368,6 +374,7 @@
             self.host_view.expire_departures()
             self.endpoint_limits.keep_only(members, self.clock.now())
             self.permits.keep_only(members)
+            self.endpoint_pauses.keep_only(members, self.clock.now())
 
     async def _watch_settings(self) -> None:
         """Reload the settings on SIGHUP and periodically."""
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -163,6 +163,9 @@
         It is called for each answer, with None if the answer states no limit.
         """
 
+    def pauses(self, member: Member, pause_s: float) -> None:
+        """Receive for how long it wants nothing from this host."""
+
     def leaves(self, member: Member) -> None:
         """Receive that it is leaving and takes no new requests."""
 
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from radishshift.clocks import Clock
+from radishshift.decisions.endpoint_pauses import EndpointPauses
 from radishshift.decisions.placing import PlacementRequest, Placer
 from radishshift.errors import NoEndpointError
 from radishshift.gateway.connection_prober import ConnectionProber
@@ -45,6 +46,8 @@
         Asks the coordinator of a large data centre; None where each host chooses alone.
     permits : EndpointPermits or None
         Permits for endpoints that limit their requests; None if none does.
+    pauses : EndpointPauses
+        Pauses for which endpoints have asked.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         self.drain_s = drain_s
         self.shared: SharedPlacement | None = None
         self.permits: EndpointPermits | None = None
+        self.pauses = EndpointPauses()
         self._clock = clock
         self._data_centre = data_centre
         self._host_view = host_view
@@ -108,6 +112,14 @@
         request = self._request(job, model)
         now = self._clock.now()
         avoided = {member.name for member in self._placer.unavailable(members, now)}
+        request = replace(
+            request,
+            excluded=[
+                member.name
+                for member in self._host_view.members_of(job.service)
+                if self._retry_at(member) > now
+            ],
+        )
         timeout_s = (
             STREAM_PLACEMENT_TIMEOUT_S
             if job.route.kind is RouteKind.STREAM
@@ -137,7 +149,7 @@
         chosen = self._placer.choose(members, request, now)
         if chosen is None and job.failed_endpoints and len(members) == 1:
             chosen = self._placer.choose(members, replace(request, tried=()), now)
-        if chosen is None and self._lacks_permits(job):
+        if chosen is None and self._must_wait(job):
             raise self._no_endpoint(job)
         if chosen is None and job.version:
             job.version = ""
@@ -152,12 +164,12 @@
 
     def _no_endpoint(self, job: Job) -> NoEndpointError:
         members = list(self._host_view.members_of(job.service))
-        limited = [self._retry_at(member) for member in members]
-        limited = [at for at in limited if at > self._clock.now()]
-        retry_after_s = min(limited) - self._clock.now() if limited else None
+        now = self._clock.now()
+        later = [at for at in map(self._retry_at, members) if at > now]
+        retry_after_s = min(later) - now if later else None
         return NoEndpointError(
             f"no endpoint of {job.service} is available out of {len(members)}, "
-            f"{len(limited)} of which limit their requests",
+            f"{len(later)} of which take requests only later",
             retry_after_s=retry_after_s,
         )
 
@@ -200,8 +212,8 @@
             member for member in self._in_reach(job) if self._retry_at(member) <= now
         ]
 
-    def _lacks_permits(self, job: Job) -> bool:
-        """Return whether a job waits for permits of endpoints of its version."""
+    def _must_wait(self, job: Job) -> bool:
+        """Return whether endpoints of a job's version may be tried only later."""
         now = self._clock.now()
         return any(
             self._retry_at(member) > now
@@ -217,5 +229,8 @@
         return [member for member in members if member.name in job.used_endpoints]
 
     def _retry_at(self, member: Member) -> float:
-        """Return the instant from which a permit may be asked for, 0 for now."""
-        return 0.0 if self.permits is None else self.permits.retry_at(member)
+        """Return the instant from which an endpoint may be tried, 0 for now."""
+        paused_until = self.pauses.until(member.incarnation)
+        if self.permits is None:
+            return paused_until
+        return max(paused_until, self.permits.retry_at(member))
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -54,7 +54,7 @@
         attempts that ended since the last question.
     avoided : list of str
         Endpoints that the host takes to be unavailable.
-    service, affinity, shared_tokens, prefill_ktokens, tried, version
+    service, affinity, shared_tokens, prefill_ktokens, tried, version, excluded
         As in `PlacementRequest`.
     """
 
@@ -63,6 +63,7 @@
     load: dict[str, float] = {}
     outcomes: list[tuple[str, float]] = []
     avoided: list[str] = []
+    excluded: list[str] = []
     affinity: str = ""
     shared_tokens: int = 0
     prefill_ktokens: float = 0.0
@@ -149,6 +150,7 @@
             self._gossip.own_load(),
             self._outcomes,
             list(avoided),
+            list(request.excluded),
             request.affinity,
             request.shared_tokens,
             request.prefill_ktokens,
@@ -207,7 +209,11 @@
             COORDINATED_REMOTE_COST,
         )
         # The other host acquires the permit before it sends the attempt.
-        usable = filter(self._permits.can_grant, members.values())
+        usable = [
+            member
+            for member in members.values()
+            if member.name not in question.excluded and self._permits.can_grant(member)
+        ]
         chosen = self._placer.choose(usable, request, now)
         if chosen is None:
             return ""
--- a/tests/gateway/test_shared_placement.py
+++ b/tests/gateway/test_shared_placement.py
@@ -192,6 +192,19 @@
         }
         self.assertEqual(set(), chosen & {"a", "b"})
 
+    async def test_an_endpoint_that_pauses_for_one_host_is_named_to_others_only(self):
+        _, followers = self._fleet()
+        host, other = followers[:2]
+        view = host.world.host_view
+        for name in ("a", "b", "c"):
+            pauses = host.world.dispatcher.placement.pauses
+            pauses.record(view.members[name].incarnation, 5.0, _now())
+        for number in range(4):
+            self.assertEqual(200, (await host.world.send_request(number)).status)
+            self.assertEqual(200, (await other.world.send_request(number)).status)
+        self.assertEqual(["d"] * 4, host.world.attempted_endpoints())
+        self.assertNotEqual({"d"}, set(other.world.attempted_endpoints()))
+
     async def test_unreachable_endpoints_are_probed_by_each_host(self):
         """With advice a host sent no probes, and a request each second to find out."""
         coordinator, followers = self._fleet()
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -120,6 +120,19 @@
             await self.assert_raises_async(EndpointReplacedError, client.send(other))
         self.assertEqual([(NAME, 1.5), (NAME, None), (NAME, 0.25)], seen)
 
+    async def test_the_pause_that_an_endpoint_asks_for_is_passed_on(self):
+        seen = []
+        async with _client() as (platform, client, clock):
+            client.notices = EndpointNotices()
+            client.notices.pauses = lambda member, pause_s: seen.append(pause_s)
+            endpoint = platform.endpoints[NAME]
+            endpoint.set_faults(refuses=True)
+            order = _order(clock, platform.addresses[NAME])
+            for pause in (2.0, "0.25", "1e9", None, "soon", "-3", "0", "nan", "inf"):
+                endpoint.pause_s = pause
+                await self.assert_raises_async(EndpointRefusedError, client.send(order))
+        self.assertEqual([2.0, 0.25, 1e9], seen)
+
     async def test_an_attempt_without_a_connection_was_not_run(self):
         async with _client() as (_, client, clock):
             exc = await self.assert_raises_async(
