Keep limits and pauses of endpoints whose entries lapsed

While the store is away, or just back, endpoints whose entries lapsed stay in use, but their limits and pauses were dropped each second with what isn't listed: a host would have sent to them as before. A departed endpoint that pauses is no last resort either. The new test fails before, as nothing named the endpoints that are still in use.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -372,9 +372,11 @@
                     self.endpoint_client.forget(view.member)
             self.placer.keep_only(members)
             self.host_view.expire_departures()
-            self.endpoint_limits.keep_only(members, self.clock.now())
-            self.permits.keep_only(members)
-            self.endpoint_pauses.keep_only(members, self.clock.now())
+            # While the store is away, endpoints whose entries lapsed stay in use.
+            known = self.host_view.known_endpoints()
+            self.endpoint_limits.keep_only(known, self.clock.now())
+            self.permits.keep_only(known)
+            self.endpoint_pauses.keep_only(known, self.clock.now())
 
     async def _watch_settings(self) -> None:
         """Reload the settings on SIGHUP and periodically."""
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from itertools import chain
 
 import logbook
 
@@ -154,6 +155,11 @@
         listed = {member.incarnation for member in self._listed_members()}
         self._stated_departures.expire(listed, self._clock.now())
 
+    def known_endpoints(self) -> set[tuple[str, int]]:
+        """Return the incarnations of the endpoints in use or departed lately."""
+        departed = (departure.member for departure in self.departed.values())
+        return {member.incarnation for member in chain(self.members.values(), departed)}
+
     def record_store_recovery(self, recovered_at: float | None) -> None:
         """Record when the platform's store last became available after an outage.
 
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -156,7 +156,11 @@
             return self._choose(job, model)
         if chosen is None:
             since = now - DEPARTED_USE_SHARE * self.drain_s
-            departed = self._host_view.departed_since(job.service, since)
+            departed = [
+                member
+                for member in self._host_view.departed_since(job.service, since)
+                if self._retry_at(member) <= now
+            ]
             chosen = self._placer.choose(departed, request, now)
         if chosen is None:
             raise self._no_endpoint(job)
--- a/tests/gateway/test_host_view.py
+++ b/tests/gateway/test_host_view.py
@@ -56,6 +56,14 @@
         world.list_members(["a", "b"])
         self.assertEqual(["b"], self._names(world))
 
+    async def test_an_endpoint_that_lapsed_is_still_known(self):
+        """Its limit and its pause were forgotten while it was in use."""
+        world = World([route()], {"a": [Script()], "b": [Script()]})
+        world.host_view.record_store_recovery(world.clock.now())
+        world.list_members(["b"])
+        self.assertEqual(["a", "b"], self._names(world))
+        self.assertEqual({("a", 1), ("b", 1)}, world.host_view.known_endpoints())
+
     async def test_an_endpoint_that_started_again_is_used(self):
         world = World([route()], {"a": [Script()], "b": [Script()]})
         world.host_view.record_leaving(world.member("a", born_ms=0))
