Keep the small model's answer where all endpoints limit their requests

The answer in which the small model is unsure is dropped for the large model's, which needs a second permit. Where all endpoints are limited there may be none: the caller got 502 though an answer had begun (test: 502 before, the small answer now), and where there is one it is taken from another request.

--- a/radishshift/gateway/endpoint_permits.py
+++ b/radishshift/gateway/endpoint_permits.py
@@ -92,6 +92,10 @@
         if self._session is not None:
             await self._session.close()
 
+    def required(self, member: Member) -> bool:
+        """Return whether a request to an endpoint needs a permit."""
+        return self._limits.per_s(member.incarnation) is not None
+
     def retry_at(self, member: Member) -> float:
         """Return the instant from which a permit may be asked for, 0 for now."""
         if self._limits.per_s(member.incarnation) is None:
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -186,6 +186,12 @@
             self._allowed(job), request, self._clock.now()
         )
 
+    def has_unlimited_endpoint(self, job: Job) -> bool:
+        """Return whether a job may be sent to an endpoint that needs no permit."""
+        return self.permits is None or any(
+            not self.permits.required(member) for member in self._allowed(job)
+        )
+
     def prefill_ktokens(self, job: Job, model: str) -> float:
         """Return thousands of tokens to prefill, weighted by the model's cost.
 
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -162,6 +162,9 @@
         )
         if model is None:
             return False
+        # A second permit would be taken from another request, or not be had at all.
+        if not self._dispatcher.placement.has_unlimited_endpoint(job):
+            return False
         if not self._dispatcher.budget(job.service).try_acquire(now):
             return False
         self.model = model
--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -331,6 +331,26 @@
                 await asyncio.sleep(0.05)
         self.assertEqual(1, len(asked))
 
+    async def test_a_small_answer_is_kept_where_all_endpoints_limit_their_requests(
+        self,
+    ):
+        """It was dropped for the large model's, for which there was no permit."""
+        network = _Network(1, 1, 1, 2)
+        host = network.hosts["edge-0"]
+        world = host.world
+        world.configure([route(RouteKind.STREAM, models=("small", "large"))], 2)
+        for name in network.centre_of:
+            unsure = Script(events=EVENTS, confidence=1.0)
+            world.endpoints.scripts[name] = [unsure]
+            network.limits[name] = LIMIT_PER_S
+            world.limits.record(world.member(name).incarnation, LIMIT_PER_S, _now())
+        host.permits.can_grant(world.member("0-0"))
+        await asyncio.sleep(1.0)
+        caller = await world.send_request(model="*")
+        self.assertEqual(200, caller.status)
+        models = [order.model for order in world.endpoints.attempts]
+        self.assertEqual(["small"], models)
+
     async def test_a_pinned_session_is_refused_rather_than_run_on_another_version(self):
         """The endpoints of its version limit their requests."""
         world = World([STREAM], {"a": [Script(events=EVENTS)]}, versions={"b": "v2"})
