--- a/tests/users_platform/fleets.py
+++ b/tests/users_platform/fleets.py
@@ -3,13 +3,14 @@
 import asyncio
 import os
 import random
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 
 import aiohttp
 from entry import ADAPTER
 from users_platform.settings import read_settings
-from users_platform.standins import StandinPlatform
+from users_platform.standins import StandinPlatform, standin_platform
 
 from radishshift.gateway.gateway_host import GatewayHost
 
@@ -20,6 +21,7 @@
     "KEY",
     "SERVICE",
     "GatewayFleet",
+    "running_fleet",
     "send_plans",
 ]
 
@@ -119,6 +121,21 @@
         await asyncio.gather(*self._running)
 
 
+@asynccontextmanager
+async def running_fleet(
+    host_count: int,
+) -> AsyncIterator[tuple[GatewayFleet, aiohttp.ClientSession]]:
+    """Run hosts before an endpoint in each data centre; yield them with a client."""
+    async with AsyncExitStack() as stack:
+        platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
+        for number, data_centre in enumerate(DATA_CENTRES):
+            await platform.add_endpoint(f"llm-{number}", SERVICE, zone=data_centre)
+        fleet = GatewayFleet(platform, host_count)
+        stack.push_async_callback(fleet.stop)
+        await fleet.start()
+        yield fleet, await stack.enter_async_context(aiohttp.ClientSession())
+
+
 async def send_plans(
     session: aiohttp.ClientSession,
     hosts: Sequence[GatewayHost],
--- a/tests/users_platform/test_endpoint_limits.py
+++ b/tests/users_platform/test_endpoint_limits.py
@@ -5,23 +5,12 @@
 
 import asyncio
 import random
-from contextlib import AsyncExitStack
-
-import aiohttp
-from users_platform.standins import standin_platform
 
 from tests.cases import TestCase
 from tests.limit_rule import MAX_LEARNING_S, most_allowed, most_in_window
-from tests.users_platform.fleets import (
-    CONFIG,
-    DATA_CENTRES,
-    SERVICE,
-    GatewayFleet,
-    send_plans,
-)
+from tests.users_platform.fleets import running_fleet, send_plans
 
 HOST_COUNT = 6
-ENDPOINT_COUNT = 3
 LIMIT_PER_S = 1.2
 INTERVAL_S = 0.04  # between requests, over all hosts
 OBSERVED_S = 6.0  # after the time that hosts have to learn the limit
@@ -31,17 +20,8 @@
 class EndpointLimitsTest(TestCase):
     async def test_an_endpoint_that_limits_its_requests_gets_as_many_as_before(self):
         """Six hosts sent 23 requests in 4 s to an engine that allowed 14."""
-        async with AsyncExitStack() as stack:
-            platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
-            for number in range(ENDPOINT_COUNT):
-                await platform.add_endpoint(
-                    f"llm-{number}", SERVICE, zone=DATA_CENTRES[number]
-                )
-            fleet = GatewayFleet(platform, HOST_COUNT)
-            stack.push_async_callback(fleet.stop)
-            await fleet.start()
-            session = await stack.enter_async_context(aiohttp.ClientSession())
-            limited = platform.endpoints["llm-0"]
+        async with running_fleet(HOST_COUNT) as (fleet, session):
+            limited = fleet.platform.endpoints["llm-0"]
             limited.limit_per_s = LIMIT_PER_S
             rng = random.Random(29)
             began_at = asyncio.get_running_loop().time()
--- a/tests/users_platform/test_leaving_and_pausing.py
+++ b/tests/users_platform/test_leaving_and_pausing.py
@@ -5,22 +5,11 @@
 
 import asyncio
 import random
-from contextlib import AsyncExitStack, asynccontextmanager
-
-import aiohttp
-from users_platform.standins import standin_platform
 
 from tests.cases import TestCase
-from tests.users_platform.fleets import (
-    CONFIG,
-    DATA_CENTRES,
-    SERVICE,
-    GatewayFleet,
-    send_plans,
-)
+from tests.users_platform.fleets import running_fleet, send_plans
 
 HOST_COUNT = 3
-ENDPOINT_COUNT = 3
 INTERVAL_S = 0.03
 DRAIN_S = 2.0  # from the first answer that says so
 PAUSE_S = 3.0
@@ -28,21 +17,6 @@
 MAX_REQUESTS_IN_PAUSE = 2  # of each host
 
 
-@asynccontextmanager
-async def _fleet():
-    async with AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
-        for number in range(ENDPOINT_COUNT):
-            await platform.add_endpoint(
-                f"llm-{number}", SERVICE, zone=DATA_CENTRES[number]
-            )
-        fleet = GatewayFleet(platform, HOST_COUNT)
-        stack.push_async_callback(fleet.stop)
-        await fleet.start()
-        session = await stack.enter_async_context(aiohttp.ClientSession())
-        yield platform, fleet, session
-
-
 def _now():
     return asyncio.get_running_loop().time()
 
@@ -52,8 +26,8 @@
         self,
     ):
         """Guards rule DRAIN: only the store's list was heeded."""
-        async with _fleet() as (platform, fleet, session):
-            leaving = platform.endpoints["llm-0"]
+        async with running_fleet(HOST_COUNT) as (fleet, session):
+            leaving = fleet.platform.endpoints["llm-0"]
             leaving.says_leaving = True
             began_at = _now()
             served = await send_plans(
@@ -70,8 +44,8 @@
 
     async def test_an_endpoint_that_asks_for_a_pause_gets_requests_in_it(self):
         """Guards rule BUDGET: a pause held for the request that was refused only."""
-        async with _fleet() as (platform, fleet, session):
-            pausing = platform.endpoints["llm-0"]
+        async with running_fleet(HOST_COUNT) as (fleet, session):
+            pausing = fleet.platform.endpoints["llm-0"]
             pausing.pause_s = PAUSE_S
             pausing.set_faults(refuses=True)
             served = await send_plans(
