Keep the departure of an endpoint that is still listed

A departure was forgotten after 30 s. Of an endpoint that is listed as leaving for longer a new one was recorded then, so that it became the last resort of requests again for a second (rule DRAIN), and its log line was written again. Found by reading; the new test failed before.

--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -250,7 +250,8 @@
         now = self._clock.now()
         before = self.members
         self.members = {}
-        for member in self._listed_members():
+        listed = list(self._listed_members())
+        for member in listed:
             stated_at = self._stated_departures.since(member.incarnation)
             if member.state is EndpointState.LEAVING or stated_at is not None:
                 at = now if stated_at is None else stated_at
@@ -265,12 +266,13 @@
             previous = before.get(name)
             if previous is None or previous.incarnation != member.incarnation:
                 logger.info("endpoint listed", extra=_log_fields(member, source))
+        names = {member.name for member in listed}
         for name, departure in list(self.departed.items()):
             stated_at = self._stated_departures.since(departure.member.incarnation)
             if stated_at is not None:
                 # An endpoint that has only lapsed may be used for a while.
                 self._record_departure(departure.member, stated_at, "leaving", source)
-            if now - departure.at > DEPARTED_RETENTION_S:
+            if now - departure.at > DEPARTED_RETENTION_S and name not in names:
                 del self.departed[name]
 
     def _listed_members(self) -> Iterable[Member]:
--- a/tests/gateway/test_host_view.py
+++ b/tests/gateway/test_host_view.py
@@ -56,6 +56,17 @@
         world.list_members(["a", "b"])
         self.assertEqual(["b"], self._names(world))
 
+    async def test_an_endpoint_that_leaves_for_long_is_no_last_resort_again(self):
+        """Its departure was forgotten after 30 s and recorded as a new one."""
+        world = World([route()], {"a": [Script()], "b": [Script()]})
+        now = world.clock.now()
+        world.list_members(["a", "b"], leaving=["a"])
+        for age_s in (31.0, 62.0):
+            await world.clock.sleep_until(now + age_s)
+            world.list_members(["a", "b"], leaving=["a"])
+            departed = world.host_view.departed_since(SERVICE, now + age_s - 1.0)
+            self.assertEqual([], list(departed))
+
     async def test_an_endpoint_that_lapsed_is_still_known(self):
         """Its limit and its pause were forgotten while it was in use."""
         world = World([route()], {"a": [Script()], "b": [Script()]})
