Tell peers of a stated departure for ten seconds

Reports of 40 bytes each were repeated in each message for a minute, or while the endpoint was listed: with 32 of them some 1.3 KB a message, where a host may spend 6 KB a second.

--- a/radishshift/decisions/stated_departures.py
+++ b/radishshift/decisions/stated_departures.py
@@ -14,6 +14,7 @@
 __all__ = ["DepartureReport", "StatedDepartures"]
 
 RETENTION_S = 60.0  # since the statement, of an endpoint that is no longer listed
+REPORT_TIME_S = 10.0  # since the statement; by then all hosts have heard of it
 MAX_DEPARTURES_REPORTED = 32
 
 
@@ -56,6 +57,7 @@
         return [
             DepartureReport(name, born_ms, round(now - at, 3))
             for (name, born_ms), at in latest[:MAX_DEPARTURES_REPORTED]
+            if now - at <= REPORT_TIME_S
         ]
 
     def merge(self, reports: Iterable[DepartureReport], now: float) -> bool:
--- a/tests/decisions/test_stated_departures.py
+++ b/tests/decisions/test_stated_departures.py
@@ -1,6 +1,10 @@
 """Tests of the departures that endpoints state in their answers."""
 
-from radishshift.decisions.stated_departures import RETENTION_S, StatedDepartures
+from radishshift.decisions.stated_departures import (
+    REPORT_TIME_S,
+    RETENTION_S,
+    StatedDepartures,
+)
 from tests.cases import TestCase
 
 ENDPOINT = ("a", 1)
@@ -20,6 +24,12 @@
         self.assertTrue(two.merge(one.reports(6.0), 6.0))
         self.assertEqual(5.0, two.since(ENDPOINT))
 
+    def test_old_statements_are_not_repeated(self):
+        """They would fill the messages between hosts while all endpoints leave."""
+        departures = StatedDepartures()
+        departures.record(ENDPOINT, 5.0)
+        self.assertEqual([], departures.reports(5.1 + REPORT_TIME_S))
+
     def test_a_restarted_endpoint_is_not_leaving(self):
         departures = StatedDepartures()
         departures.record(ENDPOINT, 5.0)
