--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -11,14 +11,12 @@
 from radishshift.errors import EndpointRefusedError
 from radishshift.gateway.deployment import RouteKind
 from radishshift.gateway.endpoint_permits import (
-    EndpointPermits,
     PermitQuestion,
     PermitReply,
 )
-from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
-from radishshift.gateway.shared_placement import SharedPlacement, _Question, _Reply
+from radishshift.gateway.shared_placement import _Question, _Reply
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import Script, World, route
 from tests.limit_rule import MAX_LEARNING_S, most_allowed, most_in_window
@@ -102,31 +100,11 @@
         settings = GatewaySettings(
             name, "", data_centre, "", "", "", f"{name}:1", "", "", seeds
         )
-        self.gossip = Gossip(
-            settings,
-            world.clock,
-            world.host_view,
-            world.placer,
-            world.suspects,
-            world.versions,
-            world.limits,
-        )
+        self.gossip = world.gossip(settings)
         self.gossip._send = self._gossip_to
-        self.permits = EndpointPermits(
-            settings, world.clock, world.limits, self.gossip.peers
-        )
+        self.placement, self.permits = world.place_together(settings, self.gossip)
         self.permits._ask = self._ask_permit
-        self.placement = SharedPlacement(
-            settings,
-            world.clock,
-            world.host_view,
-            world.placer,
-            self.gossip,
-            self.permits,
-        )
         self.placement._ask = self._ask_placement
-        world.dispatcher.placement.shared = self.placement
-        world.dispatcher.placement.permits = self.permits
         world.dispatcher.set_host_count(1)
         self._send_to_endpoint = world.endpoints.send
         world.endpoints.send = self._send
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -4,7 +4,6 @@
 
 from radishshift.decisions.crashes import Traits
 from radishshift.gateway.deployment import Rollout, RolloutState
-from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.peer_table import HOST_TIMEOUT_S
@@ -20,15 +19,7 @@
             name, "10.0.0.1", "mbeya", "", "", "", f"{name}:1", "", ""
         )
         self.world.versions._host = name
-        self.gossip = Gossip(
-            self.settings,
-            world.clock,
-            world.host_view,
-            world.placer,
-            world.suspects,
-            world.versions,
-            world.limits,
-        )
+        self.gossip = world.gossip(self.settings)
 
     def receive_from(self, other):
         """Receive a message of another host, encoded and decoded as on the wire."""
--- a/tests/gateway/test_shared_placement.py
+++ b/tests/gateway/test_shared_placement.py
@@ -8,8 +8,6 @@
 from radishshift.decisions.fleet_load import PlacementQuota
 from radishshift.decisions.placing import PlacementRequest
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
-from radishshift.gateway.endpoint_permits import EndpointPermits
-from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.shared_placement import (
@@ -36,29 +34,9 @@
         settings = GatewaySettings(
             name, "", "mbeya", "", "", "", f"{name}:1", "", "", ()
         )
-        world = self.world
-        self.gossip = Gossip(
-            settings,
-            world.clock,
-            world.host_view,
-            world.placer,
-            world.suspects,
-            world.versions,
-            world.limits,
-        )
-        self.permits = EndpointPermits(
-            settings, world.clock, world.limits, self.gossip.peers
-        )
-        self.placement = SharedPlacement(
-            settings,
-            world.clock,
-            world.host_view,
-            world.placer,
-            self.gossip,
-            self.permits,
-        )
+        self.gossip = self.world.gossip(settings)
+        self.placement, _ = self.world.place_together(settings, self.gossip)
         self.placement._ask = self._ask
-        world.dispatcher.placement.shared = self.placement
         self.hosts = hosts
         self.silent = False
         self.questions = []
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -30,6 +30,8 @@
     ServiceShare,
 )
 from radishshift.gateway.dispatch import Dispatcher
+from radishshift.gateway.endpoint_permits import EndpointPermits
+from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.host_view import HostView
 from radishshift.gateway.messages import (
@@ -42,6 +44,7 @@
 from radishshift.gateway.monitor import Monitor
 from radishshift.gateway.object_decoder import ObjectDecoder
 from radishshift.gateway.request_path import RequestPath
+from radishshift.gateway.shared_placement import SharedPlacement
 from radishshift.objects import Kind, Listing, StoredObject
 from radishshift.virtual_time import LoopClock
 
@@ -307,6 +310,28 @@
             async with asyncio.timeout_at(until):
                 await self.configured.wait()
 
+    def gossip(self, settings):
+        """Return the host's gossip, which isn't running."""
+        return Gossip(
+            settings,
+            self.clock,
+            self.host_view,
+            self.placer,
+            self.suspects,
+            self.versions,
+            self.limits,
+        )
+
+    def place_together(self, settings, gossip):
+        """Place with the other hosts; return the shared placement and the permits."""
+        permits = EndpointPermits(settings, self.clock, self.limits, gossip.peers)
+        shared = SharedPlacement(
+            settings, self.clock, self.host_view, self.placer, gossip, permits
+        )
+        self.dispatcher.placement.shared = shared
+        self.dispatcher.placement.permits = permits
+        return shared, permits
+
     def configure(self, routes, version=1, customers=None):
         """Apply a configuration."""
         self.revision += 1
