Stop telling peers of limits that were stated long ago

Each host drops the limits of endpoints that are gone once a second, but learnt them again from a peer that had not yet dropped its own: two hosts passed the limit of a dead endpoint to and fro for ever, with a log line each time. Statements of over 30 s are not passed on; the answers of an endpoint that takes requests renew them. Found by reading the change again; the new test failed before.

--- a/radishshift/decisions/endpoint_limits.py
+++ b/radishshift/decisions/endpoint_limits.py
@@ -24,6 +24,8 @@
 
 # A limit that ended is remembered until no host reports an older statement of it.
 ENDED_RETENTION_S = 30.0
+# Older statements are not passed on: their endpoints are gone, or get no requests.
+REPORT_TIME_S = 30.0
 MAX_LIMITS_REPORTED = 32
 # An unused budget grows to what is allowed within this time, or to this many requests.
 BURST_S = 0.5
@@ -98,6 +100,7 @@
         return [
             LimitReport(name, born_ms, statement.per_s, round(now - statement.at, 3))
             for (name, born_ms), statement in latest[:MAX_LIMITS_REPORTED]
+            if now - statement.at <= REPORT_TIME_S
         ]
 
     def merge(self, reports: Iterable[LimitReport], now: float) -> list[LimitReport]:
--- a/tests/decisions/test_endpoint_limits.py
+++ b/tests/decisions/test_endpoint_limits.py
@@ -43,6 +43,17 @@
         limits.record(ENDPOINT, 1.5, 1.0)
         self.assertIsNone(limits.per_s(("a", 2)))
 
+    def test_hosts_do_not_tell_each_other_for_ever_of_an_endpoint_that_is_gone(self):
+        """Each dropped its limit, and learnt it again from the other."""
+        one, two = EndpointLimits(), EndpointLimits()
+        one.record(ENDPOINT, 1.5, 0.0)
+        for half_second in range(2, 80):
+            now = half_second / 2
+            one.merge(two.reports(now), now)
+            two.merge(one.reports(now), now)
+            (one if half_second % 2 else two).keep_only(set(), now)
+        self.assertEqual((0, 0), (one.count(), two.count()))
+
     def test_limits_of_delisted_endpoints_and_ended_ones_are_dropped(self):
         limits = EndpointLimits()
         limits.record(ENDPOINT, 1.5, 1.0)
