--- a/radishshift/gateway/endpoint_permits.py
+++ b/radishshift/gateway/endpoint_permits.py
@@ -38,7 +38,6 @@
 
     Attributes
     ----------
-    host : str
     endpoint, data_centre : str
         Name and data centre of the endpoint.
     born_ms : int
@@ -47,7 +46,6 @@
         Limit of the endpoint as the sender knows it, in requests per second.
     """
 
-    host: str
     endpoint: str
     born_ms: int
     data_centre: str
@@ -98,7 +96,7 @@
 
     def retry_at(self, member: Member) -> float:
         """Return the instant from which a permit may be asked for, 0 for now."""
-        if self._limits.per_s(member.incarnation) is None:
+        if not self.required(member):
             return 0.0
         return self._retry_at.get(member.incarnation, 0.0)
 
@@ -119,11 +117,7 @@
         if self._clock.now() < self.retry_at(member):
             return False
         question = PermitQuestion(
-            self._settings.host,
-            member.name,
-            member.born_ms,
-            member.data_centre,
-            per_s,
+            member.name, member.born_ms, member.data_centre, per_s
         )
         retry_s = await self._ask_keeper(question)
         if retry_s:
--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -274,7 +274,7 @@
         await network.start()
         await network.stop()
         keeper = network.hosts["edge-0"].gossip.peers.keeper("0-0", "dc-0", _now())
-        question = PermitQuestion("edge-9", "0-0", 1, "dc-0", LIMIT_PER_S)
+        question = PermitQuestion("0-0", 1, "dc-0", LIMIT_PER_S)
         for host in network.hosts.values():
             host.permits.grant(question)
         await asyncio.sleep(1.0)
