Show that hosts cut off from all endpoints serve nothing

Three of six hosts over loopback lose their way to the endpoints: silently, with resets, or for new connections only.

--- a/tests/users_platform/fleets.py
+++ b/tests/users_platform/fleets.py
@@ -13,6 +13,7 @@
 from users_platform.standins import StandinPlatform, standin_platform
 
 from radishshift.gateway.gateway_host import GatewayHost
+from tests.users_platform.cut_links import CutEndpoints
 
 __all__ = [
     "CONFIG",
@@ -94,7 +95,11 @@
 [platform]
 address = "{self.platform.store_address}"
 """
-        return replace(ADAPTER, load_settings=lambda: read_settings(text))
+        return replace(
+            ADAPTER,
+            load_settings=lambda: read_settings(text),
+            make_endpoint_client=CutEndpoints,
+        )
 
     async def start(self) -> None:
         """Start the hosts; return once each knows the others and all endpoints."""
