Relay attempts through peers where a host reaches no endpoint of a service

Callers saw: a host that was partitioned from all endpoints served 0 to 4 of some 70 requests at the first attempt and refused the rest, while the hosts beside it served all.

Cause: a host had no way to an endpoint but its own, although the host and its peers reached each other and the peers reached the endpoints.

A host now records per service whether its new attempts and connections reach any endpoint. Where none is reached, or where a request has found no connection, the attempt goes to a peer that says in gossip how long ago it reached the service. The peer chooses the endpoint, with its own permits, pauses and departures, and relays the answer; it never hands an attempt on. The host that has the request keeps it: retries, escalation, resumed streams and the verdict work as with an endpoint. If no peer reaches the service either, requests are rejected at once. The end of the cut is noticed by connection probes, two endpoints in a row.

Ruled out by the logs: slow detection (the requests ended after 50 ms with 20 s left).

--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -4,6 +4,7 @@
 fields `verdict` and `request_id`.
 """
 
+from collections.abc import Iterator
 from typing import Any, ClassVar
 
 from radishshift.verdicts import Verdict
@@ -25,6 +26,7 @@
     "EndpointUnreachableError",
     "GoneError",
     "HeadersTooLargeError",
+    "HelperUnavailableError",
     "InProgressError",
     "InternalError",
     "KeyReusedError",
@@ -335,6 +337,12 @@
     default_verdict = Verdict.NOT_RUN
 
 
+class HelperUnavailableError(EndpointUnreachableError):
+    """A peer that was to relay an attempt could not be reached, or declined it."""
+
+    code = "helper-unavailable"
+
+
 class EndpointRefusedError(EndpointError):
     """The endpoint reported that it did not run the request."""
 
@@ -422,9 +430,7 @@
     values : dict
         The `error` object of `RadishshiftError.body`.
     """
-    classes_by_code = {cls.code: cls for cls in RadishshiftError.__subclasses__()}
-    for cls in list(classes_by_code.values()):
-        classes_by_code |= {sub.code: sub for sub in cls.__subclasses__()}
+    classes_by_code = {cls.code: cls for cls in _subclasses(RadishshiftError)}
     cls = classes_by_code.get(str(values.get("code")), InternalError)
     if cls is SettingsError:
         cls = InternalError
@@ -433,3 +439,13 @@
         verdict=Verdict(values.get("verdict", Verdict.MAY_HAVE_RUN)),
         retry_after_s=values.get("retry_after_s"),
     )
+
+
+def _subclasses(base: type[RadishshiftError]) -> Iterator[type[RadishshiftError]]:
+    """Yield the classes derived from one, the nearest to it last.
+
+    A class without a code of its own is left to the one that it shares the code with.
+    """
+    for cls in base.__subclasses__():
+        yield from _subclasses(cls)
+        yield cls
--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -32,6 +32,10 @@
 
     Attributes
     ----------
+    member : Member
+        The endpoint, or the peer that relays the attempt until it names the endpoint.
+    view : EndpointView
+        What this host knows of the way to the endpoint or to the peer.
     began_at : float
     first_at_endpoint : bool
         Whether the request had no earlier attempt at the endpoint.
@@ -43,6 +47,8 @@
         Whether bytes of the answer's body have been received.
     sound : bool
         Whether the answer went on for so long that the request crashes no endpoints.
+    helper : str
+        Peer that relays the attempt, or empty.
     """
 
     job: Job
@@ -58,6 +64,7 @@
     last_byte_at: float = 0.0
     mean_first_event_s: float = 0.0
     prefill_ktokens: float = 0.0
+    helper: str = ""
 
     @property
     def silence_timeout_s(self) -> float:
--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -51,9 +51,9 @@
 
 async def _attempt(dispatcher: Dispatcher, job: Job) -> tuple[EndpointAnswer, bytes]:
     dispatcher.check_before_attempt(job)
-    member = await dispatcher.placement.place(job)
+    target = await dispatcher.choose_target(job)
     dispatcher.check_before_attempt(job)  # placement takes time
-    with dispatcher.attempt(job, member, "") as attempt:
+    with dispatcher.attempt(job, target, "") as attempt:
         answer = await dispatcher.open(attempt)
         body = await answer.read()
         check_signature(answer)
--- a/radishshift/gateway/connection_prober.py
+++ b/radishshift/gateway/connection_prober.py
@@ -1,6 +1,7 @@
 """Connection probes that test in the background whether endpoints are reachable."""
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -20,11 +21,19 @@
     ----------
     clock : Clock
     client : EndpointClient
+
+    Attributes
+    ----------
+    on_outcome : callable
+        Called with the view and the outcome after each probe.
     """
 
     def __init__(self, clock: Clock, client: EndpointClient) -> None:
         self._clock = clock
         self._client = client
+        self.on_outcome: Callable[[EndpointView, ProbeOutcome], None] = (
+            lambda view, outcome: None
+        )
         self._running_probes: dict[tuple[str, int], asyncio.Task[None]] = {}
 
     def probe(self, view: EndpointView) -> None:
@@ -49,3 +58,4 @@
             view.record_reachable(now, outcome is ProbeOutcome.OPENED)
         if view.unreachable is not was_unreachable:
             logger.info("connection to {}: {}", view.member.name, outcome.value)
+        self.on_outcome(view, outcome)
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -30,6 +30,8 @@
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.messages import EndpointAnswer, EndpointClient
 from radishshift.gateway.placement import Placement
+from radishshift.gateway.relay_client import Helper, RelayClient
+from radishshift.gateway.service_monitor import ServiceMonitor
 from radishshift.gateway.shared_placement import FAILED_OUTCOME, UNREACHABLE_OUTCOME
 from radishshift.verdicts import Verdict
 
@@ -46,6 +48,8 @@
 SOUND_AFTER_S = 1.0
 # Longer than callers of such requests wait, so that they give up instead of retrying.
 POISON_RETRY_AFTER_S = 30.0
+# A peer that relays an attempt notices first that its endpoint is silent.
+RELAY_STALL_FACTOR = 1.5
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
 
 logger = logbook.Logger("dispatch")
@@ -69,6 +73,10 @@
     ----------
     placement : Placement
         Chooses the endpoints.
+    services : ServiceMonitor
+        Knows which services this host reaches.
+    relays : RelayClient or None
+        Has attempts relayed by peers; None if there are none.
     on_crash : callable
         Called after a crash of an endpoint was recorded.
     """
@@ -98,6 +106,10 @@
         self.placement = Placement(
             clock, data_centre, host_view, placer, self._prober, bounds.drain_s
         )
+        self.services = ServiceMonitor(
+            clock, data_centre, host_view, placer, self._prober
+        )
+        self.relays: RelayClient | None = None
 
     def budget(self, service: str) -> HostRetryBudget:
         """Return this host's retry budget for a service."""
@@ -115,12 +127,31 @@
         for budget in self._budgets.values():
             budget.host_count = host_count
 
+    async def choose_target(self, job: Job, model: str = "") -> Member | Helper:
+        """Return the endpoint for the next attempt, or the peer to relay it.
+
+        Raises
+        ------
+        NoEndpointError
+        """
+        helper = None if self.relays is None else self.relays.choose(job)
+        return helper or await self.placement.place(job, model)
+
     @contextmanager
-    def attempt(self, job: Job, member: Member, model: str) -> Iterator[Attempt]:
+    def attempt(
+        self, job: Job, target: Member | Helper, model: str
+    ) -> Iterator[Attempt]:
         """Track an attempt while it runs, and record how it fails."""
         now = self.clock.now()
-        view = self._placer.view(member)
-        attempt = Attempt(job, member, view, model, now, last_byte_at=now)
+        if isinstance(target, Helper):
+            view = self.relays.view(target)
+            member, helper = target.member, target.host
+        else:
+            view = self._placer.view(target)
+            member, helper = target, ""
+        attempt = Attempt(
+            job, member, view, model, now, last_byte_at=now, helper=helper
+        )
         attempt.mean_first_event_s = self.mean_first_event_s(job, model)
         attempt.prefill_ktokens = self.placement.prefill_ktokens(job, model)
         view.attempt_started(attempt.prefill_ktokens)
@@ -149,8 +180,7 @@
         EndpointError
         """
         job = attempt.job
-        order = job.order(attempt.member, attempt.model, last_event_id)
-        sending = asyncio.ensure_future(self._client.send(order))
+        sending = asyncio.ensure_future(self._send(attempt, last_event_id))
         try:
             # A stream may be retried at an endpoint that it has used.
             may_give_up = job.route.idempotent and (
@@ -161,11 +191,25 @@
             if not sending.done():
                 sending.cancel()
         attempt.answer = sending.result()
+        if not attempt.helper:
+            self.services.record_answer(attempt.member)
         self._end_prefill(attempt)
         attempt.answered_at = self.clock.now()
         attempt.record_bytes(attempt.answered_at)
         return attempt.answer
 
+    async def _send(self, attempt: Attempt, last_event_id: str) -> EndpointAnswer:
+        job = attempt.job
+        if not attempt.helper:
+            order = job.order(attempt.member, attempt.model, last_event_id)
+            return await self._client.send(order)
+        reply = await self.relays.send(attempt, last_event_id)
+        if reply.endpoint is not None:
+            _set_endpoint(attempt, reply.endpoint)
+        if reply.error is not None:
+            raise reply.error
+        return reply.answer
+
     def _end_prefill(self, attempt: Attempt) -> None:
         attempt.view.prefill_done(attempt.prefill_ktokens)
         attempt.prefill_ktokens = 0.0
@@ -199,6 +243,7 @@
             done, _ = await asyncio.wait((sending,), timeout=SILENCE_CHECK_INTERVAL_S)
             if done:
                 return
+            self._probe_if_silent(attempt)
             if may_give_up:
                 self._check_silence(attempt)
 
@@ -217,15 +262,31 @@
             return
         if overdue_ratio > (
             1.0
-            if self.placement.has_alternative(
-                attempt.job, attempt.model, attempt.member
-            )
+            if self._has_alternative(attempt)
             else TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE
         ):
             raise StreamStalledError(
                 f"no data received for {now - attempt.last_byte_at:.1f} s"
             )
 
+    def _has_alternative(self, attempt: Attempt) -> bool:
+        """Return whether an attempt could be replaced by one that goes another way."""
+        job = attempt.job
+        if self.relays is not None and self.services.tracker.lost(job.service):
+            return self.relays.has_other(job)
+        return not attempt.helper and self.placement.has_alternative(
+            job, attempt.model, attempt.member
+        )
+
+    def _probe_if_silent(self, attempt: Attempt) -> None:
+        """Probe the other side of an attempt that has received nothing for a while."""
+        now = self.clock.now()
+        view = attempt.view
+        quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
+        since_probe_s = now - max(view.last_reachable_at, view.last_unreachable_at)
+        if quiet_s > attempt.silence_timeout_s and since_probe_s > PROBE_AFTER_S:
+            self._prober.probe(view)
+
     def _overdue_ratio(self, attempt: Attempt, now: float) -> float:
         """Return the time without data as a multiple of the silence timeout.
 
@@ -235,11 +296,11 @@
         """
         view = attempt.view
         attempt_overdue = (now - attempt.last_byte_at) / attempt.stall_timeout_s
+        if attempt.helper:
+            attempt_overdue /= RELAY_STALL_FACTOR
         quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
         if attempt.job.route.kind is RouteKind.STREAM:
-            since_probe_s = now - max(view.last_reachable_at, view.last_unreachable_at)
-            if min(quiet_s, since_probe_s) > PROBE_AFTER_S:
-                self._prober.probe(view)
+            self._probe_if_silent(attempt)
             if not view.unreachable or view.last_unreachable_at <= attempt.last_byte_at:
                 return attempt_overdue
         return max(attempt_overdue, quiet_s / attempt.silence_timeout_s)
@@ -285,7 +346,8 @@
         learn = not self.versions.is_new(job.service, version)
         ratio = self.times.observe(key, took_s, learn)
         attempt.view.record_latency_ratio(ratio)
-        self._share_outcome(attempt, ratio)
+        if not attempt.helper:
+            self._share_outcome(attempt, ratio)
         self.versions.record_time(
             job.service, version, job.route.name, ratio, self.clock.now()
         )
@@ -323,9 +385,28 @@
                 job.used_endpoints.remove(name)
         else:
             job.may_have_run = True
+        if attempt.helper:
+            self._record_relay_failure(attempt, exc)
+        else:
+            self._record_endpoint_failure(attempt, exc, now)
+        self._log_failure(attempt, exc, now)
+
+    def _record_relay_failure(self, attempt: Attempt, exc: EndpointError) -> None:
+        """Record what this host alone can tell; the peer records the rest."""
+        if type(exc) is EndpointError and attempt.answer is not None:
+            self.record_version_answer(attempt, False)
+        elif isinstance(exc, StreamStalledError):
+            self.relays.record_failure(attempt.helper)
+
+    def _record_endpoint_failure(
+        self, attempt: Attempt, exc: EndpointError, now: float
+    ) -> None:
+        job = attempt.job
         refused = isinstance(exc, EndpointRefusedError)
         if isinstance(exc, EndpointUnreachableError):
+            job.unreachable_attempts += 1
             attempt.view.record_unreachable(now)
+            self.services.record_failure(attempt.member)
         if isinstance(exc, StreamStalledError):
             self._record_stall(attempt)
         if not refused or isinstance(exc, EndpointReplacedError):
@@ -342,11 +423,15 @@
             if crashed and self._may_have_crashed(attempt, now):
                 self._record_crash(attempt, now)
             self.record_version_answer(attempt, False)
+
+    def _log_failure(self, attempt: Attempt, exc: EndpointError, now: float) -> None:
+        job = attempt.job
         logger.info(
             "attempt failed",
             extra={
                 "request_id": job.req.request_id,
-                "endpoint": name,
+                "endpoint": attempt.member.name,
+                "helper": attempt.helper,
                 "version": attempt.member.version,
                 "model": attempt.model,
                 "error": exc.code,
@@ -404,6 +489,17 @@
             )
 
 
+def _set_endpoint(attempt: Attempt, member: Member) -> None:
+    """Record at which endpoint a peer makes an attempt."""
+    job = attempt.job
+    if attempt.first_at_endpoint:
+        job.used_endpoints.remove(attempt.member.name)
+    attempt.member = member
+    attempt.first_at_endpoint = member.name not in job.used_endpoints
+    if attempt.first_at_endpoint:
+        job.used_endpoints.append(member.name)
+
+
 def _prompt_units(job: Job) -> float:
     """Return the time to a first event as a multiple of that for an empty prompt."""
     return 1 + job.req.prompt_tokens / TOKENS_PER_PROMPT_UNIT
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -30,6 +30,9 @@
 from radishshift.gateway.monitored_platform import MonitoredPlatform
 from radishshift.gateway.object_decoder import ObjectDecoder
 from radishshift.gateway.platform_sync import PlatformSync
+from radishshift.gateway.relay_client import PATH as RELAY_PATH
+from radishshift.gateway.relay_client import RelayClient
+from radishshift.gateway.relay_server import RelayServer
 from radishshift.gateway.request_path import RequestPath
 from radishshift.gateway.rollout_duty import RolloutDuty
 from radishshift.gateway.shared_placement import PATH as PLACEMENT_PATH
@@ -157,6 +160,7 @@
         self.dispatcher.placement.shared = self.shared_placement
         self.dispatcher.placement.permits = self.permits
         self.dispatcher.placement.pauses = self.endpoint_pauses
+        self._connect_relays()
         self.platform_sync = PlatformSync(
             settings.host,
             self.platform,
@@ -194,11 +198,40 @@
         self._caller_server: web.Server | None = None
         self._drain_until = math.inf
 
+    def _connect_relays(self) -> None:
+        """Let this host relay attempts for its peers, and they for it."""
+        services = self.dispatcher.services
+        tracker = services.tracker
+        self.relay_client = RelayClient(
+            self.settings,
+            self.clock,
+            self.gossip.peers,
+            services,
+            lambda service: {
+                member.name for member in self.host_view.members_of(service)
+            },
+        )
+        self.relay_server = RelayServer(
+            self.clock, self.dispatcher, tracker, lambda: self.stopping
+        )
+        self.dispatcher.relays = self.relay_client
+        services.on_change = self._announce_change
+        self.gossip.reached_ages_s = lambda now: (
+            {} if self.stopping else tracker.reached_ages_s(now)
+        )
+        self.gossip.relaying = lambda: self.relay_server.in_flight
+        self.gossip.seeks_helpers = lambda: bool(tracker.lost_services())
+
     @property
     def stopping(self) -> bool:
         """Return whether the host has begun to stop."""
         return self._stop.is_set()
 
+    @property
+    def in_flight(self) -> int:
+        """Return the requests and the attempts of peers without a final answer."""
+        return self.request_path.in_flight + self.relay_server.in_flight
+
     def ready(self) -> bool:
         """Return whether load balancers should send connections to the host."""
         return (
@@ -223,11 +256,13 @@
             stack.push_async_callback(self.platform.close)
             stack.push_async_callback(self.shared_placement.close)
             stack.push_async_callback(self.permits.close)
+            stack.push_async_callback(self.relay_client.close)
             await self._listen(stack)
             self._spawn(self.platform_sync.run())
             self._spawn(self.gossip.run())
             self._spawn(self.rollout_duty.run())
             self._spawn(self.blocked_part_duty.run())
+            self._spawn(self.dispatcher.services.run())
             self._spawn(self._clean_up())
             self._spawn(self._watch_settings())
             await self._stop.wait()
@@ -264,7 +299,7 @@
 
     async def _close_client(self) -> None:
         """Close the connections to endpoints, unless attempts still run."""
-        if not self.request_path.in_flight:
+        if not self.in_flight:
             await self.endpoint_client.close()
 
     def _stop_by_signal(self) -> None:
@@ -287,7 +322,9 @@
             settings.ready_address: web.Server(
                 self._adapter.make_ready_handler(self.ready), access_log=None
             ),
-            settings.peer_address: web.Server(self._answer_peer, access_log=None),
+            settings.peer_address: web.Server(
+                self._answer_peer, handler_cancellation=True, access_log=None
+            ),
             settings.metrics_address: web.Server(self._metrics, access_log=None),
             settings.caller_address: self._caller_server,
         }
@@ -302,6 +339,8 @@
     async def _answer_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == PLACEMENT_PATH:
             return await self.shared_placement.handle(request)
+        if request.path == RELAY_PATH:
+            return await self.relay_server.handle(request)
         if request.path == PERMIT_PATH:
             return await self.permits.handle(request)
         return await self.gossip.handle(request)
@@ -311,6 +350,7 @@
 
     def _register_gauges(self) -> None:
         register = self.monitor.add_gauge
+        tracker = self.dispatcher.services.tracker
         register("in_flight", lambda: self.request_path.in_flight)
         register("configuration_version", lambda: self.host_view.version)
         register("endpoints", lambda: len(self.host_view.members))
@@ -323,6 +363,12 @@
         register(
             "paused_endpoints", lambda: self.endpoint_pauses.count(self.clock.now())
         )
+        register("lost_services", lambda: len(tracker.lost_services()))
+        register("relays_sent", lambda: self.relay_client.handed_on)
+        register("relays_rejected", lambda: self.relay_client.rejected)
+        register("relays_served", lambda: self.relay_server.relayed)
+        register("relays_declined", lambda: self.relay_server.declined)
+        register("relays_in_flight", lambda: self.relay_server.in_flight)
         register("store_calls", lambda: self.platform.calls)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
@@ -410,5 +456,5 @@
             # A signal may come during a stop that began without one.
             self.request_path.exits_at = self._drain_until
             await asyncio.sleep(DRAIN_POLL_S)
-            if self.clock.now() >= earliest_exit and not self.request_path.in_flight:
+            if self.clock.now() >= earliest_exit and not self.in_flight:
                 return
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -59,6 +59,9 @@
     peers : PeerTable
     fleet_load : FleetLoad
         Load that the other hosts of this data centre and the other data centres report.
+    reached_ages_s, relaying, seeks_helpers : callable
+        Tell which services this host reaches, how many attempts it relays for peers,
+        and whether it needs peers to relay its own.
     """
 
     def __init__(
@@ -87,6 +90,9 @@
         self._coordinator: str | None = None
         self.on_change: Callable[[list[Kind]], None] = lambda kinds: None
         self.store_lost: Callable[[], bool] = lambda: False
+        self.reached_ages_s: Callable[[float], dict[str, float]] = lambda now: {}
+        self.relaying: Callable[[], int] = lambda: 0
+        self.seeks_helpers: Callable[[], bool] = lambda: False
 
     def live_hosts(self) -> list[str]:
         """Return the sorted names of the live hosts, including this one."""
@@ -156,7 +162,10 @@
         self._session = keepalive_session(idle_s=5.0)
         try:
             while True:
-                addresses = self.peers.for_round(self._clock.now())
+                now = self._clock.now()
+                addresses = self.peers.for_round(now)
+                if self.seeks_helpers():
+                    addresses = {*addresses, *self.peers.for_help(now)}
                 await asyncio.gather(*map(self._gossip_with, addresses))
                 self._log_coordinator()
                 self._update_peer_load()
@@ -192,7 +201,10 @@
         pause_s = max(0.0, self._next_push_at + CHANGE_BATCH_S - now)
         self._next_push_at = now + pause_s
         await asyncio.sleep(pause_s)
-        chosen = self.peers.for_change(self._clock.now())
+        now = self._clock.now()
+        chosen = self.peers.for_change(now)
+        if self.seeks_helpers():
+            chosen = {*chosen, *self.peers.for_help(now)}
         await asyncio.gather(
             *(self._gossip_with(address, brief=True) for address in chosen)
         )
@@ -251,6 +263,8 @@
             sound_ages_s=self._suspects.sound_ages_s(now),
             limits=self._limits.reports(now),
             departures=self._host_view.departure_reports(),
+            reached=self.reached_ages_s(now),
+            relaying=self.relaying(),
             trials={
                 service: RolloutEvidence(
                     canary.rollout.target,
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -83,6 +83,10 @@
         What endpoints have last stated of their limits, as far as the sender knows.
     departures : list of DepartureReport
         Endpoints that have said in answers that they leave, as far as the sender knows.
+    reached : dict of str to float
+        Services that the sender reaches, and the seconds since it last did.
+    relaying : int
+        Attempts that the sender relays for its peers.
     trials : dict of str to RolloutEvidence
         Evidence on the roll-outs in progress, by service.
     tables : dict of str to TableDelta
@@ -105,5 +109,7 @@
     sound_ages_s: dict[str, float] = {}
     limits: list[LimitReport] = []
     departures: list[DepartureReport] = []
+    reached: dict[str, float] = {}
+    relaying: int = 0
     trials: dict[str, RolloutEvidence] = {}
     tables: dict[str, TableDelta] = {}
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -38,6 +38,10 @@
         Whether an attempt may have run.
     coordinated : int
         Number of attempts whose endpoint the coordinator named.
+    unreachable_attempts : int
+        Number of attempts for which this host could open no connection.
+    helpers : list of str
+        Peers that were asked to relay an attempt.
     """
 
     req: CallerRequest
@@ -52,6 +56,8 @@
     failed_endpoints: list[str] = field(default_factory=list)
     may_have_run: bool = False
     coordinated: int = 0
+    unreachable_attempts: int = 0
+    helpers: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Compute the traits."""
@@ -63,6 +69,14 @@
         shared = (part.digest for part in parts)
         self.traits = Traits.of(digest.hexdigest(), self.service, shared)
 
+    @classmethod
+    def relayed(
+        cls, req: CallerRequest, route: Route, service: str, customer: str, **state
+    ) -> "Job":
+        """Return the job of a peer's request, with the deadline that the peer set."""
+        owner = Customer(customer) if customer else None
+        return cls(req, route, service, owner, req.deadline, **state)
+
     @property
     def endpoints_left(self) -> int:
         """Return to how many further endpoints it may be sent."""
--- a/radishshift/gateway/peer_table.py
+++ b/radishshift/gateway/peer_table.py
@@ -29,6 +29,9 @@
 # of the hosts.
 CHANGE_FANOUT = 4
 REMOTE_CHANGE_FANOUT = 1  # of these, from a large data centre
+# Peers per round that a host without a way to a service asks for help.
+LOCAL_HELP_FANOUT = 2
+REMOTE_HELP_FANOUT = 4
 # A host from which no host has received a message for this long counts as dead.
 HOST_TIMEOUT_S = 4.0
 MAX_FAILURES = 2  # of requests in a row, after which a host counts as dead, too
@@ -361,6 +364,16 @@
         chosen = self._sample(remote, REMOTE_CHANGE_FANOUT)
         return chosen + self._sample(sorted(local), CHANGE_FANOUT - len(chosen))
 
+    def for_help(self, now: float) -> list[str]:
+        """Return the addresses to ask which services their hosts reach."""
+        addresses = self._addresses(now)
+        local = self._local_addresses()
+        remote = [address for address in addresses if address not in local]
+        return [
+            *self._sample(sorted(local), LOCAL_HELP_FANOUT),
+            *self._sample(remote, REMOTE_HELP_FANOUT),
+        ]
+
     def _sample(self, addresses: list[str], count: int) -> list[str]:
         return self._random.sample(addresses, min(count, len(addresses)))
 
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -228,6 +228,7 @@
                 "version": job.version,
                 "attempts": job.attempts,
                 "coordinated": job.coordinated,
+                "helpers": job.helpers,
                 "endpoints": job.used_endpoints,
                 "failed": job.failed_endpoints,
                 "left_s": round(job.deadline - self._dispatcher.clock.now(), 3),
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -104,9 +104,9 @@
         dispatcher = self._dispatcher
         job = self._job
         dispatcher.check_before_attempt(job)
-        member = await dispatcher.placement.place(job, self.model)
+        target = await dispatcher.choose_target(job, self.model)
         dispatcher.check_before_attempt(job)  # placement takes time
-        with dispatcher.attempt(job, member, self.model) as attempt:
+        with dispatcher.attempt(job, target, self.model) as attempt:
             resume_after_id = self._buffer.last_event_id or job.req.last_event_id
             answer = await dispatcher.open(attempt, resume_after_id)
             job.may_have_run = True
--- a/tests/users_platform/cut_links.py
+++ b/tests/users_platform/cut_links.py
@@ -67,6 +67,8 @@
     cut_services: set[str] | None = None
 
     def _cut_from(self, member) -> Cut:
+        if not member.service:
+            return Cut.NONE  # a peer
         services = self.cut_services
         return self.cut if services is None or member.service in services else Cut.NONE
 
