Count an attempt that a peer relays as one endpoint, not two

A booking, which may be sent to one endpoint, was refused by the peer: the order named the peer itself among the endpoints in use, so none was left. Found by the test of a host that has lost one of two services.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -206,6 +206,9 @@
         reply = await self.relays.send(attempt, last_event_id)
         if reply.endpoint is not None:
             _set_endpoint(attempt, reply.endpoint)
+        elif not isinstance(reply.error, EndpointError) and attempt.first_at_endpoint:
+            # The peer has sent nothing, and no further attempt follows.
+            job.used_endpoints.remove(attempt.member.name)
         if reply.error is not None:
             raise reply.error
         return reply.answer
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -196,6 +196,7 @@
         self._reload = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._caller_server: web.Server | None = None
+        self._peer_server: web.Server | None = None
         self._drain_until = math.inf
 
     def _connect_relays(self) -> None:
@@ -318,13 +319,14 @@
         self._caller_server = self._adapter.make_caller_server(
             self.request_path.handle, self.clock, lambda: self.stopping
         )
+        self._peer_server = web.Server(
+            self._answer_peer, handler_cancellation=True, access_log=None
+        )
         servers = {
             settings.ready_address: web.Server(
                 self._adapter.make_ready_handler(self.ready), access_log=None
             ),
-            settings.peer_address: web.Server(
-                self._answer_peer, handler_cancellation=True, access_log=None
-            ),
+            settings.peer_address: self._peer_server,
             settings.metrics_address: web.Server(self._metrics, access_log=None),
             settings.caller_address: self._caller_server,
         }
--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -267,25 +267,11 @@
         """
         host = attempt.helper
         order = relay_order(
-            self._settings.host,
-            attempt.job,
-            attempt.model,
-            last_event_id,
-            self._clock.now(),
+            self._settings.host, attempt, last_event_id, self._clock.now()
         )
-        if self._session is None:
-            self._session = keepalive_session(
-                IDLE_TIMEOUT_S, READ_BUFFER_BYTES, (MAX_HEAD_BYTES, MAX_REPLY_BYTES)
-            )
+        address = attempt.view.member.address
         try:
-            resp = await self._session.post(
-                f"http://{attempt.view.member.address}{PATH}",
-                data=encode_message(order),
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-                timeout=aiohttp.ClientTimeout(
-                    total=None, sock_connect=CONNECT_TIMEOUT_S
-                ),
-            )
+            resp = await self._post(address, encode_message(order))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             self.record_failure(host)
             raise HelperUnavailableError(
@@ -300,6 +286,18 @@
             resp.close()
             raise
 
+    async def _post(self, address: str, body: bytes) -> aiohttp.ClientResponse:
+        if self._session is None:
+            self._session = keepalive_session(
+                IDLE_TIMEOUT_S, READ_BUFFER_BYTES, (MAX_HEAD_BYTES, MAX_REPLY_BYTES)
+            )
+        return await self._session.post(
+            f"http://{address}{PATH}",
+            data=body,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        )
+
     async def _read_head(
         self, resp: aiohttp.ClientResponse, attempt: Attempt
     ) -> RelayReply:
--- a/radishshift/gateway/relay_messages.py
+++ b/radishshift/gateway/relay_messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.deployment import Member, Route, RouteKind
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.messages import CallerRequest, HeaderList, PromptPart
@@ -160,10 +161,14 @@
 
 
 def relay_order(
-    sender: str, job: Job, model: str, last_event_id: str, now: float
+    sender: str, attempt: Attempt, last_event_id: str, now: float
 ) -> RelayOrder:
-    """Return the order for an attempt of a job."""
+    """Return the order for an attempt."""
+    job = attempt.job
     req = job.req
+    used = list(job.used_endpoints)
+    if attempt.first_at_endpoint:
+        used.remove(attempt.member.name)  # stands for the endpoint, not chosen yet
     route = job.route
     return RelayOrder(
         sender=sender,
@@ -186,10 +191,10 @@
         prompt_tokens=req.prompt_tokens,
         answer_tokens=req.answer_tokens,
         parts=[(part.digest, part.tokens) for part in req.parts],
-        model=model,
+        model=attempt.model,
         last_event_id=last_event_id,
         version=job.version,
-        used=list(job.used_endpoints),
+        used=used,
         failed=list(job.failed_endpoints),
         may_have_run=job.may_have_run,
     )
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -82,6 +82,17 @@
             logger.warning("malformed relay order: {}", exc)
             return web.Response(status=400)
         resp = web.StreamResponse()
+        await self.relay(order, job, request, resp)
+        return resp
+
+    async def relay(
+        self,
+        order: RelayOrder,
+        job: Job,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+    ) -> None:
+        """Make the attempt of an order, and send its outcome as the response."""
         relay = _Relay(self._dispatcher, order, job, request, resp)
         self.in_flight += 1
         outcome = "cancelled"
@@ -117,7 +128,6 @@
                     "relaying": self.in_flight,
                 },
             )
-        return resp
 
     def _check_may_relay(self, service: str) -> None:
         """Raise if this host cannot help.
--- a/tests/users_platform/fleets.py
+++ b/tests/users_platform/fleets.py
@@ -18,6 +18,7 @@
 __all__ = [
     "CONFIG",
     "DATA_CENTRES",
+    "DESK",
     "HOST_HEADER",
     "KEY",
     "SERVICE",
@@ -29,7 +30,9 @@
 KEY = "key-of-ring"
 HOST_HEADER = "ring.example"
 SERVICE = "advice"
+DESK = "desk"
 DATA_CENTRES = ("mbeya", "iringa", "dodoma")
+ENDPOINT_NAMES = {SERVICE: "llm", DESK: "desk"}
 # Below the kernel's range of ephemeral ports.
 CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7101, 7102, 7103, 7104
 
@@ -47,9 +50,19 @@
             "service": SERVICE,
             "maxAttempts": 3,
             "resumable": True,
-        }
+        },
+        {
+            "name": "book",
+            "host": HOST_HEADER,
+            "pathPrefix": "/book/",
+            "type": "unsafe",
+            "timeoutMs": 5000,
+            "sloMs": 300,
+            "service": DESK,
+            "maxAttempts": 1,
+        },
     ],
-    "services": [{"name": SERVICE}],
+    "services": [{"name": SERVICE}, {"name": DESK}],
     "tenants": [{"name": "ring", "apiKeys": [KEY]}],
 }
 
@@ -129,12 +142,15 @@
 @asynccontextmanager
 async def running_fleet(
     host_count: int,
+    services: Sequence[str] = (SERVICE,),
 ) -> AsyncIterator[tuple[GatewayFleet, aiohttp.ClientSession]]:
     """Run hosts before an endpoint in each data centre; yield them with a client."""
     async with AsyncExitStack() as stack:
         platform = await stack.enter_async_context(standin_platform(CONFIG, ()))
         for number, data_centre in enumerate(DATA_CENTRES):
-            await platform.add_endpoint(f"llm-{number}", SERVICE, zone=data_centre)
+            for service in services:
+                name = f"{ENDPOINT_NAMES[service]}-{number}"
+                await platform.add_endpoint(name, service, zone=data_centre)
         fleet = GatewayFleet(platform, host_count)
         stack.push_async_callback(fleet.stop)
         await fleet.start()
