--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -31,8 +31,7 @@
 from radishshift.gateway.object_decoder import ObjectDecoder
 from radishshift.gateway.platform_sync import PlatformSync
 from radishshift.gateway.relay_client import PATH as RELAY_PATH
-from radishshift.gateway.relay_client import RelayClient
-from radishshift.gateway.relay_server import RelayServer
+from radishshift.gateway.relays import Relays
 from radishshift.gateway.request_path import RequestPath
 from radishshift.gateway.rollout_duty import RolloutDuty
 from radishshift.gateway.shared_placement import PATH as PLACEMENT_PATH
@@ -160,7 +159,15 @@
         self.dispatcher.placement.shared = self.shared_placement
         self.dispatcher.placement.permits = self.permits
         self.dispatcher.placement.pauses = self.endpoint_pauses
-        self._connect_relays()
+        self.relays = Relays(
+            settings,
+            self.clock,
+            self.host_view,
+            self.dispatcher,
+            self.gossip,
+            lambda: self.stopping,
+        )
+        self.dispatcher.services.on_change = self._announce_change
         self.platform_sync = PlatformSync(
             settings.host,
             self.platform,
@@ -199,30 +206,6 @@
         self._peer_server: web.Server | None = None
         self._drain_until = math.inf
 
-    def _connect_relays(self) -> None:
-        """Let this host relay attempts for its peers, and they for it."""
-        services = self.dispatcher.services
-        tracker = services.tracker
-        self.relay_client = RelayClient(
-            self.settings,
-            self.clock,
-            self.gossip.peers,
-            services,
-            lambda service: {
-                member.name for member in self.host_view.members_of(service)
-            },
-        )
-        self.relay_server = RelayServer(
-            self.clock, self.dispatcher, tracker, lambda: self.stopping
-        )
-        self.dispatcher.relays = self.relay_client
-        services.on_change = self._announce_change
-        self.gossip.reached_ages_s = lambda now: (
-            {} if self.stopping else tracker.reached_ages_s(now)
-        )
-        self.gossip.relaying = lambda: self.relay_server.in_flight
-        self.gossip.seeks_helpers = lambda: bool(tracker.lost_services())
-
     @property
     def stopping(self) -> bool:
         """Return whether the host has begun to stop."""
@@ -231,7 +214,7 @@
     @property
     def in_flight(self) -> int:
         """Return the requests and the attempts of peers without a final answer."""
-        return self.request_path.in_flight + self.relay_server.in_flight
+        return self.request_path.in_flight + self.relays.server.in_flight
 
     def ready(self) -> bool:
         """Return whether load balancers should send connections to the host."""
@@ -257,7 +240,7 @@
             stack.push_async_callback(self.platform.close)
             stack.push_async_callback(self.shared_placement.close)
             stack.push_async_callback(self.permits.close)
-            stack.push_async_callback(self.relay_client.close)
+            stack.push_async_callback(self.relays.client.close)
             await self._listen(stack)
             self._spawn(self.platform_sync.run())
             self._spawn(self.gossip.run())
@@ -342,7 +325,7 @@
         if request.path == PLACEMENT_PATH:
             return await self.shared_placement.handle(request)
         if request.path == RELAY_PATH:
-            return await self.relay_server.handle(request)
+            return await self.relays.server.handle(request)
         if request.path == PERMIT_PATH:
             return await self.permits.handle(request)
         return await self.gossip.handle(request)
@@ -352,7 +335,6 @@
 
     def _register_gauges(self) -> None:
         register = self.monitor.add_gauge
-        tracker = self.dispatcher.services.tracker
         register("in_flight", lambda: self.request_path.in_flight)
         register("configuration_version", lambda: self.host_view.version)
         register("endpoints", lambda: len(self.host_view.members))
@@ -365,13 +347,8 @@
         register(
             "paused_endpoints", lambda: self.endpoint_pauses.count(self.clock.now())
         )
-        register("lost_services", lambda: len(tracker.lost_services()))
-        register("relays_sent", lambda: self.relay_client.handed_on)
-        register("relays_rejected", lambda: self.relay_client.rejected)
-        register("relays_served", lambda: self.relay_server.relayed)
-        register("relays_declined", lambda: self.relay_server.declined)
-        register("relays_in_flight", lambda: self.relay_server.in_flight)
         register("store_calls", lambda: self.platform.calls)
+        self.relays.register_gauges(self.monitor)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
     def _log_blocked(self, blocked: dict[str, int]) -> None:
--- a/tests/users_platform/test_relays.py
+++ b/tests/users_platform/test_relays.py
@@ -93,19 +93,19 @@
                     self.assertEqual(200, resp.status)
                     self.assertIn("X-Replica-Signature", resp.headers)
             self.assertFalse(lost(host))
-            relayed = host.relay_client.handed_on
+            relayed = host.relays.client.handed_on
             async with post(session, host, "plan", 3) as resp:
                 await resp.read()
-            self.assertEqual(relayed, host.relay_client.handed_on)
+            self.assertEqual(relayed, host.relays.client.handed_on)
 
     async def test_a_host_that_reaches_the_endpoints_again_relays_nothing(self):
         async with fleet_with_cut_host(Cut.SILENT) as (_, session, host):
             host.endpoint_client.cut = Cut.NONE
             await until(lambda: not lost(host) and not lost(host, DESK), REGAINED_S * 2)
-            relayed = host.relay_client.handed_on
+            relayed = host.relays.client.handed_on
             served = await send_plans(session, [host], random.Random(1), 1.0, 0.05)
             self.assertTrue(all(served))
-            self.assertEqual(relayed, host.relay_client.handed_on)
+            self.assertEqual(relayed, host.relays.client.handed_on)
 
     async def test_a_caller_that_leaves_cancels_the_relayed_attempt(self):
         async with fleet_with_cut_host() as (fleet, session, host):
@@ -114,10 +114,10 @@
                 endpoint.event_count, endpoint.gap_s = 1000, 0.02
             async with post(session, host, number=2) as resp:
                 await resp.content.readany()
-                self.assertEqual(1, sum(h.relay_server.in_flight for h in fleet.hosts))
+                self.assertEqual(1, sum(h.relays.server.in_flight for h in fleet.hosts))
                 resp.close()
             await until(lambda: sum(e.aborted_count for e in endpoints) == 1, 2.0)
-            await until(lambda: not any(h.relay_server.in_flight for h in fleet.hosts))
+            await until(lambda: not any(h.relays.server.in_flight for h in fleet.hosts))
 
     async def test_a_caller_that_leaves_before_the_answer_cancels_it_too(self):
         async with fleet_with_cut_host() as (fleet, session, host):
@@ -135,7 +135,7 @@
                 endpoint.event_count, endpoint.gap_s = 40, 0.02
             async with post(session, host, number=2) as resp:
                 body = await resp.content.readany()
-                helper = next(h for h in fleet.hosts if h.relay_server.in_flight)
+                helper = next(h for h in fleet.hosts if h.relays.server.in_flight)
                 break_off_peers(helper)
                 body += await resp.read()
             ids = [int(line[4:]) for line in body.split(b"\n") if line[:3] == b"id:"]
@@ -147,9 +147,9 @@
             for endpoint in fleet.platform.endpoints.values():
                 endpoint.head_delay_s = 0.5
             sending = asyncio.ensure_future(self._status(session, host, "book", 2))
-            await until(lambda: any(h.relay_server.in_flight for h in fleet.hosts))
+            await until(lambda: any(h.relays.server.in_flight for h in fleet.hosts))
             await asyncio.sleep(0.1)
-            helper = next(h for h in fleet.hosts if h.relay_server.in_flight)
+            helper = next(h for h in fleet.hosts if h.relays.server.in_flight)
             break_off_peers(helper)
             self.assertEqual(502, await sending)
             self.assertEqual(1, len(arrivals(fleet, "book-2")))
@@ -162,7 +162,7 @@
             await until(lambda: all(map(lost, fleet.hosts)))
             await asyncio.sleep(1.0)  # the peers have told it
             for host in fleet.hosts:
-                attempts = host.relay_client.handed_on
+                attempts = host.relays.client.handed_on
                 async with post(session, host, number=2) as resp:
                     body = await resp.json()
                 self.assertEqual(503, resp.status)
@@ -170,7 +170,7 @@
                 self.assertGreaterEqual(
                     float(resp.headers["Retry-After"]), PROBE_LOST_INTERVAL_S
                 )
-                self.assertEqual(attempts, host.relay_client.handed_on)
+                self.assertEqual(attempts, host.relays.client.handed_on)
 
     async def test_a_refusal_of_the_endpoint_reaches_the_caller_through_the_peer(self):
         async with fleet_with_cut_host() as (fleet, session, host):
@@ -198,7 +198,7 @@
             silent.head_delay_s, silent.gap_s = 0.0, 0.01
             served = await sending
             self.assertTrue(all(served))
-            self.assertEqual(0, sum(h.relay_client.handed_on for h in fleet.hosts))
+            self.assertEqual(0, sum(h.relays.client.handed_on for h in fleet.hosts))
             self.assertFalse(any(map(lost, fleet.hosts)))
 
     @staticmethod
