Bound what is in flight at endpoints that fall over when they refuse too much

Callers would see: an endpoint that says it is brittle falls over as soon as it refuses more than it stated within a second, and its requests go to the others, which fall next.

Cause: nobody read the statement, and what counts are refusals of all hosts together.

The host that keeps an endpoint's permits takes the statement into account: it permits no more than the endpoint has slots, less after refusals, and no more at once than the endpoint may still refuse in that second, as all of it may be refused. Hosts tell it when an attempt ends, and whether it was refused. First attempts, retries, escalations, resumed streams and attempts relayed for peers need the permit alike.

Numbers that are malformed, huge or withdrawn have tests.

--- a/radishshift/decisions/endpoint_limits.py
+++ b/radishshift/decisions/endpoint_limits.py
@@ -48,22 +48,31 @@
         Requests per second; None if it no longer states a limit.
     age_s : float
         Time since the answer with the statement, in seconds.
+    refusals_per_s : int or None
+        Requests that it may refuse within a second without falling over; None if it
+        does not say that it is brittle.
     """
 
     endpoint: str
     born_ms: int
     per_s: float | None
     age_s: float
+    refusals_per_s: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class _Statement:
     per_s: float | None
     at: float
+    refusals_per_s: int | None = None
+
+    @property
+    def empty(self) -> bool:
+        return self.per_s is None and self.refusals_per_s is None
 
 
 class EndpointLimits:
-    """The latest limit that each endpoint has stated to any host."""
+    """The latest limits that each endpoint has stated to any host."""
 
     def __init__(self) -> None:
         self._statements: dict[Incarnation, _Statement] = {}
@@ -73,24 +82,46 @@
         statement = self._statements.get(endpoint)
         return None if statement is None else statement.per_s
 
-    def count(self) -> int:
-        """Return how many endpoints have a limit."""
-        return sum(
-            statement.per_s is not None for statement in self._statements.values()
-        )
+    def refusals_per_s(self, endpoint: Incarnation) -> int | None:
+        """Return how many requests a brittle endpoint may refuse within a second.
+
+        None for one that is not brittle.
+        """
+        statement = self._statements.get(endpoint)
+        return None if statement is None else statement.refusals_per_s
 
-    def record(self, endpoint: Incarnation, per_s: float | None, at: float) -> bool:
+    def stated(self, endpoint: Incarnation) -> bool:
+        """Return whether an endpoint has a limit or is brittle."""
+        statement = self._statements.get(endpoint)
+        return statement is not None and not statement.empty
+
+    def count(self) -> int:
+        """Return how many endpoints have a limit or are brittle."""
+        return sum(not statement.empty for statement in self._statements.values())
+
+    def record(
+        self,
+        endpoint: Incarnation,
+        per_s: float | None,
+        at: float,
+        refusals_per_s: int | None = None,
+    ) -> bool:
         """Record what an answer received `at` states; return whether that is a change.
 
-        An answer without a limit ends the one that was stated before.
+        An answer without a limit ends the one that was stated before, and so for the
+        refusals of a brittle endpoint.
         """
         known = self._statements.get(endpoint)
-        if known is None and per_s is None:
+        statement = _Statement(per_s, at, refusals_per_s)
+        if known is None and statement.empty:
             return False
         if known is not None and known.at >= at:
             return False
-        self._statements[endpoint] = _Statement(per_s, at)
-        return known is None or known.per_s != per_s
+        self._statements[endpoint] = statement
+        return known is None or (known.per_s, known.refusals_per_s) != (
+            per_s,
+            refusals_per_s,
+        )
 
     def reports(self, now: float) -> list[LimitReport]:
         """Return the latest statements, for this host's peers."""
@@ -98,7 +129,13 @@
             self._statements.items(), key=lambda item: item[1].at, reverse=True
         )
         return [
-            LimitReport(name, born_ms, statement.per_s, round(now - statement.at, 3))
+            LimitReport(
+                name,
+                born_ms,
+                statement.per_s,
+                round(now - statement.at, 3),
+                statement.refusals_per_s,
+            )
             for (name, born_ms), statement in latest[:MAX_LIMITS_REPORTED]
             if now - statement.at <= REPORT_TIME_S
         ]
@@ -109,7 +146,10 @@
             report
             for report in reports
             if self.record(
-                (report.endpoint, report.born_ms), report.per_s, now - report.age_s
+                (report.endpoint, report.born_ms),
+                report.per_s,
+                now - report.age_s,
+                report.refusals_per_s,
             )
         ]
 
@@ -119,7 +159,7 @@
             endpoint: statement
             for endpoint, statement in self._statements.items()
             if endpoint in endpoints
-            and (statement.per_s is not None or now - statement.at < ENDED_RETENTION_S)
+            and (not statement.empty or now - statement.at < ENDED_RETENTION_S)
         }
 
 
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -152,6 +152,8 @@
         attempt = Attempt(
             job, member, view, model, now, last_byte_at=now, helper=helper
         )
+        attempt_id = job.attempt_id
+        refused = False
         attempt.mean_first_event_s = self.mean_first_event_s(job, model)
         attempt.prefill_ktokens = self.placement.prefill_ktokens(job, model)
         view.attempt_started(attempt.prefill_ktokens)
@@ -162,9 +164,12 @@
         try:
             yield attempt
         except EndpointError as exc:
+            refused = isinstance(exc, EndpointRefusedError)
             self._record_failure(attempt, exc)
             raise
         finally:
+            if self.placement.permits is not None and not attempt.helper:
+                self.placement.permits.attempt_ended(member, attempt_id, refused)
             self._end_prefill(attempt)
             view.attempt_ended()
             if attempt.answer is not None:
--- a/radishshift/gateway/endpoint_statements.py
+++ b/radishshift/gateway/endpoint_statements.py
@@ -45,12 +45,21 @@
         self._pauses = pauses
         self.on_change: Callable[[], None] = lambda: None
 
-    def limits(self, member: Member, per_s: float | None) -> None:
-        """Record the limit that an answer states, or that it states none."""
-        if self._limits.record(member.incarnation, per_s, self._clock.now()):
+    def limits(
+        self, member: Member, per_s: float | None, refusals_per_s: int | None
+    ) -> None:
+        """Record the limits that an answer states, or that it states none."""
+        if self._limits.record(
+            member.incarnation, per_s, self._clock.now(), refusals_per_s
+        ):
             logger.info(
                 "endpoint limit changed",
-                extra={"endpoint": member.name, "per_s": per_s, "source": "answer"},
+                extra={
+                    "endpoint": member.name,
+                    "per_s": per_s,
+                    "refusals_per_s": refusals_per_s,
+                    "source": "answer",
+                },
             )
             self.on_change()
 
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -19,6 +19,7 @@
 from radishshift.errors import SettingsError
 from radishshift.gateway.blocked_part_duty import BlockedPartDuty
 from radishshift.gateway.dispatch import Dispatcher
+from radishshift.gateway.endpoint_permits import ENDED_PATH as PERMIT_ENDED_PATH
 from radishshift.gateway.endpoint_permits import PATH as PERMIT_PATH
 from radishshift.gateway.endpoint_permits import EndpointPermits
 from radishshift.gateway.endpoint_statements import EndpointStatements
@@ -326,7 +327,7 @@
             return await self.shared_placement.handle(request)
         if request.path == RELAY_PATH:
             return await self.relays.server.handle(request)
-        if request.path == PERMIT_PATH:
+        if request.path in (PERMIT_PATH, PERMIT_ENDED_PATH):
             return await self.permits.handle(request)
         return await self.gossip.handle(request)
 
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -371,6 +371,7 @@
                 extra={
                     "endpoint": report.endpoint,
                     "per_s": report.per_s,
+                    "refusals_per_s": report.refusals_per_s,
                     "age_s": report.age_s,
                     "source": message.host,
                 },
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -77,6 +77,11 @@
         owner = Customer(customer) if customer else None
         return cls(req, route, service, owner, req.deadline, **state)
 
+    @property
+    def attempt_id(self) -> str:
+        """Return the name of the next attempt."""
+        return f"{self.req.request_id}/{self.attempts}"
+
     @property
     def endpoints_left(self) -> int:
         """Return to how many further endpoints it may be sent."""
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -157,10 +157,13 @@
 class EndpointNotices:
     """Receives what endpoints say of themselves in the heads of their answers."""
 
-    def limits(self, member: Member, per_s: float | None) -> None:
+    def limits(
+        self, member: Member, per_s: float | None, refusals_per_s: int | None
+    ) -> None:
         """Receive the requests per second to which it limits all hosts together.
 
-        It is called for each answer, with None if the answer states no limit.
+        It is called for each answer, with None if the answer states no limit, and with
+        the requests that a brittle endpoint may refuse within a second.
         """
 
     def pauses(self, member: Member, pause_s: float) -> None:
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -87,7 +87,7 @@
         """
         for _ in range(MAX_PERMIT_QUESTIONS):
             member = await self._place_without_permit(job, model)
-            if self.permits is None or await self.permits.acquire(member):
+            if self.permits is None or await self.permits.acquire(member, job):
                 return member
         raise self._no_endpoint(job)
 
--- a/tests/gateway/networks.py
+++ b/tests/gateway/networks.py
@@ -8,7 +8,11 @@
 
 from radishshift.errors import EndpointRefusedError, EndpointUnreachableError
 from radishshift.gateway.deployment import RouteKind
-from radishshift.gateway.endpoint_permits import PermitQuestion, PermitReply
+from radishshift.gateway.endpoint_permits import (
+    AttemptEnded,
+    PermitQuestion,
+    PermitReply,
+)
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.relay_messages import RelayOrder, decode_message
@@ -17,7 +21,7 @@
 from tests.gateway.worlds import Script, World, route
 from tests.limit_rule import most_in_window
 
-__all__ = ["EVENTS", "STREAM", "Network", "now"]
+__all__ = ["EVENTS", "STREAM", "BrittleEndpoint", "Network", "now"]
 
 STREAM = route(RouteKind.STREAM)
 EVENTS = tuple(f"id: {number}\ndata: x\n\n".encode() for number in range(1, 6))
@@ -39,6 +43,7 @@
         self.arrivals = {}
         self.limits = {}
         self.refused_share = 0.0
+        self.brittle = {}
         self.statuses = []
         self.dead = set()
         self.centre_of = {
@@ -112,6 +117,7 @@
         self.gossip._send = self._gossip_to
         self.placement, self.permits = world.place_together(settings, self.gossip)
         self.permits._ask = self._ask_permit
+        self.permits._tell = self._tell_end
         self.placement._ask = self._ask_placement
         self.relays = Relays(
             settings,
@@ -156,6 +162,8 @@
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise EndpointUnreachableError("no connection")
         network.arrivals.setdefault(endpoint, []).append(now())
+        if endpoint in network.brittle:
+            return await self._send_to_brittle(order, network.brittle[endpoint])
         refused = network.rng.random() < network.refused_share
         if refused and endpoint not in network.limits:
             await asyncio.sleep(0.005)
@@ -164,10 +172,27 @@
         self._record_limit(order.member, network.limits.get(endpoint))
         return answer
 
+    async def _send_to_brittle(self, order, brittle):
+        await asyncio.sleep(0.003)
+        try:
+            brittle.admit()
+        except EndpointRefusedError:
+            self._record_brittle(order.member, brittle.stated)
+            raise
+        brittle.running += 1
+        asyncio.get_running_loop().call_later(brittle.run_s, brittle.end)
+        await asyncio.sleep(brittle.run_s)
+        self._record_brittle(order.member, brittle.stated)
+        return await self._send_to_endpoint(order)
+
     def _record_limit(self, member, per_s):
         if self.world.limits.record(member.incarnation, per_s, now()):
             self._announce_change()
 
+    def _record_brittle(self, member, refusals_per_s):
+        if self.world.limits.record(member.incarnation, None, now(), refusals_per_s):
+            self._announce_change()
+
     def _announce_change(self):
         self._spawn(self.gossip.announce_change())
 
@@ -197,6 +222,10 @@
         retry_s = peer.permits.grant(_wire(question, PermitQuestion))
         return PermitReply(retry_s)
 
+    async def _tell_end(self, address, ended):
+        peer = await self.network.reach(address, self.data_centre)
+        return peer.permits.record_end(_wire(ended, AttemptEnded))
+
     async def _post_relay(self, address, body):
         peer = await self.network.reach(address, self.data_centre)
         order = decode_message(body, RelayOrder)
@@ -213,6 +242,52 @@
         return _Reply(peer.placement.place(_wire(question, _Question)))
 
 
+class BrittleEndpoint:
+    """An endpoint that falls over when it has to refuse too much.
+
+    Parameters
+    ----------
+    stated : int
+        Requests that it may refuse within a second.
+    room : int
+        Requests that it takes at a time.
+    run_s : float
+        Time to the head of an answer, for which a request takes up room.
+    """
+
+    def __init__(self, stated, room, run_s=0.3):
+        self.stated = stated
+        self.room = room
+        self.run_s = run_s
+        self.running = 0
+        self.refused_at = []
+        self.falls = []
+        self.back_at = 0.0
+
+    def admit(self):
+        """Raise if there is no room, or if it has fallen over.
+
+        Raises
+        ------
+        EndpointRefusedError, EndpointUnreachableError
+        """
+        if now() < self.back_at:
+            raise EndpointUnreachableError("fell over")
+        if self.running < self.room:
+            return
+        self.refused_at = [at for at in self.refused_at if at > now() - 1.0]
+        self.refused_at.append(now())
+        if len(self.refused_at) > self.stated:
+            self.falls.append(now())
+            self.refused_at = []
+            self.back_at = now() + 2.0
+        raise EndpointRefusedError("full")
+
+    def end(self):
+        """End a request."""
+        self.running -= 1
+
+
 class RelayPipe:
     """Both ends of the response to a relay order, in memory."""
 
--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -153,8 +153,9 @@
         for endpoint in ("0-0", "0-1"):
             member = host.world.member(endpoint)
             host.world.limits.record(member.incarnation, LIMIT_PER_S, now())
-            for _ in range(5):
-                self.assertFalse(await host.permits.acquire(member))
+            for number in range(5):
+                job = host.world.job(number)
+                self.assertFalse(await host.permits.acquire(member, job))
                 await asyncio.sleep(0.05)
         self.assertEqual(1, len(asked))
 
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -378,6 +378,10 @@
         }
         return CallerRequest(**(values | changes))
 
+    def job(self, number=1):
+        """Return the job of a request."""
+        return self.path._create_job(self.request(number))
+
     async def send_request(self, number=1, **changes):
         """Send a request; return the caller with the answer that it received."""
         caller = Caller()
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -10,6 +10,7 @@
 from users_platform.endpoints import PlatformEndpoints
 
 from radishshift.clocks import SystemClock
+from radishshift.decisions.brittle_endpoints import MAX_REFUSALS_PER_S
 from radishshift.errors import (
     EndpointError,
     EndpointRefusedError,
@@ -105,7 +106,7 @@
         seen = []
         async with _client() as (platform, client, clock):
             client.notices = EndpointNotices()
-            client.notices.limits = lambda member, per_s: seen.append(
+            client.notices.limits = lambda member, per_s, _: seen.append(
                 (member.name, per_s)
             )
             endpoint = platform.endpoints[NAME]
@@ -120,6 +121,19 @@
             await self.assert_raises_async(EndpointReplacedError, client.send(other))
         self.assertEqual([(NAME, 1.5), (NAME, None), (NAME, 0.25)], seen)
 
+    async def test_what_a_brittle_endpoint_may_refuse_is_passed_on(self):
+        seen = []
+        async with _client() as (platform, client, clock):
+            client.notices = EndpointNotices()
+            client.notices.limits = lambda *statement: seen.append(statement[2])
+            endpoint = platform.endpoints[NAME]
+            order = _order(clock, platform.addresses[NAME])
+            huge = "9" * 5000
+            for text in ("3", None, "0", "many", "-1", "2.5", "", huge):
+                endpoint.brittle = text
+                await (await client.send(order)).read()
+        self.assertEqual([3, None, 0, MAX_REFUSALS_PER_S], seen)
+
     async def test_the_pause_that_an_endpoint_asks_for_is_passed_on(self):
         seen = []
         async with _client() as (platform, client, clock):
