Keep to the longest pause that an endpoint has asked for

An endpoint would get requests within a pause: one that asks for 3 s, and for half a second as it refuses a request that was on its way, got requests after half a second.

Cause: of two pauses the latest counted, although it may end first. Now the one that ends last counts. Looked at without a finding: requests of the first half second, the coordinator's advice and permits (the endpoint is checked again after each answer), resumed streams and retries (placed like first attempts), departed endpoints as the last resort (paused ones are left out). The new test failed before: 10.7 for 13.0.

--- a/radishshift/decisions/endpoint_pauses.py
+++ b/radishshift/decisions/endpoint_pauses.py
@@ -23,8 +23,9 @@
         self._until: dict[Incarnation, float] = {}
 
     def record(self, endpoint: Incarnation, pause_s: float, now: float) -> None:
-        """Record a pause that an endpoint asks for; the latest one counts."""
-        self._until[endpoint] = now + min(pause_s, MAX_PAUSE_S)
+        """Record a pause that an endpoint asks for; the one that ends last counts."""
+        until = now + min(pause_s, MAX_PAUSE_S)
+        self._until[endpoint] = max(until, self.until(endpoint))
 
     def until(self, endpoint: Incarnation) -> float:
         """Return the instant at which an endpoint's pause ends, 0 without one."""
--- a/tests/decisions/test_endpoint_pauses.py
+++ b/tests/decisions/test_endpoint_pauses.py
@@ -13,6 +13,14 @@
         self.assertEqual(12.5, pauses.until(ENDPOINT))
         self.assertEqual((1, 0), (pauses.count(12.0), pauses.count(12.5)))
 
+    def test_a_shorter_second_pause_ends_the_first_early(self):
+        pauses = EndpointPauses()
+        pauses.record(ENDPOINT, 3.0, 10.0)
+        pauses.record(ENDPOINT, 0.5, 10.2)
+        self.assertEqual(13.0, pauses.until(ENDPOINT))
+        pauses.record(ENDPOINT, 2.0, 12.0)
+        self.assertEqual(14.0, pauses.until(ENDPOINT))
+
     def test_no_pause_is_endless(self):
         pauses = EndpointPauses()
         pauses.record(ENDPOINT, 1e12, 10.0)
