--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -11,6 +11,8 @@
 
 # A dead connection fails after 3 s without traffic: probes begin after 1 s and fail
 # after 2 s more, the time in which a host that was cut off counts as reachable again.
+# On Linux, TCP_USER_TIMEOUT decides when probes give up, whatever their count: the
+# first probe that is due after it ends the connection.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
