--- a/tests/gateway/networks.py
+++ b/tests/gateway/networks.py
@@ -44,6 +44,7 @@
         self.limits = {}
         self.refused_share = 0.0
         self.brittle = {}
+        self.silent_until = {}
         self.statuses = []
         self.dead = set()
         self.centre_of = {
@@ -78,6 +79,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
+    def silence(self, endpoint, duration_s):
+        """Let an endpoint answer nothing for a time, connections included."""
+        self.silent_until[endpoint] = now() + duration_s
+        for host in self.hosts.values():
+            host.world.endpoints.cut_off.add(endpoint)
+            asyncio.get_running_loop().call_later(
+                duration_s, host.world.endpoints.cut_off.discard, endpoint
+            )
+
     def kill(self, name):
         """End a host; it answers no more and sends nothing."""
         self.dead.add(name)
@@ -162,6 +172,12 @@
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise EndpointUnreachableError("no connection")
         network.arrivals.setdefault(endpoint, []).append(now())
+        silent_s = network.silent_until.get(endpoint, 0.0) - now()
+        if silent_s > CONNECT_TIMEOUT_S:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise EndpointUnreachableError("no connection")
+        if silent_s > 0:
+            await asyncio.sleep(silent_s)
         if endpoint in network.brittle:
             return await self._send_to_brittle(order, network.brittle[endpoint])
         refused = network.rng.random() < network.refused_share
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -1,5 +1,7 @@
 """Tests of attempts that peers relay, over fleets of 6 to 195 hosts in virtual time."""
 
+import asyncio
+
 from radishshift.gateway.relay_server import MAX_RELAYING
 from tests.cases import VirtualTestCase
 from tests.gateway.networks import Network, now
@@ -86,6 +88,29 @@
             self.assertEqual(self.relayed_before, relayed, fleet)
             self.assertEqual(0, sum(h.relays.server.in_flight for h in cut_off))
 
+    async def test_endpoints_that_are_silent_for_a_second_lose_no_service(self):
+        for fleet in FLEETS:
+            hosts, centres, endpoints, rate_per_s = fleet
+            network = Network(7, hosts, centres, endpoints)
+            await network.start()
+            load = asyncio.create_task(network.load(rate_per_s, 7.0))
+            await asyncio.sleep(2.0)
+            began_at = now()
+            names = sorted(network.centre_of)
+            for name in names[: max(2, len(names) // 4)]:
+                network.silence(name, 1.0)
+                await asyncio.sleep(0.3)
+            await load
+            await network.stop()
+            all_hosts = network.hosts.values()
+            self.assertGreaterEqual(served_share(all_hosts, began_at), MIN_SERVED)
+            lost = [
+                host.name
+                for host in all_hosts
+                if host.world.dispatcher.services.tracker.lost_services()
+            ]
+            self.assertEqual([], lost, fleet)
+
     async def test_an_attempt_is_never_handed_on_twice(self):
         """The only peer that seems to help has just been cut off, too."""
         network = Network(1, 6, 3, 2)
