--- a/radishshift/decisions/service_reach.py
+++ b/radishshift/decisions/service_reach.py
@@ -60,6 +60,12 @@
         """Return the services that are lost."""
         return [name for name, state in self._services.items() if state.lost_at]
 
+    def keep_only(self, services: Collection[str]) -> None:
+        """Forget the services that have no endpoints any more."""
+        self._services = {
+            name: state for name, state in self._services.items() if name in services
+        }
+
     def answered_at(self, service: str) -> float:
         """Return the instant of the last answer or opened connection, 0 for none."""
         return self._service(service).answered_at
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -155,10 +155,14 @@
         listed = {member.incarnation for member in self._listed_members()}
         self._stated_departures.expire(listed, self._clock.now())
 
+    def known_members(self) -> Iterator[Member]:
+        """Yield the endpoints in use or departed lately."""
+        departed = (departure.member for departure in self.departed.values())
+        yield from chain(self.members.values(), departed)
+
     def known_endpoints(self) -> set[tuple[str, int]]:
         """Return the incarnations of the endpoints in use or departed lately."""
-        departed = (departure.member for departure in self.departed.values())
-        return {member.incarnation for member in chain(self.members.values(), departed)}
+        return {member.incarnation for member in self.known_members()}
 
     def record_store_recovery(self, recovered_at: float | None) -> None:
         """Record when the platform's store last became available after an outage.
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -29,6 +29,7 @@
     encode_message,
     plain_headers,
 )
+from radishshift.gateway.sockets import enable_keepalive
 from radishshift.verdicts import Verdict
 
 __all__ = ["RelayServer"]
@@ -81,6 +82,8 @@
         except ValueError as exc:
             logger.warning("malformed relay order: {}", exc)
             return web.Response(status=400)
+        # A peer that is gone cancels nothing.
+        enable_keepalive(request.transport.get_extra_info("socket"))
         resp = web.StreamResponse()
         await self.relay(order, job, request, resp)
         return resp
--- a/radishshift/gateway/service_monitor.py
+++ b/radishshift/gateway/service_monitor.py
@@ -138,5 +138,7 @@
         """Probe the services that are lost until cancelled."""
         while True:
             await asyncio.sleep(PROBE_LOST_INTERVAL_S)
+            members = self._host_view.known_members()
+            self.tracker.keep_only({member.service for member in members})
             for service in self.tracker.lost_services():
                 self._probe_next(service, PROBES_AT_A_TIME)
