Keep a peer in use whose endpoint crashed under a relayed attempt

A host without endpoints left a peer out for a second as soon as one endpoint could not be reached from there, although the peer reached the others. The peer now says that it can't help only if it may have lost the service.

Bodies of complete answers that peers relay are bounded together, as those of endpoints are; one piece of code serves both.

--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -13,13 +13,13 @@
 from radishshift.errors import (
     EndlessAnswerError,
     EndpointError,
-    EndpointUnreachableError,
     HelperUnavailableError,
     NoEndpointError,
     RadishshiftError,
     StreamBrokenError,
     rebuild_error,
 )
+from radishshift.gateway.answer_bodies import BodyBudget
 from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.deployment import Member
 from radishshift.gateway.host_settings import GatewaySettings
@@ -87,19 +87,19 @@
 class RelayedAnswer(EndpointAnswer):
     """An answer whose body a peer relays."""
 
-    def __init__(self, resp: aiohttp.ClientResponse, head: RelayHead) -> None:
+    def __init__(
+        self, resp: aiohttp.ClientResponse, head: RelayHead, bodies: BodyBudget
+    ) -> None:
         self._resp = resp
+        self._bodies = bodies
         self.status = head.status
         self.headers: HeaderList = head.header_list()
         self.signed = head.signed
         self.confidence = head.confidence
 
     async def read(self) -> bytes:
-        """Read the complete body; the session bounds its length."""
-        chunks = []
-        while chunk := await self.chunk():
-            chunks.append(chunk)
-        return b"".join(chunks)
+        """Read the complete body."""
+        return await self._bodies.read(self)
 
     async def chunk(self) -> bytes:
         """Return the received bytes, waiting for at least one; empty at the end."""
@@ -156,6 +156,7 @@
         self._views: dict[str, EndpointView] = {}
         self._paused_until: dict[str, float] = {}
         self._session: aiohttp.ClientSession | None = None
+        self._bodies = BodyBudget()
         self.handed_on = 0
         self.rejected = 0
 
@@ -314,10 +315,9 @@
             raise EndpointError(f"host {host} broke off: {exc!r}") from exc
         endpoint = head.member(attempt.job.service)
         if not head.error:
-            return RelayReply(endpoint, RelayedAnswer(resp, head))
+            return RelayReply(endpoint, RelayedAnswer(resp, head, self._bodies))
         resp.release()
         error = rebuild_error(head.error)
-        if isinstance(error, EndpointUnreachableError):
-            # The peer declined, or lost the service a moment ago.
+        if isinstance(error, HelperUnavailableError):
             self.record_failure(host)
         return RelayReply(endpoint, error=error)
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -14,6 +14,7 @@
 from radishshift.decisions.service_reach import ReachTracker
 from radishshift.errors import (
     DeadlineError,
+    EndpointUnreachableError,
     HelperUnavailableError,
     RadishshiftError,
 )
@@ -111,6 +112,7 @@
                 DeadlineError("no answer before the deadline", verdict=verdict)
             )
         except RadishshiftError as exc:
+            exc = self._judge(exc, job.service)
             outcome = exc.code
             await relay.fail(exc)
         finally:
@@ -132,6 +134,14 @@
                 },
             )
 
+    def _judge(self, exc: RadishshiftError, service: str) -> RadishshiftError:
+        """Return the error to tell the peer, which may ask this host again."""
+        if isinstance(exc, EndpointUnreachableError) and self._tracker.suspected(
+            service, self._clock.now()
+        ):
+            return HelperUnavailableError(f"this host may have lost {service}, too")
+        return exc
+
     def _check_may_relay(self, service: str) -> None:
         """Raise if this host cannot help.
 
--- a/tests/users_platform/test_relays.py
+++ b/tests/users_platform/test_relays.py
@@ -172,6 +172,14 @@
                 )
                 self.assertEqual(attempts, host.relays.client.handed_on)
 
+    async def test_an_endpoint_that_crashes_does_not_make_its_peers_useless(self):
+        async with fleet_with_cut_host() as (fleet, session, host):
+            await send_plans(session, fleet.hosts[1:], random.Random(4), 0.5, 0.05)
+            fleet.platform.endpoints["llm-0"].crash()
+            served = await send_plans(session, [host], random.Random(4), 2.0, 0.05)
+            self.assertTrue(all(served))
+            self.assertEqual(0, host.relays.client.rejected)
+
     async def test_a_refusal_of_the_endpoint_reaches_the_caller_through_the_peer(self):
         async with fleet_with_cut_host() as (fleet, session, host):
             for endpoint in fleet.platform.endpoints.values():
