Let a peer decline relays only once it has lost the service

A peer that had heard nothing for a second and then found one of its endpoints crashed told the host that it might have lost the service; the host then left it out for a second and rejected its requests, as no other peer was left.

--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -136,10 +136,8 @@
 
     def _judge(self, exc: RadishshiftError, service: str) -> RadishshiftError:
         """Return the error to tell the peer, which may ask this host again."""
-        if isinstance(exc, EndpointUnreachableError) and self._tracker.suspected(
-            service, self._clock.now()
-        ):
-            return HelperUnavailableError(f"this host may have lost {service}, too")
+        if isinstance(exc, EndpointUnreachableError) and self._tracker.lost(service):
+            return HelperUnavailableError(f"this host has lost {service}, too")
         return exc
 
     def _check_may_relay(self, service: str) -> None:
--- a/tests/users_platform/test_relays.py
+++ b/tests/users_platform/test_relays.py
@@ -172,12 +172,18 @@
                 )
                 self.assertEqual(attempts, host.relays.client.handed_on)
 
-    async def test_an_endpoint_that_crashes_does_not_make_its_peers_useless(self):
+    async def test_an_endpoint_that_crashes_does_not_make_the_last_peer_useless(self):
         async with fleet_with_cut_host() as (fleet, session, host):
-            await send_plans(session, fleet.hosts[1:], random.Random(4), 0.5, 0.05)
+            for other in fleet.hosts[1:3]:
+                other.endpoint_client.cut = Cut.REFUSED
+                await send_plans(session, [other], random.Random(4), 0.2, 0.05)
+                await until(lambda other=other: lost(other))
+            await asyncio.sleep(1.0)  # the peers have told it
             fleet.platform.endpoints["llm-0"].crash()
-            served = await send_plans(session, [host], random.Random(4), 2.0, 0.05)
-            self.assertTrue(all(served))
+            for number in range(9):
+                async with post(session, host, number=number + 2) as resp:
+                    self.assertEqual(200, resp.status)
+                    await resp.read()
             self.assertEqual(0, host.relays.client.rejected)
 
     async def test_a_refusal_of_the_endpoint_reaches_the_caller_through_the_peer(self):
