--- a/radishshift/decisions/service_reach.py
+++ b/radishshift/decisions/service_reach.py
@@ -56,6 +56,10 @@
         """Return whether none of a service's endpoints can be reached."""
         return self._service(service).lost_at > 0
 
+    def lost_at(self, service: str) -> float:
+        """Return the instant at which a service was lost, 0 while it is reached."""
+        return self._service(service).lost_at
+
     def lost_services(self) -> list[str]:
         """Return the services that are lost."""
         return [name for name, state in self._services.items() if state.lost_at]
--- a/radishshift/gateway/service_monitor.py
+++ b/radishshift/gateway/service_monitor.py
@@ -64,16 +64,13 @@
         """Record that a new attempt or connection reached an endpoint."""
         now = self._clock.now()
         service = member.service
-        answered_at = self.tracker.answered_at(service)
+        lost_at = self.tracker.lost_at(service)
         if not self.tracker.record_answer(service, now):
             return
         logger.warning(
             "service {} is regained",
             service,
-            extra={
-                "endpoint": member.name,
-                "silent_s": round(now - answered_at, 3) if answered_at else None,
-            },
+            extra={"endpoint": member.name, "lost_s": round(now - lost_at, 3)},
         )
         self.on_change()
 
