Move the watch for silent attempts out of the dispatcher

When an attempt is given up for silence has a module of its own now; the code is moved, no assertion changed.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -22,7 +22,7 @@
     PoisonSuspectError,
     StreamStalledError,
 )
-from radishshift.gateway.attempts import PROBE_AFTER_S, Attempt
+from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.connection_prober import ConnectionProber
 from radishshift.gateway.deployment import Member, RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -33,13 +33,12 @@
 from radishshift.gateway.relay_client import Helper, RelayClient
 from radishshift.gateway.service_monitor import ServiceMonitor
 from radishshift.gateway.shared_placement import FAILED_OUTCOME, UNREACHABLE_OUTCOME
+from radishshift.gateway.silence import SilenceWatch
 from radishshift.verdicts import Verdict
 
 __all__ = ["Dispatcher"]
 
 SILENCE_CHECK_INTERVAL_S = 0.1
-# Multiplies the stall timeout when no other endpoint is available.
-TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE = 4.0
 # Tokens whose prefill takes as long as the fixed part of the time to a first event.
 TOKENS_PER_PROMPT_UNIT = 1500
 MAX_PARTS_LOGGED = 8
@@ -48,8 +47,6 @@
 SOUND_AFTER_S = 1.0
 # Longer than callers of such requests wait, so that they give up instead of retrying.
 POISON_RETRY_AFTER_S = 30.0
-# A peer that relays an attempt notices first that its endpoint is silent.
-RELAY_STALL_FACTOR = 1.5
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
 
 logger = logbook.Logger("dispatch")
@@ -110,6 +107,9 @@
             clock, data_centre, host_view, placer, self._prober
         )
         self.relays: RelayClient | None = None
+        self._silence = SilenceWatch(
+            clock, self._prober, self.budget, self._has_alternative
+        )
 
     def budget(self, service: str) -> HostRetryBudget:
         """Return this host's retry budget for a service."""
@@ -234,7 +234,7 @@
                 async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
                     data = await attempt.answer.chunk()
             except TimeoutError:
-                self._check_silence(attempt)
+                self._silence.check(attempt)
                 continue
             now = self.clock.now()
             attempt.record_bytes(now)
@@ -251,31 +251,9 @@
             done, _ = await asyncio.wait((sending,), timeout=SILENCE_CHECK_INTERVAL_S)
             if done:
                 return
-            self._probe_if_silent(attempt)
+            self._silence.probe_if_silent(attempt)
             if may_give_up:
-                self._check_silence(attempt)
-
-    def _check_silence(self, attempt: Attempt) -> None:
-        """Raise if the attempt has been silent for longer than its timeout.
-
-        If the retry budget is spent, the attempt is kept, as it could not be replaced.
-
-        Raises
-        ------
-        StreamStalledError
-        """
-        now = self.clock.now()
-        overdue_ratio = self._overdue_ratio(attempt, now)
-        if overdue_ratio <= 1 or self.budget(attempt.job.service).available(now) < 1:
-            return
-        if overdue_ratio > (
-            1.0
-            if self._has_alternative(attempt)
-            else TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE
-        ):
-            raise StreamStalledError(
-                f"no data received for {now - attempt.last_byte_at:.1f} s"
-            )
+                self._silence.check(attempt)
 
     def _has_alternative(self, attempt: Attempt) -> bool:
         """Return whether an attempt could be replaced by one that goes another way."""
@@ -286,33 +264,6 @@
             job, attempt.model, attempt.member
         )
 
-    def _probe_if_silent(self, attempt: Attempt) -> None:
-        """Probe the other side of an attempt that has received nothing for a while."""
-        now = self.clock.now()
-        view = attempt.view
-        quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
-        since_probe_s = now - max(view.last_reachable_at, view.last_unreachable_at)
-        if quiet_s > attempt.silence_timeout_s and since_probe_s > PROBE_AFTER_S:
-            self._prober.probe(view)
-
-    def _overdue_ratio(self, attempt: Attempt, now: float) -> float:
-        """Return the time without data as a multiple of the silence timeout.
-
-        An engine may prefill long prompts between two tokens. A connection probe
-        distinguishes a busy engine, which still accepts connections, from one that is
-        down.
-        """
-        view = attempt.view
-        attempt_overdue = (now - attempt.last_byte_at) / attempt.stall_timeout_s
-        if attempt.helper:
-            attempt_overdue /= RELAY_STALL_FACTOR
-        quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
-        if attempt.job.route.kind is RouteKind.STREAM:
-            self._probe_if_silent(attempt)
-            if not view.unreachable or view.last_unreachable_at <= attempt.last_byte_at:
-                return attempt_overdue
-        return max(attempt_overdue, quiet_s / attempt.silence_timeout_s)
-
     def record_completion(self, attempt: Attempt) -> None:
         """Record an attempt that delivered its complete answer."""
         now = self.clock.now()
--- /dev/null
+++ b/radishshift/gateway/silence.py
@@ -0,0 +1,92 @@
+"""Tells when an attempt that receives nothing is to be given up."""
+
+from collections.abc import Callable
+
+from radishshift.clocks import Clock
+from radishshift.decisions.retry_budget import HostRetryBudget
+from radishshift.errors import StreamStalledError
+from radishshift.gateway.attempts import PROBE_AFTER_S, Attempt
+from radishshift.gateway.connection_prober import ConnectionProber
+from radishshift.gateway.deployment import RouteKind
+
+__all__ = ["SilenceWatch"]
+
+# Multiplies the stall timeout when no other endpoint is available.
+TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE = 4.0
+# A peer that relays an attempt notices first that its endpoint is silent.
+RELAY_STALL_FACTOR = 1.5
+
+
+class SilenceWatch:
+    """Checks attempts for silence, and probes the other side meanwhile.
+
+    Parameters
+    ----------
+    clock : Clock
+    prober : ConnectionProber
+    budget : callable
+        Returns the retry budget of a service.
+    has_alternative : callable
+        Tells whether an attempt could be replaced by one that goes another way.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        prober: ConnectionProber,
+        budget: Callable[[str], HostRetryBudget],
+        has_alternative: Callable[[Attempt], bool],
+    ) -> None:
+        self._clock = clock
+        self._prober = prober
+        self._budget = budget
+        self._has_alternative = has_alternative
+
+    def check(self, attempt: Attempt) -> None:
+        """Raise if the attempt has been silent for longer than its timeout.
+
+        If the retry budget is spent, the attempt is kept, as it could not be replaced.
+
+        Raises
+        ------
+        StreamStalledError
+        """
+        now = self._clock.now()
+        overdue_ratio = self._overdue_ratio(attempt, now)
+        if overdue_ratio <= 1 or self._budget(attempt.job.service).available(now) < 1:
+            return
+        if overdue_ratio > (
+            1.0
+            if self._has_alternative(attempt)
+            else TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE
+        ):
+            raise StreamStalledError(
+                f"no data received for {now - attempt.last_byte_at:.1f} s"
+            )
+
+    def probe_if_silent(self, attempt: Attempt) -> None:
+        """Probe the other side of an attempt that has received nothing for a while."""
+        now = self._clock.now()
+        view = attempt.view
+        quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
+        since_probe_s = now - max(view.last_reachable_at, view.last_unreachable_at)
+        if quiet_s > attempt.silence_timeout_s and since_probe_s > PROBE_AFTER_S:
+            self._prober.probe(view)
+
+    def _overdue_ratio(self, attempt: Attempt, now: float) -> float:
+        """Return the time without data as a multiple of the silence timeout.
+
+        An engine may prefill long prompts between two tokens. A connection probe
+        distinguishes a busy engine, which still accepts connections, from one that is
+        down.
+        """
+        view = attempt.view
+        attempt_overdue = (now - attempt.last_byte_at) / attempt.stall_timeout_s
+        if attempt.helper:
+            attempt_overdue /= RELAY_STALL_FACTOR
+        quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
+        if attempt.job.route.kind is RouteKind.STREAM:
+            self.probe_if_silent(attempt)
+            if not view.unreachable or view.last_unreachable_at <= attempt.last_byte_at:
+                return attempt_overdue
+        return max(attempt_overdue, quiet_s / attempt.silence_timeout_s)
