Don't call an attempt unrun if the peer that relays it has an internal error

A caller's booking got 503, the promise that it has not run, where a peer answered with status 500, although the peer may have sent it to an endpoint before. Only status 400, for an order that can't be read, says that nothing was sent.

--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -134,7 +134,7 @@
 
     Attributes
     ----------
-    handed_on, rejected : int
+    sent, rejected : int
         Attempts that were handed to peers, and requests rejected as none reaches the
         service either.
     """
@@ -157,7 +157,7 @@
         self._paused_until: dict[str, float] = {}
         self._session: aiohttp.ClientSession | None = None
         self._bodies = BodyBudget()
-        self.handed_on = 0
+        self.sent = 0
         self.rejected = 0
 
     async def close(self) -> None:
@@ -207,7 +207,7 @@
                 "why": "service lost" if lost else "no connection",
             },
         )
-        self.handed_on += 1
+        self.sent += 1
         job.helpers.append(state.host)
         member = Member(
             name=f"via {state.host}",
@@ -305,9 +305,8 @@
         host = attempt.helper
         try:
             if resp.status != 200:
-                # A host of an earlier release relays nothing.
                 self.record_failure(host)
-                raise HelperUnavailableError(f"host {host} answered {resp.status}")
+                raise _error_of_status(host, resp.status)
             line = await resp.content.readuntil(HEAD_END)
             head = decode_message(line, RelayHead)
         except (aiohttp.ClientError, OSError, ValueError) as exc:
@@ -321,3 +320,11 @@
         if isinstance(error, HelperUnavailableError):
             self.record_failure(host)
         return RelayReply(endpoint, error=error)
+
+
+def _error_of_status(host: str, status: int) -> EndpointError:
+    """Return the error for a status other than 200, with which no head comes."""
+    if status == 400:
+        # The order could not be read, as by a host of an earlier release.
+        return HelperUnavailableError(f"host {host} can't read the order")
+    return EndpointError(f"host {host} failed with status {status}")
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -83,8 +83,9 @@
         except ValueError as exc:
             logger.warning("malformed relay order: {}", exc)
             return web.Response(status=400)
-        # A peer that is gone cancels nothing.
-        enable_keepalive(request.transport.get_extra_info("socket"))
+        # A peer that lost power does not cancel the attempt.
+        if request.transport is not None:
+            enable_keepalive(request.transport.get_extra_info("socket"))
         resp = web.StreamResponse()
         await self.relay(order, job, request, resp)
         return resp
@@ -112,7 +113,7 @@
                 DeadlineError("no answer before the deadline", verdict=verdict)
             )
         except RadishshiftError as exc:
-            exc = self._judge(exc, job.service)
+            exc = self._error_for_peer(exc, job.service)
             outcome = exc.code
             await relay.fail(exc)
         finally:
@@ -134,8 +135,8 @@
                 },
             )
 
-    def _judge(self, exc: RadishshiftError, service: str) -> RadishshiftError:
-        """Return the error to tell the peer, which may ask this host again."""
+    def _error_for_peer(self, exc: RadishshiftError, service: str) -> RadishshiftError:
+        """Return the error to send: a peer asks this host again unless it declines."""
         if isinstance(exc, EndpointUnreachableError) and self._tracker.lost(service):
             return HelperUnavailableError(f"this host has lost {service}, too")
         return exc
--- a/radishshift/gateway/relays.py
+++ b/radishshift/gateway/relays.py
@@ -63,7 +63,7 @@
         """Expose the counts of relayed attempts."""
         register = monitor.add_gauge
         register("lost_services", lambda: len(self._tracker.lost_services()))
-        register("relays_sent", lambda: self.client.handed_on)
+        register("relays_sent", lambda: self.client.sent)
         register("relays_rejected", lambda: self.client.rejected)
         register("relays_served", lambda: self.server.relayed)
         register("relays_declined", lambda: self.server.declined)
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -36,7 +36,7 @@
             for host in cut_off:
                 host.heal()
             await network.load(rate_per_s, 2.0)
-            self.relayed_before = [host.relays.client.handed_on for host in cut_off]
+            self.relayed_before = [host.relays.client.sent for host in cut_off]
             await network.load(rate_per_s, 3.0)
         await network.stop()
         return network, cut_off, began_at + CONTACT_S
@@ -84,7 +84,7 @@
             _, cut_off, _ = await self.run_fleet(
                 fleet, lambda host: host.data_centre == "dc-0", heal=True
             )
-            relayed = [host.relays.client.handed_on for host in cut_off]
+            relayed = [host.relays.client.sent for host in cut_off]
             self.assertEqual(self.relayed_before, relayed, fleet)
             self.assertEqual(0, sum(h.relays.server.in_flight for h in cut_off))
 
--- a/tests/users_platform/test_relays.py
+++ b/tests/users_platform/test_relays.py
@@ -93,19 +93,19 @@
                     self.assertEqual(200, resp.status)
                     self.assertIn("X-Replica-Signature", resp.headers)
             self.assertFalse(lost(host))
-            relayed = host.relays.client.handed_on
+            relayed = host.relays.client.sent
             async with post(session, host, "plan", 3) as resp:
                 await resp.read()
-            self.assertEqual(relayed, host.relays.client.handed_on)
+            self.assertEqual(relayed, host.relays.client.sent)
 
     async def test_a_host_that_reaches_the_endpoints_again_relays_nothing(self):
         async with fleet_with_cut_host(Cut.SILENT) as (_, session, host):
             host.endpoint_client.cut = Cut.NONE
             await until(lambda: not lost(host) and not lost(host, DESK), REGAINED_S * 2)
-            relayed = host.relays.client.handed_on
+            relayed = host.relays.client.sent
             served = await send_plans(session, [host], random.Random(1), 1.0, 0.05)
             self.assertTrue(all(served))
-            self.assertEqual(relayed, host.relays.client.handed_on)
+            self.assertEqual(relayed, host.relays.client.sent)
 
     async def test_a_caller_that_leaves_cancels_the_relayed_attempt(self):
         async with fleet_with_cut_host() as (fleet, session, host):
@@ -154,6 +154,19 @@
             self.assertEqual(502, await sending)
             self.assertEqual(1, len(arrivals(fleet, "book-2")))
 
+    async def test_a_booking_is_not_called_unrun_if_the_peer_has_an_internal_error(
+        self,
+    ):
+        """The peer may have sent it to an endpoint before."""
+
+        async def fail(*args):
+            raise RuntimeError("a fault of the peer")
+
+        async with fleet_with_cut_host() as (fleet, session, host):
+            for other in fleet.hosts[1:]:
+                other.relays.server.relay = fail
+            self.assertEqual(502, await self._status(session, host, "book", 2))
+
     async def test_without_a_peer_that_reaches_it_requests_are_rejected_at_once(self):
         async with fleet_with_cut_host() as (fleet, session, _):
             for host in fleet.hosts:
@@ -162,7 +175,7 @@
             await until(lambda: all(map(lost, fleet.hosts)))
             await asyncio.sleep(1.0)  # the peers have told it
             for host in fleet.hosts:
-                attempts = host.relays.client.handed_on
+                attempts = host.relays.client.sent
                 async with post(session, host, number=2) as resp:
                     body = await resp.json()
                 self.assertEqual(503, resp.status)
@@ -170,7 +183,7 @@
                 self.assertGreaterEqual(
                     float(resp.headers["Retry-After"]), PROBE_LOST_INTERVAL_S
                 )
-                self.assertEqual(attempts, host.relays.client.handed_on)
+                self.assertEqual(attempts, host.relays.client.sent)
 
     async def test_an_endpoint_that_crashes_does_not_make_the_last_peer_useless(self):
         async with fleet_with_cut_host() as (fleet, session, host):
@@ -212,7 +225,7 @@
             silent.head_delay_s, silent.gap_s = 0.0, 0.01
             served = await sending
             self.assertTrue(all(served))
-            self.assertEqual(0, sum(h.relays.client.handed_on for h in fleet.hosts))
+            self.assertEqual(0, sum(h.relays.client.sent for h in fleet.hosts))
             self.assertFalse(any(map(lost, fleet.hosts)))
 
     @staticmethod
