Accept orders of long requests from peers

A request with a body of over 700 KB was answered with 502 by a host without endpoints: its peer refused the order, as servers bound bodies to 1 MiB by default. Found by reading the diff; the new test failed before (502 for 200).

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -30,6 +30,7 @@
 from radishshift.gateway.monitor import Monitor
 from radishshift.gateway.monitored_platform import MonitoredPlatform
 from radishshift.gateway.object_decoder import ObjectDecoder
+from radishshift.gateway.peer_calls import MAX_MESSAGE_BYTES
 from radishshift.gateway.platform_sync import PlatformSync
 from radishshift.gateway.relay_client import PATH as RELAY_PATH
 from radishshift.gateway.relays import Relays
@@ -37,6 +38,7 @@
 from radishshift.gateway.rollout_duty import RolloutDuty
 from radishshift.gateway.shared_placement import PATH as PLACEMENT_PATH
 from radishshift.gateway.shared_placement import SharedPlacement
+from radishshift.gateway.sockets import request_factory
 from radishshift.objects import Kind
 from radishshift.open_connections import open_transports, wait_until_sent
 from radishshift.platform import Platform
@@ -304,7 +306,10 @@
             self.request_path.handle, self.clock, lambda: self.stopping
         )
         self._peer_server = web.Server(
-            self._answer_peer, handler_cancellation=True, access_log=None
+            self._answer_peer,
+            request_factory=request_factory(MAX_MESSAGE_BYTES),
+            handler_cancellation=True,
+            access_log=None,
         )
         servers = {
             settings.ready_address: web.Server(
--- a/radishshift/gateway/peer_calls.py
+++ b/radishshift/gateway/peer_calls.py
@@ -13,7 +13,13 @@
 import msgspec
 from aiohttp import web
 
-__all__ = ["answer_peer", "call_peer", "decode_body", "encode_body"]
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "answer_peer",
+    "call_peer",
+    "decode_body",
+    "encode_body",
+]
 
 ENCODING = "deflate"  # the zlib format of RFC 1950
 MIN_COMPRESSED_BYTES = 4096
--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -1,13 +1,20 @@
-"""TCP connections and HTTP sessions that detect an unresponsive peer."""
+"""TCP connections that detect an unresponsive peer, and HTTP over them."""
 
 import asyncio
 import functools
 import socket
+from collections.abc import Callable
 
 import aiohttp
+from aiohttp import web
 from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["EndlessResponseError", "enable_keepalive", "keepalive_session"]
+__all__ = [
+    "EndlessResponseError",
+    "enable_keepalive",
+    "keepalive_session",
+    "request_factory",
+]
 
 # A dead connection fails after 3 s without traffic: probes begin after 1 s and fail
 # after 2 s more, the time in which a host that was cut off counts as reachable again.
@@ -126,3 +133,20 @@
     # calls the store, decides what may be retried.
     session._retry_connection = False
     return session
+
+
+def request_factory(max_body_bytes: int) -> Callable[..., web.BaseRequest]:
+    """Return the factory of a server's requests, whose bodies are bounded."""
+
+    def make(message, payload, protocol, writer, task) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            protocol._loop,
+            client_max_size=max_body_bytes,
+        )
+
+    return make
--- a/tests/users_platform/test_relays.py
+++ b/tests/users_platform/test_relays.py
@@ -86,6 +86,20 @@
 
 
 class RelaysTest(TestCase):
+    async def test_a_long_request_is_relayed(self):
+        async with fleet_with_cut_host() as (fleet, session, host):
+            body = bytes(range(256)) * 12_000
+            url = f"http://{host.settings.caller_address}/book/2"
+            async with session.post(url, headers=headers("book", 2), data=body) as resp:
+                self.assertEqual(200, resp.status)
+            received = [
+                received
+                for endpoint in fleet.platform.endpoints.values()
+                for path, _, received in endpoint.ran
+                if path == "/book/2"
+            ]
+            self.assertEqual([body], received)
+
     async def test_a_service_is_lost_and_another_is_not(self):
         async with fleet_with_cut_host(cut_services={DESK}) as (_, session, host):
             for path in ("plan", "book"):
