Read answers over HTTP in one place, whether an endpoint or a peer sends them

The relayed answer repeated how bytes are read, bounded and broken off from the endpoint's answer. Both derive from one class now, which also holds the bound on complete bodies. No change of behaviour, messages included; no assertion changed.

--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -11,20 +11,18 @@
 from radishshift.decisions.placing import EndpointView
 from radishshift.decisions.service_reach import HelperState, choose_helper
 from radishshift.errors import (
-    EndlessAnswerError,
     EndpointError,
     HelperUnavailableError,
     NoEndpointError,
     RadishshiftError,
-    StreamBrokenError,
     rebuild_error,
 )
-from radishshift.gateway.answer_bodies import BodyBudget
 from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.deployment import Member
 from radishshift.gateway.host_settings import GatewaySettings
+from radishshift.gateway.http_answers import BodyBudget, HttpAnswer
 from radishshift.gateway.jobs import Job
-from radishshift.gateway.messages import EndpointAnswer, HeaderList
+from radishshift.gateway.messages import EndpointAnswer
 from radishshift.gateway.peer_table import PeerTable
 from radishshift.gateway.relay_messages import (
     HEAD_END,
@@ -37,7 +35,7 @@
     PROBE_LOST_INTERVAL_S,
     ServiceMonitor,
 )
-from radishshift.gateway.sockets import EndlessResponseError, keepalive_session
+from radishshift.gateway.sockets import keepalive_session
 
 __all__ = ["PATH", "Helper", "RelayClient", "RelayReply"]
 
@@ -84,41 +82,20 @@
     error: RadishshiftError | None = None
 
 
-class RelayedAnswer(EndpointAnswer):
+class RelayedAnswer(HttpAnswer):
     """An answer whose body a peer relays."""
 
+    lost_message = "the peer broke the answer off"
+
     def __init__(
         self, resp: aiohttp.ClientResponse, head: RelayHead, bodies: BodyBudget
     ) -> None:
-        self._resp = resp
-        self._bodies = bodies
+        super().__init__(resp, bodies)
         self.status = head.status
-        self.headers: HeaderList = head.header_list()
+        self.headers = head.header_list()
         self.signed = head.signed
         self.confidence = head.confidence
 
-    async def read(self) -> bytes:
-        """Read the complete body."""
-        return await self._bodies.read(self)
-
-    async def chunk(self) -> bytes:
-        """Return the received bytes, waiting for at least one; empty at the end."""
-        try:
-            return await self._resp.content.readany()
-        except EndlessResponseError as exc:
-            raise EndlessAnswerError(str(exc)) from exc
-        except (aiohttp.ClientError, OSError) as exc:
-            raise StreamBrokenError(f"the peer broke the answer off: {exc!r}") from exc
-
-    def buffered_bytes(self) -> bytes:
-        """Return the bytes received since the last `chunk`, without waiting."""
-        content = self._resp.content
-        return b"" if content.exception() is not None else content.read_nowait(-1)
-
-    def abort(self) -> None:
-        """Close the connection, upon which the peer cancels the attempt."""
-        self._resp.close()
-
 
 class RelayClient:
     """Chooses peers that reach a service, and sends them attempts.
