Send a peer the request and the route as they are, not field by field

An order for a relayed attempt copied each field of both, and the peer copied them back: a field added to either would have been lost on the way without a word. Both travel whole now, the request without the caller's key, which a test checks.

--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -69,14 +69,6 @@
         shared = (part.digest for part in parts)
         self.traits = Traits.of(digest.hexdigest(), self.service, shared)
 
-    @classmethod
-    def relayed(
-        cls, req: CallerRequest, route: Route, service: str, customer: str, **state
-    ) -> "Job":
-        """Return the job of a peer's request, with the deadline that the peer set."""
-        owner = Customer(customer) if customer else None
-        return cls(req, route, service, owner, req.deadline, **state)
-
     @property
     def attempt_id(self) -> str:
         """Return the name of the next attempt."""
--- a/radishshift/gateway/relay_messages.py
+++ b/radishshift/gateway/relay_messages.py
@@ -6,14 +6,15 @@
 """
 
 import json
+from dataclasses import replace
 from typing import Any, TypeVar
 
 import msgspec
 
 from radishshift.gateway.attempts import Attempt
-from radishshift.gateway.deployment import Member, Route, RouteKind
+from radishshift.gateway.deployment import Customer, Member, Route
 from radishshift.gateway.jobs import Job
-from radishshift.gateway.messages import CallerRequest, HeaderList, PromptPart
+from radishshift.gateway.messages import CallerRequest, HeaderList
 
 __all__ = [
     "HEAD_END",
@@ -39,12 +40,13 @@
     ----------
     sender : str
         Host that has the request.
+    req : CallerRequest
+        Without the caller's key, and with instants that mean nothing to the peer.
+    route : Route
     left_s : float
         Time until the peer must have the whole answer, in seconds.
-    kind : str
-        Value of `RouteKind`.
     model, last_event_id : str
-        Of the attempt; `request_model` is the caller's.
+        Of the attempt; those of `req` are the caller's.
     version : str
         Version that the endpoint must run, or empty for any.
     used, failed : list of str
@@ -52,25 +54,11 @@
     """
 
     sender: str
-    request_id: str
-    method: str
-    host: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    left_s: float
+    req: CallerRequest
+    route: Route
     service: str
-    route: str
-    kind: str
-    endpoints_max: int
-    resumable: bool
-    objective_s: float
+    left_s: float
     customer: str = ""
-    session: str = ""
-    request_model: str = ""
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
-    parts: list[tuple[str, int]] = []
     model: str = ""
     last_event_id: str = ""
     version: str = ""
@@ -80,37 +68,13 @@
 
     def job(self, now: float) -> Job:
         """Return the job of the attempt, as the sender decided it."""
-        req = CallerRequest(
-            request_id=self.request_id,
-            method=self.method,
-            host=self.host,
-            target=self.target,
-            headers=tuple(self.headers),
-            body=self.body,
-            deadline=now + self.left_s,
-            received_at=now,
-            session=self.session,
-            model=self.request_model,
-            prompt_tokens=self.prompt_tokens,
-            answer_tokens=self.answer_tokens,
-            parts=tuple(PromptPart(*part) for part in self.parts),
-        )
-        route = Route(
-            name=self.route,
-            host=self.host,
-            prefix="",
-            kind=RouteKind(self.kind),
-            shares=(),
-            timeout_s=self.left_s,
-            objective_s=self.objective_s,
-            endpoints_max=self.endpoints_max,
-            resumable=self.resumable,
-        )
-        return Job.relayed(
-            req,
-            route,
+        deadline = now + self.left_s
+        return Job(
+            replace(self.req, deadline=deadline, received_at=now),
+            self.route,
             self.service,
-            self.customer,
+            Customer(self.customer) if self.customer else None,
+            deadline,
             version=self.version,
             used_endpoints=list(self.used),
             failed_endpoints=list(self.failed),
@@ -169,28 +133,13 @@
     used = list(job.used_endpoints)
     if attempt.first_at_endpoint:
         used.remove(attempt.member.name)  # stands for the endpoint, not chosen yet
-    route = job.route
     return RelayOrder(
         sender=sender,
-        request_id=req.request_id,
-        method=req.method,
-        host=req.host,
-        target=req.target,
-        headers=plain_headers(req.headers),
-        body=req.body,
-        left_s=round(max(0.0, job.deadline - now - RELAY_WAY_S), 4),
+        req=replace(req, key="", headers=tuple(plain_headers(req.headers))),
+        route=job.route,
         service=job.service,
-        route=route.name,
-        kind=route.kind.value,
-        endpoints_max=route.endpoints_max,
-        resumable=route.resumable,
-        objective_s=route.objective_s,
+        left_s=round(max(0.0, job.deadline - now - RELAY_WAY_S), 4),
         customer="" if job.customer is None else job.customer.name,
-        session=req.session,
-        request_model=req.model,
-        prompt_tokens=req.prompt_tokens,
-        answer_tokens=req.answer_tokens,
-        parts=[(part.digest, part.tokens) for part in req.parts],
         model=attempt.model,
         last_event_id=last_event_id,
         version=job.version,
--- a/tests/gateway/test_relay_messages.py
+++ b/tests/gateway/test_relay_messages.py
@@ -37,6 +37,7 @@
         self.assertEqual(b"\x00\xff", relayed.req.body)
         self.assertEqual(job.req.target, relayed.req.target)
         self.assertEqual("ring", relayed.customer.name)
+        self.assertEqual("", relayed.req.key)
         self.assertEqual(("large", "7"), (order.model, order.last_event_id))
 
     async def test_the_peer_itself_is_none_of_the_endpoints_in_use(self):
