Show that hosts with small links go without news while a configuration grows

The hosts gossip and follow the store in virtual time; what they exchange takes up links and processors by its size. The costs by byte are those of this code, measured for 1,440 and 2,840 routes on an idle core.

--- /dev/null
+++ b/tests/gateway/metered_fleets.py
@@ -0,0 +1,375 @@
+"""Hosts in virtual time whose links and processors take time for what they exchange."""
+
+import asyncio
+import math
+from dataclasses import replace
+
+import msgspec
+from users_platform.object_decoder import PlatformObjectDecoder
+
+from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.endpoint_limits import EndpointLimits
+from radishshift.decisions.placing import Placer
+from radishshift.decisions.versions import VersionGuard
+from radishshift.errors import PlatformUnavailableError
+from radishshift.gateway.gossip import REQUEST_TIMEOUT_S, Gossip
+from radishshift.gateway.gossip_messages import GossipMessage
+from radishshift.gateway.host_settings import Bounds, GatewaySettings
+from radishshift.gateway.host_view import HostView
+from radishshift.gateway.monitored_platform import MonitoredPlatform
+from radishshift.gateway.peer_calls import decode_body, encode_body
+from radishshift.gateway.platform_sync import PlatformSync
+from radishshift.objects import ChangeType, Kind, StoredObject
+from radishshift.platform import MemoryPlatform, Platform
+from radishshift.virtual_time import LoopClock
+
+__all__ = ["BOUNDS", "MeteredFleet", "configuration"]
+
+BOUNDS = Bounds(drain_s=3.0, config_deadline_s=3.0)
+WIDE_MBPS = 200.0
+NARROW_CORES, WIDE_CORES = 0.5, 2.0
+WIDE_HOSTS_PER_CENTRE = 2
+PIECE_BYTES = 8192  # of one transfer, before the next transfer over the link has a turn
+HEAD_BYTES = 250  # of a message over HTTP, with its packets' headers
+LOCAL_S, REMOTE_S = 0.0002, 0.0035  # one way
+STORE_S = 0.004  # until it answers
+CALL_TIMEOUT_S = 1.5
+CHECK_TIMEOUT_S = 0.5
+# Processor seconds of a core.
+MESSAGE_S = 0.0005  # sending or receiving any message
+ENCODE_S_PER_BYTE = 4.5e-9  # with the compression
+DECODE_S_PER_BYTE = 12e-9
+BUILD_S_PER_BYTE = 18e-9
+
+
+class _Link:
+    """One direction of a host's link."""
+
+    def __init__(self, mbps):
+        self._s_per_byte = 8e-6 / mbps
+        self._free_at = 0.0
+        self.bytes = 0
+
+    async def carry(self, size):
+        self.bytes += size
+        self._free_at = max(self._free_at, now()) + size * self._s_per_byte
+        await asyncio.sleep(self._free_at - now())
+
+
+class _Processor:
+    """The processor of a host, whose event loop does one thing at a time."""
+
+    def __init__(self, cores):
+        self._cores = cores
+        self._free_at = 0.0
+        self.longest_hold_s = 0.0
+
+    async def hold(self, core_s):
+        hold_s = core_s / self._cores
+        self.longest_hold_s = max(self.longest_hold_s, hold_s)
+        self._free_at = max(self._free_at, now()) + hold_s
+        await asyncio.sleep(self._free_at - now())
+
+
+class MeteredFleet:
+    """Hosts that follow one store and gossip; records when each learns of what.
+
+    Parameters
+    ----------
+    hosts, centres, endpoints : int
+    narrow_mbps : float
+        Bandwidth of all links but those of two hosts in each data centre.
+
+    Attributes
+    ----------
+    changed_at, left_at : dict
+        When a version was stored, and when an endpoint said that it leaves.
+    """
+
+    def __init__(self, hosts, centres, endpoints, narrow_mbps):
+        self.store = MemoryPlatform()
+        self.narrow_mbps = narrow_mbps
+        self.changed_at = {}
+        self.left_at = {}
+        self._endpoints = endpoints
+        names = [f"edge-{number}" for number in range(hosts)]
+        self.hosts = {
+            name: _Host(self, name, f"dc-{number % centres}", number // centres)
+            for number, name in enumerate(names)
+        }
+        self._tasks = []
+
+    async def start(self):
+        """Let the hosts load the store's objects and get to know each other."""
+        await self.configure(1, 40)
+        for number in range(self._endpoints):
+            await self._put(Kind.ENDPOINT, f"i-{number}", endpoint(number))
+        for host in self.hosts.values():
+            self._tasks += [
+                asyncio.create_task(host.sync.run()),
+                asyncio.create_task(host.gossip.run()),
+                asyncio.create_task(host.answer_checks()),
+            ]
+        await asyncio.sleep(6.0)
+        self.meter()
+
+    def meter(self):
+        """Forget what the links and the processors have done so far."""
+        for host in self.hosts.values():
+            host.meter()
+
+    async def stop(self):
+        """End the tasks of all hosts."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def configure(self, version, routes):
+        """Store a configuration."""
+        await self._put(Kind.DEPLOYMENT, "main", configuration(version, routes))
+        self.changed_at[version] = now()
+
+    async def replace_endpoints(self, count, pause_s):
+        """Let endpoints leave one after the other, and others take their places."""
+        for number in range(count):
+            await self._put(Kind.ENDPOINT, f"i-{number}", endpoint(number, "draining"))
+            self.left_at[f"i-{number}"] = now()
+            successor = self._endpoints + number
+            await self._put(Kind.ENDPOINT, f"i-{successor}", endpoint(successor))
+            await asyncio.sleep(pause_s)
+
+    def version_ages_s(self):
+        """Return by version how long it took until it was in force everywhere."""
+        return {
+            version: max(
+                host.learnt_version_at(version) - at for host in self.hosts.values()
+            )
+            for version, at in self.changed_at.items()
+        }
+
+    def departure_ages_s(self):
+        """Return by endpoint how long it took until all hosts knew that it leaves."""
+        return {
+            name: max(
+                host.departed_at.get(name, math.inf) - at
+                for host in self.hosts.values()
+            )
+            for name, at in self.left_at.items()
+        }
+
+    async def _put(self, kind, name, spec):
+        item = self.store._items[kind].get(name)
+        if item is None:
+            return await self.store.create(StoredObject(kind, name, spec))
+        return await self.store.update(replace(item, spec=spec))
+
+    async def reach(self, address, data_centre):
+        """Wait for the way to a peer, and return it."""
+        host = self.hosts[address.removesuffix(":1")]
+        await asyncio.sleep(LOCAL_S if host.data_centre == data_centre else REMOTE_S)
+        return host
+
+
+class _Host:
+    def __init__(self, fleet, name, data_centre, place):
+        wide = place < WIDE_HOSTS_PER_CENTRE
+        self.fleet = fleet
+        self.name = name
+        self.data_centre = data_centre
+        mbps = WIDE_MBPS if wide else fleet.narrow_mbps
+        self.up, self.down = _Link(mbps), _Link(mbps)
+        self.processor = _Processor(WIDE_CORES if wide else NARROW_CORES)
+        self.clock = LoopClock()
+        self.versions_at = {}
+        self.departed_at = {}
+        self.host_view = HostView(PlatformObjectDecoder(), self.clock, BOUNDS.drain_s)
+        seeds = tuple(f"edge-{number}:1" for number in range(3))
+        self.settings = settings = GatewaySettings(
+            name, "", data_centre, "", "", "", f"{name}:1", "", "", seeds, BOUNDS
+        )
+        self.gossip = Gossip(
+            settings,
+            self.clock,
+            self.host_view,
+            Placer(),
+            CrashSuspects(),
+            VersionGuard(name, BOUNDS),
+            EndpointLimits(),
+        )
+        self.gossip._send = self._send
+        self.gossip.on_change = self._on_peer_update
+        self.sync = PlatformSync(
+            name,
+            MonitoredPlatform(_MeteredStore(self), self.clock),
+            self.clock,
+            self.host_view,
+            self.gossip.control_hosts,
+            self.gossip.control_hosts_with_store,
+            self._on_view_change,
+            BOUNDS.config_deadline_s,
+        )
+        self._background = set()
+        self.timeouts = self.lost_calls = self.missed_checks = 0
+
+    def meter(self):
+        """Forget what the links and the processor have done so far."""
+        self.up.bytes = self.down.bytes = 0
+        self.processor.longest_hold_s = 0.0
+        self.missed_checks = self.timeouts = self.lost_calls = 0
+
+    def learnt_version_at(self, version):
+        """Return when a version, or a later one, came into force; infinite if never."""
+        return min(
+            (at for known, at in self.versions_at.items() if known >= version),
+            default=math.inf,
+        )
+
+    async def answer_checks(self):
+        """Count the checks of the load balancer that take too long."""
+        while True:
+            await asyncio.sleep(1.0)
+            asked_at = now()
+            await _carry(200, self.down)
+            await self.processor.hold(MESSAGE_S)
+            await _carry(200, self.up)
+            self.missed_checks += now() - asked_at > CHECK_TIMEOUT_S
+
+    def _on_peer_update(self, kinds):
+        for kind in kinds:
+            self.sync.record_missed_change(kind)
+        self.sync.record_view_change()
+        self._on_view_change()
+
+    def _on_view_change(self):
+        self.versions_at.setdefault(self.host_view.version, now())
+        for name in self.host_view.departed:
+            self.departed_at.setdefault(name, now())
+        task = asyncio.create_task(self.gossip.announce_change())
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _send(self, address, message):
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                return await self._exchange(address, message)
+        except TimeoutError:
+            self.timeouts += 1
+            raise
+
+    async def _exchange(self, address, message):
+        peer = await self.fleet.reach(address, self.data_centre)
+        request = await self._transfer(message, peer)
+        before = peer.host_view.version
+        reply = peer.gossip._reply(request)
+        await peer.charge_build(before)
+        reply = await peer._transfer(reply, self)
+        return reply
+
+    async def _transfer(self, message, peer):
+        """Carry a message to a peer, and return it as decoded there."""
+        plain = len(msgspec.json.encode(message))
+        body, headers = encode_body(message)
+        await self.processor.hold(MESSAGE_S + plain * ENCODE_S_PER_BYTE)
+        await _carry(len(body) + HEAD_BYTES, self.up, peer.down)
+        await peer.processor.hold(MESSAGE_S + plain * DECODE_S_PER_BYTE)
+        return decode_body(body, headers, GossipMessage)
+
+    async def charge_build(self, version_before):
+        if self.host_view.version != version_before:
+            spec = self.host_view.tables[Kind.DEPLOYMENT].items["main"].spec
+            await self.processor.hold(_size(spec) * BUILD_S_PER_BYTE)
+
+
+class _MeteredStore(Platform):
+    """A host's way to the store."""
+
+    def __init__(self, host):
+        self._host = host
+        self._store = host.fleet.store
+
+    async def get(self, kind, name):
+        return await self._store.get(kind, name)
+
+    async def list_all(self, kind, allow_stale=False):
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                await asyncio.sleep(STORE_S)
+                listing = await self._store.list_all(kind)
+                size = sum(_size(item.spec) + 120 for item in listing.items)
+                await self._receive(size)
+        except TimeoutError as exc:
+            self._host.lost_calls += 1
+            raise PlatformUnavailableError("no reply") from exc
+        return listing
+
+    async def watch(self, kind, since):
+        async for change in self._store.watch(kind, since):
+            if change.type is not ChangeType.BOOKMARK:
+                await self._receive(_size(change.item.spec) + 200)
+            yield change
+
+    async def _receive(self, size):
+        await _carry(size, self._host.down)
+        cost = DECODE_S_PER_BYTE + BUILD_S_PER_BYTE
+        await self._host.processor.hold(MESSAGE_S + size * cost)
+
+
+async def _carry(size, *links):
+    for piece in range(math.ceil(size / PIECE_BYTES)):
+        for link in links:
+            await link.carry(min(PIECE_BYTES, size - piece * PIECE_BYTES))
+
+
+_SIZES = {}
+
+
+def _size(spec):
+    size = _SIZES.get(id(spec))
+    if size is None or size[0] is not spec:
+        size = _SIZES[id(spec)] = (spec, len(msgspec.json.encode(spec)))
+    return size[1]
+
+
+def configuration(version, routes):
+    """Return a configuration of some 250 bytes a route."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"route-{number}",
+                "host": "yeny21.example",
+                "pathPrefix": f"/{number * 7919 % 99991:05d}xk{number}/",
+                "type": "streaming",
+                "timeoutMs": 25000,
+                "sloMs": 3000,
+                "maxAttempts": 3,
+                "priority": 1,
+                "resumable": True,
+                "sizes": ["m0", "m1", "m2"],
+                "service": "dil-model",
+                "public": False,
+            }
+            for number in range(routes)
+        ],
+        "services": [{"name": "dil-model"}, {"name": "servis-masasi"}],
+        "tenants": [],
+    }
+
+
+def endpoint(number, state="ready"):
+    """Return an endpoint's object."""
+    return {
+        "service": "dil-model",
+        "address": f"10.1.{number // 200}.{number % 200}:8108",
+        "zone": f"dc-{number % 4}",
+        "version": "1",
+        "slots": 16,
+        "state": state,
+        "seqNo": 1,
+        "born": 1000,
+    }
+
+
+def now():
+    """Return the virtual time."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/gateway/test_growing_configurations.py
@@ -0,0 +1,44 @@
+"""Tests of configurations that grow by many routes, over small links."""
+
+import asyncio
+
+from tests.cases import VirtualTestCase
+from tests.gateway.metered_fleets import BOUNDS, MeteredFleet
+
+NARROW_MBPS = 5.0  # the smallest link of a deployment
+ROUTES = (1440, 2840, 4240)  # the last configuration is about 1 MB
+
+
+class GrowingConfigurationsTest(VirtualTestCase):
+    async def _fleet(self):
+        fleet = MeteredFleet(16, 2, endpoints=40, narrow_mbps=NARROW_MBPS)
+        await fleet.start()
+        return fleet
+
+    async def test_coordinators_with_small_links_keep_hosts_from_the_news(self):
+        """Listings took longer than their timeout, filled links, and began again."""
+        fleet = await self._fleet()
+        replacing = asyncio.create_task(fleet.replace_endpoints(25, 0.5))
+        for number, routes in enumerate(ROUTES):
+            await fleet.configure(2 * number + 2, routes)
+            await asyncio.sleep(1.5)
+            await fleet.configure(2 * number + 3, routes)
+            await asyncio.sleep(2.5)
+        await replacing
+        await asyncio.sleep(BOUNDS.config_deadline_s)
+        await fleet.stop()
+        self.assertLess(max(fleet.version_ages_s().values()), BOUNDS.config_deadline_s)
+        self.assertLess(max(fleet.departure_ages_s().values()), BOUNDS.drain_s)
+        missed = sum(host.missed_checks for host in fleet.hosts.values())
+        self.assertEqual(0, missed)
+
+    async def test_an_unchanged_configuration_is_transferred_again_and_again(self):
+        """Each 1.5 s a host listed the configuration, which filled a small link."""
+        fleet = await self._fleet()
+        await fleet.configure(2, ROUTES[-1])
+        await asyncio.sleep(10.0)
+        fleet.meter()
+        await asyncio.sleep(15.0)
+        await fleet.stop()
+        received = max(host.down.bytes for host in fleet.hosts.values())
+        self.assertLess(received, 1_000_000)  # one configuration
