Send peers what changes of a configuration instead of all of it

A table of configurations keeps its last four states. A peer whose digest is one of them gets a patch: removed and changed entries by name, and a digest of the result. The whole object follows if the patch doesn't fit, as after a store that gave out a revision twice. Hosts of an earlier release ignore patches and get the object next.

--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -37,6 +37,7 @@
     "NotAllowedError",
     "NotFoundError",
     "OverloadedError",
+    "PatchError",
     "PlatformUnavailableError",
     "PoisonError",
     "PoisonSuspectError",
@@ -398,6 +399,12 @@
     default_verdict = Verdict.MAY_HAVE_RUN
 
 
+class PatchError(RadishshiftError):
+    """A patch of an object does not lead to the state that it was made for."""
+
+    code = "patch-mismatch"
+
+
 class UnreadableObjectError(RadishshiftError):
     """A platform object lacks a field or has a field of the wrong type."""
 
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -24,6 +24,8 @@
 __all__ = ["KINDS", "Departure", "HostView"]
 
 KINDS = (Kind.DEPLOYMENT, Kind.ENDPOINT, Kind.ROLLOUT, Kind.BLOCKED_PART)
+# Earlier configurations; a peer that holds one is sent changes instead of all routes.
+PAST_STATES = {Kind.DEPLOYMENT: 4}
 DEPARTED_RETENTION_S = 30.0  # an endpoint's address is reused far sooner
 LAPSED_RETENTION_S = 2.5  # live endpoints are listed again within 2 s
 # Share of `drain_s` for which a lapsed endpoint is used; after `drain_s` it may get no
@@ -85,7 +87,9 @@
         self._drain_s = drain_s
         self._decoder = decoder
         self._clock = clock
-        self.tables = {kind: ObjectTable(kind) for kind in KINDS}
+        self.tables = {
+            kind: ObjectTable(kind, PAST_STATES.get(kind, 0)) for kind in KINDS
+        }
         self.deployment: Deployment | None = None
         self.routes = RouteTable(())
         self.members: dict[str, Member] = {}
--- a/radishshift/object_table.py
+++ b/radishshift/object_table.py
@@ -6,17 +6,23 @@
 object that is older than the last listing and not in the table has been deleted.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
+import logbook
 import msgspec
 import xxhash
 
+from radishshift.errors import PatchError
 from radishshift.objects import Kind, Listing, StoredObject
+from radishshift.spec_patches import SpecPatch, apply_patch, make_patch
 
 __all__ = ["Head", "ObjectTable", "TableDelta"]
 
+logger = logbook.Logger("tables")
+
 
 class Head(msgspec.Struct, array_like=True, frozen=True):
     """Summary of a table; tables with equal heads are taken to be equal.
@@ -49,12 +55,15 @@
         The objects, each `[name, revision, spec]`.
     deleted : dict of str to int
         Revisions of deletions by name.
+    patches : list of SpecPatch
+        Objects of which the receiver holds an earlier revision.
     """
 
     head: Head
     whole: bool
     items: list[tuple[str, int, dict[str, Any]]]
     deleted: dict[str, int]
+    patches: list[SpecPatch] = []
 
 
 def _item_hash(name: str, revision: int) -> int:
@@ -69,17 +78,26 @@
     Attributes
     ----------
     kind : Kind
+    past_states : int
+        Number of earlier states to keep; a table that equals one is sent patches.
     items : dict of str to StoredObject
     deleted : dict of str to int
         Revisions of deletions that no listing covers yet, by name.
     """
 
     kind: Kind
+    past_states: int = 0
     items: dict[str, StoredObject] = field(default_factory=dict)
     deleted: dict[str, int] = field(default_factory=dict)
     _complete: int = 0
     _listed: int = 0
     _digest: int = 0
+    # Earlier states by digest.
+    _past: OrderedDict[int, dict[str, StoredObject]] = field(
+        default_factory=OrderedDict
+    )
+    # By object and the revision that they start from.
+    _patches: dict[tuple[str, int], SpecPatch | None] = field(default_factory=dict)
 
     @property
     def head(self) -> Head:
@@ -126,15 +144,29 @@
     def delta(self, since: Head, whole: bool = False) -> TableDelta:
         """Return the delta for a table with the head `since`."""
         above_revision = 0 if whole else since.complete
-        items = [
-            (item.name, item.revision, item.spec)
-            for item in self.items.values()
-            if item.revision > above_revision
-        ]
+        known = {} if whole else self._past.get(since.digest, {})
+        items = []
+        patches = []
+        for item in self.items.values():
+            if item.revision <= above_revision:
+                continue
+            patch = self._patch(known[item.name], item) if item.name in known else None
+            if patch is None:
+                items.append((item.name, item.revision, item.spec))
+            else:
+                patches.append(patch)
         deleted = {
             name: rev for name, rev in self.deleted.items() if rev > above_revision
         }
-        return TableDelta(self.head, whole, items, deleted)
+        return TableDelta(self.head, whole, items, deleted, patches)
+
+    def _patch(self, known: StoredObject, item: StoredObject) -> SpecPatch | None:
+        key = (item.name, known.revision)
+        if key not in self._patches:
+            self._patches[key] = make_patch(
+                item.name, (known.revision, known.spec), (item.revision, item.spec)
+            )
+        return self._patches[key]
 
     def merge(self, delta: TableDelta) -> bool:
         """Merge another table's delta; return whether anything changed.
@@ -145,6 +177,8 @@
         changed = False
         for name, revision, spec in delta.items:
             changed |= self.upsert(StoredObject(self.kind, name, spec, {}, revision))
+        for patch in delta.patches:
+            changed |= self._merge_patch(patch)
         for name, revision in delta.deleted.items():
             changed |= self.apply_deletion(name, revision)
         if delta.whole:
@@ -155,6 +189,20 @@
             self._record_listing(delta.head.listed)
         return changed
 
+    def _merge_patch(self, patch: SpecPatch) -> bool:
+        current = self.items.get(patch.name)
+        if current is None or current.revision != patch.base:
+            return False  # this table has moved on since the patch was made
+        try:
+            spec = apply_patch(current.spec, patch)
+        except PatchError as exc:
+            # The head doesn't move, so the sender sends the whole table next.
+            logger.warning("patch ignored: {}", exc.message)
+            return False
+        return self.upsert(
+            StoredObject(self.kind, patch.name, spec, {}, patch.revision)
+        )
+
     def _delete_unlisted(self, listed: int, names: Iterable[str]) -> bool:
         unlisted = [
             name
@@ -173,6 +221,7 @@
             del self.deleted[name]
 
     def _store(self, item: StoredObject) -> None:
+        self._keep_state()
         if item.name in self.items:
             self._remove(item.name)
         self.items[item.name] = item
@@ -180,6 +229,14 @@
         self._digest ^= _item_hash(item.name, item.revision)
         self._complete = max(self._complete, item.revision)
 
+    def _keep_state(self) -> None:
+        """Keep the current state before a change, and drop the oldest."""
+        self._patches.clear()
+        if self.past_states and self.items:
+            self._past[self._digest] = dict(self.items)
+            if len(self._past) > self.past_states:
+                self._past.popitem(last=False)
+
     def _remove(self, name: str) -> None:
         current = self.items.pop(name)
         self._digest ^= _item_hash(name, current.revision)
--- a/tests/gateway/test_growing_configurations.py
+++ b/tests/gateway/test_growing_configurations.py
@@ -42,3 +42,19 @@
         await fleet.stop()
         received = max(host.down.bytes for host in fleet.hosts.values())
         self.assertLess(received, 1_000_000)  # one configuration
+
+    async def test_a_small_change_is_sent_to_peers_as_a_whole_configuration(self):
+        fleet = await self._fleet()
+        await fleet.configure(2, ROUTES[-1])
+        await asyncio.sleep(10.0)
+        fleet.meter()
+        await asyncio.sleep(4.0)
+        usual = {name: host.up.bytes for name, host in fleet.hosts.items()}
+        fleet.meter()
+        await fleet.configure(3, ROUTES[-1])
+        await asyncio.sleep(4.0)
+        await fleet.stop()
+        versions = {host.host_view.version for host in fleet.hosts.values()}
+        self.assertEqual({3}, versions)
+        more = [host.up.bytes - usual[name] for name, host in fleet.hosts.items()]
+        self.assertLess(max(more), 60_000)  # one configuration, compressed
--- a/tests/test_object_table.py
+++ b/tests/test_object_table.py
@@ -90,3 +90,49 @@
         table = _replay([("a", True), ("a", False), ("b", True)], 3)
         table.merge(stale.delta(table.head, True))
         self.assertEqual({"b": 3}, _revisions(table))
+
+
+def _named(revision, count):
+    routes = [{"name": f"r-{number}", "at": 0} for number in range(count)]
+    return StoredObject(Kind.ENTRY, "main", {"routes": routes}, {}, revision)
+
+
+class PatchesTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.one = ObjectTable(Kind.ENTRY, past_states=2)
+        self.other = ObjectTable(Kind.ENTRY, past_states=2)
+        for table in (self.one, self.other):
+            table.upsert(_named(1, 100))
+
+    def test_a_table_that_is_behind_gets_a_patch(self):
+        self.one.upsert(_named(5, 101))
+        delta = self.one.delta(self.other.head)
+        self.assertEqual(([], 1), (delta.items, len(delta.patches)))
+        self.assertTrue(self.other.merge(delta))
+        self.assertEqual(self.one.head, self.other.head)
+        self.assertEqual(self.one.items, self.other.items)
+
+    def test_a_table_that_is_far_behind_gets_the_object(self):
+        for revision in (5, 6, 7):
+            self.one.upsert(_named(revision, 100 + revision))
+        delta = self.one.delta(self.other.head)
+        self.assertEqual((1, []), (len(delta.items), delta.patches))
+
+    def test_a_patch_that_comes_late_changes_nothing(self):
+        self.one.upsert(_named(5, 101))
+        delta = self.one.delta(self.other.head)
+        self.other.upsert(_named(7, 90))
+        self.assertFalse(self.other.merge(delta))
+        self.assertEqual(7, self.other.items["main"].revision)
+
+    def test_a_patch_that_does_not_fit_leaves_the_head_so_that_the_object_follows(self):
+        """A restored store gives out a revision twice, for different objects."""
+        self.other = ObjectTable(Kind.ENTRY)
+        self.other.upsert(_named(1, 99))
+        before = self.other.head
+        self.one.upsert(_named(5, 101))
+        self.assertFalse(self.other.merge(self.one.delta(before)))
+        self.assertEqual(before, self.other.head)
+        self.assertTrue(self.other.merge(self.one.delta(before, whole=True)))
+        self.assertEqual(self.one.items, self.other.items)
