Let hosts with the widest links coordinate and follow the platform

Hosts tell each other the bandwidth of their links, which the settings state. The widest come first, equal ones by rendezvous hash as before, for the coordinator of a data centre and for the watchers among coordinators. Where no bandwidth is known nothing changes.

--- a/radishshift/decisions/fleet_load.py
+++ b/radishshift/decisions/fleet_load.py
@@ -7,10 +7,10 @@
 all: it sees each choice at once, and the sums of the other data centres with a delay.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from radishshift.hosts import rendezvous_order
+from radishshift.hosts import widest_first
 
 __all__ = [
     "MIN_COORDINATED_HOSTS",
@@ -118,14 +118,15 @@
         return True
 
 
-def first_coordinator(hosts: Iterable[str]) -> str:
+def first_coordinator(links: Mapping[str, float]) -> str:
     """Return the host that places the requests of a data centre.
 
-    Hosts that know the same first host agree, whatever else they know.
+    It also follows the platform, so hosts with the widest link come first. Hosts that
+    know the same first host agree, whatever else they know.
 
     Parameters
     ----------
-    hosts : iterable of str
-        Names of live hosts of the data centre, at least one.
+    links : mapping of str to float
+        Bandwidths of the links of live hosts of the data centre, at least one, by name.
     """
-    return rendezvous_order(list(hosts), "placing")[0]
+    return widest_first(links, "placing")[0]
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -180,6 +180,7 @@
             self.gossip.control_hosts_with_store,
             self._on_view_change,
             bounds.config_deadline_s,
+            self.gossip.peers.link_mbps,
         )
         self.request_path = RequestPath(
             self.dispatcher, self.monitor, self.platform_sync.wait_for_initial_load
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -244,7 +244,8 @@
         """Return a gossip message, with the tables in which `requester` is behind."""
         now = self._clock.now()
         brief = brief or (requester is not None and requester.brief)
-        peers, neighbours = ({}, []) if brief else self.peers.listed(now)
+        peers = {} if brief else self.peers.listed(now)
+        links = self.peers.local_links(peers)
         coordinates = self.coordinates()
         return GossipMessage(
             host=self._settings.host,
@@ -253,7 +254,9 @@
             data_centre=self._settings.data_centre,
             heads=self._host_view.heads(),
             peers=peers,
-            neighbours=neighbours,
+            neighbours=list(links),
+            link_mbps=self._settings.link_mbps,
+            links={host: mbps for host, mbps in links.items() if mbps},
             centres={} if brief else self.peers.centre_summaries(now),
             brief=brief,
             store_lost=self.store_lost(),
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -45,12 +45,15 @@
         Hosts of the data centre from which the coordinator hears, including itself.
     age_s : float
         Time since the coordinator stated this, in seconds.
+    link_mbps : float
+        Bandwidth of the coordinator's link.
     """
 
     coordinator: str
     address: str
     hosts: int
     age_s: float
+    link_mbps: float = 0.0
 
 
 class GossipMessage(msgspec.Struct, omit_defaults=True):
@@ -64,6 +67,10 @@
         Addresses of some live hosts, and the seconds since each last sent a message.
     neighbours : list of str
         Those of `peers` that are in the sender's data centre.
+    link_mbps : float
+        Bandwidth of the sender's link.
+    links : dict of str to float
+        Bandwidths of the links of `neighbours`, as far as known.
     centres : dict of str to CentreSummary
         By data centre.
     brief : bool
@@ -100,6 +107,8 @@
     heads: dict[str, Head]
     peers: dict[str, tuple[str, float]] = {}
     neighbours: list[str] = []
+    link_mbps: float = 0.0
+    links: dict[str, float] = {}
     centres: dict[str, CentreSummary] = {}
     brief: bool = False
     store_lost: bool = False
--- a/radishshift/gateway/host_settings.py
+++ b/radishshift/gateway/host_settings.py
@@ -52,6 +52,8 @@
         Where gossip messages of other hosts are received.
     seeds : tuple of str
         Peer addresses of the hosts to contact first.
+    link_mbps : float
+        Bandwidth of the host's link in Mbit/s, 0 if unknown.
     """
 
     host: str
@@ -65,3 +67,4 @@
     store_address: str
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
+    link_mbps: float = 0.0
--- a/radishshift/gateway/peer_table.py
+++ b/radishshift/gateway/peer_table.py
@@ -59,6 +59,8 @@
         Failed requests to it since a message was last received from it.
     message : GossipMessage or None
         The last message received from it.
+    link_mbps : float
+        Bandwidth of its link, 0 while it is not known.
     delta_bases : dict of str to Head
         Table heads of the peer when a delta was last sent to it.
     """
@@ -70,6 +72,7 @@
     failed_at: float = 0.0
     failures: int = 0
     message: GossipMessage | None = None
+    link_mbps: float = 0.0
     delta_bases: dict[str, Head] = field(default_factory=dict)
 
 
@@ -124,6 +127,7 @@
                 known.last_heard_at = max(known.last_heard_at, now - age_s)
                 if name in neighbours:
                     known.data_centre = message.data_centre
+                known.link_mbps = message.links.get(name, known.link_mbps)
         peer = self.peers.setdefault(message.host, Peer(message.address))
         if peer.message is None or now - peer.last_heard_at > HOST_TIMEOUT_S:
             logger.info("host {} is reachable", message.host)
@@ -131,6 +135,7 @@
             return None
         peer.address = message.address
         peer.data_centre = message.data_centre
+        peer.link_mbps = message.link_mbps
         peer.last_heard_at = now
         peer.message_at = now
         previous = peer.message
@@ -153,6 +158,7 @@
             return
         peer = self.peers.setdefault(centre.coordinator, Peer(centre.address))
         peer.data_centre = data_centre
+        peer.link_mbps = summary.link_mbps
         peer.last_heard_at = max(peer.last_heard_at, centre.at)
         known = self.centres.get(data_centre)
         if known is not None and known.fresh(now):
@@ -160,7 +166,7 @@
                 if known.at > centre.at:
                     return
             elif known.coordinator == first_coordinator(
-                (known.coordinator, centre.coordinator)
+                self._links((known.coordinator, centre.coordinator))
             ):
                 return
         self.centres[data_centre] = centre
@@ -205,9 +211,19 @@
         names = [name for name, peer in self.live(now) if peer.data_centre == own]
         return sorted([*names, self._settings.host])
 
+    def link_mbps(self, host: str) -> float:
+        """Return the bandwidth of a host's link in Mbit/s, 0 if it is not known."""
+        if host == self._settings.host:
+            return self._settings.link_mbps
+        peer = self.peers.get(host)
+        return 0.0 if peer is None else peer.link_mbps
+
+    def _links(self, hosts: Iterable[str]) -> dict[str, float]:
+        return {host: self.link_mbps(host) for host in hosts}
+
     def candidate(self, now: float) -> str:
         """Return the host of this data centre that coordinates it, if it is large."""
-        return first_coordinator(self.local_hosts(now))
+        return first_coordinator(self._links(self.local_hosts(now)))
 
     def coordinator(self, now: float) -> str | None:
         """Return the coordinator of this data centre, or None if it needs none."""
@@ -239,7 +255,7 @@
         for name, peer in self.live(now):
             hosts.setdefault(peer.data_centre, []).append(name)
         candidates = {
-            data_centre: first_coordinator(names)
+            data_centre: first_coordinator(self._links(names))
             for data_centre, names in hosts.items()
         }
         candidates |= {
@@ -278,6 +294,7 @@
                 centre.address,
                 centre.hosts,
                 round(now - centre.at, 2),
+                self.link_mbps(centre.coordinator),
             )
             for data_centre, centre in self._fresh_centres(now)
         }
@@ -309,24 +326,30 @@
         peer = self.peers.get(host)
         return "" if peer is None else peer.address
 
-    def listed(self, now: float) -> tuple[dict[str, tuple[str, float]], list[str]]:
-        """Return some live peers for a message, and which of them are local.
+    def listed(self, now: float) -> dict[str, tuple[str, float]]:
+        """Return some live peers for a message.
 
         Returns
         -------
-        peers : dict of str to tuple
+        dict of str to tuple
             Address and seconds since the peer was last heard, by name.
-        neighbours : list of str
-            Names of those in this data centre.
         """
         live = list(self.live(now))
-        listed = self._random.sample(live, min(PEERS_PER_MESSAGE, len(live)))
-        peers = {
+        return {
             name: (peer.address, round(now - peer.last_heard_at, 2))
-            for name, peer in listed
+            for name, peer in self._random.sample(
+                live, min(PEERS_PER_MESSAGE, len(live))
+            )
         }
+
+    def local_links(self, hosts: Iterable[str]) -> dict[str, float]:
+        """Return those of some peers that are local, with their bandwidths."""
         own = self._settings.data_centre
-        return peers, [name for name, peer in listed if peer.data_centre == own]
+        return {
+            host: self.peers[host].link_mbps
+            for host in hosts
+            if self.peers[host].data_centre == own
+        }
 
     def for_round(self, now: float) -> list[str]:
         """Return the addresses to gossip with in the next round.
--- a/radishshift/gateway/platform_sync.py
+++ b/radishshift/gateway/platform_sync.py
@@ -18,7 +18,7 @@
 from radishshift.errors import GoneError, RadishshiftError
 from radishshift.gateway.host_view import KINDS, HostView
 from radishshift.gateway.monitored_platform import MonitoredPlatform
-from radishshift.hosts import rendezvous_order
+from radishshift.hosts import rendezvous_order, widest_first
 from radishshift.objects import Kind, Listing, ObjectChange
 from radishshift.watching import WatchBackoff, follow_kind
 
@@ -68,6 +68,9 @@
         Called after the view has changed.
     config_deadline_s : float
         Time in which a configuration change must be in force.
+    link_mbps : callable
+        Returns the bandwidth of a host's link, 0 if it is not known. Watchers receive
+        each configuration whole, so hosts with the widest links watch.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         hosts_with_store: Callable[[], list[str]],
         changed: Callable[[], None],
         config_deadline_s: float,
+        link_mbps: Callable[[str], float] = lambda host: 0.0,
     ) -> None:
         self._resync_interval_s = RESYNC_SHARE * config_deadline_s
         self._host = host
@@ -89,6 +93,7 @@
         self._hosts = hosts
         self._hosts_with_store = hosts_with_store
         self._changed = changed
+        self._link_mbps = link_mbps
         self._random = Random(host)
         self._watches: dict[Kind, asyncio.Task[None]] = {}
         self._missed_change_at: dict[Kind, float] = {}
@@ -145,8 +150,8 @@
     @property
     def is_watcher(self) -> bool:
         """Return whether this host is one of the watchers."""
-        order = rendezvous_order(self._hosts_with_store(), "watch")
-        return self._host in order[:WATCHER_COUNT]
+        links = {host: self._link_mbps(host) for host in self._hosts_with_store()}
+        return self._host in widest_first(links, "watch")[:WATCHER_COUNT]
 
     def record_missed_change(self, kind: Kind) -> None:
         """Record a change that a peer or a resync delivered before the own watch."""
--- a/radishshift/hosts.py
+++ b/radishshift/hosts.py
@@ -1,11 +1,12 @@
 """Entry hosts, their states and their order by rendezvous hashing."""
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import xxhash
 
-__all__ = ["Host", "HostState", "rendezvous_order"]
+__all__ = ["Host", "HostState", "rendezvous_order", "widest_first"]
 
 
 class HostState(enum.StrEnum):
@@ -42,6 +43,12 @@
     state: HostState = HostState.LIVE
 
 
+def widest_first(links: Mapping[str, float], key: str) -> list[str]:
+    """Order hosts by the bandwidth of their links, equal ones by rendezvous hash."""
+    order = rendezvous_order(list(links), key)
+    return sorted(order, key=lambda host: -links[host])
+
+
 def rendezvous_order(names: list[str], purpose: str) -> list[str]:
     """Return `names` sorted by their rendezvous hash for `purpose`.
 
--- a/tests/decisions/test_fleet_load.py
+++ b/tests/decisions/test_fleet_load.py
@@ -58,6 +58,12 @@
         self.assertAlmostEqual(4 * MAX_PLACEMENTS_PER_S, answered, delta=2)
 
     def test_hosts_that_know_different_hosts_agree_on_the_first(self):
-        names = [f"edge-{number}" for number in range(40)]
-        first = first_coordinator(names)
-        self.assertEqual(first, first_coordinator([*names[:5], first]))
+        links = {f"edge-{number}": 10.0 for number in range(40)}
+        first = first_coordinator(links)
+        some = dict(list(links.items())[:5])
+        self.assertEqual(first, first_coordinator(some | {first: 10.0}))
+
+    def test_a_host_with_a_wide_link_coordinates(self):
+        links = {f"edge-{number}": 10.0 for number in range(40)}
+        for host in list(links)[:5]:
+            self.assertEqual(host, first_coordinator(links | {host: 200.0}))
--- a/tests/gateway/metered_fleets.py
+++ b/tests/gateway/metered_fleets.py
@@ -185,7 +185,7 @@
         self.host_view = HostView(PlatformObjectDecoder(), self.clock, BOUNDS.drain_s)
         seeds = tuple(f"edge-{number}:1" for number in range(3))
         self.settings = settings = GatewaySettings(
-            name, "", data_centre, "", "", "", f"{name}:1", "", "", seeds, BOUNDS
+            name, "", data_centre, "", "", "", f"{name}:1", "", "", seeds, BOUNDS, mbps
         )
         self.gossip = Gossip(
             settings,
@@ -207,6 +207,7 @@
             self.gossip.control_hosts_with_store,
             self._on_view_change,
             BOUNDS.config_deadline_s,
+            self.gossip.peers.link_mbps,
         )
         self._background = set()
         self.timeouts = self.lost_calls = self.missed_checks = 0
--- a/tests/gateway/test_peer_table.py
+++ b/tests/gateway/test_peer_table.py
@@ -1,6 +1,7 @@
 """Tests of what hosts know of each other, in fleets of up to 381 hosts."""
 
 import random
+from dataclasses import replace
 
 import msgspec
 
@@ -15,15 +16,17 @@
 
 
 class _Host:
-    def __init__(self, number, centres):
+    def __init__(self, number, centres, link_mbps=0.0):
         name = f"edge-{number}"
         self.settings = GatewaySettings(
             name, "", f"dc-{number % centres}", "", "", "", f"{name}:1", "", "", SEEDS
         )
+        self.settings = replace(self.settings, link_mbps=link_mbps)
         self.table = PeerTable(self.settings, random.Random(number))
 
     def message(self, now):
-        peers, neighbours = self.table.listed(now)
+        peers = self.table.listed(now)
+        links = self.table.local_links(peers)
         return GossipMessage(
             self.settings.host,
             1,
@@ -31,16 +34,21 @@
             self.settings.data_centre,
             {},
             peers=peers,
-            neighbours=neighbours,
+            neighbours=list(links),
+            link_mbps=self.settings.link_mbps,
+            links=links,
             centres=self.table.centre_summaries(now),
         )
 
 
 class _Fleet:
-    """Hosts that gossip in rounds, without a network."""
+    """Hosts that gossip in rounds, without a network; the last have wide links."""
 
-    def __init__(self, hosts, centres):
-        self.hosts = [_Host(number, centres) for number in range(hosts)]
+    def __init__(self, hosts, centres, wide_hosts=0):
+        self.hosts = [
+            _Host(number, centres, 200.0 if number >= hosts - wide_hosts else 10.0)
+            for number in range(hosts)
+        ]
         self.by_address = {host.settings.peer_address: host for host in self.hosts}
         self.dead = set()
         self.now = 100.0
@@ -135,3 +143,13 @@
         host.table.record(message, 5.0)
         self.assertEqual(41, host.table.host_count(5.1))
         self.assertEqual(1, host.table.host_count(5.1 + HOST_TIMEOUT_S))
+
+    def test_hosts_agree_on_a_coordinator_with_a_wide_link(self):
+        """A coordinator received each configuration whole, over 10 Mbit/s."""
+        for hosts, centres in ((64, 4), (195, 5)):
+            fleet = _Fleet(hosts, centres, wide_hosts=2 * centres)
+            fleet.gossip(10)
+            wide = {host.settings.host for host in fleet.hosts[-2 * centres :]}
+            for names in fleet.coordinators().values():
+                self.assertEqual(1, len(names))
+                self.assertTrue(names <= wide)
