Keep deletions that a listing covers for the tables that are behind

Cause: a table forgot its deletions with the next listing, which a resync makes each 1.5 s. A peer that was behind got the objects changed since its head, without the deletion. Its head moved on with them, and as endpoints change twice a second it never stood still, which alone makes a peer send the whole table.

Deletions outlive the listing, also those that only the listing shows. Of those that a listing covers the latest 256 are kept, and a table whose head is older than one that was forgotten is sent all objects.

Ruled out: a lost message (the next exchange repeats what is missing, but by the head, which had moved).

--- a/radishshift/object_table.py
+++ b/radishshift/object_table.py
@@ -1,9 +1,11 @@
 """A host's replica of the objects of one kind, merged from any source in any order.
 
 A table never reverts: an object is replaced only by one of a higher revision, and
-merging two tables gives the same result in either order. Deletions are kept as
-tombstones of name and revision until a full listing of the platform covers them: an
-object that is older than the last listing and not in the table has been deleted.
+merging two tables gives the same result in either order. An object that is older than
+the last listing and not in the table has been deleted. Other tables, which are sent only
+what has changed since their heads, have to be told so: deletions are kept as tombstones
+of name and revision. Of those that a listing covers only the latest are kept; a table
+that lacks older ones is sent all objects.
 """
 
 from collections import OrderedDict
@@ -21,6 +23,8 @@
 
 __all__ = ["Head", "ObjectTable", "TableDelta"]
 
+MAX_COVERED_DELETIONS = 256
+
 logger = logbook.Logger("tables")
 
 
@@ -82,7 +86,8 @@
         Number of earlier states to keep; a table that equals one is sent patches.
     items : dict of str to StoredObject
     deleted : dict of str to int
-        Revisions of deletions that no listing covers yet, by name.
+        Revisions of deletions, by name; those that no listing covers and the latest of
+        the others.
     """
 
     kind: Kind
@@ -92,6 +97,7 @@
     _complete: int = 0
     _listed: int = 0
     _digest: int = 0
+    _forgotten: int = 0  # highest revision of a deletion that is no longer kept
     # Earlier states by digest.
     _past: OrderedDict[int, dict[str, StoredObject]] = field(
         default_factory=OrderedDict
@@ -119,8 +125,7 @@
     def apply_deletion(self, name: str, revision: int) -> bool:
         """Apply a deletion; return whether an object was removed."""
         self._complete = max(self._complete, revision)
-        if revision > self._listed:
-            self.deleted[name] = max(revision, self.deleted.get(name, 0))
+        self.deleted[name] = max(revision, self.deleted.get(name, 0))
         current = self.items.get(name)
         if current is None or current.revision >= revision:
             return False
@@ -143,6 +148,7 @@
 
     def delta(self, since: Head, whole: bool = False) -> TableDelta:
         """Return the delta for a table with the head `since`."""
+        whole = whole or since.complete < self._forgotten
         above_revision = 0 if whole else since.complete
         known = {} if whole else self._past.get(since.digest, {})
         items = []
@@ -211,14 +217,19 @@
         ]
         for name in unlisted:
             self._remove(name)
+            self.deleted[name] = max(listed, self.deleted.get(name, 0))
         self._complete = max(self._complete, listed)
         self._record_listing(listed)
         return bool(unlisted)
 
     def _record_listing(self, listed: int) -> None:
         self._listed = max(self._listed, listed)
-        for name in [n for n, rev in self.deleted.items() if rev <= self._listed]:
+        covered = sorted(
+            (rev, name) for name, rev in self.deleted.items() if rev <= self._listed
+        )
+        for revision, name in covered[:-MAX_COVERED_DELETIONS]:
             del self.deleted[name]
+            self._forgotten = max(self._forgotten, revision)
 
     def _store(self, item: StoredObject) -> None:
         self._keep_state()
--- a/tests/test_object_table.py
+++ b/tests/test_object_table.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishshift.object_table import ObjectTable
+from radishshift.object_table import MAX_COVERED_DELETIONS, ObjectTable
 from radishshift.objects import Kind, Listing, StoredObject
 from tests.cases import TestCase
 
@@ -136,3 +136,48 @@
         self.assertEqual(before, self.other.head)
         self.assertTrue(self.other.merge(self.one.delta(before, whole=True)))
         self.assertEqual(self.one.items, self.other.items)
+
+
+class DeletionsTest(TestCase):
+    def _tables(self):
+        tables = ObjectTable(Kind.ENTRY), ObjectTable(Kind.ENTRY)
+        for table in tables:
+            table.apply_listing(Listing((_item("a", 1), _item("b", 2)), 2))
+        return tables
+
+    def test_a_deletion_is_forgotten_with_the_next_listing(self):
+        """A host went on using an endpoint 6.7 s after the others had removed it."""
+        one, other = self._tables()
+        one.apply_deletion("a", 3)
+        one.apply_listing(Listing((_item("b", 2),), 4))
+        one.upsert(_item("c", 5))
+        other.merge(one.delta(other.head))
+        self.assertEqual(one.items, other.items)
+
+    def test_a_deletion_that_only_a_listing_shows_reaches_other_tables(self):
+        one, other = self._tables()
+        one.apply_listing(Listing((_item("b", 2),), 4))
+        one.upsert(_item("c", 5))
+        other.merge(one.delta(other.head))
+        self.assertEqual(one.items, other.items)
+
+    def test_an_object_that_is_created_again_outlives_its_deletion(self):
+        one, other = self._tables()
+        one.apply_listing(Listing((_item("b", 2),), 4))
+        one.upsert(_item("a", 5))
+        other.upsert(_item("a", 5))
+        other.merge(one.delta(other.head))
+        self.assertIn("a", other.items)
+
+    def test_a_table_that_missed_forgotten_deletions_gets_all_objects(self):
+        one, other = self._tables()
+        for number in range(MAX_COVERED_DELETIONS + 1):
+            one.upsert(_item(f"x{number}", 3 + 2 * number))
+            one.apply_deletion(f"x{number}", 4 + 2 * number)
+        one.apply_deletion("a", 2001)
+        one.apply_listing(Listing((_item("b", 2),), 2002))
+        self.assertLessEqual(len(one.deleted), MAX_COVERED_DELETIONS)
+        delta = one.delta(other.head)
+        self.assertTrue(delta.whole)
+        other.merge(delta)
+        self.assertEqual(one.items, other.items)
