--- a/tests/users_platform/test_object_decoder.py
+++ b/tests/users_platform/test_object_decoder.py
@@ -68,6 +68,15 @@
             fresh.deployment(StoredObject(Kind.DEPLOYMENT, "main", changed)), after
         )
 
+    def test_a_malformed_route_is_not_taken_for_one_that_compares_as_equal(self):
+        """A host that had decoded `true` accepted 1 in its place, another did not."""
+        decoder = PlatformObjectDecoder()
+        public = CONFIG | {"routes": [dict(CONFIG["routes"][0], public=True)]}
+        decoder.deployment(StoredObject(Kind.DEPLOYMENT, "main", public))
+        malformed = CONFIG | {"routes": [dict(CONFIG["routes"][0], public=1)]}
+        item = StoredObject(Kind.DEPLOYMENT, "main", malformed)
+        self.assertRaises(UnreadableObjectError, decoder.deployment, item)
+
     def test_a_malformed_route_makes_the_configuration_unreadable(self):
         decoder = PlatformObjectDecoder()
         decoder.deployment(StoredObject(Kind.DEPLOYMENT, "main", CONFIG))
