Compute the digests of tables and specs, and the links of peers, in one place each

The hash of 53 bits that JSON carries exactly stood twice with the same comment, and the bandwidths of local peers were looked up beside the function for it. widest_first names its parameter as rendezvous_order does. No change of behaviour.

--- a/radishshift/gateway/peer_table.py
+++ b/radishshift/gateway/peer_table.py
@@ -345,11 +345,9 @@
     def local_links(self, hosts: Iterable[str]) -> dict[str, float]:
         """Return those of some peers that are local, with their bandwidths."""
         own = self._settings.data_centre
-        return {
-            host: self.peers[host].link_mbps
-            for host in hosts
-            if self.peers[host].data_centre == own
-        }
+        return self._links(
+            host for host in hosts if self.peers[host].data_centre == own
+        )
 
     def for_round(self, now: float) -> list[str]:
         """Return the addresses to gossip with in the next round.
--- a/radishshift/hosts.py
+++ b/radishshift/hosts.py
@@ -43,9 +43,12 @@
     state: HostState = HostState.LIVE
 
 
-def widest_first(links: Mapping[str, float], key: str) -> list[str]:
-    """Order hosts by the bandwidth of their links, equal ones by rendezvous hash."""
-    order = rendezvous_order(list(links), key)
+def widest_first(links: Mapping[str, float], purpose: str) -> list[str]:
+    """Return the hosts sorted by the bandwidth of their links, widest first.
+
+    Hosts with equal links are sorted by their rendezvous hash for `purpose`.
+    """
+    order = rendezvous_order(list(links), purpose)
     return sorted(order, key=lambda host: -links[host])
 
 
--- a/radishshift/object_table.py
+++ b/radishshift/object_table.py
@@ -15,11 +15,10 @@
 
 import logbook
 import msgspec
-import xxhash
 
 from radishshift.errors import PatchError
 from radishshift.objects import Kind, Listing, StoredObject
-from radishshift.spec_patches import SpecPatch, apply_patch, make_patch
+from radishshift.spec_patches import SpecPatch, apply_patch, digest, make_patch
 
 __all__ = ["Head", "ObjectTable", "TableDelta"]
 
@@ -71,8 +70,7 @@
 
 
 def _item_hash(name: str, revision: int) -> int:
-    # 53 bits, which a number in JSON holds exactly even if it is read as a double.
-    return xxhash.xxh64_intdigest(f"{name}@{revision}".encode()) >> 11
+    return digest(f"{name}@{revision}".encode())
 
 
 @dataclass(slots=True)
--- a/radishshift/spec_patches.py
+++ b/radishshift/spec_patches.py
@@ -13,7 +13,14 @@
 
 from radishshift.errors import PatchError
 
-__all__ = ["EntryChanges", "SpecPatch", "apply_patch", "make_patch", "spec_digest"]
+__all__ = [
+    "EntryChanges",
+    "SpecPatch",
+    "apply_patch",
+    "digest",
+    "make_patch",
+    "spec_digest",
+]
 
 Spec = dict[str, Any]
 
@@ -61,11 +68,17 @@
     lists: dict[str, EntryChanges]
 
 
+def digest(data: bytes) -> int:
+    """Return a hash of 53 bits.
+
+    A number in JSON holds them exactly even if it is read as a double.
+    """
+    return xxhash.xxh64_intdigest(data) >> 11
+
+
 def spec_digest(spec: Spec) -> int:
     """Return a digest of a spec that does not depend on the order of its fields."""
-    # 53 bits, which a number in JSON holds exactly even if it is read as a double.
-    data = msgspec.json.encode(spec, order="deterministic")
-    return xxhash.xxh64_intdigest(data) >> 11
+    return digest(msgspec.json.encode(spec, order="deterministic"))
 
 
 def make_patch(
