--- a/radishshift/decisions/service_reach.py
+++ b/radishshift/decisions/service_reach.py
@@ -92,18 +92,16 @@
         """
         state = self._service(service)
         state.answered_at = now
-        if not state.lost_at:
-            state.failed_at.clear()
-            state.failure_count = 0
-            return False
-        state.answers += 1
-        if state.answers < state.answers_required:
-            return False
-        state.lost_at = 0.0
-        state.regained_at = now
+        was_lost = state.lost_at > 0
+        if was_lost:
+            state.answers += 1
+            if state.answers < state.answers_required:
+                return False
+            state.lost_at = 0.0
+            state.regained_at = now
         state.failed_at.clear()
         state.failure_count = 0
-        return True
+        return was_lost
 
     def record_failure(
         self, service: str, endpoint: str, listed: Collection[str], now: float
--- a/radishshift/gateway/silence.py
+++ b/radishshift/gateway/silence.py
@@ -68,7 +68,7 @@
         """Probe the other side of an attempt that has received nothing for a while."""
         now = self._clock.now()
         view = attempt.view
-        quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
+        quiet_s = _quiet_s(attempt, now)
         since_probe_s = now - max(view.last_reachable_at, view.last_unreachable_at)
         if quiet_s > attempt.silence_timeout_s and since_probe_s > PROBE_AFTER_S:
             self._prober.probe(view)
@@ -84,9 +84,13 @@
         attempt_overdue = (now - attempt.last_byte_at) / attempt.stall_timeout_s
         if attempt.helper:
             attempt_overdue /= RELAY_STALL_FACTOR
-        quiet_s = now - max(view.last_byte_at, attempt.last_byte_at)
         if attempt.job.route.kind is RouteKind.STREAM:
             self.probe_if_silent(attempt)
             if not view.unreachable or view.last_unreachable_at <= attempt.last_byte_at:
                 return attempt_overdue
-        return max(attempt_overdue, quiet_s / attempt.silence_timeout_s)
+        return max(attempt_overdue, _quiet_s(attempt, now) / attempt.silence_timeout_s)
+
+
+def _quiet_s(attempt: Attempt, now: float) -> float:
+    """Return the time since a byte came from the other side of an attempt."""
+    return now - max(attempt.view.last_byte_at, attempt.last_byte_at)
