--- a/tests/gateway/metered_fleets.py
+++ b/tests/gateway/metered_fleets.py
@@ -21,6 +21,7 @@
 from radishshift.objects import ChangeType, Kind, StoredObject
 from radishshift.platform import MemoryPlatform, Platform
 from radishshift.virtual_time import LoopClock
+from tests.gateway.networks import now
 
 __all__ = ["BOUNDS", "MeteredFleet", "configuration"]
 
@@ -367,8 +368,3 @@
         "seqNo": 1,
         "born": 1000,
     }
-
-
-def now():
-    """Return the virtual time."""
-    return asyncio.get_running_loop().time()
--- a/tests/gateway/test_growing_configurations.py
+++ b/tests/gateway/test_growing_configurations.py
@@ -15,6 +15,13 @@
         await fleet.start()
         return fleet
 
+    async def _fleet_with_large_configuration(self):
+        fleet = await self._fleet()
+        await fleet.configure(2, ROUTES[-1])
+        await asyncio.sleep(10.0)
+        fleet.meter()
+        return fleet
+
     async def test_coordinators_with_small_links_keep_hosts_from_the_news(self):
         """Listings took longer than their timeout, filled links, and began again."""
         fleet = await self._fleet()
@@ -34,20 +41,14 @@
 
     async def test_an_unchanged_configuration_is_transferred_again_and_again(self):
         """Each 1.5 s a host listed the configuration, which filled a small link."""
-        fleet = await self._fleet()
-        await fleet.configure(2, ROUTES[-1])
-        await asyncio.sleep(10.0)
-        fleet.meter()
+        fleet = await self._fleet_with_large_configuration()
         await asyncio.sleep(15.0)
         await fleet.stop()
         received = max(host.down.bytes for host in fleet.hosts.values())
         self.assertLess(received, 1_000_000)  # one configuration
 
     async def test_a_small_change_is_sent_to_peers_as_a_whole_configuration(self):
-        fleet = await self._fleet()
-        await fleet.configure(2, ROUTES[-1])
-        await asyncio.sleep(10.0)
-        fleet.meter()
+        fleet = await self._fleet_with_large_configuration()
         await asyncio.sleep(4.0)
         usual = {name: host.up.bytes for name, host in fleet.hosts.items()}
         fleet.meter()
