Follow operators' orders to empty a data centre, and spare endpoints that are cold

Cause: no code read evacuations, how long an endpoint stays cold, or the regions in which a route's or customer's requests may run. A data centre of endpoints that came back idle and cold got 39 requests within a second at one endpoint from a fleet of 6 hosts (bound 26).

Change: a table of its own for the orders, followed where the settings state a time for them, spread by gossip; endpoints of an emptied data centre are left out by the host's view, so by each way to an endpoint. A cold endpoint needs a permit of the host that keeps its budget, as one that limits its requests. Times of cold endpoints are no evidence against a version. Regions bind endpoints and helping peers.

Found on the way: a request was rejected with warm endpoints at hand after four permits for idle, cold ones had been refused.

--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -59,6 +59,8 @@
         Whether a broken stream may be resumed at another endpoint.
     models : tuple of str
         Models to choose from, smallest first; empty if the caller names one.
+    regions : tuple of str
+        Regions in which its requests may run; empty for all.
     """
 
     name: str
@@ -73,6 +75,7 @@
     public: bool = False
     resumable: bool = False
     models: tuple[str, ...] = ()
+    regions: tuple[str, ...] = ()
 
     @property
     def idempotent(self) -> bool:
@@ -90,18 +93,35 @@
     ----------
     model_costs : mapping of str to float
         Price of 1,000 generated tokens by model; empty for a plain service.
+    cold_start_s : float
+        Time for which an endpoint is cold after its start.
+    cold_per_s : float
+        Requests per second that a cold endpoint bears from all hosts together, 0 if no
+        bound is stated.
     """
 
     name: str
     model_costs: Mapping[str, float] = field(default_factory=dict)
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Customer:
-    """Owner of an API key; its priority, if set, overrides that of the route."""
+    """Owner of an API key.
+
+    Attributes
+    ----------
+    name : str
+    priority : int or None
+        Overrides that of the route, if set.
+    regions : tuple of str
+        Regions in which its requests may run; empty for all.
+    """
 
     name: str
     priority: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +157,8 @@
     born_ms : int
         Start of this incarnation, milliseconds since the epoch.
     state : EndpointState
+    cold_left_s : float
+        How long it stays cold, counted from its last report.
     """
 
     name: str
@@ -147,6 +169,7 @@
     slots: int
     born_ms: int = 0
     state: EndpointState = EndpointState.LIVE
+    cold_left_s: float = 0.0
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -302,6 +302,8 @@
         job = attempt.job
         key = (job.route.name, attempt.model, kind)
         version = attempt.member.version
+        if not attempt.helper and self.host_view.is_cold(attempt.member):
+            return  # says little of the endpoint and its version
         learn = not self.versions.is_new(job.service, version)
         ratio = self.times.observe(key, took_s, learn)
         attempt.view.record_latency_ratio(ratio)
@@ -315,9 +317,10 @@
         """Record the time so far of an attempt given up for silence.
 
         It is less than the attempt would have taken, so it doesn't enter the mean. An
-        unreachable endpoint says nothing about the speed of its version.
+        unreachable endpoint says nothing about the speed of its version, nor does a
+        cold one.
         """
-        if attempt.view.unreachable:
+        if attempt.view.unreachable or self.host_view.is_cold(attempt.member):
             return
         job = attempt.job
         now = self.clock.now()
--- a/radishshift/gateway/endpoint_permits.py
+++ b/radishshift/gateway/endpoint_permits.py
@@ -1,4 +1,6 @@
-"""Permits for attempts at endpoints that limit the requests of all hosts together.
+"""Permits for attempts at endpoints that bear a few requests of all hosts together.
+
+These are endpoints that state a limit, and those that are cold after a start.
 
 One host keeps the budget of an endpoint: the coordinator of the endpoint's data centre,
 or the host that would be. The others ask it over HTTP with JSON. An endpoint whose
@@ -9,6 +11,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 import logbook
@@ -49,7 +52,7 @@
     born_ms : int
         Start of the endpoint, milliseconds since the epoch.
     per_s : float or None
-        Limit of the endpoint as the sender knows it, in requests per second.
+        What the endpoint bears as the sender knows it, in requests per second.
     refusals_per_s : int or None
         Requests that the endpoint may refuse, as the sender knows it; None if it is not
         brittle.
@@ -104,6 +107,8 @@
     clock : Clock
     limits : EndpointLimits
     peers : PeerTable
+    cold_per_s : callable, optional
+        Returns the requests per second that a cold endpoint bears, None for a warm one.
     """
 
     def __init__(
@@ -112,11 +117,13 @@
         clock: Clock,
         limits: EndpointLimits,
         peers: PeerTable,
+        cold_per_s: Callable[[Incarnation], float | None] = lambda endpoint: None,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._limits = limits
         self._peers = peers
+        self._cold_per_s = cold_per_s
         self._budgets = RequestBudgets()
         self._brittle_budgets = BrittleBudgets()
         # Deadlines of the attempts at brittle endpoints that hold a permit.
@@ -133,7 +140,24 @@
 
     def required(self, member: Member) -> bool:
         """Return whether a request to an endpoint needs a permit."""
-        return self._limits.stated(member.incarnation)
+        endpoint = member.incarnation
+        return self._limits.stated(endpoint) or self._cold_per_s(endpoint) is not None
+
+    def _per_s(
+        self, endpoint: Incarnation, asked_per_s: float | None = None
+    ) -> float | None:
+        """Return the requests per second that an endpoint bears, None for any.
+
+        Parameters
+        ----------
+        asked_per_s : float or None
+            As another host knows it; counts unless this host has heard of a limit.
+        """
+        limit_per_s = self._limits.per_s(endpoint)
+        if limit_per_s is None:
+            limit_per_s = asked_per_s
+        known = (limit_per_s, self._cold_per_s(endpoint))
+        return min((per_s for per_s in known if per_s is not None), default=None)
 
     def retry_at(self, member: Member) -> float:
         """Return the instant from which a permit may be asked for, 0 for now."""
@@ -149,7 +173,7 @@
         if not self._keeps_budget(member.name, member.data_centre):
             return False
         now = self._clock.now()
-        per_s = self._limits.per_s(endpoint)
+        per_s = self._per_s(endpoint)
         refusals_per_s = self._limits.refusals_per_s(endpoint)
         return (
             per_s is None or self._budgets.available(endpoint, per_s, now)
@@ -172,7 +196,7 @@
             member.name,
             member.born_ms,
             member.data_centre,
-            self._limits.per_s(endpoint),
+            self._per_s(endpoint),
             self._limits.refusals_per_s(endpoint),
             member.slots,
             job.attempt_id,
@@ -232,8 +256,7 @@
             return RETRY_S
         now = self._clock.now()
         # This host may not have heard of the limits yet.
-        per_s = self._limits.per_s(endpoint)
-        per_s = question.per_s if per_s is None else per_s
+        per_s = self._per_s(endpoint, question.per_s)
         refusals_per_s = self._limits.refusals_per_s(endpoint)
         if refusals_per_s is None:
             refusals_per_s = question.refusals_per_s
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -25,7 +25,7 @@
 from radishshift.gateway.endpoint_statements import EndpointStatements
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
-from radishshift.gateway.host_view import HostView
+from radishshift.gateway.host_view import HostView, kinds_in_use
 from radishshift.gateway.messages import CallerAnswer, CallerRequest, EndpointClient
 from radishshift.gateway.monitor import Monitor
 from radishshift.gateway.monitored_platform import MonitoredPlatform
@@ -109,7 +109,9 @@
         self.settings = adapter.load_settings()
         settings = self.settings
         bounds = settings.bounds
-        self.host_view = HostView(adapter.decoder, self.clock, bounds.drain_s)
+        self.host_view = HostView(
+            adapter.decoder, self.clock, bounds.drain_s, kinds_in_use(bounds)
+        )
         self.placer = Placer()
         self.crash_suspects = CrashSuspects()
         self.crash_suspects.on_change = self._log_blocked
@@ -149,7 +151,11 @@
         self.dispatcher.on_crash = self._announce_change
         self.gossip.store_lost = lambda: self.platform.unavailable_since is not None
         self.permits = EndpointPermits(
-            settings, self.clock, self.endpoint_limits, self.gossip.peers
+            settings,
+            self.clock,
+            self.endpoint_limits,
+            self.gossip.peers,
+            self.host_view.cold_per_s,
         )
         self.shared_placement = SharedPlacement(
             settings,
@@ -162,6 +168,7 @@
         self.dispatcher.placement.shared = self.shared_placement
         self.dispatcher.placement.permits = self.permits
         self.dispatcher.placement.pauses = self.endpoint_pauses
+        self.dispatcher.placement.regions = settings.regions
         self.relays = Relays(
             settings,
             self.clock,
@@ -351,6 +358,10 @@
             "blocked_traits", lambda: len(self.crash_suspects.blocked(self.clock.now()))
         )
         register("limited_endpoints", self.endpoint_limits.count)
+        register("evacuated_data_centres", lambda: len(self.host_view.evacuated))
+        register(
+            "cold_endpoints", lambda: len(self.host_view.cold.cold(self.clock.now()))
+        )
         register(
             "paused_endpoints", lambda: self.endpoint_pauses.count(self.clock.now())
         )
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -24,7 +24,7 @@
 from radishshift.decisions.versions import Counts, VersionGuard
 from radishshift.gateway.gossip_messages import GossipMessage, RolloutEvidence
 from radishshift.gateway.host_settings import GatewaySettings
-from radishshift.gateway.host_view import KINDS, HostView
+from radishshift.gateway.host_view import HostView
 from radishshift.gateway.peer_calls import answer_peer, call_peer
 from radishshift.gateway.peer_table import PeerTable
 from radishshift.gateway.sockets import keepalive_session
@@ -324,7 +324,7 @@
         peer = self.peers.peers.get(message.host)
         delta_bases = {} if peer is None else peer.delta_bases
         tables = {}
-        for kind in KINDS:
+        for kind in self._host_view.kinds:
             table = self._host_view.tables[kind]
             if kind.value not in message.heads:
                 continue  # the peer is of a release without this kind
--- a/radishshift/gateway/host_settings.py
+++ b/radishshift/gateway/host_settings.py
@@ -1,6 +1,7 @@
 """Settings of a gateway host."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 __all__ = ["Bounds", "GatewaySettings"]
 
@@ -27,6 +28,9 @@
         Time within which the event of a stream must reach the caller.
     session_gap_s : float
         A session ends when this time has passed since its last request.
+    evacuation_s : float
+        Time from the order to empty a data centre until its endpoints may receive no
+        requests; 0 if there are no such orders.
     """
 
     drain_s: float = 2.0
@@ -38,6 +42,7 @@
     exposure_share: float = 0.15
     event_latency_s: float = 0.12
     session_gap_s: float = 5.0
+    evacuation_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +59,8 @@
         Peer addresses of the hosts to contact first.
     link_mbps : float
         Bandwidth of the host's link in Mbit/s, 0 if unknown.
+    regions : mapping of str to str
+        Regions of the data centres.
     """
 
     host: str
@@ -68,3 +75,4 @@
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     link_mbps: float = 0.0
+    regions: Mapping[str, str] = field(default_factory=dict)
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -4,13 +4,14 @@
 so that no object reverts to an older state, whichever source delivers it first.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import chain
 
 import logbook
 
 from radishshift.clocks import Clock
+from radishshift.decisions.cold_endpoints import ColdEndpoints
 from radishshift.decisions.routes import RouteTable
 from radishshift.decisions.stated_departures import DepartureReport, StatedDepartures
 from radishshift.endpoints import EndpointState
@@ -21,7 +22,7 @@
 from radishshift.object_table import Head, ObjectTable, TableDelta
 from radishshift.objects import ChangeType, Kind, Listing, ObjectChange, StoredObject
 
-__all__ = ["KINDS", "Departure", "HostView"]
+__all__ = ["KINDS", "Departure", "HostView", "kinds_in_use"]
 
 KINDS = (Kind.DEPLOYMENT, Kind.ENDPOINT, Kind.ROLLOUT, Kind.BLOCKED_PART)
 # Earlier configurations; a peer that holds one is sent changes instead of all routes.
@@ -52,6 +53,11 @@
     announced: bool = True
 
 
+def kinds_in_use(bounds: Bounds) -> tuple[Kind, ...]:
+    """Return the kinds of objects that hosts follow in a deployment."""
+    return (*KINDS, Kind.EVACUATION) if bounds.evacuation_s else KINDS
+
+
 class HostView:
     """What one host knows, derived from its tables of the platform's objects.
 
@@ -61,6 +67,8 @@
     clock : Clock
     drain_s : float
         Time after an endpoint's departure from which it may get no requests.
+    kinds : sequence of Kind
+        Kinds of objects to follow.
 
     Attributes
     ----------
@@ -76,6 +84,9 @@
     blocked_parts : dict of str to float
         Parts of prompts that crash endpoints, by trait, with the time at which each was
         blocked, in seconds since the epoch.
+    evacuated : frozenset of str
+        Data centres whose endpoints must not be used, by order of the operators.
+    cold : ColdEndpoints
     """
 
     def __init__(
@@ -83,12 +94,14 @@
         decoder: ObjectDecoder,
         clock: Clock,
         drain_s: float = DEFAULT_BOUNDS.drain_s,
+        kinds: Sequence[Kind] = KINDS,
     ) -> None:
+        self.kinds = tuple(kinds)
         self._drain_s = drain_s
         self._decoder = decoder
         self._clock = clock
         self.tables = {
-            kind: ObjectTable(kind, PAST_STATES.get(kind, 0)) for kind in KINDS
+            kind: ObjectTable(kind, PAST_STATES.get(kind, 0)) for kind in kinds
         }
         self.deployment: Deployment | None = None
         self.routes = RouteTable(())
@@ -96,6 +109,8 @@
         self.departed: dict[str, Departure] = {}
         self.rollouts: dict[str, Rollout] = {}
         self.blocked_parts: dict[str, float] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.cold = ColdEndpoints()
         self._stated_departures = StatedDepartures()
         self._decoded: dict[str, tuple[int, Member | None]] = {}
         self._lapsed_until = 0.0
@@ -165,6 +180,7 @@
     def expire_departures(self) -> None:
         """Forget what endpoints that are gone have said."""
         listed = {member.incarnation for member in self._listed_members()}
+        self.cold.keep_only(listed)
         self._stated_departures.expire(listed, self._clock.now())
 
     def known_members(self) -> Iterator[Member]:
@@ -189,7 +205,13 @@
         """Yield the endpoints of a service that take new work.
 
         Soon after an outage of the store this includes endpoints that were delisted.
+        Endpoints of evacuated data centres are left out.
         """
+        for member in self._members_anywhere(service):
+            if member.data_centre not in self.evacuated:
+                yield member
+
+    def _members_anywhere(self, service: str) -> Iterator[Member]:
         for member in self.members.values():
             if member.service == service:
                 yield member
@@ -213,11 +235,41 @@
             else services[service].model_costs
         )
 
+    def cold_per_s(self, endpoint: tuple[str, int]) -> float | None:
+        """Return how many requests per second a cold endpoint bears.
+
+        Parameters
+        ----------
+        endpoint : tuple
+            Name and start of the endpoint.
+
+        Returns
+        -------
+        float or None
+            None if it is warm or unknown, or if its service states no bound.
+        """
+        if self.cold.until(endpoint) <= self._clock.now():
+            return None
+        member = self.members.get(endpoint[0])
+        if member is None or self.deployment is None:
+            return None
+        service = self.deployment.services.get(member.service)
+        return None if service is None else service.cold_per_s or None
+
+    def is_cold(self, member: Member) -> bool:
+        """Return whether an endpoint is cold, so that its times say little of it."""
+        return self.cold.until(member.incarnation) > self._clock.now()
+
     def departed_since(self, service: str, since: float) -> Iterator[Member]:
-        """Yield the endpoints of a service that left after `since`."""
+        """Yield the endpoints of a service that left after `since`.
+
+        Endpoints of evacuated data centres are left out.
+        """
         for departure in self.departed.values():
-            if departure.at > since and departure.member.service == service:
-                yield departure.member
+            member = departure.member
+            usable = member.data_centre not in self.evacuated
+            if usable and departure.at > since and member.service == service:
+                yield member
 
     def stored_rollout(self, service: str) -> StoredObject:
         """Return a roll-out's stored object as last seen.
@@ -238,6 +290,8 @@
             self._derive_members(source)
         elif kind is Kind.ROLLOUT:
             self._derive_rollouts(source)
+        elif kind is Kind.EVACUATION:
+            self._derive_evacuations(source)
         else:
             self._derive_blocked_parts()
 
@@ -300,9 +354,16 @@
             if decoded is None or decoded[0] != item.revision:
                 decoded = (item.revision, self._member(item))
                 self._decoded[name] = decoded
+                self._record_cold(decoded[1])
             if decoded[1] is not None:
                 yield decoded[1]
 
+    def _record_cold(self, member: Member | None) -> None:
+        if member is not None:
+            self.cold.record_registration(
+                member.incarnation, member.cold_left_s, self._clock.now()
+            )
+
     def _member(self, item: StoredObject) -> Member | None:
         try:
             return self._decoder.member(item)
@@ -351,6 +412,39 @@
                     },
                 )
 
+    def _derive_evacuations(self, source: str) -> None:
+        """Apply the orders to empty data centres; each order is named by one.
+
+        The endpoints of a data centre that is taken back may have become cold meanwhile
+        without a word in their registrations yet.
+        """
+        before = self.evacuated
+        self.evacuated = frozenset(self.tables[Kind.EVACUATION].items)
+        known = {member.data_centre for member in self.members.values()}
+        for data_centre in sorted(self.evacuated - before):
+            logger.warning(
+                "data centre {} is evacuated",
+                data_centre,
+                extra={"source": source, "endpoints_there": data_centre in known},
+            )
+        if known and known <= self.evacuated and self.evacuated != before:
+            logger.error("all data centres are evacuated; no request can be served")
+        for data_centre in sorted(before - self.evacuated):
+            logger.warning(
+                "data centre {} is in use again", data_centre, extra={"source": source}
+            )
+            self._assume_cold(data_centre)
+
+    def _assume_cold(self, data_centre: str) -> None:
+        services = {} if self.deployment is None else self.deployment.services
+        for service in services.values():
+            endpoints = [
+                member.incarnation
+                for member in self.members.values()
+                if (member.service, member.data_centre) == (service.name, data_centre)
+            ]
+            self.cold.assume(endpoints, service.cold_start_s, self._clock.now())
+
     def _derive_blocked_parts(self) -> None:
         self.blocked_parts = {}
         for name, item in self.tables[Kind.BLOCKED_PART].items.items():
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -74,6 +74,20 @@
         """Return the name of the next attempt."""
         return f"{self.req.request_id}/{self.attempts}"
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Return the regions in which it may run, None for all.
+
+        Both the route and the customer may restrict them.
+        """
+        customer_regions = () if self.customer is None else self.customer.regions
+        restrictions = [
+            frozenset(regions)
+            for regions in (self.route.regions, customer_regions)
+            if regions
+        ]
+        return frozenset.intersection(*restrictions) if restrictions else None
+
     @property
     def endpoints_left(self) -> int:
         """Return to how many further endpoints it may be sent."""
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -1,6 +1,6 @@
 """Choice of the endpoint for each attempt of a request at one host."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import replace
 
 from radishshift.clocks import Clock
@@ -48,6 +48,8 @@
         Permits for endpoints that limit their requests; None if none does.
     pauses : EndpointPauses
         Pauses for which endpoints have asked.
+    regions : mapping of str to str
+        Regions of the data centres.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self.shared: SharedPlacement | None = None
         self.permits: EndpointPermits | None = None
         self.pauses = EndpointPauses()
+        self.regions: Mapping[str, str] = {}
         self._clock = clock
         self._data_centre = data_centre
         self._host_view = host_view
@@ -89,7 +92,15 @@
             member = await self._place_without_permit(job, model)
             if self.permits is None or await self.permits.acquire(member, job):
                 return member
-        raise self._no_endpoint(job)
+        # Endpoints that need permits look idle, as they get little.
+        unlimited = [
+            member for member in self._allowed(job) if not self.permits.required(member)
+        ]
+        now = self._clock.now()
+        chosen = self._placer.choose(unlimited, self._request(job, model), now)
+        if chosen is None:
+            raise self._no_endpoint(job)
+        return chosen
 
     async def _place_without_permit(self, job: Job, model: str) -> Member:
         """Return the endpoint to use if it permits the attempt.
@@ -117,7 +128,7 @@
             excluded=[
                 member.name
                 for member in self._host_view.members_of(job.service)
-                if self._retry_at(member) > now
+                if self._retry_at(member) > now or not self._at_home(job, member)
             ],
         )
         timeout_s = (
@@ -159,7 +170,7 @@
             departed = [
                 member
                 for member in self._host_view.departed_since(job.service, since)
-                if self._retry_at(member) <= now
+                if self._retry_at(member) <= now and self._at_home(job, member)
             ]
             chosen = self._placer.choose(departed, request, now)
         if chosen is None:
@@ -169,11 +180,15 @@
     def _no_endpoint(self, job: Job) -> NoEndpointError:
         members = list(self._host_view.members_of(job.service))
         now = self._clock.now()
-        later = [at for at in map(self._retry_at, members) if at > now]
+        at_home = [member for member in members if self._at_home(job, member)]
+        later = [at for at in map(self._retry_at, at_home) if at > now]
         retry_after_s = min(later) - now if later else None
+        evacuated = sorted(self._host_view.evacuated)
         return NoEndpointError(
             f"no endpoint of {job.service} is available out of {len(members)}, "
-            f"{len(later)} of which take requests only later",
+            f"{len(members) - len(at_home)} of which are in other regions and "
+            f"{len(later)} take requests only later"
+            + (f"; evacuated: {', '.join(evacuated)}" if evacuated else ""),
             retry_after_s=retry_after_s,
         )
 
@@ -233,11 +248,20 @@
 
     def _in_reach(self, job: Job) -> list[Member]:
         """Return the endpoints that a job may still be sent to, permits aside."""
-        members = list(self._host_view.members_of(job.service))
+        members = [
+            member
+            for member in self._host_view.members_of(job.service)
+            if self._at_home(job, member)
+        ]
         if job.endpoints_left > 0:
             return members
         return [member for member in members if member.name in job.used_endpoints]
 
+    def _at_home(self, job: Job, member: Member) -> bool:
+        """Return whether an endpoint is in a region in which a job may run."""
+        regions = job.regions
+        return regions is None or self.regions.get(member.data_centre) in regions
+
     def _retry_at(self, member: Member) -> float:
         """Return the instant from which an endpoint may be tried, 0 for now."""
         paused_until = self.pauses.until(member.incarnation)
--- a/radishshift/gateway/platform_sync.py
+++ b/radishshift/gateway/platform_sync.py
@@ -16,7 +16,7 @@
 
 from radishshift.clocks import Clock
 from radishshift.errors import GoneError, RadishshiftError
-from radishshift.gateway.host_view import KINDS, HostView
+from radishshift.gateway.host_view import HostView
 from radishshift.gateway.monitored_platform import MonitoredPlatform
 from radishshift.hosts import rendezvous_order, widest_first
 from radishshift.objects import Kind, Listing, ObjectChange
@@ -33,6 +33,7 @@
     Kind.ENDPOINT: 1,
     Kind.ROLLOUT: 3,
     Kind.BLOCKED_PART: 12,
+    Kind.EVACUATION: 1,
 }
 # Kinds whose listing takes the link of a small host for a second or so. A resync reads
 # their changes, and a new watch begins at the revision that is known.
@@ -116,7 +117,7 @@
         When a whole fleet starts, each host lists for itself, as no peer knows more.
         A stale listing is enough: the watchers, which list again, gossip what changed.
         """
-        missing = list(KINDS)
+        missing = list(self._host_view.kinds)
         while missing and not self._loaded.is_set():
             answered = await asyncio.gather(
                 *(self._list(kind, allow_stale=True) for kind in missing)
@@ -193,7 +194,7 @@
         """Watch while this host is a watcher, and restart silent watches."""
         while True:
             if self.is_watcher:
-                for kind in KINDS:
+                for kind in self._host_view.kinds:
                     self._check_watch(kind)
             elif self._watches:
                 logger.info("no longer a watcher, ending the watches")
@@ -223,7 +224,9 @@
             turn = int(self._clock.now() / self._resync_interval_s)
             if rendezvous_order(self._hosts(), str(turn))[0] == self._host:
                 kinds = [
-                    kind for kind, period in RESYNC_PERIODS.items() if not turn % period
+                    kind
+                    for kind in self._host_view.kinds
+                    if not turn % RESYNC_PERIODS[kind]
                 ]
                 await asyncio.gather(*map(self._resync_kind, kinds))
 
--- a/radishshift/gateway/relay_messages.py
+++ b/radishshift/gateway/relay_messages.py
@@ -136,7 +136,7 @@
     return RelayOrder(
         sender=sender,
         req=replace(req, key="", headers=tuple(plain_headers(req.headers))),
-        route=job.route,
+        route=replace(job.route, regions=tuple(sorted(job.regions or ()))),
         service=job.service,
         left_s=round(max(0.0, job.deadline - now - RELAY_WAY_S), 4),
         customer="" if job.customer is None else job.customer.name,
--- a/radishshift/objects.py
+++ b/radishshift/objects.py
@@ -35,6 +35,7 @@
     CONFIRMATION = "confirmations"
     DEPLOYMENT = "deployments"
     ROLLOUT = "rollouts"
+    EVACUATION = "evacuations"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/metered_fleets.py
+++ b/tests/gateway/metered_fleets.py
@@ -11,21 +11,23 @@
 from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
+from radishshift.errors import PlatformUnavailableError
 from radishshift.gateway.gossip import REQUEST_TIMEOUT_S, Gossip
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import Bounds, GatewaySettings
-from radishshift.gateway.host_view import HostView
+from radishshift.gateway.host_view import HostView, kinds_in_use
 from radishshift.gateway.monitored_platform import MonitoredPlatform
 from radishshift.gateway.peer_calls import decode_body, encode_body
 from radishshift.gateway.platform_sync import PlatformSync
 from radishshift.objects import ChangeType, Kind, StoredObject
 from radishshift.platform import MemoryPlatform, Platform
+from radishshift.verdicts import Verdict
 from radishshift.virtual_time import LoopClock
 from tests.gateway.networks import now
 
 __all__ = ["BOUNDS", "MeteredFleet", "configuration"]
 
-BOUNDS = Bounds(drain_s=3.0, config_deadline_s=3.0)
+BOUNDS = Bounds(drain_s=3.0, config_deadline_s=3.0, evacuation_s=5.0)
 WIDE_MBPS = 200.0
 NARROW_CORES, WIDE_CORES = 0.5, 2.0
 WIDE_HOSTS_PER_CENTRE = 2
@@ -83,13 +85,18 @@
     ----------
     changed_at, left_at : dict
         When a version was stored, and when an endpoint said that it leaves.
+    without_store : set of str
+        Hosts that the store turns away.
     """
 
+    now = staticmethod(now)
+
     def __init__(self, hosts, centres, endpoints, narrow_mbps):
         self.store = MemoryPlatform()
         self.narrow_mbps = narrow_mbps
         self.changed_at = {}
         self.left_at = {}
+        self.without_store = set()
         self._endpoints = endpoints
         names = [f"edge-{number}" for number in range(hosts)]
         self.hosts = {
@@ -137,6 +144,15 @@
             await self._put(Kind.ENDPOINT, f"i-{successor}", endpoint(successor))
             await asyncio.sleep(pause_s)
 
+    async def evacuate(self, data_centre):
+        """Store the order to use no endpoint of a data centre."""
+        await self._put(Kind.EVACUATION, data_centre, {})
+
+    async def take_back(self, data_centre):
+        """Remove the order again."""
+        item = self.store._items[Kind.EVACUATION][data_centre]
+        await self.store.delete(item.kind, item.name, item.revision)
+
     def version_ages_s(self):
         """Return by version how long it took until it was in force everywhere."""
         return {
@@ -181,7 +197,9 @@
         self.clock = LoopClock()
         self.versions_at = {}
         self.departed_at = {}
-        self.host_view = HostView(PlatformObjectDecoder(), self.clock, BOUNDS.drain_s)
+        self.host_view = HostView(
+            PlatformObjectDecoder(), self.clock, BOUNDS.drain_s, kinds_in_use(BOUNDS)
+        )
         seeds = tuple(f"edge-{number}:1" for number in range(3))
         self.settings = settings = GatewaySettings(
             name, "", data_centre, "", "", "", f"{name}:1", "", "", seeds, BOUNDS, mbps
@@ -291,18 +309,24 @@
         return await self._store.get(kind, name)
 
     async def list_all(self, kind, allow_stale=False):
-        await asyncio.sleep(STORE_S)
+        await self._ask()
         listing = await self._store.list_all(kind)
         await self._receive(sum(_size(item.spec) + 120 for item in listing.items))
         return listing
 
     async def changes_since(self, kind, since):
-        await asyncio.sleep(STORE_S)
+        await self._ask()
         changes = await self._store.changes_since(kind, since)
         await self._receive(sum(_size(each.item.spec) + 200 for each in changes[:-1]))
         return changes
 
+    async def _ask(self):
+        await asyncio.sleep(STORE_S)
+        if self._host.name in self._host.fleet.without_store:
+            raise PlatformUnavailableError("turned away", verdict=Verdict.NOT_RUN)
+
     async def watch(self, kind, since):
+        await self._ask()
         async for change in self._store.watch(kind, since):
             if change.type is not ChangeType.BOOKMARK:
                 await self._receive(_size(change.item.spec) + 200)
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -33,7 +33,7 @@
 from radishshift.gateway.endpoint_permits import EndpointPermits
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import Bounds
-from radishshift.gateway.host_view import HostView
+from radishshift.gateway.host_view import KINDS, HostView
 from radishshift.gateway.messages import (
     CallerAnswer,
     CallerRequest,
@@ -276,7 +276,9 @@
         data_centres=None,
     ):
         self.clock = LoopClock()
-        self.host_view = HostView(SimpleObjectDecoder(), self.clock)
+        self.host_view = HostView(
+            SimpleObjectDecoder(), self.clock, kinds=(*KINDS, Kind.EVACUATION)
+        )
         self.endpoints = _Endpoints(dict(endpoints))
         bounds = bounds or Bounds()
         self.versions = VersionGuard("edge-1", bounds)
@@ -324,7 +326,13 @@
 
     def place_together(self, settings, gossip):
         """Place with the other hosts; return the shared placement and the permits."""
-        permits = EndpointPermits(settings, self.clock, self.limits, gossip.peers)
+        permits = EndpointPermits(
+            settings,
+            self.clock,
+            self.limits,
+            gossip.peers,
+            self.host_view.cold_per_s,
+        )
         shared = SharedPlacement(
             settings, self.clock, self.host_view, self.placer, gossip, permits
         )
@@ -332,12 +340,12 @@
         self.dispatcher.placement.permits = permits
         return shared, permits
 
-    def configure(self, routes, version=1, customers=None):
-        """Apply a configuration."""
+    def configure(self, routes, version=1, customers=None, **service):
+        """Apply a configuration; keywords are fields of the service."""
         self.revision += 1
         if customers is None:
             customers = {KEY: Customer("ring")}
-        services = {SERVICE: Service(SERVICE, self._costs)}
+        services = {SERVICE: Service(SERVICE, self._costs, **service)}
         deployment = Deployment(version, tuple(routes), services, customers)
         item = StoredObject(
             Kind.DEPLOYMENT, "main", {"deployment": deployment}, {}, self.revision
@@ -352,13 +360,22 @@
             name, SERVICE, "10.0.0.1:1", data_centre, version, 6, born_ms, state
         )
 
-    def list_members(self, names, leaving=()):
-        """Apply a listing of endpoints."""
+    def evacuate(self, *data_centres):
+        """Apply the operators' orders to empty these data centres, and no others."""
+        self.revision += 1
+        items = [
+            StoredObject(Kind.EVACUATION, name, {}, {}, self.revision)
+            for name in data_centres
+        ]
+        self.host_view.apply(Kind.EVACUATION, Listing(tuple(items), self.revision))
+
+    def list_members(self, names, leaving=(), **changes):
+        """Apply a listing of endpoints, all with the same changes."""
         self.revision += 1
         items = []
         for name in names:
             state = EndpointState.LEAVING if name in leaving else EndpointState.LIVE
-            spec = {"member": self.member(name, state)}
+            spec = {"member": replace(self.member(name, state), **changes)}
             items.append(StoredObject(Kind.ENDPOINT, name, spec, {}, self.revision))
         self.host_view.apply(Kind.ENDPOINT, Listing(tuple(items), self.revision))
 
