--- a/radishshift/catalogue.py
+++ b/radishshift/catalogue.py
@@ -219,6 +219,8 @@
     policies : Policies
     by_key_digest : mapping of str to Contract
         Contracts by the digests of their API keys.
+    evacuated : frozenset of str
+        Data centres whose endpoints get no attempts, by order of the operators.
     """
 
     revision: int = 0
@@ -229,11 +231,13 @@
     endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
     policies: Policies = field(default_factory=Policies)
     by_key_digest: Mapping[str, Contract] = field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
 
     def endpoints_of(self, served: str) -> Iterator[Endpoint]:
         """Yield the endpoints that accept attempts for a version or service."""
         for endpoint in self.endpoints.values():
-            if served in endpoint.serves and endpoint.accepts_attempts():
+            usable = endpoint.data_centre not in self.evacuated
+            if usable and served in endpoint.serves and endpoint.accepts_attempts():
                 yield endpoint
 
     def allowed_versions(self, contract: Contract) -> Iterator[ModelVersion]:
--- a/radishshift/manifests.py
+++ b/radishshift/manifests.py
@@ -34,6 +34,7 @@
     "CustomerSpec",
     "EndpointSpec",
     "EntrySpec",
+    "EvacuationSpec",
     "HostSpec",
     "PolicySpec",
     "ServiceSpec",
@@ -265,6 +266,14 @@
         return Policies(self.planner, self.balancer, self.parameters)
 
 
+class EvacuationSpec(
+    EntryBase, frozen=True, kw_only=True, tag_field="type", tag="evacuation"
+):
+    """An order to send nothing to the endpoints of a data centre while it exists."""
+
+    data_centre: Name
+
+
 class EndpointSpec(Manifest, frozen=True, kw_only=True):
     """An endpoint in the platform's list; see `endpoints.Endpoint`."""
 
@@ -298,7 +307,14 @@
     state: HostState = HostState.LIVE
 
 
-EntrySpec = VersionSpec | ServiceSpec | CustomerSpec | TaskClassSpec | PolicySpec
+EntrySpec = (
+    VersionSpec
+    | ServiceSpec
+    | CustomerSpec
+    | TaskClassSpec
+    | PolicySpec
+    | EvacuationSpec
+)
 
 
 def read_entry(name: str, spec: dict[str, Any]) -> EntrySpec:
@@ -345,6 +361,7 @@
     task_classes = {}
     endpoints = {}
     policies = Policies()
+    evacuated = set()
     for item in items:
         if item.kind is Kind.ENDPOINT:
             endpoint_spec = read_endpoint(item.name, item.spec)
@@ -361,6 +378,8 @@
                 task_classes[item.name] = spec.task_class(item.name)
             case PolicySpec() as spec:
                 policies = spec.policies()
+            case EvacuationSpec() as spec:
+                evacuated.add(spec.data_centre)
     by_key_digest = {
         digest: contract
         for contract in contracts.values()
@@ -375,4 +394,5 @@
         endpoints,
         policies,
         by_key_digest,
+        frozenset(evacuated),
     )
--- a/radishshift/operators.py
+++ b/radishshift/operators.py
@@ -1,4 +1,4 @@
-"""Operations on the catalogue: check, compare, apply, promote and withdraw.
+"""Operations on the catalogue: check, compare, apply, promote, withdraw, evacuate.
 
 Every write is conditional on the revision that the operator has read. If the entry was
 written in the meantime, `LostRaceError` names the writer and the changed keys.
@@ -6,6 +6,7 @@
 
 import enum
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -36,11 +37,15 @@
     "apply_catalogue",
     "check_catalogue",
     "diff_catalogue",
+    "evacuate_data_centre",
     "load_catalogue",
     "move_version",
+    "restore_data_centre",
     "show_entries",
 ]
 
+EVACUATION_PREFIX = "evacuation-"  # of the names of these entries
+
 Specs = dict[str, dict[str, Any]]
 
 
@@ -316,6 +321,47 @@
     return await _update(platform, replace(stored, spec=spec))
 
 
+async def evacuate_data_centre(platform: Platform, data_centre: str) -> StoredObject:
+    """Order that nothing be sent to the endpoints of a data centre.
+
+    The operation is idempotent.
+
+    Raises
+    ------
+    NotFoundError
+        The platform lists no endpoint there.
+    LostRaceError
+    """
+    endpoints = (await platform.list_all(Kind.ENDPOINT)).items
+    if not any(item.spec.get("dataCentre") == data_centre for item in endpoints):
+        raise NotFoundError(f"no endpoint is listed in data centre {data_centre}")
+    name = EVACUATION_PREFIX + data_centre
+    spec = {
+        "type": "evacuation",
+        "owner": "operators",
+        "class": "evacuation",
+        "dataCentre": data_centre,
+    }
+    with suppress(NotFoundError):
+        stored = await platform.get(Kind.ENTRY, name)
+        if stored.spec == spec:
+            return stored
+    return await add_entry(platform, name, spec)
+
+
+async def restore_data_centre(platform: Platform, data_centre: str) -> None:
+    """Take an order of `evacuate_data_centre` back.
+
+    Raises
+    ------
+    NotFoundError
+        There is no such order.
+    LostRaceError
+    """
+    stored = await platform.get(Kind.ENTRY, EVACUATION_PREFIX + data_centre)
+    await _delete(platform, stored)
+
+
 async def show_entries(platform: Platform, names: list[str]) -> list[StoredObject]:
     """Return the named entries, or all entries if no names are given.
 
--- a/radishshift/verbs.py
+++ b/radishshift/verbs.py
@@ -17,8 +17,10 @@
     apply_catalogue,
     check_catalogue,
     diff_catalogue,
+    evacuate_data_centre,
     load_catalogue,
     move_version,
+    restore_data_centre,
     show_entries,
 )
 from radishshift.platform import Platform
@@ -168,6 +170,22 @@
     return _entry_report([stored])
 
 
+@verb("evacuate")
+async def _evacuate(platform: Platform, args: list[str]) -> Report:
+    """Evacuate DATA-CENTRE: send nothing more to its endpoints."""
+    data_centre = _single_argument(args, "one data centre")
+    return _entry_report([await evacuate_data_centre(platform, data_centre)])
+
+
+@verb("restore")
+async def _restore(platform: Platform, args: list[str]) -> Report:
+    """Restore DATA-CENTRE: use its endpoints again after an evacuation."""
+    data_centre = _single_argument(args, "one data centre")
+    await restore_data_centre(platform, data_centre)
+    text = f"the endpoints of {data_centre} are in use again"
+    return Report({"restored": data_centre}, text)
+
+
 def _entry_row(item: StoredObject) -> tuple[object, ...]:
     spec = item.spec
     state = spec.get("state", "-")
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,10 +2,15 @@
 
 from dataclasses import replace
 
+from testtools import ExpectedException
+
 from radishshift.catalogue import VersionState
+from radishshift.clocks import ManualClock
+from radishshift.configuration import Configuration
 from radishshift.errors import (
     BadRequestError,
     LostRaceError,
+    NotFoundError,
     PlatformUnavailableError,
     SettingsError,
 )
@@ -16,7 +21,9 @@
     apply_catalogue,
     check_catalogue,
     diff_catalogue,
+    evacuate_data_centre,
     move_version,
+    restore_data_centre,
 )
 from radishshift.platform import MemoryPlatform
 from radishshift.standins.deployment import small_catalogue
@@ -132,3 +139,37 @@
             LostRaceError, add_entry(platform, VERSION, spec)
         )
         self.assertEqual(['state: stored "proposed", attempted "serving"'], exc.changes)
+
+
+class EvacuationTest(TestCase):
+    async def _platform(self):
+        platform = MemoryPlatform()
+        for name, data_centre in (("a", "mbeya"), ("b", "iringa")):
+            spec = {
+                "address": "10.0.0.1:1",
+                "dataCentre": data_centre,
+                "serves": ["advice"],
+            }
+            await platform.create(StoredObject(Kind.ENDPOINT, name, spec))
+        return platform
+
+    async def _in_use(self, platform):
+        configuration = Configuration(ManualClock())
+        for kind in (Kind.ENDPOINT, Kind.ENTRY):
+            configuration.apply_listing(kind, await platform.list_all(kind))
+        endpoints = configuration.catalogue.endpoints_of("advice")
+        return sorted(endpoint.name for endpoint in endpoints)
+
+    async def test_an_evacuated_data_centre_is_not_used_until_it_is_restored(self):
+        platform = await self._platform()
+        stored = await evacuate_data_centre(platform, "mbeya")
+        self.assertEqual(stored, await evacuate_data_centre(platform, "mbeya"))
+        self.assertEqual(["b"], await self._in_use(platform))
+        await restore_data_centre(platform, "mbeya")
+        self.assertEqual(["a", "b"], await self._in_use(platform))
+
+    async def test_an_unknown_data_centre_is_refused(self):
+        platform = await self._platform()
+        for operation in (evacuate_data_centre, restore_data_centre):
+            with ExpectedException(NotFoundError):
+                await operation(platform, "nowhere")
