--- a/radishshift/gateway/endpoint_permits.py
+++ b/radishshift/gateway/endpoint_permits.py
@@ -16,8 +16,8 @@
 import aiohttp
 import logbook
 import msgspec
-from aiohttp import web
 
+from radishshift import http_server as web
 from radishshift.clocks import Clock
 from radishshift.decisions.brittle_endpoints import BrittleBudgets
 from radishshift.decisions.endpoint_limits import (
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 import logbook
-from aiohttp import web
 
+from radishshift import http_server as web
 from radishshift.clocks import Clock, SystemClock
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
--- a/radishshift/gateway/peer_calls.py
+++ b/radishshift/gateway/peer_calls.py
@@ -11,7 +11,8 @@
 import aiohttp
 import logbook
 import msgspec
-from aiohttp import web
+
+from radishshift import http_server as web
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 import logbook
-from aiohttp import web
 
+from radishshift import http_server as web
 from radishshift.clocks import Clock
 from radishshift.decisions.service_reach import ReachTracker
 from radishshift.errors import (
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -11,8 +11,8 @@
 import aiohttp
 import logbook
 import msgspec
-from aiohttp import web
 
+from radishshift import http_server as web
 from radishshift.clocks import Clock
 from radishshift.decisions.fleet_load import PlacementQuota
 from radishshift.decisions.placing import (
--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 
 import aiohttp
-from aiohttp import web
 from aiohttp.client_proto import ResponseHandler
 
+from radishshift import http_server as web
+
 __all__ = [
     "EndlessResponseError",
     "enable_keepalive",
--- a/radishshift/open_connections.py
+++ b/radishshift/open_connections.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from aiohttp import web
+from radishshift import http_server as web
 
 __all__ = ["open_transports", "wait_until_sent"]
 
