Accept while stopping only streams that should end before the exit

Change: hosts learn how long streams of each route and model take for each token that their callers state; a stream that may take longer than is left is rejected as not run. A host that knows no times yet accepts as before. Test with a stream of 400 tokens.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from radishshift.decisions.moving_averages import MovingAverages
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.retry_budget import HostRetryBudget
+from radishshift.decisions.stream_times import StreamTimes
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import (
     DeadlineError,
@@ -95,6 +96,7 @@
         self.suspects = suspects
         self.versions = versions
         self.times = MovingAverages()
+        self._stream_times = StreamTimes(self.times)
         self._placer = placer
         self._client = client
         self.on_crash: Callable[[], None] = lambda: None
@@ -289,6 +291,21 @@
         per_unit_s = self.times.mean_s((job.route.name, model, "first"))
         return per_unit_s * _prompt_units(job)
 
+    def longest_stream_s(self, job: Job) -> float | None:
+        """Return how long a stream may take, None if that is not known."""
+        models = job.route.models or ("",)
+        return self._stream_times.longest_s(
+            job.route.name, models, _prompt_units(job), job.req.answer_tokens
+        )
+
+    def record_stream(self, attempt: Attempt) -> None:
+        """Record the time of a stream that one attempt has answered whole."""
+        job = attempt.job
+        took_s = self.clock.now() - attempt.answered_at
+        self._stream_times.record(
+            job.route.name, attempt.model, job.req.answer_tokens, took_s
+        )
+
     def record_first_event(self, attempt: Attempt) -> None:
         """Record the time to a first event, per prompt unit."""
         took_s = self.clock.now() - attempt.began_at
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -50,8 +50,8 @@
     exits_at : float
         Instant at which the process exits; requests that may last longer are refused.
     accept_streams_until : float
-        Instant until which streams are accepted nevertheless: the load balancer does
-        not yet know of the shutdown, and callers can resume streams at other hosts.
+        Instant until which streams are accepted that should end in time, whatever their
+        deadline: the load balancer does not yet know of the shutdown.
     stopping_since : float
         Instant at which the host began to stop.
     in_flight : int
@@ -123,9 +123,10 @@
         """Return whether a request may still run when the process exits."""
         if job.deadline < self.exits_at:
             return False
-        return (
-            job.route.kind is not RouteKind.STREAM or now >= self.accept_streams_until
-        )
+        if job.route.kind is not RouteKind.STREAM or now >= self.accept_streams_until:
+            return True
+        longest_s = self._dispatcher.longest_stream_s(job)
+        return longest_s is not None and now + longest_s > self.exits_at
 
     async def _run(self, job: Job, caller: CallerAnswer, outcome: "_Outcome") -> int:
         if job.route.kind is not RouteKind.STREAM:
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -207,6 +207,8 @@
             raise StreamBrokenError("the stream ended within an event")
         if not self._caller.started:
             await self._caller.start(200, attempt.answer.headers)
+        if not events_before and not self._job.req.last_event_id:
+            dispatcher.record_stream(attempt)
         await self._caller.finish()
 
     async def _forward(self, attempt: Attempt, events: bytes) -> None:
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -153,3 +153,18 @@
         world.path.accept_streams_until = world.clock.now()
         self.assertEqual(503, (await world.send_request(deadline_s=1.0)).status)
         self.assertEqual(200, (await world.send_request(deadline_s=0.4)).status)
+
+    async def test_a_stream_that_should_outlast_the_process_is_refused_early(self):
+        """Streams accepted 0.8 to 1.4 s after SIGTERM were cut off 7 s later.
+
+        The load balancer did not yet know of the shutdown.
+        """
+        world = self._stopping(7.0)
+        world.path.accept_streams_until = math.inf
+        times = world.dispatcher._stream_times
+        times.record(STREAM.name, "", 100, 4.0)
+        caller = await world.send_request(1, answer_tokens=400)
+        self.assertEqual((503, []), (caller.status, world.attempted_endpoints()))
+        self.assertIn(b"not-run", caller.body)
+        caller = await world.send_request(2, answer_tokens=50)
+        self.assertEqual(200, caller.status)
