--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -14,6 +14,7 @@
 from radishshift.decisions.cold_endpoints import ColdEndpoints
 from radishshift.decisions.routes import RouteTable
 from radishshift.decisions.stated_departures import DepartureReport, StatedDepartures
+from radishshift.decisions.urgency import UrgencyScale
 from radishshift.endpoints import EndpointState
 from radishshift.errors import NotFoundError, UnreadableObjectError
 from radishshift.gateway.deployment import Deployment, Member, Rollout
@@ -75,6 +76,7 @@
     deployment : Deployment or None
         The configuration in force at this host; its version never decreases.
     routes : RouteTable
+    urgency : UrgencyScale
     members : dict of str to Member
         Endpoints that take new work, by name.
     departed : dict of str to Departure
@@ -105,6 +107,7 @@
         }
         self.deployment: Deployment | None = None
         self.routes = RouteTable(())
+        self.urgency = UrgencyScale((), ())
         self.members: dict[str, Member] = {}
         self.departed: dict[str, Departure] = {}
         self.rollouts: dict[str, Rollout] = {}
@@ -315,6 +318,9 @@
             )
             self.deployment = deployment
             self.routes = RouteTable(deployment.routes)
+            self.urgency = UrgencyScale(
+                deployment.routes, deployment.customers.values()
+            )
 
     def _derive_members(self, source: str) -> None:
         now = self._clock.now()
