Give up a silent first event while another attempt may be in time

Change: a first event that takes three times the mean is given up while a second attempt has twice the mean left before the objective. At most 15 in 100 attempts, so that slow endpoints get no second load. Objectives of 3 s change nothing.

--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from radishshift.decisions.patience import patience_s
 from radishshift.decisions.placing import EndpointView
 from radishshift.gateway.deployment import Member, RouteKind
 from radishshift.gateway.jobs import Job
@@ -89,6 +90,14 @@
         expected_s = FIRST_EVENT_TIMEOUT_RATIO * self.mean_first_event_s
         return FIRST_EVENT_TIMEOUT_S + self._prefill_s + expected_s
 
+    @property
+    def patience_s(self) -> float:
+        """Return the time after which a further attempt may yet be in time."""
+        objective_at = self.job.req.received_at + self.job.route.objective_s
+        return patience_s(
+            self.mean_first_event_s, objective_at - self.began_at, self.stall_timeout_s
+        )
+
     @property
     def _prefill_s(self) -> float:
         """Return the time that prefill of the prompt may take."""
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -159,6 +159,7 @@
         attempt.mean_first_event_s = self.mean_first_event_s(job, model)
         attempt.prefill_ktokens = self.placement.prefill_ktokens(job, model)
         view.attempt_started(attempt.prefill_ktokens)
+        self._silence.attempt_started()
         job.attempts += 1
         attempt.first_at_endpoint = member.name not in job.used_endpoints
         if attempt.first_at_endpoint:
--- a/radishshift/gateway/silence.py
+++ b/radishshift/gateway/silence.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from radishshift.clocks import Clock
+from radishshift.decisions.patience import EarlyRetries
 from radishshift.decisions.retry_budget import HostRetryBudget
 from radishshift.errors import StreamStalledError
 from radishshift.gateway.attempts import PROBE_AFTER_S, Attempt
@@ -41,6 +42,11 @@
         self._prober = prober
         self._budget = budget
         self._has_alternative = has_alternative
+        self._early_retries = EarlyRetries()
+
+    def attempt_started(self) -> None:
+        """Count an attempt, a share of which may be given up early."""
+        self._early_retries.request_received(self._clock.now())
 
     def check(self, attempt: Attempt) -> None:
         """Raise if the attempt has been silent for longer than its timeout.
@@ -52,6 +58,11 @@
         StreamStalledError
         """
         now = self._clock.now()
+        if self._may_give_up_early(attempt, now):
+            raise StreamStalledError(
+                f"no first event in {now - attempt.began_at:.2f} s, "
+                "another attempt may be in time"
+            )
         overdue_ratio = self._overdue_ratio(attempt, now)
         if overdue_ratio <= 1 or self._budget(attempt.job.service).available(now) < 1:
             return
@@ -64,6 +75,22 @@
                 f"no data received for {now - attempt.last_byte_at:.1f} s"
             )
 
+    def _may_give_up_early(self, attempt: Attempt, now: float) -> bool:
+        """Return whether a further attempt is more likely to be in time."""
+        if (
+            attempt.answer is not None
+            or attempt.helper
+            or attempt.job.route.kind is not RouteKind.STREAM
+            or now - attempt.began_at <= attempt.patience_s
+            or now - attempt.began_at > attempt.stall_timeout_s
+        ):
+            return False
+        return (
+            self._budget(attempt.job.service).available(now) >= 1
+            and self._has_alternative(attempt)
+            and self._early_retries.try_acquire(now)
+        )
+
     def probe_if_silent(self, attempt: Attempt) -> None:
         """Probe the other side of an attempt that has received nothing for a while."""
         now = self._clock.now()
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -168,3 +168,19 @@
         self.assertIn(b"not-run", caller.body)
         caller = await world.send_request(2, answer_tokens=50)
         self.assertEqual(200, caller.status)
+
+
+class LostAnswerTest(VirtualTestCase):
+    async def test_an_answer_that_is_lost_is_replaced_in_time(self):
+        """A tag waited 2.7 s for an answer that its endpoint had lost."""
+        stream = route(RouteKind.STREAM, objective_s=1.0)
+        sound = Script(events=EVENTS, first_s=0.15)
+        world = World([stream], {"a": [sound], "b": [sound]})
+        for number in range(20):
+            await world.send_request(number)
+        world.endpoints.scripts["a"] = [Script(error="hang"), sound]
+        sent_at = world.clock.now()
+        world.placer.view(world.member("b")).others_load = 5.0
+        caller = await world.send_request(100)
+        self.assertEqual(200, caller.status)
+        self.assertLessEqual(caller.parts[0][0] - sent_at, stream.objective_s)
