--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -14,7 +14,6 @@
 from radishshift.decisions.cold_endpoints import ColdEndpoints
 from radishshift.decisions.routes import RouteTable
 from radishshift.decisions.stated_departures import DepartureReport, StatedDepartures
-from radishshift.decisions.urgency import UrgencyScale
 from radishshift.endpoints import EndpointState
 from radishshift.errors import NotFoundError, UnreadableObjectError
 from radishshift.gateway.deployment import Deployment, Member, Rollout
@@ -76,7 +75,6 @@
     deployment : Deployment or None
         The configuration in force at this host; its version never decreases.
     routes : RouteTable
-    urgency : UrgencyScale
     members : dict of str to Member
         Endpoints that take new work, by name.
     departed : dict of str to Departure
@@ -107,7 +105,6 @@
         }
         self.deployment: Deployment | None = None
         self.routes = RouteTable(())
-        self.urgency = UrgencyScale((), ())
         self.members: dict[str, Member] = {}
         self.departed: dict[str, Departure] = {}
         self.rollouts: dict[str, Rollout] = {}
@@ -318,9 +315,6 @@
             )
             self.deployment = deployment
             self.routes = RouteTable(deployment.routes)
-            self.urgency = UrgencyScale(
-                deployment.routes, deployment.customers.values()
-            )
 
     def _derive_members(self, source: str) -> None:
         now = self._clock.now()
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -42,8 +42,6 @@
         Number of attempts for which this host could open no connection.
     helpers : list of str
         Peers that were asked to relay an attempt.
-    urgency : int or None
-        As `UrgencyScale.steps`.
     """
 
     req: CallerRequest
@@ -60,7 +58,6 @@
     coordinated: int = 0
     unreachable_attempts: int = 0
     helpers: list[str] = field(default_factory=list)
-    urgency: int | None = None
 
     def __post_init__(self) -> None:
         """Compute the traits."""
@@ -100,11 +97,5 @@
         """Return the order for an attempt at an endpoint."""
         customer = "" if self.customer is None else self.customer.name
         return AttemptOrder(
-            self.req,
-            member,
-            customer,
-            self.deadline,
-            model,
-            last_event_id,
-            self.urgency,
+            self.req, member, customer, self.deadline, model, last_event_id
         )
--- a/radishshift/gateway/messages.py
+++ b/radishshift/gateway/messages.py
@@ -90,8 +90,6 @@
         Model chosen by the router; empty keeps the caller's choice.
     last_event_id : str
         Event after which to resume the stream, or empty.
-    urgency : int or None
-        As `UrgencyScale.steps`; None leaves it to the endpoint.
     """
 
     req: CallerRequest
@@ -100,7 +98,6 @@
     deadline: float
     model: str = ""
     last_event_id: str = ""
-    urgency: int | None = None
 
 
 class EndpointAnswer:
--- a/radishshift/gateway/relay_messages.py
+++ b/radishshift/gateway/relay_messages.py
@@ -49,7 +49,7 @@
         Of the attempt; those of `req` are the caller's.
     version : str
         Version that the endpoint must run, or empty for any.
-    used, failed, urgency
+    used, failed : list of str
         As in `Job`.
     """
 
@@ -65,7 +65,6 @@
     used: list[str] = []
     failed: list[str] = []
     may_have_run: bool = False
-    urgency: int | None = None
 
     def job(self, now: float) -> Job:
         """Return the job of the attempt, as the sender decided it."""
@@ -80,7 +79,6 @@
             used_endpoints=list(self.used),
             failed_endpoints=list(self.failed),
             may_have_run=self.may_have_run,
-            urgency=self.urgency,
         )
 
 
@@ -148,7 +146,6 @@
         used=used,
         failed=list(job.failed_endpoints),
         may_have_run=job.may_have_run,
-        urgency=job.urgency,
     )
 
 
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -158,8 +158,6 @@
         service = choose_service(route.shares, sticky_key)
         deadline = min(req.deadline, req.received_at + route.timeout_s)
         job = Job(req, route, service, customer, deadline)
-        if route.kind is RouteKind.STREAM:
-            job.urgency = host_view.urgency.steps(route, customer)
         job.version = self._choose_version(service, sticky_key, route)
         return job
 
