Let only coordinators weigh what endpoints hold

Cause: a host that sees its own prompts alone kept copies of its own instead of those at the home endpoint.

Change: a coordinator takes what is held off an attempt's cost; other hosts prefer endpoints as before.

--- a/radishshift/decisions/held_prefixes.py
+++ b/radishshift/decisions/held_prefixes.py
@@ -13,7 +13,9 @@
 
 from radishshift.decisions.endpoint_limits import Incarnation
 
-__all__ = ["HeldPrefixes", "Part"]
+__all__ = ["MAX_AGE_S", "HeldPrefixes", "Part"]
+
+MAX_AGE_S = 30.0
 
 # Name of a part for one model, with the names of all parts before it implied, and its
 # tokens.
@@ -37,15 +39,11 @@
 class HeldPrefixes:
     """Estimate of the parts that each endpoint holds, from what was sent there.
 
-    Parameters
-    ----------
-    max_age_s : float
-        A part that was not used for this time is taken to have yielded to the prompts
-        of hosts that are not seen here.
+    A part that was not used for `MAX_AGE_S` is taken to have yielded to prompts that
+    are not seen here.
     """
 
-    def __init__(self, max_age_s: float) -> None:
-        self.max_age_s = max_age_s
+    def __init__(self) -> None:
         self._memories: dict[Incarnation, _Memory] = {}
         self._prompts = 0
 
@@ -82,7 +80,7 @@
     def _make_room(self, memory: _Memory, room_tokens: float, now: float) -> None:
         while memory.parts:
             name, (tokens, used_at) = next(iter(memory.parts.items()))
-            if memory.tokens <= room_tokens and now - used_at <= self.max_age_s:
+            if memory.tokens <= room_tokens and now - used_at <= MAX_AGE_S:
                 return
             del memory.parts[name]
             memory.tokens -= tokens
@@ -100,7 +98,7 @@
         held = 0
         for name, tokens in parts:
             known = memory.parts.get(name)
-            if known is None or now - known[1] > self.max_age_s:
+            if known is None or now - known[1] > MAX_AGE_S:
                 break
             held += tokens
         return held
--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -43,8 +43,6 @@
 # wait for 70 ms; a further stream in the batch delays each step by 0.1 ms.
 PREFILL_COST_PER_1000_TOKENS = 3.0
 PREFILL_S_PER_1000_TOKENS = 0.07
-# Time from the last use of a part of a prompt until it is taken to have yielded.
-DEFAULT_REUSE_WINDOW_S = 10.0
 # again.
 COPY_COST_PER_1000_TOKENS = 1.0
 REQUEST_S = PREFILL_S_PER_1000_TOKENS / PREFILL_COST_PER_1000_TOKENS
@@ -154,6 +152,10 @@
         holds the model.
     prompt_tokens : int
         Tokens of the whole prompt.
+    sees_prompts : bool
+        Whether the chooser sees nearly all prompts that its endpoints get, so that it
+        knows what they hold. A host that sees its own alone would keep copies apart
+        from those of the other hosts.
     tried : sequence of str
         Endpoints that this request has tried, in order.
     version : str
@@ -176,6 +178,7 @@
     excluded: Sequence[str] = ()
     parts: Sequence[Part] = ()
     prompt_tokens: int = 0
+    sees_prompts: bool = False
 
     @property
     def own_load(self) -> float:
@@ -241,7 +244,7 @@
 
     def __init__(self) -> None:
         self._views: dict[tuple[str, int], EndpointView] = {}
-        self.prefixes = HeldPrefixes(DEFAULT_REUSE_WINDOW_S)
+        self.prefixes = HeldPrefixes()
         self.room_tokens: Callable[[str], float] = lambda service: math.inf
 
     def view(self, member: Member) -> EndpointView:
@@ -394,8 +397,9 @@
     ) -> Terms:
         member = view.member
         held_tokens = self.prefixes.held_tokens(member.incarnation, request.parts, now)
-        missing = request.shared_tokens - held_tokens
-        copied_tokens = 0 if member.name == home else max(0, missing)
+        copied_tokens = max(0, request.shared_tokens - held_tokens)
+        if member.name == home:
+            copied_tokens = 0
         remote = failures = 0.0
         if member.data_centre != request.data_centre:
             remote += request.remote_cost
@@ -407,7 +411,7 @@
             failures += TRIED_COST
         return Terms(
             own=request.own_load,
-            saved=request.saved_load(held_tokens),
+            saved=request.saved_load(held_tokens) if request.sees_prompts else 0.0,
             copy=COPY_COST_PER_1000_TOKENS * copied_tokens / 1000,
             load=view.load + view.others_load,
             slowness=view.latency_ratio,
--- a/radishshift/experiments/replay.py
+++ b/radishshift/experiments/replay.py
@@ -294,7 +294,9 @@
             prompt_tokens=req.row.prompt_tokens,
         )
         if run.coordinated:
-            placement = replace(placement, remote_cost=COORDINATED_REMOTE_COST)
+            placement = replace(
+                placement, remote_cost=COORDINATED_REMOTE_COST, sees_prompts=True
+            )
         member = _ENDPOINT_POLICIES[run.place](self, placement)
         view = self.placer.view(member)
         view.attempt_started(prefill_ktokens)
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -99,7 +99,6 @@
         self._stream_times = StreamTimes(self.times)
         self._placer = placer
         placer.room_tokens = host_view.memory_tokens
-        placer.prefixes.max_age_s = bounds.reuse_window_s
         self._client = client
         self.on_crash: Callable[[], None] = lambda: None
         self._budgets: dict[str, HostRetryBudget] = {}
--- a/radishshift/gateway/host_settings.py
+++ b/radishshift/gateway/host_settings.py
@@ -28,8 +28,6 @@
         Time within which the event of a stream must reach the caller.
     session_gap_s : float
         A session ends when this time has passed since its last request.
-    reuse_window_s : float
-        Time after its last use in which a part of a prompt is worth being held.
     evacuation_s : float
         Time from the order to empty a data centre until its endpoints may receive no
         requests; 0 if there are no such orders.
@@ -44,7 +42,6 @@
     exposure_share: float = 0.15
     event_latency_s: float = 0.12
     session_gap_s: float = 5.0
-    reuse_window_s: float = 10.0
     evacuation_s: float = 0.0
 
 
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -216,6 +216,7 @@
             COORDINATED_REMOTE_COST,
             parts=question.parts,
             prompt_tokens=question.prompt_tokens,
+            sees_prompts=True,
         )
         # The other host acquires the permit before it sends the attempt.
         usable = [
--- a/tests/decisions/test_held_prefixes.py
+++ b/tests/decisions/test_held_prefixes.py
@@ -2,7 +2,7 @@
 
 import math
 
-from radishshift.decisions.held_prefixes import HeldPrefixes
+from radishshift.decisions.held_prefixes import MAX_AGE_S, HeldPrefixes
 from tests.cases import TestCase
 
 ENDPOINT = ("a", 1)
@@ -12,7 +12,7 @@
 class HeldPrefixesTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.prefixes = HeldPrefixes(max_age_s=10.0)
+        self.prefixes = HeldPrefixes()
 
     def _send(self, *parts, own_tokens=1000, room=math.inf, now=0.0):
         self.prefixes.record_sent(ENDPOINT, parts, own_tokens, room, now)
@@ -39,8 +39,8 @@
 
     def test_a_part_is_not_held_for_ever(self):
         self._send(COMMON)
-        self.assertEqual(500, self._held(COMMON, now=10.0))
-        self.assertEqual(0, self._held(COMMON, now=10.1))
+        self.assertEqual(500, self._held(COMMON, now=MAX_AGE_S))
+        self.assertEqual(0, self._held(COMMON, now=MAX_AGE_S + 0.1))
 
     def test_a_restarted_endpoint_holds_nothing(self):
         self._send(COMMON)
--- a/tests/decisions/test_placing.py
+++ b/tests/decisions/test_placing.py
@@ -83,6 +83,7 @@
             prefill_ktokens,
             parts=[("part", 8000)],
             prompt_tokens=12_000,
+            sees_prompts=True,
         )
 
     def _wait_for_held(self, prefill_ktokens):
