Weigh the delay of others by how many streams an endpoint runs

Change: a third of the prefill counts as the time of the request itself, the rest by the load of the endpoint.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -43,7 +43,10 @@
 # wait for 70 ms; a further stream in the batch delays each step by 0.1 ms.
 PREFILL_COST_PER_1000_TOKENS = 3.0
 PREFILL_S_PER_1000_TOKENS = 0.07
-# again.
+OWN_TIME_SHARE = 1 / 3  # of the cost of a prefill; the rest is the delay of others
+USUAL_LOAD = 10.0  # requests in flight at which others are delayed by that much
+# A further copy of a shared part makes parts of other prompts yield; these are then
+# read again.
 COPY_COST_PER_1000_TOKENS = 1.0
 REQUEST_S = PREFILL_S_PER_1000_TOKENS / PREFILL_COST_PER_1000_TOKENS
 
@@ -185,12 +188,23 @@
         """Return the load of the attempt, in requests in flight."""
         return 1 + PREFILL_COST_PER_1000_TOKENS * self.prefill_ktokens
 
-    def saved_load(self, held_tokens: int) -> float:
-        """Return the part of `own_load` that an endpoint saves by what it holds."""
+    def saved_load(self, held_tokens: int, load: float) -> float:
+        """Return the part of `own_load` that an endpoint saves by what it holds.
+
+        A third of it is the time of this request. The rest is the delay of the streams
+        that run there, few or many.
+
+        Parameters
+        ----------
+        held_tokens : int
+        load : float
+            Load of the endpoint, in requests in flight.
+        """
         if not held_tokens or not self.prompt_tokens:
             return 0.0
         share = min(1.0, held_tokens / self.prompt_tokens)
-        return PREFILL_COST_PER_1000_TOKENS * self.prefill_ktokens * share
+        delayed = OWN_TIME_SHARE + (1 - OWN_TIME_SHARE) * min(1.0, load / USUAL_LOAD)
+        return PREFILL_COST_PER_1000_TOKENS * self.prefill_ktokens * share * delayed
 
 
 @dataclass(frozen=True, slots=True)
@@ -400,6 +414,7 @@
         copied_tokens = max(0, request.shared_tokens - held_tokens)
         if member.name == home:
             copied_tokens = 0
+        load = view.load + view.others_load
         remote = failures = 0.0
         if member.data_centre != request.data_centre:
             remote += request.remote_cost
@@ -411,9 +426,11 @@
             failures += TRIED_COST
         return Terms(
             own=request.own_load,
-            saved=request.saved_load(held_tokens) if request.sees_prompts else 0.0,
+            saved=(
+                request.saved_load(held_tokens, load) if request.sees_prompts else 0.0
+            ),
             copy=COPY_COST_PER_1000_TOKENS * copied_tokens / 1000,
-            load=view.load + view.others_load,
+            load=load,
             slowness=view.latency_ratio,
             remote=remote,
             failures=failures,
--- a/tests/decisions/test_placing.py
+++ b/tests/decisions/test_placing.py
@@ -107,6 +107,12 @@
         self.assertLessEqual(largest, 24 + 8 + 1)
         self.assertGreaterEqual(largest, 24)
 
+    def test_less_is_saved_where_few_streams_would_be_delayed(self):
+        request = self._prompt(12.0)
+        idle, busy = request.saved_load(8000, 0.0), request.saved_load(8000, 20.0)
+        self.assertAlmostEqual(8.0, idle)
+        self.assertAlmostEqual(24.0, busy)
+
     def test_an_endpoint_without_memory_saves_nothing(self):
         members = _members("mbeya", "mbeya")
         request = self._prompt(12.0)
--- a/tests/experiments/test_replay.py
+++ b/tests/experiments/test_replay.py
@@ -14,7 +14,7 @@
 BASELINES = ("random", "least-own", "home")
 
 
-def _nothing_saved(request, held_tokens):
+def _nothing_saved(request, held_tokens, load):
     return 0.0
 
 
