Reject bodies that a host has no memory for, as not run

Cause: nothing counted the bodies that a host holds; a body may have 8 MB, and the platform kills a process over its memory with all that it holds (128 MB and less).

Change: an account of the bodies held for callers; its budget is half of what the limit leaves beside the process, 8 MB at least. A stated length is counted before the body is read, a body in chunks when its length is known. Gauges held_bytes and rejected_for_memory.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -14,6 +14,7 @@
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.endpoint_pauses import EndpointPauses
+from radishshift.decisions.held_bytes import HeldBytes, budget_bytes
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
@@ -80,8 +81,9 @@
     make_endpoint_client : callable
         Makes the client that sends attempts to endpoints.
     make_caller_server : callable
-        Makes the server for callers from a request handler, a clock and a predicate
-        that tells whether to close each connection after its next answer.
+        Makes the server for callers from a request handler, a clock, a predicate that
+        tells whether to close each connection after its next answer, and the account
+        of the bodies that the host holds.
     make_ready_handler : callable
         Makes the handler of readiness checks from a predicate.
     """
@@ -90,7 +92,9 @@
     decoder: ObjectDecoder
     make_platform: Callable[[str], Platform]
     make_endpoint_client: Callable[[Clock], EndpointClient]
-    make_caller_server: Callable[[Handler, Clock, Callable[[], bool]], web.Server]
+    make_caller_server: Callable[
+        [Handler, Clock, Callable[[], bool], HeldBytes], web.Server
+    ]
     make_ready_handler: Callable[[Callable[[], bool]], Callable]
 
 
@@ -210,6 +214,7 @@
             self.gossip,
             self._on_view_change,
         )
+        self.held_bytes = HeldBytes(budget_bytes(settings.memory_mb))
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
@@ -311,7 +316,10 @@
     async def _listen(self, stack: AsyncExitStack) -> None:
         settings = self.settings
         self._caller_server = self._adapter.make_caller_server(
-            self.request_path.handle, self.clock, lambda: self.stopping
+            self.request_path.handle,
+            self.clock,
+            lambda: self.stopping,
+            self.held_bytes,
         )
         self._peer_server = web.Server(
             self._answer_peer,
@@ -365,6 +373,8 @@
         register(
             "paused_endpoints", lambda: self.endpoint_pauses.count(self.clock.now())
         )
+        register("held_bytes", lambda: self.held_bytes.total)
+        register("rejected_for_memory", lambda: self.held_bytes.rejected)
         register("store_calls", lambda: self.platform.calls)
         self.relays.register_gauges(self.monitor)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
--- a/radishshift/gateway/host_settings.py
+++ b/radishshift/gateway/host_settings.py
@@ -59,6 +59,8 @@
         Peer addresses of the hosts to contact first.
     link_mbps : float
         Bandwidth of the host's link in Mbit/s, 0 if unknown.
+    memory_mb : float
+        Memory limit of the process in MB, 0 if there is none.
     regions : mapping of str to str
         Regions of the data centres.
     """
@@ -75,4 +77,5 @@
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
     regions: Mapping[str, str] = field(default_factory=dict)
--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -102,6 +102,27 @@
         for name in ("X-Retain", "X-Pin-Ms", "Kv-From", "X-Kv-Backup"):
             self.assertNotIn(name, sent)
 
+    async def test_bodies_beyond_the_memory_are_rejected_as_not_run(self):
+        """Twenty bodies of 8 MB at once would end a host of 128 MB."""
+        async with _running_demo() as demo:
+            host = demo.gateway_host
+            host.held_bytes._budget = 300_000
+
+            async def chunks():
+                yield b"z" * 200_000
+
+            held = host.held_bytes.acquire(200_000)
+            for data in (b"z" * 200_000, chunks()):
+                status, headers, body = await _send(demo, "/book/x", "POST", data)
+                self.assertEqual((503, True), (status, "Retry-After" in headers))
+                self.assertIn(b"not-run", body)
+            self.assertEqual([], _executed(demo))
+            host.held_bytes.release(200_000)
+            status, _, _ = await _send(demo, "/book/x", "POST", b"z" * 200_000)
+            self.assertEqual((True, 200), (held, status))
+            await _wait_until(lambda: not host.held_bytes.total)
+            self.assertEqual((0, 2), (host.held_bytes.total, host.held_bytes.rejected))
+
     async def test_a_chunked_body_is_forwarded_completely(self):
         async with _running_demo() as demo:
 
