Keep a host running after an unexpected error in a background task

Cause: an error that no one expected in gossip, in the sync with the store or in any other task stopped the whole host; one message of a peer that could not be applied was enough, and would have stopped all hosts that it reached.

Change: the error is logged and counted (gauge background_failures), the task runs again after a second; an exchange that fails leaves out that peer alone.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -18,6 +18,7 @@
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
+from radishshift.gateway.background import BackgroundTasks
 from radishshift.gateway.blocked_part_duty import BlockedPartDuty
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.endpoint_permits import ENDED_PATH as PERMIT_ENDED_PATH
@@ -217,7 +218,7 @@
         self.held_bytes = HeldBytes(budget_bytes(settings.memory_mb))
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = BackgroundTasks()
         self._caller_server: web.Server | None = None
         self._peer_server: web.Server | None = None
         self._drain_until = math.inf
@@ -258,20 +259,21 @@
             stack.push_async_callback(self.permits.close)
             stack.push_async_callback(self.relays.client.close)
             await self._listen(stack)
-            self._spawn(self.platform_sync.run())
-            self._spawn(self.gossip.run())
-            self._spawn(self.rollout_duty.run())
-            self._spawn(self.blocked_part_duty.run())
-            self._spawn(self.dispatcher.services.run())
-            self._spawn(self._clean_up())
-            self._spawn(self._watch_settings())
+            for name, run in {
+                "platform sync": self.platform_sync.run,
+                "gossip": self.gossip.run,
+                "roll-outs": self.rollout_duty.run,
+                "blocked parts": self.blocked_part_duty.run,
+                "services": self.dispatcher.services.run,
+                "clean-up": self._clean_up,
+                "settings": self._watch_settings,
+            }.items():
+                self._background.keep_running(name, run)
             await self._stop.wait()
             await self._drain()
             self._log_end("drained")
             await self._close_to_callers()
-            for task in self._tasks:
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._background.cancel()
         self._log_end("stopped")
 
     def _log_end(self, message: str) -> None:
@@ -373,6 +375,7 @@
         register(
             "paused_endpoints", lambda: self.endpoint_pauses.count(self.clock.now())
         )
+        register("background_failures", lambda: self._background.failures)
         register("held_bytes", lambda: self.held_bytes.total)
         register("rejected_for_memory", lambda: self.held_bytes.rejected)
         register("store_calls", lambda: self.platform.calls)
@@ -384,18 +387,7 @@
         logger.warning("blocked traits changed", extra={"crashes": blocked})
 
     def _announce_change(self) -> None:
-        self._spawn(self.gossip.announce_change())
-
-    def _spawn(self, coroutine: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.critical("background task failed: {!r}", task.exception())
-            self.stop("a background task failed")
+        self._background.spawn("announcement", self.gossip.announce_change())
 
     def _on_view_change(self) -> None:
         """Update the decisions from the host's view and gossip the change."""
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -233,6 +233,10 @@
             logger.warning(
                 "peer {} replied with a malformed gossip message: {}", address, exc
             )
+        except Exception as exc:
+            # What one peer sends must not end the exchange with the others.
+            logger.exception("gossip with peer {} failed", address)
+            self.peers.record_failure(address, exc, self._clock.now())
 
     async def _send(self, address: str, message: GossipMessage) -> GossipMessage:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
@@ -353,9 +357,10 @@
         self._merge_rollout_evidence(message, now)
         self._host_view.confirm(message.heads)
         changed = [
-            Kind(name)
-            for name, delta in message.tables.items()
-            if self._host_view.merge(Kind(name), delta, message.host)
+            kind
+            for kind in self._host_view.kinds
+            if kind.value in message.tables
+            and self._host_view.merge(kind, message.tables[kind.value], message.host)
         ]
         if changed:
             self.on_change(changed)
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -1,5 +1,7 @@
 """Tests of the gossip between hosts."""
 
+import asyncio
+
 import msgspec
 
 from radishshift.decisions.crashes import Traits
@@ -7,8 +9,10 @@
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.peer_table import HOST_TIMEOUT_S
+from radishshift.object_table import Head
 from radishshift.objects import Kind
 from tests.cases import VirtualTestCase
+from tests.gateway.networks import Network
 from tests.gateway.worlds import SERVICE, Script, World, route
 
 
@@ -161,3 +165,29 @@
         one.receive_from(two)
         one.gossip._update_peer_load()
         self.assertEqual(14, one.world.placer.view(one.world.member("a")).others_load)
+
+    async def test_a_message_that_cannot_be_applied_does_not_end_the_gossip(self):
+        """What one peer sent ended the process."""
+        network = Network(1, 6, 3, 1)
+        await network.start()
+        merged = []
+
+        def merge(reports, peer):
+            if peer == "edge-1":
+                raise ValueError("unexpected")
+            merged.append(peer)
+
+        network.hosts["edge-0"].world.host_view.merge_departures = merge
+        await asyncio.sleep(3.0)
+        ended = [name for name, task in network._tasks.items() if task.done()]
+        await network.stop()
+        self.assertEqual([], ended)
+        self.assertLessEqual({"edge-2", "edge-3", "edge-4", "edge-5"}, set(merged))
+
+    async def test_a_table_of_a_kind_that_this_host_does_not_follow_is_ignored(self):
+        one, two = _hosts()
+        message = two.gossip._build_message(one.gossip._build_message(None))
+        table = one.world.host_view.tables[Kind.ENDPOINT]
+        message.tables = {"no-such-kind": table.delta(Head(), True)}
+        one.gossip._receive(message)
+        self.assertIn(two.settings.host, one.gossip.live_hosts())
