Do not use a permit that a paused host receives late

Cause: a host that was paused between its question and the reply sent its request whenever it went on, though the endpoint's budget of that second was long spent. Change: a permit counts for half a second from its question.

--- a/radishshift/gateway/endpoint_permits.py
+++ b/radishshift/gateway/endpoint_permits.py
@@ -38,6 +38,7 @@
 ENDED_PATH = "/permit-ended"
 ASK_TIMEOUT_S = 0.1
 RETRY_S = 1.0  # after a question that got no answer
+PERMIT_MAX_AGE_S = 0.5  # from the question until the attempt is sent
 
 logger = logbook.Logger("permits")
 
@@ -203,6 +204,9 @@
             round(job.deadline - now, 3),
         )
         retry_s = await self._ask_keeper(question)
+        if self._clock.now() - now > PERMIT_MAX_AGE_S:
+            # The process was paused; the keeper has counted the permit for the past.
+            return False
         if retry_s:
             self._retry_at[endpoint] = self._clock.now() + retry_s
         elif question.refusals_per_s is not None:
--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -195,3 +195,22 @@
         self.assertEqual(503, caller.status)
         self.assertGreaterEqual(float(dict(caller.headers)["Retry-After"]), 0.6)
         self.assertEqual([], world.attempted_endpoints())
+
+    async def test_a_permit_that_a_paused_host_receives_late_is_not_used(self):
+        """The host was paused between its question and the attempt."""
+        network = Network(1, 6, 3, 2)
+        await network.start()
+        await network.stop()
+        host = network.hosts["edge-1"]
+        member = host.world.member("0-0")
+        host.world.limits.record(member.incarnation, LIMIT_PER_S, now())
+        for pause_s, permitted in ((0.01, True), (5.0, False)):
+
+            async def reply_late(question, pause_s=pause_s):
+                await asyncio.sleep(pause_s)
+                return 0.0
+
+            host.permits._ask_keeper = reply_late
+            self.assertIs(
+                permitted, await host.permits.acquire(member, host.world.job())
+            )
