End streams that send bytes without completing an event

Cause: each byte counted as progress, so a stalled stream that sent one now and then lasted until its deadline. Change: after 4 s without a complete event the stream goes on elsewhere or ends.

--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -7,7 +7,7 @@
     interpolated_time_s,
     next_model,
 )
-from radishshift.errors import EndpointError, StreamBrokenError
+from radishshift.errors import EndpointError, StreamBrokenError, StreamStalledError
 from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.complete_answers import (
     acquire_retry,
@@ -26,6 +26,9 @@
 COALESCE_SHARE = 0.4
 MIN_TIMED_EVENTS = 8  # events after which the mean time between them is recorded
 MAX_RESUMES = 4
+# Twice as long as an engine that reads long prompts pauses between two events. An event
+# is some hundred bytes, so one that takes longer is not merely slow.
+EVENT_TIMEOUT_S = 4.0
 # Share of the objective after which the small model's answer is kept.
 ESCALATION_DEADLINE_SHARE = 0.5
 
@@ -189,14 +192,18 @@
         buffer = self._buffer
         events_before = buffer.events
         began_at = dispatcher.clock.now()
+        event_at = began_at
         timed = False
         while data := await dispatcher.next_bytes(attempt):
             if buffer.events > events_before:
                 await asyncio.sleep(COALESCE_SHARE * dispatcher.bounds.event_latency_s)
                 data += attempt.answer.buffered_bytes()
             events = buffer.feed(data)
+            now = dispatcher.clock.now()
             if not events:
+                self._check_progress(now - event_at)
                 continue
+            event_at = now
             await self._forward(attempt, events)
             received = buffer.events - events_before
             if not timed and received >= MIN_TIMED_EVENTS:
@@ -211,6 +218,16 @@
             dispatcher.record_stream(attempt)
         await self._caller.finish()
 
+    def _check_progress(self, unfinished_s: float) -> None:
+        """Raise if an endpoint sends bytes, but completes no event.
+
+        Raises
+        ------
+        StreamStalledError
+        """
+        if unfinished_s > EVENT_TIMEOUT_S:
+            raise StreamStalledError(f"no complete event in {unfinished_s:.1f} s")
+
     async def _forward(self, attempt: Attempt, events: bytes) -> None:
         if not self._caller.started:
             self.first_at = self._dispatcher.clock.now()
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -7,6 +7,7 @@
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.messages import PromptPart
+from radishshift.gateway.streams import EVENT_TIMEOUT_S
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import SERVICE, Script, World, route
 
@@ -506,3 +507,26 @@
         world.endpoints.cut_off.update("bc")
         canary = await self._send_until(world, 0.5)
         self.assertFalse(canary.stopped)
+
+
+class TrickleTest(VirtualTestCase):
+    async def test_bytes_that_complete_no_event_do_not_keep_a_stream_alive(self):
+        """A stalled stream that sent a byte now and then lasted until its deadline."""
+        trickle = Script(events=(EVENTS[0], *(b"." for _ in range(60))), gap_s=0.3)
+        world = World([STREAM], {"a": [trickle], "b": [Script(events=EVENTS)]})
+        world.placer.view(world.member("b")).others_load = 5.0
+        sent_at = world.clock.now()
+        caller = await world.send_request()
+        self.assertEqual(b"".join(EVENTS), caller.body)
+        self.assertLess(caller.ended_at - sent_at, EVENT_TIMEOUT_S + 2.0)
+
+    async def test_an_event_that_comes_in_pieces_is_not_cut(self):
+        """The endpoint sends a piece of an event each 0.3 s."""
+        pieces = [bytes([byte]) for byte in EVENTS[0]][:10]
+        rest = EVENTS[0][len(pieces) :] + b"".join(EVENTS[1:])
+        slow = Script(events=(*pieces, rest), gap_s=0.3)
+        world = World([STREAM], {"a": [slow], "b": [Script(events=EVENTS)]})
+        world.placer.view(world.member("b")).others_load = 5.0
+        caller = await world.send_request()
+        self.assertEqual((200, ["a"]), (caller.status, world.attempted_endpoints()))
+        self.assertEqual(b"".join(EVENTS), caller.body)
