Explain where a request would go now, and why, without sending it

radishshift explain asks hosts on the users' platform at their metrics address; the answer comes from the placer and the request path themselves. A coordinator weighs what endpoints hold for its own requests, too.

--- a/radishshift/cli.py
+++ b/radishshift/cli.py
@@ -1,7 +1,8 @@
 """Operators' command-line client: one verb per run, on top of `operators`.
 
 Exit codes: 0 success; 1 usage error; 2 invalid file or state change; 3 lost race;
-4 not found; 5 platform unreachable; 6 not in force by the deadline; 7 differences.
+4 not found; 5 platform unreachable; 6 not in force by the deadline; 7 differences;
+8 the explained request would be rejected.
 """
 
 import asyncio
@@ -26,6 +27,8 @@
 from radishshift.platform_access import connect_to_platform, define_platform_flags
 from radishshift.verbs import LOCAL_VERBS, VERBS, ExitCode, Report
 
+import radishshift.explain_command  # noqa: F401, isort:skip  registers its verb
+
 __all__ = ["exit_code_of", "main", "run"]
 
 FLAGS = flags.FLAGS
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -125,6 +125,10 @@
             self._budgets[service] = budget
         return budget
 
+    def last_byte_at(self, member: Member) -> float:
+        """Return when this host last received a byte of an endpoint, 0 if never."""
+        return self._placer.view(member).last_byte_at
+
     def set_host_count(self, host_count: int) -> None:
         """Set the number of hosts among which the retry slack is divided."""
         for budget in self._budgets.values():
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -25,6 +25,8 @@
 from radishshift.gateway.endpoint_permits import PATH as PERMIT_PATH
 from radishshift.gateway.endpoint_permits import EndpointPermits
 from radishshift.gateway.endpoint_statements import EndpointStatements
+from radishshift.gateway.explanations import PATH as EXPLAIN_PATH
+from radishshift.gateway.explanations import Explainer, Question
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.host_view import HostView, kinds_in_use
@@ -32,7 +34,7 @@
 from radishshift.gateway.monitor import Monitor
 from radishshift.gateway.monitored_platform import MonitoredPlatform
 from radishshift.gateway.object_decoder import ObjectDecoder
-from radishshift.gateway.peer_calls import MAX_MESSAGE_BYTES
+from radishshift.gateway.peer_calls import MAX_MESSAGE_BYTES, answer_peer
 from radishshift.gateway.platform_sync import PlatformSync
 from radishshift.gateway.relay_client import PATH as RELAY_PATH
 from radishshift.gateway.relays import Relays
@@ -215,6 +217,9 @@
             self.gossip,
             self._on_view_change,
         )
+        self.explainer = Explainer(
+            settings.host, self.clock, self.request_path, self.dispatcher, self.gossip
+        )
         self.held_bytes = HeldBytes(budget_bytes(settings.memory_mb))
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
@@ -355,6 +360,8 @@
         return await self.gossip.handle(request)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == EXPLAIN_PATH:
+            return await answer_peer(request, Question, self.explainer.explain)
         return web.Response(body=self.monitor.exposition(), content_type="text/plain")
 
     def _register_gauges(self) -> None:
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -1,11 +1,11 @@
 """Choice of the endpoint for each attempt of a request at one host."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping, Set
 from dataclasses import replace
 
 from radishshift.clocks import Clock
 from radishshift.decisions.endpoint_pauses import EndpointPauses
-from radishshift.decisions.placing import PlacementRequest, Placer
+from radishshift.decisions.placing import PlacementRequest, Placer, Terms
 from radishshift.errors import NoEndpointError
 from radishshift.gateway.connection_prober import ConnectionProber
 from radishshift.gateway.deployment import Member, RouteKind
@@ -177,6 +177,60 @@
             raise self._no_endpoint(job)
         return chosen
 
+    def preview(self, job: Job, model: str) -> Member:
+        """Return the endpoint that this host would choose, without using it.
+
+        Raises
+        ------
+        NoEndpointError
+        """
+        terms = {
+            member: terms
+            for member, left_out, terms in self.explain(job, model)
+            if not left_out
+        }
+        if not terms:
+            raise self._no_endpoint(job)
+        return min(terms, key=lambda member: terms[member].total)
+
+    def explain(self, job: Job, model: str) -> Iterator[tuple[Member, str, Terms]]:
+        """Yield the known endpoints of a job's service, with the terms of each.
+
+        Yields
+        ------
+        tuple
+            The endpoint, why it is left out or an empty string, and its terms.
+        """
+        now = self._clock.now()
+        members = [
+            member
+            for member in self._host_view.known_members()
+            if member.service == job.service
+        ]
+        terms = self._placer.explain(members, self._request(job, model), now)
+        usable = set(self._host_view.members_of(job.service))
+        for member in members:
+            left_out = self._reason_left_out(job, member, usable, now)
+            yield member, left_out, terms[member.incarnation]
+
+    def _reason_left_out(
+        self, job: Job, member: Member, usable: Set[Member], now: float
+    ) -> str:
+        """Return why an endpoint can't be chosen now, or an empty string."""
+        if member.data_centre in self._host_view.evacuated:
+            return "evacuated"
+        if member not in usable:
+            return "leaving or gone"
+        if not self._at_home(job, member):
+            return "other region"
+        if self.pauses.until(member.incarnation) > now:
+            return "pauses"
+        if self._retry_at(member) > now:
+            return "no permit"
+        if job.version and member.version != job.version:
+            return "other version"
+        return ""
+
     def _no_endpoint(self, job: Job) -> NoEndpointError:
         members = list(self._host_view.members_of(job.service))
         now = self._clock.now()
@@ -231,6 +285,7 @@
             version=job.version,
             parts=[(f"{model} {part.digest}", part.tokens) for part in shared],
             prompt_tokens=job.req.prompt_tokens,
+            sees_prompts=self.shared is not None and self.shared.coordinates,
         )
 
     def _allowed(self, job: Job) -> list[Member]:
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -18,7 +18,7 @@
     ShuttingDownError,
 )
 from radishshift.gateway.complete_answers import relay_complete_answer
-from radishshift.gateway.deployment import Customer, Route, RouteKind
+from radishshift.gateway.deployment import Customer, RouteKind
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.error_answers import error_answer
 from radishshift.gateway.jobs import Job
@@ -136,6 +136,21 @@
         return await relay.run()
 
     def _create_job(self, req: CallerRequest) -> Job:
+        """Decide a request's job, and keep its session on the version chosen.
+
+        Raises
+        ------
+        NoConfigurationError, NotFoundError, AuthenticationError
+        """
+        job = self._decide_job(req)
+        if job.version:
+            dispatcher = self._dispatcher
+            dispatcher.versions.record_session_version(
+                job.service, _sticky_key(req), job.version, dispatcher.clock.now()
+            )
+        return job
+
+    def _decide_job(self, req: CallerRequest) -> Job:
         """Decide route, customer, service and version for all attempts of a request.
 
         Raises
@@ -154,14 +169,26 @@
             customer = deployment.customers.get(req.key)
             if customer is None:
                 raise AuthenticationError("the key is missing or unknown")
-        sticky_key = req.session or req.request_id
+        sticky_key = _sticky_key(req)
         service = choose_service(route.shares, sticky_key)
         deadline = min(req.deadline, req.received_at + route.timeout_s)
         job = Job(req, route, service, customer, deadline)
-        job.version = self._choose_version(service, sticky_key, route)
+        job.version = self._choose_version(service, sticky_key)
+        return job
+
+    def preview(self, req: CallerRequest) -> Job:
+        """Return the job of a request that isn't run.
+
+        Raises
+        ------
+        NoConfigurationError, NotFoundError, AuthenticationError, ShuttingDownError
+        """
+        job = self._decide_job(req)
+        if self._may_outlast_process(job, self._dispatcher.clock.now()):
+            raise _shutting_down()
         return job
 
-    def _choose_version(self, service: str, sticky_key: str, route: Route) -> str:
+    def _choose_version(self, service: str, sticky_key: str) -> str:
         """Return the version to run a request on, or an empty string for any."""
         dispatcher = self._dispatcher
         versions = dispatcher.versions
@@ -177,9 +204,7 @@
         )
         if not any(member.version == target for member in members):
             new = False
-        version = target if new or not other_versions else other_versions[0]
-        versions.record_session_version(service, sticky_key, version, now)
-        return version
+        return target if new or not other_versions else other_versions[0]
 
     async def _send_error(
         self,
@@ -247,6 +272,11 @@
         logger.info("request ended", extra=extra)
 
 
+def _sticky_key(req: CallerRequest) -> str:
+    """Return what requests have in common that stay on one version."""
+    return req.session or req.request_id
+
+
 def _shutting_down() -> ShuttingDownError:
     return ShuttingDownError(
         "this host is stopping", retry_after_s=SHUTDOWN_RETRY_AFTER_S
--- a/radishshift/gateway/shared_placement.py
+++ b/radishshift/gateway/shared_placement.py
@@ -120,6 +120,11 @@
         if self._session is not None:
             await self._session.close()
 
+    @property
+    def coordinates(self) -> bool:
+        """Return whether this host places the requests of its data centre."""
+        return self._gossip.coordinates()
+
     def record_outcome(self, endpoint: str, latency_ratio: float) -> None:
         """Keep the outcome of an attempt for the next question."""
         if len(self._outcomes) < MAX_OUTCOMES:
--- a/radishshift/verbs.py
+++ b/radishshift/verbs.py
@@ -45,6 +45,7 @@
     UNAVAILABLE = 5
     NOT_IN_FORCE = 6
     DIFFERENCES = 7
+    REJECTED = 8
 
 
 @dataclass(frozen=True, slots=True)
