--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -365,6 +365,8 @@
         world = World([STREAM], {name: [stream_script()] for name in "abcd"})
 
         class _Coordinator:
+            coordinates = False
+
             async def suggest(self, request, avoided, timeout_s):
                 now = world.clock.now()
                 for number in range(CRASHES_TO_BLOCK_PART):
