Use no connection on which bytes arrived that belong to no request

Cause: an endpoint that sent a second copy of an answer over an idle connection made the next request on it fail: the copy was read as its answer and rejected for its id, verdict may-have-run, though the request was sound. No caller got another's answer.

Change: a connection that has received bytes while idle is closed before anything is sent, and the attempt takes another one.

--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "EndlessResponseError",
+    "StaleBytesError",
     "enable_keepalive",
     "keepalive_session",
     "request_factory",
@@ -43,11 +44,16 @@
     """A response is longer than the bound of its session."""
 
 
+class StaleBytesError(aiohttp.ClientConnectionError):
+    """An idle connection has received bytes that belong to no request; nothing sent."""
+
+
 class _BoundedResponseHandler(ResponseHandler):
     """Breaks off a response of which too many bytes have been received.
 
     The library bounds each line of a head. Bytes that it skips have no bound: interim
-    responses, blank lines, extensions of chunks.
+    responses, blank lines, extensions of chunks. It would also take what arrives on an
+    idle connection, such as a second copy of an answer, for the next response.
     """
 
     def __init__(
@@ -60,7 +66,15 @@
         self._head_complete = False
 
     def set_response_params(self, **params) -> None:
-        """Prepare for the response to a new request."""
+        """Prepare for the response to a new request, which is sent next.
+
+        Raises
+        ------
+        StaleBytesError
+        """
+        if self._buffer or self._tail:
+            self.close()
+            raise StaleBytesError("bytes received while the connection was idle")
         self._received_bytes = 0
         self._head_complete = False
         super().set_response_params(**params)
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import aiohttp
 from users_platform.endpoints import PlatformEndpoints
@@ -195,6 +196,64 @@
             self.assertEqual(1, endpoint.aborted_count)
 
 
+class SecondCopyTest(TestCase):
+    """An endpoint sends its answer twice, over a connection that is used again."""
+
+    async def _answers(self, copy_delay_s, pause_s, count=2):
+        """Return the ids in the answers to requests that follow each other."""
+        connections = []
+
+        async def serve(reader, writer):
+            connections.append(writer)
+            previous = b""
+            while True:
+                try:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    return
+                request_id = head.split(b"X-Attempt-Id: ")[1].split(b"\r\n")[0]
+                answer = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request_id
+                answer += b"\r\nContent-Length: 2\r\n\r\n" + request_id
+                if not copy_delay_s and previous:
+                    writer.write(previous)
+                writer.write(answer)
+                previous = answer
+                if copy_delay_s:
+                    await asyncio.sleep(copy_delay_s)
+                    writer.write(answer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        clock = SystemClock()
+        client = PlatformEndpoints(clock)
+        answers = []
+        for number in range(count):
+            order = _order(clock, address)
+            headers = (("X-Attempt-Id", f"a{number}"),)
+            req = replace(order.req, request_id=f"a{number}", headers=headers)
+            try:
+                answer = await client.send(replace(order, req=req))
+                answers.append((await answer.read()).decode())
+            except EndpointError as exc:
+                answers.append(exc.verdict)
+            await asyncio.sleep(pause_s)
+        await client.close()
+        server.close()
+        for writer in connections:
+            writer.close()
+        return answers, len(connections)
+
+    async def test_a_copy_that_arrives_while_the_connection_is_idle(self):
+        """The next request got an answer with another id, and failed."""
+        answers, connections = await self._answers(0.05, 0.2)
+        self.assertEqual((["a0", "a1"], 2), (answers, connections))
+
+    async def test_a_copy_that_arrives_before_the_next_answer(self):
+        """It is not taken for the answer; the request may have run."""
+        answers, _ = await self._answers(0.0, 0.0)
+        self.assertEqual(["a0", Verdict.MAY_HAVE_RUN], answers)
+
+
 class NetworkFailureTest(TestCase):
     async def test_a_lost_network_path_is_a_stall_and_not_a_crash(self):
         """Timeouts towards a cut-off data centre marked requests as poison.
