Keep a session at the home of the part that it shares with others

Cause: the part of a session's own, which no other request shares, stood for the whole prompt: the endpoint that should hold the shared part followed the session, and shared parts were copied and read again.

Change: the home follows the last part that other requests share; what a session's own part saves is weighed where it is known to be held.

--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -273,8 +273,9 @@
 
     def _request(self, job: Job, model: str) -> PlacementRequest:
         parts = job.req.parts
-        # The last part is the request's own, or its session's.
-        shared = parts if job.req.session or len(parts) == 1 else parts[:-1]
+        # The last part is the request's own, or its session's, which comes again.
+        shared = parts[:-1] if len(parts) > 1 else parts
+        kept = parts if job.req.session else shared
         return PlacementRequest(
             service=job.service,
             data_centre=self._data_centre,
@@ -283,7 +284,7 @@
             prefill_ktokens=self.prefill_ktokens(job, model),
             tried=job.failed_endpoints,
             version=job.version,
-            parts=[(f"{model} {part.digest}", part.tokens) for part in shared],
+            parts=[(f"{model} {part.digest}", part.tokens) for part in kept],
             prompt_tokens=job.req.prompt_tokens,
             sees_prompts=self.shared is not None and self.shared.coordinates,
         )
--- a/tests/gateway/test_shared_placement.py
+++ b/tests/gateway/test_shared_placement.py
@@ -10,6 +10,7 @@
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.gossip_messages import GossipMessage
 from radishshift.gateway.host_settings import GatewaySettings
+from radishshift.gateway.messages import PromptPart
 from radishshift.gateway.shared_placement import (
     FAILED_OUTCOME,
     RETRY_S,
@@ -237,3 +238,19 @@
             await host.placement.close()
             listener.close()
         self.assertEqual("d", reply.endpoint)
+
+
+class PromptPartsTest(VirtualTestCase):
+    async def test_a_session_stays_at_the_home_of_the_part_that_it_shares(self):
+        """The home followed the session's own part, and the shared one was copied."""
+        world = World([route(RouteKind.STREAM)], {name: [Script()] for name in "abc"})
+        placement = world.dispatcher.placement
+        requests = []
+        for session in ("", "s1", "s2"):
+            own = PromptPart(f"own of {session}", 300)
+            parts = (PromptPart("shared", 5000), own)
+            req = world.request(session=session, parts=parts, prompt_tokens=5300)
+            requests.append(placement._request(world.path._create_job(req), "small"))
+        self.assertEqual(1, len({request.affinity for request in requests}))
+        self.assertEqual({5000}, {request.shared_tokens for request in requests})
+        self.assertEqual([1, 2, 2], [len(request.parts) for request in requests])
