--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,11 +11,12 @@
 
 from tests.soak.links import Link
 from tests.soak.modes import Mode
-from tests.soak.worlds import SoakWorld
+from tests.soak.worlds import DATA_CENTRES, SoakWorld
 
 __all__ = ["FAULTS", "fault", "inject"]
 
 MIN_LIMIT_S = 5.0  # hosts may take 3 s to learn a limit
+MIN_EVACUATION_S = 5.0  # and as long to learn of an order
 
 Fault = Callable[[SoakWorld, random.Random], Awaitable[None]]
 FAULTS: dict[str, dict[str, Fault]] = defaultdict(dict)  # by mode and name
@@ -86,7 +87,7 @@
     return rng.choice(sorted(world.service_by_endpoint))
 
 
-@fault("host-killed", ("all", "limits"))
+@fault("host-killed", ("all", "limits", "evacuations"))
 async def _host_killed(world, rng):
     _host(world, rng).signal(signal.SIGKILL)
 
@@ -98,7 +99,7 @@
         await asyncio.sleep(rng.choice((0.0, 0.05)))
 
 
-@fault("host-stopped", ("all", "stops", "limits"), planned=True)
+@fault("host-stopped", ("all", "stops", "limits", "evacuations"), planned=True)
 async def _host_stopped(world, rng):
     host = _host(world, rng)
     host.terminate()
@@ -117,7 +118,7 @@
             await asyncio.sleep(rng.uniform(0.0, pause_s))
 
 
-@fault("host-paused", ("all", "limits"))
+@fault("host-paused", ("all", "limits", "evacuations"))
 async def _host_paused(world, rng):
     await _host(world, rng).pause(rng.uniform(0.1, 2.0))
 
@@ -143,7 +144,7 @@
     store_faults.status = 0
 
 
-@fault("store-watches-silent")
+@fault("store-watches-silent", ("all", "evacuations"))
 async def _watches_silent(world, rng):
     store_faults = world.platform.store.faults
     store_faults.silent_watches = True
@@ -156,7 +157,7 @@
     world.platform.store.faults.history_start = world.platform.store.revision
 
 
-@fault("store-turns-a-host-away")
+@fault("store-turns-a-host-away", ("all", "evacuations"))
 async def _store_link_disturbed(world, rng):
     await _disturb_link(world.store_links[_host(world, rng).name], rng)
 
@@ -203,6 +204,13 @@
     endpoint.limit_per_s = None
 
 
+@fault("data-centre-emptied", ("evacuations",), planned=True)
+async def _data_centre_emptied(world, rng):
+    if any(each.taken_back_at == math.inf for each in world.evacuations):
+        return  # one data centre at a time, so that requests can be served
+    await world.evacuate(rng.choice(DATA_CENTRES), rng.uniform(MIN_EVACUATION_S, 9.0))
+
+
 @fault("endpoint-replaced", planned=True)
 async def _endpoint_replaced(world, rng):
     await world.replace_endpoint(_endpoint(world, rng))
--- a/tests/soak/modes.py
+++ b/tests/soak/modes.py
@@ -39,6 +39,9 @@
         Time without requests between the last fault and the check that all is served.
     links : bool
         Whether callers reach the hosts, and hosts the endpoints, over links.
+    evacuation_s : float
+        Time from the order to empty a data centre until its endpoints may get nothing;
+        0 where there are no such orders.
     """
 
     name: str
@@ -54,6 +57,7 @@
     # Covers the longest open time of a circuit breaker and the refill of retry budgets.
     recovery_s: float = 6.0
     links: bool = True
+    evacuation_s: float = 0.0
 
 
 MODES = {
@@ -79,5 +83,13 @@
         # Endpoints limit the requests of all hosts together, for long enough that hosts
         # have to know.
         Mode("limits", fault_gap_s=(0.1, 1.5), grace_s=2.0, event_gap_s=0.0),
+        # Data centres are emptied, for long enough that hosts have to keep to it.
+        Mode(
+            "evacuations",
+            fault_gap_s=(0.5, 2.5),
+            grace_s=2.0,
+            event_gap_s=0.0,
+            evacuation_s=3.0,
+        ),
     )
 }
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -16,6 +16,7 @@
     CallerAttempt,
 )
 from tests.soak.fleet import HostStop
+from tests.soak.worlds import Evacuation
 
 __all__ = ["EndpointRun", "SoakRecord", "broken_promises", "promise"]
 
@@ -72,6 +73,9 @@
         Attempts that reached endpoints, whether or not they ran.
     limited_answers : list of LimitedAnswer
         Answers in which endpoints limited the requests of all hosts together.
+    evacuations : list of Evacuation
+    evacuation_s : float
+        Time from an order until the endpoints may get nothing.
     """
 
     attempts: list[CallerAttempt] = field(default_factory=list)
@@ -84,6 +88,8 @@
     grace_s: float = 0.0
     arrivals: list[Arrival] = field(default_factory=list)
     limited_answers: list[LimitedAnswer] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    evacuation_s: float = 0.0
 
     def disturbed(self, since: float, until: float) -> bool:
         """Return whether any disturbance falls into a period."""
@@ -282,6 +288,23 @@
             )
 
 
+@promise("emptied-endpoints-get-nothing")
+def _emptied_endpoints_get_nothing(record: SoakRecord) -> Iterator[str]:
+    """Find attempts at endpoints of a data centre that was emptied long before."""
+    for evacuation in record.evacuations:
+        due_at = evacuation.ordered_at + record.evacuation_s
+        for arrival in record.arrivals:
+            late = due_at < arrival.at < evacuation.taken_back_at
+            if not late or arrival.endpoint not in evacuation.endpoints:
+                continue
+            if not record.disturbed(arrival.at - SETTLE_S, arrival.at):
+                age_s = arrival.at - evacuation.ordered_at
+                yield (
+                    f"{arrival.endpoint} got {arrival.request_id} {age_s:.2f} s after "
+                    "its data centre was emptied"
+                )
+
+
 def _process(attempt: CallerAttempt | None) -> tuple[str, int] | None:
     """Return the host and process that took an attempt, if it was one process."""
     if attempt is None or len(set(attempt.process_numbers)) > 1:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -86,6 +86,8 @@
             mode.grace_s,
             [at for endpoint in endpoints for at in endpoint.arrivals],
             [at for endpoint in endpoints for at in endpoint.limited_answers],
+            world.evacuations,
+            mode.evacuation_s,
         )
         result.broken += broken_promises(record)
         result.statuses = Counter(attempt.status for attempt in callers.attempts)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -8,6 +8,7 @@
 from tests.soak.callers import STREAM_EVENTS, CallerAttempt
 from tests.soak.fleet import HostStop
 from tests.soak.promises import EndpointRun, SoakRecord, broken_promises
+from tests.soak.worlds import Evacuation
 
 CUSTOMER = "ring"
 GRACE_S = 8.0
@@ -210,6 +211,24 @@
             broken = [line.split(":")[0] for line in broken_promises(record)]
             self.assertEqual(expected, set(broken) & {"limits-are-kept"})
 
+    def test_a_request_at_an_endpoint_of_an_emptied_data_centre(self):
+        name = "emptied-endpoints-get-nothing"
+        for at, endpoint, disturbances, expected in (
+            (104.0, "desk-1", (), {name}),
+            (102.0, "desk-1", (), set()),
+            (111.0, "desk-1", (), set()),
+            (104.0, "desk-2", (), set()),
+            (104.0, "desk-1", ((101.5, 102.0),), set()),
+        ):
+            record = SoakRecord(
+                disturbances=list(disturbances),
+                arrivals=[Arrival(endpoint, "a1", (), at)],
+                evacuations=[Evacuation(frozenset({"desk-1"}), 100.0, 110.0)],
+                evacuation_s=3.0,
+            )
+            broken = {line.partition(":")[0] for line in broken_promises(record)}
+            self.assertEqual(expected, broken & {name})
+
     def test_a_disturbance_excuses_a_stopping_host_for_a_while(self):
         attempt = _cut(4.4, 0.05)
         for span, expected in (
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,9 @@
 LIMITS_SEED = 14  # an endpoint limits its requests for most of the time
 LIMITS_HOSTS = 4
 LIMITS_TIME_S = 9.0
+EVACUATIONS_SEED = 2  # begins with an order
+EVACUATIONS_HOSTS = 4
+EVACUATIONS_TIME_S = 8.0
 FAILED_SEEDS_FILE = Path(__file__).parent / "failed-seeds.txt"
 
 
@@ -40,6 +43,13 @@
         self.assertGreater(result.faults["endpoint-limits-requests"], 0)
         self.assertGreater(result.statuses[200], 0)
 
+    def test_hosts_send_nothing_to_an_emptied_data_centre(self):
+        result = self._run_seed(
+            EVACUATIONS_SEED, EVACUATIONS_HOSTS, EVACUATIONS_TIME_S, "evacuations"
+        )
+        self.assertGreater(result.faults["data-centre-emptied"], 0)
+        self.assertGreater(result.statuses[200], 0)
+
     def test_seeds_that_broke_a_promise_keep_them_now(self):
         """Each line of the file holds seed, hosts, seconds, mode, and what broke."""
         for line in FAILED_SEEDS_FILE.read_text(encoding="utf-8").splitlines():
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -26,8 +26,10 @@
 __all__ = [
     "API_KEY",
     "CUSTOMER",
+    "DATA_CENTRES",
     "HOST_HEADER",
     "SERVICES",
+    "Evacuation",
     "SoakEndpoint",
     "SoakWorld",
 ]
@@ -83,6 +85,15 @@
             self.ended_at[number] = asyncio.get_running_loop().time()
 
 
+@dataclass
+class Evacuation:
+    """An order to use none of some endpoints, and when it was in force."""
+
+    endpoints: frozenset[str]
+    ordered_at: float
+    taken_back_at: float = math.inf
+
+
 class SoakWorld:
     """A store, endpoints and hosts, with a fault-injecting link to each.
 
@@ -103,11 +114,13 @@
         Number of configuration changes so far; each adds a route.
     disturbances : list of pair of float
         Beginning and end of all faults that were not planned work.
+    evacuations : list of Evacuation
     """
 
     def __init__(self, hosts: int, mode: Mode) -> None:
         self.mode = mode
         self.disturbances: list[tuple[float, float]] = []
+        self.evacuations: list[Evacuation] = []
         self.hosts: dict[str, HostProcess] = {}
         self.store_links: dict[str, Link] = {}
         self.caller_links: dict[str, Link] = {}
@@ -160,6 +173,7 @@
 ready = "{ip}:{READY_PORT}"
 [bounds]
 graceS = {self.mode.grace_s}
+evacuateMs = {1000 * self.mode.evacuation_s}
 [platform]
 address = "{self.store_links[name].address}"
 """,
@@ -206,7 +220,9 @@
         link = await self._link(f"{ip}:{port}")
         self.platform.endpoints[name] = endpoint
         self.platform.addresses[name] = self._address(link)
-        self.platform.register(name, service)
+        zone = DATA_CENTRES[len(self.endpoints) % len(DATA_CENTRES)]
+        zone = zone if self.mode.evacuation_s else DATA_CENTRES[0]
+        self.platform.register(name, service, zone=zone)
         self.endpoints[name] = endpoint
         self.endpoint_links[name] = link
         self.service_by_endpoint[name] = service
@@ -247,6 +263,23 @@
         self.added_route_count += 1
         self.platform.store.put("config", "main", self._config())
 
+    async def evacuate(self, data_centre: str, time_s: float) -> None:
+        """Order that nothing be sent to the endpoints of a data centre for a time."""
+        loop = asyncio.get_running_loop()
+        store = self.platform.store
+        servers = store.objects_by_kind["servers"]
+        endpoints = frozenset(
+            name
+            for name, entry in servers.items()
+            if entry["spec"]["zone"] == data_centre
+        )
+        store.put("evacuations", data_centre, {})
+        evacuation = Evacuation(endpoints, loop.time())
+        self.evacuations.append(evacuation)
+        await asyncio.sleep(time_s)
+        evacuation.taken_back_at = loop.time()
+        store.remove("evacuations", data_centre)
+
     async def replace_endpoint(self, name: str) -> None:
         """Add an endpoint, then drain and unregister the one that it replaces.
 
