--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -207,7 +207,7 @@
         return PREFILL_COST_PER_1000_TOKENS * self.prefill_ktokens * share * delayed
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen, as one is made for each endpoint of each choice
 class Terms:
     """What an attempt would cost at one endpoint, in requests in flight.
 
@@ -298,8 +298,7 @@
         ]
         if not pool:
             return None
-        terms = self._terms_of(pool, request, now)
-        best = min(pool, key=lambda view: terms[view.member.incarnation].total)
+        best, _ = min(self._terms_of(pool, request, now), key=_total)
         self.record_choice(best.member, request, now)
         return best.member
 
@@ -308,19 +307,18 @@
     ) -> dict[Incarnation, Terms]:
         """Return what an attempt would cost at each endpoint, without choosing."""
         pool = [self.view(member) for member in members]
-        return self._terms_of(pool, request, now)
+        return {
+            view.member.incarnation: terms
+            for view, terms in self._terms_of(pool, request, now)
+        }
 
     def _terms_of(
         self, pool: list[EndpointView], request: PlacementRequest, now: float
-    ) -> dict[Incarnation, Terms]:
+    ) -> Iterator[tuple[EndpointView, Terms]]:
         cut_off_centres = self._cut_off_centres(request.data_centre, now)
         home = self._home(pool, request)
-        return {
-            view.member.incarnation: self._terms(
-                view, request, cut_off_centres, home, now
-            )
-            for view in pool
-        }
+        for view in pool:
+            yield view, self._terms(view, request, cut_off_centres, home, now)
 
     def record_choice(
         self, member: Member, request: PlacementRequest, now: float
@@ -435,3 +433,7 @@
             remote=remote,
             failures=failures,
         )
+
+
+def _total(candidate: tuple[EndpointView, Terms]) -> float:
+    return candidate[1].total
