Wait on a starting host for the orders to empty data centres, too

Cause: a host that starts served as soon as it knew configuration and endpoints; the listing of orders may come later. Which host sent it is not in the part of the log that was kept; that it was one that had restarted is an inference.

--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -121,6 +121,19 @@
         """Return the version of the configuration in force, 0 for none."""
         return 0 if self.deployment is None else self.deployment.version
 
+    @property
+    def loaded(self) -> bool:
+        """Return whether all is known that a request needs.
+
+        That is a configuration, endpoints, and the orders not to use some of them.
+        """
+        orders = self.tables.get(Kind.EVACUATION)
+        return (
+            self.deployment is not None
+            and bool(self.members)
+            and (orders is None or orders.head.complete > 0)
+        )
+
     def heads(self) -> dict[str, Head]:
         """Return the heads of all tables, for comparison with a peer's."""
         return {kind.value: table.head for kind, table in self.tables.items()}
--- a/radishshift/gateway/platform_sync.py
+++ b/radishshift/gateway/platform_sync.py
@@ -132,7 +132,7 @@
 
     def record_view_change(self) -> None:
         """Record that the host's view has changed, whatever the source."""
-        if self._host_view.deployment is not None and self._host_view.members:
+        if self._host_view.loaded:
             self._loaded.set()
 
     async def wait_for_initial_load(self, until: float) -> None:
@@ -262,6 +262,7 @@
             message = "initial listing" if allow_stale else "resync found a change"
             logger.info(message, extra=_listing_fields(kind, listing))
             self.record_missed_change(kind)
+        self.record_view_change()  # that there are no orders is news to a new host
         return True
 
 
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -103,7 +103,7 @@
         host_view = self._dispatcher.host_view
         if self._dispatcher.clock.now() >= self.exits_at:
             raise _shutting_down()
-        if host_view.deployment is None or not host_view.members:
+        if not host_view.loaded:
             waiting_s = INITIAL_LOAD_WAIT_SHARE * (req.deadline - req.received_at)
             await self._wait_for_initial_load(req.received_at + waiting_s)
         job = self._create_job(req)
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -76,6 +76,19 @@
         world.evacuate("nowhere")
         self.assertEqual(200, (await world.send_request()).status)
 
+    async def test_a_starting_host_knows_the_orders_before_it_sends_a_request(self):
+        """It served as soon as it knew configuration and endpoints."""
+        world = _stream_world(a=Script(events=EVENTS), b=Script(events=EVENTS))
+        world.configured.clear()
+        requests = [asyncio.create_task(world.send_request(n)) for n in range(8)]
+        await asyncio.sleep(0.3)
+        self.assertEqual([], world.attempted_endpoints())
+        world.evacuate("iringa")
+        world.configured.set()
+        callers = await asyncio.gather(*requests)
+        self.assertEqual({200}, {caller.status for caller in callers})
+        self.assertEqual({"a"}, set(world.attempted_endpoints()))
+
     async def test_peers_and_coordinators_keep_to_the_order(self):
         network = Network(1, 24, 3, 4)
         await network.start()
