--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -276,12 +276,8 @@
 
     def memory_tokens(self, service: str) -> float:
         """Return the memory of a service's engines in tokens, infinite if unknown."""
-        known = None if self.deployment is None else self.deployment.services
-        return (
-            math.inf
-            if not known or service not in known
-            else (known[service].memory_tokens)
-        )
+        services = {} if self.deployment is None else self.deployment.services
+        return services[service].memory_tokens if service in services else math.inf
 
     def departed_since(self, service: str, since: float) -> Iterator[Member]:
         """Yield the endpoints of a service that left after `since`.
