--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -27,7 +27,6 @@
 
 LATENCY_SMOOTHING = 0.2
 MAX_PAUSE_S = 3.0  # a recovered endpoint serves again within this time
-DEFAULT_REUSE_WINDOW_S = 10.0  # a part of a prompt is held this long after its use
 UNREACHABLE_PENALTY_S = 1.0  # after a failed connection the endpoint is avoided
 PROBE_INTERVAL_S = 0.4  # between probes; with the probe's timeout less than 1 s
 # Costs are in requests in flight. Each of the next three exceeds the load of any local
--- a/radishshift/gateway/explanations.py
+++ b/radishshift/gateway/explanations.py
@@ -9,6 +9,7 @@
 from radishshift.clocks import Clock
 from radishshift.decisions.placing import REQUEST_S, Terms
 from radishshift.errors import RadishshiftError
+from radishshift.gateway.deployment import Member
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.jobs import Job
@@ -175,7 +176,7 @@
         )
 
     def _endpoint(
-        self, member, left_out: str, terms: Terms, now: float
+        self, member: Member, left_out: str, terms: Terms, now: float
     ) -> EndpointExplanation:
         last_byte_at = self._dispatcher.last_byte_at(member)
         return EndpointExplanation(
