Forget old requests of a retry budget that is not asked

Cause: timestamps were dropped only when a retry was wanted; the bound on early retries is seldom asked, so each attempt of a host's life stayed in memory. Found in reading.

--- a/radishshift/decisions/retry_budget.py
+++ b/radishshift/decisions/retry_budget.py
@@ -38,14 +38,18 @@
     def request_received(self, now: float) -> None:
         """Record a caller's request for the service."""
         self._requests.append(now)
+        self._forget_old(now)
 
     def available(self, now: float) -> float:
         """Return how many retries may be sent now."""
+        self._forget_old(now)
+        slack_share = self._slack / max(1, self.host_count)
+        return self._ratio * len(self._requests) + slack_share - len(self._retries)
+
+    def _forget_old(self, now: float) -> None:
         for timestamps in (self._requests, self._retries):
             while timestamps and timestamps[0] <= now - self._window_s:
                 timestamps.popleft()
-        slack_share = self._slack / max(1, self.host_count)
-        return self._ratio * len(self._requests) + slack_share - len(self._retries)
 
     def try_acquire(self, now: float) -> bool:
         """Spend one retry if the budget allows it; return whether it did."""
--- a/tests/decisions/test_patience.py
+++ b/tests/decisions/test_patience.py
@@ -23,3 +23,9 @@
         given_up = sum(early.try_acquire(10.0) for _ in range(100))
         self.assertLessEqual(given_up, 17)
         self.assertGreater(given_up, 5)
+
+    def test_attempts_of_a_long_time_without_retries_take_no_memory(self):
+        early = EarlyRetries()
+        for number in range(100_000):
+            early.request_received(number / 10)
+        self.assertLessEqual(len(early._requests), 101)
