Decide the regions of a request once, and ask of an endpoint's permit only if refused

Found in reading the change. The regions of a request were worked out again for each endpoint of each choice, and whether a region may see it was decided in two places; whether an endpoint is limited or cold was looked up for each of them, though only those that refused a permit have a time to wait for. Behaviour is the same. Two comments said what no code or run shows: that answers state coldness, and 80 MB for the process.

--- a/radishshift/decisions/cold_endpoints.py
+++ b/radishshift/decisions/cold_endpoints.py
@@ -18,9 +18,9 @@
 class ColdEndpoints:
     """Until when each endpoint is taken to be cold.
 
-    An endpoint says so in its registration and in its answers. Of its registrations the
-    latest counts. A registration may have been written before an answer that arrives
-    sooner, so it does not end what an answer has said.
+    An endpoint says so in its registration, of which the latest counts. A registration
+    may have been written before the endpoint became cold, so it does not end what is
+    assumed for another reason.
     """
 
     def __init__(self) -> None:
--- a/radishshift/decisions/held_bytes.py
+++ b/radishshift/decisions/held_bytes.py
@@ -11,8 +11,8 @@
 __all__ = ["HeldBytes", "budget_bytes"]
 
 MEGABYTE = 1_000_000
-# The process itself takes up to 80 MB. Of what is left, a part is kept for events,
-# answers, and the buffers of connections.
+# Kept for the process itself, which peaks at 30 MB on the days in docs/CAPACITY.md. Of
+# what is left, a part is kept for events, answers, and the buffers of connections.
 PROCESS_MB = 80.0
 BODY_SHARE = 0.5
 MIN_BUDGET_MB = 8.0  # two of the largest bodies that configurations allow
--- a/radishshift/gateway/endpoint_permits.py
+++ b/radishshift/gateway/endpoint_permits.py
@@ -162,9 +162,8 @@
 
     def retry_at(self, member: Member) -> float:
         """Return the instant from which a permit may be asked for, 0 for now."""
-        if not self.required(member):
-            return 0.0
-        return self._retry_at.get(member.incarnation, 0.0)
+        at = self._retry_at.get(member.incarnation, 0.0)
+        return at if at and self.required(member) else 0.0
 
     def can_grant(self, member: Member) -> bool:
         """Return whether this host could permit a request to an endpoint now."""
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -26,6 +26,8 @@
         Instant by which to answer: the earlier of the caller's and the route's.
     traits : Traits
         What it may have in common with others; the same when a caller sends it again.
+    regions : frozenset of str or None
+        Regions in which it may run, None for all; route and customer restrict them.
     version : str
         Version of the service to run it on, or empty for any.
     attempts : int
@@ -50,6 +52,7 @@
     customer: Customer | None
     deadline: float
     traits: Traits = field(init=False)
+    regions: frozenset[str] | None = field(init=False)
     version: str = ""
     attempts: int = 0
     used_endpoints: list[str] = field(default_factory=list)
@@ -60,7 +63,7 @@
     helpers: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        """Compute the traits."""
+        """Compute the traits and the regions."""
         name = "" if self.customer is None else self.customer.name
         digest = xxhash.xxh64(f"{name} {self.req.method} {self.req.target}".encode())
         digest.update(self.req.body)
@@ -68,25 +71,22 @@
         parts = self.req.parts if self.req.session else self.req.parts[:-1]
         shared = (part.digest for part in parts)
         self.traits = Traits.of(digest.hexdigest(), self.service, shared)
-
-    @property
-    def attempt_id(self) -> str:
-        """Return the name of the next attempt."""
-        return f"{self.req.request_id}/{self.attempts}"
-
-    @property
-    def regions(self) -> frozenset[str] | None:
-        """Return the regions in which it may run, None for all.
-
-        Both the route and the customer may restrict them.
-        """
         customer_regions = () if self.customer is None else self.customer.regions
         restrictions = [
             frozenset(regions)
             for regions in (self.route.regions, customer_regions)
             if regions
         ]
-        return frozenset.intersection(*restrictions) if restrictions else None
+        self.regions = frozenset.intersection(*restrictions) if restrictions else None
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the name of the next attempt."""
+        return f"{self.req.request_id}/{self.attempts}"
+
+    def may_run_in(self, region: str | None) -> bool:
+        """Return whether a region, None for an unknown one, may see the request."""
+        return self.regions is None or region in self.regions
 
     @property
     def endpoints_left(self) -> int:
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -318,8 +318,7 @@
 
     def _at_home(self, job: Job, member: Member) -> bool:
         """Return whether an endpoint is in a region in which a job may run."""
-        regions = job.regions
-        return regions is None or self.regions.get(member.data_centre) in regions
+        return job.may_run_in(self.regions.get(member.data_centre))
 
     def _retry_at(self, member: Member) -> float:
         """Return the instant from which an endpoint may be tried, 0 for now."""
--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -217,7 +217,8 @@
             host = message.host
             age_s = message.reached.get(job.service)
             paused = self._paused_until.get(host, 0.0) > now
-            if age_s is None or paused or not self._may_see(job, peer.data_centre):
+            region = self._settings.regions.get(peer.data_centre)
+            if age_s is None or paused or not job.may_run_in(region):
                 continue
             view = self._views.get(host)
             own = 0 if view is None else view.in_flight
@@ -229,11 +230,6 @@
                 max(own, message.relaying),
             )
 
-    def _may_see(self, job: Job, data_centre: str) -> bool:
-        """Return whether the hosts of a data centre may get the body of a job."""
-        regions = job.regions
-        return regions is None or self._settings.regions.get(data_centre) in regions
-
     def record_failure(self, host: str) -> None:
         """Leave a peer out for a while."""
         self._paused_until[host] = self._clock.now() + HELPER_PAUSE_S
