Explain a request by the choice itself, and find the coordinator once for a choice

Found in reading the change. The explanation chose by a copy of the choice, which left out the endpoints that are its last resort: it told of a rejection where an attempt would have been made (a test shows it). Now the choice is made in one place, and taking it is what records it. The terms listed are compared among the endpoints to choose from.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -281,6 +281,18 @@
 
     def choose(
         self, members: Iterable[Member], request: PlacementRequest, now: float
+    ) -> Member | None:
+        """Return the best endpoint, and record that an attempt is sent to it.
+
+        None if there is no endpoint.
+        """
+        best = self.best(members, request, now)
+        if best is not None:
+            self.record_choice(best, request, now)
+        return best
+
+    def best(
+        self, members: Iterable[Member], request: PlacementRequest, now: float
     ) -> Member | None:
         """Return the endpoint of lowest cost, or None if there is none.
 
@@ -298,7 +310,6 @@
         if not pool:
             return None
         best, _ = min(self._terms_of(pool, request, now), key=_total)
-        self.record_choice(best.member, request, now)
         return best.member
 
     def explain(
--- a/radishshift/gateway/placement.py
+++ b/radishshift/gateway/placement.py
@@ -97,7 +97,7 @@
             member for member in self._allowed(job) if not self.permits.required(member)
         ]
         now = self._clock.now()
-        chosen = self._placer.choose(unlimited, self._request(job, model), now)
+        chosen = self._placer.choose(unlimited, self._own_request(job, model), now)
         if chosen is None:
             raise self._no_endpoint(job)
         return chosen
@@ -148,50 +148,44 @@
         return None
 
     def _choose(self, job: Job, model: str) -> Member:
-        """Return the endpoint that this host chooses for itself.
+        """Return the endpoint that this host chooses for itself, and record it."""
+        chosen = self.preview(job, model)
+        self._placer.record_choice(chosen, self._request(job, model), self._clock.now())
+        return chosen
+
+    def preview(self, job: Job, model: str) -> Member:
+        """Return the endpoint that this host would choose for itself now.
 
         The only endpoint is chosen again even if it failed the request. If none of the
         job's version is available, `job.version` is cleared and any version is used;
         the last resort are endpoints that departed recently.
+
+        Raises
+        ------
+        NoEndpointError
         """
         now = self._clock.now()
-        request = self._request(job, model)
+        request = self._own_request(job, model)
         members = self._allowed(job)
-        chosen = self._placer.choose(members, request, now)
-        if chosen is None and job.failed_endpoints and len(members) == 1:
-            chosen = self._placer.choose(members, replace(request, tried=()), now)
-        if chosen is None and self._must_wait(job):
+        best = self._placer.best(members, request, now)
+        if best is None and job.failed_endpoints and len(members) == 1:
+            best = self._placer.best(members, replace(request, tried=()), now)
+        if best is None and self._must_wait(job):
             raise self._no_endpoint(job)
-        if chosen is None and job.version:
+        if best is None and job.version:
             job.version = ""
-            return self._choose(job, model)
-        if chosen is None:
+            return self.preview(job, model)
+        if best is None:
             since = now - DEPARTED_USE_SHARE * self.drain_s
             departed = [
                 member
                 for member in self._host_view.departed_since(job.service, since)
                 if self._retry_at(member) <= now and self._at_home(job, member)
             ]
-            chosen = self._placer.choose(departed, request, now)
-        if chosen is None:
+            best = self._placer.best(departed, request, now)
+        if best is None:
             raise self._no_endpoint(job)
-        return chosen
-
-    def preview(self, job: Job, model: str) -> Member:
-        """Return the endpoint that this host would choose, without using it.
-
-        Raises
-        ------
-        NoEndpointError
-        """
-        terms = {
-            member: terms
-            for member, left_out, terms in self.explain(job, model)
-            if not left_out
-        }
-        if not terms:
-            raise self._no_endpoint(job)
-        return min(terms, key=lambda member: terms[member].total)
+        return best
 
     def explain(self, job: Job, model: str) -> Iterator[tuple[Member, str, Terms]]:
         """Yield the known endpoints of a job's service, with the terms of each.
@@ -202,16 +196,19 @@
             The endpoint, why it is left out or an empty string, and its terms.
         """
         now = self._clock.now()
-        members = [
-            member
+        request = self._own_request(job, model)
+        usable = set(self._host_view.members_of(job.service))
+        reasons = {
+            member: self._reason_left_out(job, member, usable, now)
             for member in self._host_view.known_members()
             if member.service == job.service
-        ]
-        terms = self._placer.explain(members, self._request(job, model), now)
-        usable = set(self._host_view.members_of(job.service))
-        for member in members:
-            left_out = self._reason_left_out(job, member, usable, now)
-            yield member, left_out, terms[member.incarnation]
+        }
+        # The endpoints to choose from are compared with each other alone.
+        for left_out in (False, True):
+            members = [each for each in reasons if bool(reasons[each]) is left_out]
+            terms = self._placer.explain(members, request, now)
+            for member in members:
+                yield member, reasons[member], terms[member.incarnation]
 
     def _reason_left_out(
         self, job: Job, member: Member, usable: Set[Member], now: float
@@ -286,9 +283,13 @@
             version=job.version,
             parts=[(f"{model} {part.digest}", part.tokens) for part in kept],
             prompt_tokens=job.req.prompt_tokens,
-            sees_prompts=self.shared is not None and self.shared.coordinates,
         )
 
+    def _own_request(self, job: Job, model: str) -> PlacementRequest:
+        """Return the request for a choice by this host itself."""
+        coordinates = self.shared is not None and self.shared.coordinates
+        return replace(self._request(job, model), sees_prompts=coordinates)
+
     def _allowed(self, job: Job) -> list[Member]:
         """Return the endpoints that a job may still be sent to."""
         now = self._clock.now()
--- a/tests/gateway/test_explanations.py
+++ b/tests/gateway/test_explanations.py
@@ -67,6 +67,15 @@
         self.assertEqual(expected, self._left_out(explanation))
         self.assertEqual("b", explanation.endpoint)
 
+    async def test_the_last_resort_is_explained_as_it_is_used(self):
+        """An endpoint that has just left was used, but explained as a rejection."""
+        world, explainer = self._world()
+        world.list_members([])
+        explanation = explainer.explain(QUESTION)
+        job = world.path._create_job(world.request(key=KEY))
+        member = await world.dispatcher.placement.place(job, "small")
+        self.assertEqual(member.name, explanation.endpoint)
+
     async def test_a_rejection_is_explained(self):
         world, explainer = self._world()
         cases = {
