--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,19 +1,18 @@
-"""One entry of another writer stands among the replicas as all processes are killed."""
+"""All keys are taken away; requests without a valid key must not run."""
 
 import asyncio
 
 from review.common.fleet import HOST_HEADER, BrokenError, Fleet, run_case
 
-RECOVER_S = 12.0
-DOWN_S = 1.0  # until the processes are started again
+KEYS = {"ring": "key-of-ring", "clerks": "key-of-clerks"}
+NEVER_A_KEY = "never-a-key"
+CONFIG_APPLY_S = 2.0
+GAP_S = 1.5  # between two keys, as the site file has it
 PATH = "/book/1"
-KEY = "key-of-ring"
-# Valid JSON text when it is sent, but half of a pair of code units: it is no text.
-UNREADABLE = "\ud800"
 
 
-def config(version: int) -> dict:
-    """Return a configuration; its version is all that differs."""
+def config(version: int, keys: dict[str, str]) -> dict:
+    """Return a configuration in which the tenants hold the given keys."""
     return {
         "version": version,
         "routes": [
@@ -31,56 +30,41 @@
         ],
         "services": [{"name": "ring-desk"}],
         "limits": {},
-        "tenants": [{"name": "ring", "apiKeys": [KEY]}],
+        "tenants": [
+            {"name": name, "apiKeys": [keys[name]] if name in keys else []}
+            for name in KEYS
+        ],
     }
 
 
-async def served(fleet: Fleet, count: int) -> int:
-    """Send requests to all hosts in turn, and return how many were served."""
-    statuses = []
-    for number in range(count):
-        host = fleet.hosts[number % len(fleet.hosts)]
-        statuses.append((await fleet.ask(host, PATH, KEY, "POST")).status)
-        await asyncio.sleep(0.1)
-    return statuses.count(200)
-
-
 async def case(fleet: Fleet) -> None:
-    """Kill all processes after a configuration was acknowledged; traffic goes on."""
+    """Take the keys away one after the other, and ask with and without one."""
     await fleet.start_store()
-    fleet.configure(config(1))
+    fleet.configure(config(1, KEYS))
     for number in range(3):
         await fleet.add_replica(f"desk-{number}", "ring-desk")
     await fleet.start_hosts(3)
     await asyncio.sleep(4.0)
+    for host in fleet.hosts:
+        reply = await fleet.ask(host, PATH, NEVER_A_KEY, "POST")
+        fleet.check(reply.status == 401, "a key that was never held isn't refused")
+        reply = await fleet.ask(host, PATH, KEYS["ring"], "POST")
+        fleet.check(reply.status == 200, "a key that is held isn't served")
     if fleet.trouble:
-        spec = {
-            "service": "ring-desk",
-            "address": "127.0.0.1:9",
-            "zone": "mbeya",
-            "version": UNREADABLE,
-            "slots": 6,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seqNo": 1,
-        }
-        fleet.store.put("servers", "entry-of-another-writer", spec)
-        fleet.note("an entry of another writer was stored, of which one field can't be")
-        fleet.note("read: its version is the JSON text \\ud800")
-    before = await served(fleet, 30)
-    fleet.configure(config(2))
-    await asyncio.gather(*(host.kill() for host in fleet.hosts))
-    fleet.note("all processes were killed")
-    await asyncio.sleep(DOWN_S)
-    await asyncio.gather(*(host.start() for host in fleet.hosts))
-    fleet.note("all processes were started again")
-    await asyncio.sleep(RECOVER_S + 1.0)
-    after = await served(fleet, 60)
-    fleet.note(f"served before the final fault: {before} of 30")
-    fleet.note(f"served from {RECOVER_S + 1.0:.0f} s after the start on: {after} of 60")
-    fleet.check(before >= 30 / 4, "not served before the final fault")
-    if after < 60 / 4:
-        raise BrokenError(f"{after} of 60 served after recovery, {before} of 30 before")
+        fleet.configure(config(2, {"clerks": KEYS["clerks"]}))
+        await asyncio.sleep(GAP_S)
+        fleet.configure(config(3, {}))
+    await asyncio.sleep(CONFIG_APPLY_S + 2.0)
+    faults = []
+    for host in fleet.hosts:
+        for key in (NEVER_A_KEY, "", *KEYS.values()):
+            reply = await fleet.ask(host, PATH, key, "POST")
+            revoked = fleet.trouble and key in KEYS.values()
+            may_run = key in KEYS.values() and not revoked
+            if fleet.runs_of(reply.attempt_id) and not may_run:
+                faults.append(f"{reply.attempt_id} with key {key or 'none'}")
+    if faults:
+        raise BrokenError(f"{len(faults)} requests ran: {', '.join(faults)}")
 
 
 run_case(__file__, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,29 +1,26 @@
-"""The store comes back from a copy some seconds old; the next config must apply."""
+"""One entry of another writer stands among the replicas as all processes are killed."""
 
 import asyncio
 
-from review.common.fleet import (
-    CONTACT_S,
-    HOST_HEADER,
-    BrokenError,
-    Fleet,
-    run_case,
-)
+from review.common.fleet import HOST_HEADER, BrokenError, Fleet, run_case
 
-CONFIG_APPLY_S = 2.0
-AWAY_S = 1.0
-KEPT, REVOKED = "key-of-ring", "key-to-revoke"
+RECOVER_S = 12.0
+DOWN_S = 1.0  # until the processes are started again
+PATH = "/book/1"
+KEY = "key-of-ring"
+# Valid JSON text when it is sent, but half of a pair of code units: it is no text.
+UNREADABLE = "\ud800"
 
 
-def config(version: int, routes: list[str], keys: list[str]) -> dict:
-    """Return a configuration with the given routes, named by their prefixes."""
+def config(version: int) -> dict:
+    """Return a configuration; its version is all that differs."""
     return {
         "version": version,
         "routes": [
             {
-                "name": name,
+                "name": "book-machine",
                 "host": HOST_HEADER,
-                "pathPrefix": f"/{name}/",
+                "pathPrefix": "/book/",
                 "type": "unsafe",
                 "timeoutMs": 1000,
                 "sloMs": 250,
@@ -31,57 +28,59 @@
                 "maxAttempts": 1,
                 "priority": 2,
             }
-            for name in routes
         ],
         "services": [{"name": "ring-desk"}],
         "limits": {},
-        "tenants": [{"name": "ring", "apiKeys": keys}],
+        "tenants": [{"name": "ring", "apiKeys": [KEY]}],
     }
 
 
+async def served(fleet: Fleet, count: int) -> int:
+    """Send requests to all hosts in turn, and return how many were served."""
+    statuses = []
+    for number in range(count):
+        host = fleet.hosts[number % len(fleet.hosts)]
+        statuses.append((await fleet.ask(host, PATH, KEY, "POST")).status)
+        await asyncio.sleep(0.1)
+    return statuses.count(200)
+
+
 async def case(fleet: Fleet) -> None:
-    """Lose some seconds of the store, then add a route and take a key away."""
+    """Kill all processes after a configuration was acknowledged; traffic goes on."""
     await fleet.start_store()
-    routes, keys = ["book"], [KEPT, REVOKED]
-    fleet.configure(config(1, routes, keys))
+    fleet.configure(config(1))
     for number in range(3):
         await fleet.add_replica(f"desk-{number}", "ring-desk")
     await fleet.start_hosts(3)
     await asyncio.sleep(4.0)
-    saved = fleet.store.copy()
-    fleet.note(f"copy of the store at revision {saved[0]}")
-    for version in (2, 3, 4):
-        routes = [*routes, f"added-{version}"]
-        fleet.configure(config(version, routes, keys))
-        await asyncio.sleep(0.7)
-    await asyncio.sleep(1.0)
-    for host in fleet.hosts:
-        reply = await fleet.ask(host, "/added-4/1", KEPT, "POST")
-        fleet.check(reply.status == 200, "version 4 isn't in force before the drill")
     if fleet.trouble:
-        fleet.store.go_away()
-        fleet.note("the store is away")
-        await asyncio.sleep(AWAY_S)
-        fleet.store.come_back_from(saved)
-        fleet.note(f"the store is back from the copy, at revision {saved[0]}")
-        # What the operator and the replicas wrote is written again.
-        fleet.configure(config(4, routes, keys))
-        for replica in fleet.replicas.values():
-            replica.register()
-    await asyncio.sleep(CONTACT_S + 2.0)
-    fleet.configure(config(5, [*routes, "late"], [KEPT]))
-    faults = []
-    for _ in range(5):
-        await asyncio.sleep(CONFIG_APPLY_S + 2.0)
-        for host in fleet.hosts:
-            reply = await fleet.ask(host, "/late/1", KEPT, "POST")
-            if reply.status == 404:
-                faults.append(f"{reply.attempt_id} got 404 on a route of version 5")
-            reply = await fleet.ask(host, "/book/1", REVOKED, "POST")
-            if fleet.runs_of(reply.attempt_id):
-                faults.append(f"{reply.attempt_id} ran with a key that 5 doesn't hold")
-    if faults:
-        raise BrokenError(f"{len(faults)} of 30 requests, first {faults[0]}")
+        spec = {
+            "service": "ring-desk",
+            "address": "127.0.0.1:9",
+            "zone": "mbeya",
+            "version": UNREADABLE,
+            "slots": 6,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seqNo": 1,
+        }
+        fleet.store.put("servers", "entry-of-another-writer", spec)
+        fleet.note("an entry of another writer was stored, of which one field can't be")
+        fleet.note("read: its version is the JSON text \\ud800")
+    before = await served(fleet, 30)
+    fleet.configure(config(2))
+    await asyncio.gather(*(host.kill() for host in fleet.hosts))
+    fleet.note("all processes were killed")
+    await asyncio.sleep(DOWN_S)
+    await asyncio.gather(*(host.start() for host in fleet.hosts))
+    fleet.note("all processes were started again")
+    await asyncio.sleep(RECOVER_S + 1.0)
+    after = await served(fleet, 60)
+    fleet.note(f"served before the final fault: {before} of 30")
+    fleet.note(f"served from {RECOVER_S + 1.0:.0f} s after the start on: {after} of 60")
+    fleet.check(before >= 30 / 4, "not served before the final fault")
+    if after < 60 / 4:
+        raise BrokenError(f"{after} of 60 served after recovery, {before} of 30 before")
 
 
 run_case(__file__, case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,138 +1,87 @@
-"""A request that crashes replicas comes again at processes that have restarted."""
+"""The store comes back from a copy some seconds old; the next config must apply."""
 
 import asyncio
-import time
 
 from review.common.fleet import (
     CONTACT_S,
     HOST_HEADER,
-    ZONES,
     BrokenError,
     Fleet,
-    Host,
     run_case,
 )
-from review.common.replicas import Run
 
-KEY = "key-of-ring"
-DEADLY = "/check/deadly"
-ALLOWED_RETRIES = 3
-RETRIES = 3  # after each restart
-REPLICAS = 9
-DOWN_S = 0.8  # of a process that is killed
-UNTIL_KILL_S = 29.8  # since the last crash
-
-CONFIG = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "check-booking",
-            "host": HOST_HEADER,
-            "pathPrefix": "/check/",
-            "type": "safe",
-            "timeoutMs": 1000,
-            "sloMs": 250,
-            "service": "ring-desk",
-            "maxAttempts": 1,
-            "priority": 2,
-        },
-        {
-            "name": "book-machine",
-            "host": HOST_HEADER,
-            "pathPrefix": "/book/",
-            "type": "unsafe",
-            "timeoutMs": 1000,
-            "sloMs": 250,
-            "service": "ring-desk",
-            "maxAttempts": 1,
-            "priority": 2,
-        },
-    ],
-    "services": [{"name": "ring-desk"}],
-    "limits": {},
-    "tenants": [{"name": "ring", "apiKeys": [KEY]}],
-}
-
-
-def crashes(fleet: Fleet) -> list[float]:
-    """Return the instants of all crashes of replicas."""
-    return sorted(
-        at for replica in fleet.replicas.values() for at in replica.crashed_at
-    )
-
-
-def late_retries(fleet: Fleet, third_at: float) -> list[Run]:
-    """Return the runs later than `contactMs` after the third crash."""
-    return [
-        run
-        for replica in fleet.replicas.values()
-        for run in replica.runs
-        if run.request == f"GET {DEADLY}" and run.at > third_at + CONTACT_S
-    ]
-
-
-async def restart(fleet: Fleet, host: Host) -> None:
-    """Kill one process, start it again, and wait until it is in touch."""
-    if fleet.trouble:
-        await host.kill()
-        fleet.note(f"{host.name} was killed")
-        await asyncio.sleep(DOWN_S)
-        await host.start()
-    await fleet.wait_ready()
-    await asyncio.sleep(CONTACT_S + 0.3)
-
-
-async def come_again(fleet: Fleet, host: Host) -> int:
-    """Send the request again, and return how many bookings its crashes cost.
-
-    The bookings come by the same host and use the same replicas.
-    """
-    bookings = []
-    for _ in range(RETRIES):
-        for number in range(REPLICAS):
-            path = f"/book/{len(fleet.replies)}-{number}"
-            ask = fleet.ask(host, path, KEY, "POST")
-            bookings.append(asyncio.create_task(ask))
-        await asyncio.sleep(0.1)
-        await fleet.ask(host, DEADLY, KEY)
-        await asyncio.sleep(0.2)
-    replies = await asyncio.gather(*bookings)
-    return sum(reply.status != 200 for reply in replies)
+CONFIG_APPLY_S = 2.0
+AWAY_S = 1.0
+KEPT, REVOKED = "key-of-ring", "key-to-revoke"
+
+
+def config(version: int, routes: list[str], keys: list[str]) -> dict:
+    """Return a configuration with the given routes, named by their prefixes."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": HOST_HEADER,
+                "pathPrefix": f"/{name}/",
+                "type": "unsafe",
+                "timeoutMs": 1000,
+                "sloMs": 250,
+                "service": "ring-desk",
+                "maxAttempts": 1,
+                "priority": 2,
+            }
+            for name in routes
+        ],
+        "services": [{"name": "ring-desk"}],
+        "limits": {},
+        "tenants": [{"name": "ring", "apiKeys": keys}],
+    }
 
 
 async def case(fleet: Fleet) -> None:
-    """Send the request to all hosts, then to each one that was restarted."""
+    """Lose some seconds of the store, then add a route and take a key away."""
     await fleet.start_store()
-    fleet.configure(CONFIG)
-    for number in range(REPLICAS):
-        await fleet.add_replica(
-            f"desk-{number}",
-            "ring-desk",
-            zone=ZONES[number % len(ZONES)],
-            work_s=0.2,
-            deadly_path=DEADLY,
-        )
+    routes, keys = ["book"], [KEPT, REVOKED]
+    fleet.configure(config(1, routes, keys))
+    for number in range(3):
+        await fleet.add_replica(f"desk-{number}", "ring-desk")
     await fleet.start_hosts(3)
-    await asyncio.sleep(CONTACT_S + 0.5)
-    await asyncio.gather(*(fleet.ask(host, DEADLY, KEY) for host in fleet.hosts))
-    fleet.check(len(crashes(fleet)) >= 3, "the request has crashed fewer than three")
-    third_at = crashes(fleet)[2]
-    lost = 0
-    for host in fleet.hosts[:2]:
-        await asyncio.sleep(max(0.0, crashes(fleet)[-1] + UNTIL_KILL_S - time.time()))
-        for other in fleet.hosts:
-            reply = await fleet.ask(other, DEADLY, KEY)
-            fleet.check(reply.status == 503, "the request isn't held before the kill")
-        await restart(fleet, host)
-        lost += await come_again(fleet, host)
-    late = late_retries(fleet, third_at)
-    fleet.note(f"bookings in flight that were lost with their replicas: {lost}")
-    fleet.note(f"third crash at {third_at:.3f}; {len(crashes(fleet))} crashes in all")
-    if len(late) > ALLOWED_RETRIES:
-        raise BrokenError(
-            f"{len(late)} retries reached replicas later than contactMs after the "
-            f"third crash; {len(crashes(fleet))} crashes in all, {lost} bookings lost"
-        )
+    await asyncio.sleep(4.0)
+    saved = fleet.store.copy()
+    fleet.note(f"copy of the store at revision {saved[0]}")
+    for version in (2, 3, 4):
+        routes = [*routes, f"added-{version}"]
+        fleet.configure(config(version, routes, keys))
+        await asyncio.sleep(0.7)
+    await asyncio.sleep(1.0)
+    for host in fleet.hosts:
+        reply = await fleet.ask(host, "/added-4/1", KEPT, "POST")
+        fleet.check(reply.status == 200, "version 4 isn't in force before the drill")
+    if fleet.trouble:
+        fleet.store.go_away()
+        fleet.note("the store is away")
+        await asyncio.sleep(AWAY_S)
+        fleet.store.come_back_from(saved)
+        fleet.note(f"the store is back from the copy, at revision {saved[0]}")
+        # What the operator and the replicas wrote is written again.
+        fleet.configure(config(4, routes, keys))
+        for replica in fleet.replicas.values():
+            replica.register()
+    await asyncio.sleep(CONTACT_S + 2.0)
+    fleet.configure(config(5, [*routes, "late"], [KEPT]))
+    faults = []
+    for _ in range(5):
+        await asyncio.sleep(CONFIG_APPLY_S + 2.0)
+        for host in fleet.hosts:
+            reply = await fleet.ask(host, "/late/1", KEPT, "POST")
+            if reply.status == 404:
+                faults.append(f"{reply.attempt_id} got 404 on a route of version 5")
+            reply = await fleet.ask(host, "/book/1", REVOKED, "POST")
+            if fleet.runs_of(reply.attempt_id):
+                faults.append(f"{reply.attempt_id} ran with a key that 5 doesn't hold")
+    if faults:
+        raise BrokenError(f"{len(faults)} of 30 requests, first {faults[0]}")
 
 
 run_case(__file__, case)
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -52,6 +52,11 @@
         Whether it says in its answers that it is leaving.
     lose_answers : dict of str to int
         By path: how many next requests it runs and resets in place of an answer.
+    late_bytes : bytes
+        Bytes that it sends after a complete answer. They come late, at the point where
+        the next answer on the channel is expected.
+    late_bytes_every : int
+        It does so after each so many answers.
     deadly_path : str
         Path of the request that crashes it as it begins to run.
     back_after_s : float
@@ -68,11 +73,15 @@
     pauses: dict[str, tuple[int, float]] = field(default_factory=dict)
     leaving: bool = False
     lose_answers: dict[str, int] = field(default_factory=dict)
+    late_bytes: bytes = b""
+    late_bytes_every: int = 0
     deadly_path: str = ""
     back_after_s: float = 3.0
     address: str = ""
     runs: list[Run] = field(default_factory=list)
     crashed_at: list[float] = field(default_factory=list)
+    answers: int = 0
+    late_bytes_sent: int = 0
     born: int = 0
     _server: asyncio.Server | None = None
     _beats: asyncio.Task | None = None
@@ -146,9 +155,16 @@
     ) -> None:
         self._writers.add(writer)
         try:
+            late_bytes = b""
             while head := await read_head(reader):
                 await read_body(reader, head)
+                writer.write(late_bytes)
+                self.late_bytes_sent += bool(late_bytes)
                 await self._answer(head, reader, writer)
+                self.answers += 1
+                every = self.late_bytes_every
+                spoils = every and self.answers % every == 0
+                late_bytes = self.late_bytes if spoils else b""
         except (ConnectionError, EOFError):
             pass
         finally:
