--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -5,12 +5,10 @@
 from dataclasses import dataclass, field
 
 from review.common.messages import Message, read_body, read_head, write_message
-from review.common.store import Store
+from review.common.store import HEARTBEAT_S, Store
 
 __all__ = ["Replica", "Run"]
 
-HEARTBEAT_S = 1.2
-LAPSE_S = 3 * HEARTBEAT_S  # from the last heartbeat until an entry is removed
 WATCH_S = 0.02  # between looks at whether the other side has left
 
 
@@ -106,7 +104,6 @@
         if self.store.away:
             return
         self._seq_no += 1
-        known = self.store.get("servers", self.name)
         spec = {
             "service": self.service,
             "address": self.address,
@@ -118,10 +115,7 @@
             "seqNo": self._seq_no,
             "born": self.born,
         }
-        if known and known["spec"] | {"seqNo": 0} == spec | {"seqNo": 0}:
-            known["spec"] = spec
-            return
-        self.store.put("servers", self.name, spec)
+        self.store.beat(self.name, spec)
 
     async def _keep_registered(self) -> None:
         while True:
@@ -140,15 +134,13 @@
         self._restart = asyncio.create_task(self._come_back())
 
     async def _come_back(self) -> None:
-        """Start again under another name; the old entry lapses meanwhile."""
+        """Start again under another name; the old entry lapses by itself."""
         old_name = self.name
         await asyncio.sleep(self.back_after_s)
         number = int(old_name.partition(".")[2] or 0) + 1
         self.name = f"{old_name.partition('.')[0]}.{number}"
         self._seq_no = 0
         await self.start()
-        await asyncio.sleep(max(0.0, LAPSE_S - self.back_after_s))
-        self.store.remove("servers", old_name)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -9,7 +9,10 @@
 
 from review.common.messages import read_body, read_head, write_message
 
-__all__ = ["Store"]
+__all__ = ["HEARTBEAT_S", "LAPSE_S", "Store"]
+
+HEARTBEAT_S = 1.2
+LAPSE_S = 3 * HEARTBEAT_S  # of silence, after which an entry of `servers` is removed
 
 PATH = "/-/objects/"
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone"}
@@ -40,11 +43,31 @@
         self._oldest = 100
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._beats: dict[str, float] = {}  # last write of each entry of `servers`
+        self._lapses: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self._lapses = asyncio.create_task(self._remove_silent())
+
+    async def _remove_silent(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            now = asyncio.get_running_loop().time()
+            for name in list(self._objects.get("servers", {})):
+                if not self.away and now - self._beats.get(name, now) > LAPSE_S:
+                    self.remove("servers", name)
+
+    def beat(self, name: str, spec: dict[str, Any]) -> None:
+        """Write an entry of `servers`; it changes if more than its `seqNo` does."""
+        self._beats[name] = asyncio.get_running_loop().time()
+        known = self.get("servers", name)
+        if known and known["spec"] | {"seqNo": 0} == spec | {"seqNo": 0}:
+            known["spec"] = spec
+        else:
+            self.put("servers", name, spec)
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
         """Return an object, or None."""
@@ -87,6 +110,8 @@
         self._events = [event for event in self._events if event[0] <= saved[0]]
         self.era += 1
         self.away = False
+        now = asyncio.get_running_loop().time()
+        self._beats = dict.fromkeys(self._objects.get("servers", {}), now)
 
     def go_away(self) -> None:
         """Close all connections, and answer none until it comes back."""
