A table's head states no change that the table lacks

Cause: each object that a table took raised its head's revision. A host that started after a deletion never had the object, so its delta for a host that still held it carried later objects and no deletion; the receiver's head then said that it knew all up to these, so no peer sent the rest, and a read of changes began after the deletion. The same held for objects that a host wrote or read by name itself (roll-outs, blocked parts).

Change: only events in their order, listings and deltas after which both tables are equal raise the head. Which delta a peer gets is decided by the table.

Evidence: a state machine of three hosts that list, watch, gossip, read and restart, with messages that are late or lost.

--- a/radishshift/gateway/blocked_part_duty.py
+++ b/radishshift/gateway/blocked_part_duty.py
@@ -14,7 +14,7 @@
 from radishshift.errors import AlreadyExistsError, NotFoundError, RadishshiftError
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_view import HostView
-from radishshift.objects import ChangeType, Kind, ObjectChange, StoredObject
+from radishshift.objects import Kind, StoredObject
 from radishshift.platform import Platform
 from radishshift.platform_writes import write_and_verify
 
@@ -106,8 +106,7 @@
             logger.warning("storing blocked part {} failed: {}", part, exc.code)
             return
         logger.info("blocked part {} stored", part, extra={"crashes": crashes})
-        change = ObjectChange(ChangeType.MODIFIED, stored)
-        if self._host_view.apply(Kind.BLOCKED_PART, change):
+        if self._host_view.merge_written(stored):
             self._changed()
 
     async def _delete(self, part: str) -> None:
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -407,15 +407,10 @@
                 # The peer is of a release without this kind, or receives it just now.
                 continue
             peer_head = message.heads[kind.value]
-            if peer_head.complete >= table.head.complete:
-                continue
-            if peer_head.digest == table.head.digest and peer_head.digest:
-                continue
-            send_all = (
-                not peer_head.complete or delta_bases.get(kind.value) == peer_head
-            )
-            delta_bases[kind.value] = peer_head
-            tables[kind.value] = table.delta(peer_head, send_all)
+            delta = table.delta_for(peer_head, delta_bases.get(kind.value))
+            if delta is not None:
+                delta_bases[kind.value] = peer_head
+                tables[kind.value] = delta
         return tables
 
     def _receive(self, message: GossipMessage, asked_at: float | None = None) -> None:
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -165,6 +165,19 @@
             self._derive(kind, "platform")
         return changed
 
+    def merge_written(self, stored: StoredObject) -> bool:
+        """Merge an object that this host has written or read by its name.
+
+        Returns
+        -------
+        bool
+            Whether it was news.
+        """
+        changed = self.tables[stored.kind].merge_object(_embed_status(stored))
+        if changed:
+            self._derive(stored.kind, "platform")
+        return changed
+
     def confirm(self, heads: Mapping[str, Head]) -> None:
         """Confirm the tables that are equal to a peer's, up to the peer's revisions."""
         for kind, table in self.tables.items():
--- a/radishshift/gateway/rollout_duty.py
+++ b/radishshift/gateway/rollout_duty.py
@@ -15,7 +15,7 @@
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_view import HostView
 from radishshift.gateway.object_decoder import ObjectDecoder
-from radishshift.objects import ChangeType, Kind, ObjectChange, StoredObject
+from radishshift.objects import Kind, StoredObject
 from radishshift.platform import Platform
 
 __all__ = ["RolloutDuty"]
@@ -112,7 +112,7 @@
 
     def _apply(self, stored: StoredObject) -> None:
         """Apply a written state at once: old endpoints stop on completion."""
-        self._host_view.apply(Kind.ROLLOUT, ObjectChange(ChangeType.MODIFIED, stored))
+        self._host_view.merge_written(stored)
         self._versions.update_rollouts(
             self._host_view.rollouts.values(), self._clock.now()
         )
--- a/radishshift/object_table.py
+++ b/radishshift/object_table.py
@@ -109,7 +109,23 @@
         return Head(self._complete, self._listed, self._digest)
 
     def upsert(self, item: StoredObject) -> bool:
-        """Insert or replace an object; return whether it was newer than the current."""
+        """Apply a write that follows all changes of which the table knows.
+
+        Returns
+        -------
+        bool
+            Whether it was newer than the current object.
+        """
+        newer = self.merge_object(item)
+        if newer:
+            self._complete = max(self._complete, item.revision)
+        return newer
+
+    def merge_object(self, item: StoredObject) -> bool:
+        """Insert or replace an object; return whether it was newer than the current.
+
+        The table may lack changes before it, so the head states no more than before.
+        """
         current = self.items.get(item.name)
         if current is None and item.revision <= self._listed:
             return False
@@ -121,8 +137,17 @@
         return True
 
     def apply_deletion(self, name: str, revision: int) -> bool:
-        """Apply a deletion; return whether an object was removed."""
+        """Apply a deletion that follows all changes of which the table knows.
+
+        Returns
+        -------
+        bool
+            Whether an object was removed.
+        """
         self._complete = max(self._complete, revision)
+        return self._merge_deletion(name, revision)
+
+    def _merge_deletion(self, name: str, revision: int) -> bool:
         self.deleted[name] = max(revision, self.deleted.get(name, 0))
         current = self.items.get(name)
         if current is None or current.revision >= revision:
@@ -132,9 +157,9 @@
 
     def apply_listing(self, listing: Listing) -> bool:
         """Apply a full listing; return whether anything changed."""
-        upserted = [self.upsert(item) for item in listing.items]
+        merged = [self.merge_object(item) for item in listing.items]
         names = {item.name for item in listing.items}
-        return self._delete_unlisted(listing.revision, names) or any(upserted)
+        return self._delete_unlisted(listing.revision, names) or any(merged)
 
     def confirm(self, revision: int) -> None:
         """Record that the table reflects all changes up to a revision.
@@ -144,6 +169,23 @@
         if self._complete:
             self._complete = max(self._complete, revision)
 
+    def delta_for(self, peer: Head, sent: Head | None) -> TableDelta | None:
+        """Return what a peer's table lacks, or None if it is not behind.
+
+        Parameters
+        ----------
+        peer : Head
+            Head of the peer's table.
+        sent : Head or None
+            Its head when a delta was last sent to it; one that has not moved since
+            gets all objects.
+        """
+        if peer.complete >= self._complete:
+            return None
+        if peer.digest == self._digest and peer.digest:
+            return None
+        return self.delta(peer, whole=not peer.complete or sent == peer)
+
     def delta(self, since: Head, whole: bool = False) -> TableDelta:
         """Return the delta for a table with the head `since`."""
         whole = whole or since.complete < self._forgotten
@@ -180,11 +222,12 @@
         """
         changed = False
         for name, revision, spec in delta.items:
-            changed |= self.upsert(StoredObject(self.kind, name, spec, {}, revision))
+            item = StoredObject(self.kind, name, spec, {}, revision)
+            changed |= self.merge_object(item)
         for patch in delta.patches:
             changed |= self._merge_patch(patch)
         for name, revision in delta.deleted.items():
-            changed |= self.apply_deletion(name, revision)
+            changed |= self._merge_deletion(name, revision)
         if delta.whole:
             names = {name for name, _, _ in delta.items}
             changed |= self._delete_unlisted(delta.head.listed, names)
@@ -203,7 +246,7 @@
             # The head doesn't move, so the sender sends the whole table next.
             logger.warning("patch ignored: {}", exc.message)
             return False
-        return self.upsert(
+        return self.merge_object(
             StoredObject(self.kind, patch.name, spec, {}, patch.revision)
         )
 
@@ -236,7 +279,6 @@
         self.items[item.name] = item
         self.deleted.pop(item.name, None)
         self._digest ^= _item_hash(item.name, item.revision)
-        self._complete = max(self._complete, item.revision)
 
     def _keep_state(self) -> None:
         """Keep the current state before a change, and drop the oldest."""
--- a/tests/test_object_table.py
+++ b/tests/test_object_table.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from radishshift.object_table import MAX_COVERED_DELETIONS, ObjectTable
 from radishshift.objects import Kind, Listing, StoredObject
@@ -181,3 +182,114 @@
         self.assertTrue(delta.whole)
         other.merge(delta)
         self.assertEqual(one.items, other.items)
+
+    def test_a_peer_that_started_after_a_deletion_does_not_hide_it(self):
+        """A host kept an endpoint that was gone: its head said that it knew more."""
+        behind, started = ObjectTable(Kind.ENTRY), ObjectTable(Kind.ENTRY)
+        behind.apply_listing(Listing((_item("a", 1),), 1))
+        started.apply_listing(Listing((_item("b", 3),), 3))
+        sent = None
+        for _ in range(3):
+            head = behind.head
+            delta = started.delta_for(head, sent)
+            if delta is not None:
+                behind.merge(delta)
+            sent = head
+        self.assertEqual(started.items, behind.items)
+
+
+class _Fleet(RuleBasedStateMachine):
+    """A store and the tables of three hosts that list, watch, gossip and restart."""
+
+    hosts = st.integers(0, 2)
+
+    def __init__(self):
+        super().__init__()
+        self.history = [("a", True)]
+        self.tables = [ObjectTable(Kind.ENTRY, past_states=4) for _ in range(3)]
+        self.sent = [{} for _ in range(3)]  # heads to which deltas were sent, by host
+        self.on_the_way = []
+
+    @rule(name=NAMES, written=st.booleans())
+    def change(self, name, written):
+        if written or name in _state_at(self.history, len(self.history)):
+            self.history.append((name, written))
+
+    @rule(host=hosts, behind=st.integers(0, 3))
+    def list_objects(self, host, behind):
+        revision = max(1, len(self.history) - behind)
+        state = _state_at(self.history, revision).items()
+        items = tuple(_item(name, at) for name, at in state)
+        self.tables[host].apply_listing(Listing(items, revision))
+
+    @rule(host=hosts)
+    def read_changes(self, host):
+        table = self.tables[host]
+        since = table.head.complete
+        for at, (name, written) in enumerate(self.history, 1):
+            if not 0 < since < at:
+                continue
+            if written:
+                table.upsert(_item(name, at))
+            else:
+                table.apply_deletion(name, at)
+        table.confirm(len(self.history))
+
+    @rule(host=hosts, name=NAMES)
+    def read_one(self, host, name):
+        at = _state_at(self.history, len(self.history)).get(name)
+        if at is not None:
+            self.tables[host].merge_object(_item(name, at))
+
+    @rule(host=hosts)
+    def restart(self, host):
+        self.tables[host] = ObjectTable(Kind.ENTRY, past_states=4)
+        self.sent[host] = {}
+
+    @rule(host=hosts, peer=hosts)
+    def state_head(self, host, peer):
+        """Have a peer receive the host's head, and send what the host lacks."""
+        if host == peer:
+            return
+        head = self.tables[host].head
+        table = self.tables[peer]
+        if head.digest == table.head.digest:
+            table.confirm(head.complete)
+        delta = table.delta_for(head, self.sent[peer].get(host))
+        if delta is not None:
+            self.sent[peer][host] = head
+            self.on_the_way.append((host, delta))
+
+    @rule(data=st.data(), arrives=st.booleans())
+    def end_message(self, data, arrives):
+        if self.on_the_way:
+            index = data.draw(st.integers(0, len(self.on_the_way) - 1))
+            host, delta = self.on_the_way.pop(index)
+            if arrives:
+                self.tables[host].merge(delta)
+
+    @invariant()
+    def each_table_reflects_the_revision_that_it_states(self):
+        for table in self.tables:
+            stated = {
+                name: (at, written)
+                for at, (name, written) in enumerate(self.history, 1)
+                if at <= table.head.complete
+            }
+            for name, (at, written) in stated.items():
+                held = _revisions(table).get(name, 0)
+                later = [
+                    later_at
+                    for later_at, (other, _) in enumerate(self.history, 1)
+                    if other == name and later_at > at
+                ]
+                allowed = {at if written else 0, *later, *([0] if later else [])}
+                assert held in allowed, (name, held, table.head)
+
+
+class FleetTest(_Fleet.TestCase):
+    """A host kept an endpoint that was gone: a peer that never had it sent the rest."""
+
+    settings = settings(
+        max_examples=300, stateful_step_count=25, derandomize=True, deadline=None
+    )
