Ask for keys where a configuration states customers, also if none holds one

Cause: whether keys are asked for was read from the table by key, which is empty then. Change: the configuration says it (`tenants` is there, also empty or null). Two more failed open: an order or status of a roll-out that can't be read let the new version take requests like any other, and a blocked part without its time wasn't blocked.

--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -139,12 +139,15 @@
         A deployment is only ever replaced by one of a higher version.
     customers : mapping of str to Customer
         By API key.
+    keys_required : bool
+        Whether requests need an API key, also while no customer holds one.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     customers: Mapping[str, Customer]
+    keys_required: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -459,7 +459,10 @@
             try:
                 rollout = self._decoder.rollout(_extract_status(item))
             except UnreadableObjectError as exc:
+                # The new version must not get more than its share meanwhile.
                 logger.warning("unreadable roll-out object ignored: {}", exc.message)
+                if item.name in before:
+                    self.rollouts[item.name] = before[item.name]
                 continue
             self.rollouts[rollout.service] = rollout
             previous = before.get(rollout.service)
@@ -512,12 +515,15 @@
             self.cold.assume(endpoints, service.cold_start_s, self._clock.now())
 
     def _derive_blocked_parts(self) -> None:
+        before = self.blocked_parts
         self.blocked_parts = {}
         for name, item in self.tables[Kind.BLOCKED_PART].items.items():
             blocked_at = item.spec.get("blocked_at")
-            if not isinstance(blocked_at, int | float):
-                logger.warning("unreadable blocked part {} ignored", name)
-                continue
+            if not isinstance(blocked_at, int | float) or not math.isfinite(blocked_at):
+                blocked_at = before.get(name)
+            if blocked_at is None:
+                logger.warning("blocked part {} does not say since when", name)
+                blocked_at = self._clock.now()
             self.blocked_parts[name] = float(blocked_at)
 
 
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -172,7 +172,7 @@
         if route is None:
             raise NotFoundError("no route for this host and path")
         customer: Customer | None = None
-        if deployment.customers and not route.public:
+        if deployment.keys_required and not route.public:
             customer = deployment.customers.get(req.key)
             if customer is None:
                 raise AuthenticationError("the key is missing or unknown")
--- a/tests/gateway/test_host_view.py
+++ b/tests/gateway/test_host_view.py
@@ -38,6 +38,24 @@
         await world.clock.sleep_until(now + 1.95)
         self.assertEqual(["b"], self._names(world))
 
+    async def test_a_blocked_part_that_does_not_say_since_when_is_blocked(self):
+        world = World([route()], {})
+        for revision, spec in ((9, {}), (10, {"blocked_at": "x"}), (11, {})):
+            item = StoredObject(Kind.BLOCKED_PART, "p1", spec, {}, revision)
+            listing = Listing((item,), revision)
+            world.host_view.apply(Kind.BLOCKED_PART, listing)
+            blocked = world.host_view.blocked_parts
+            self.assertEqual({"p1": world.clock.now()}, blocked)
+
+    async def test_an_order_holds_while_a_later_form_of_it_cannot_be_read(self):
+        """A version under roll-out would get requests like any other."""
+        world = World([route()], {})
+        specs = ((9, {"order": (SERVICE, "v2", 9.0)}), (10, {"order": "odd"}))
+        for revision, spec in specs:
+            item = StoredObject(Kind.ROLLOUT, SERVICE, spec, {}, revision)
+            world.host_view.apply(Kind.ROLLOUT, Listing((item,), revision))
+            self.assertEqual("v2", world.host_view.rollouts[SERVICE].target)
+
     async def test_an_endpoint_that_announced_leaving_is_not_kept(self):
         world = World([route()], {"a": [Script()], "b": [Script()]})
         world.host_view.record_store_recovery(world.clock.now())
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -73,6 +73,14 @@
         self.assertEqual(401, await self._status(world, key=KEY))
         self.assertEqual(200, await self._status(world, key="new"))
 
+    async def test_no_key_is_accepted_once_the_last_one_is_taken_away(self):
+        """Hosts ran every request, as an empty table of keys meant no keys at all."""
+        world = World([IDEMPOTENT], {"a": [Script()]})
+        world.configure([IDEMPOTENT], version=2, customers={})
+        for key in (KEY, "other", ""):
+            self.assertEqual(401, await self._status(world, key=key))
+        self.assertEqual([], world.attempted_endpoints())
+
     async def test_an_older_configuration_does_not_replace_a_newer_one(self):
         world = World([IDEMPOTENT], {"a": [Script()]})
         world.configure([], version=7)
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -17,6 +17,7 @@
     EndpointReplacedError,
     EndpointUnreachableError,
     StreamBrokenError,
+    UnreadableObjectError,
 )
 from radishshift.gateway.deployment import (
     Customer,
@@ -85,6 +86,8 @@
 
     def rollout(self, item):
         order = item.spec["order"]
+        if isinstance(order, str):
+            raise UnreadableObjectError(f"rollout {item.name}: {order}")
         state = RolloutState(item.status.get("state", "ordered"))
         return Rollout(*order, state, item.revision)
 
--- a/tests/users_platform/test_object_decoder.py
+++ b/tests/users_platform/test_object_decoder.py
@@ -54,6 +54,23 @@
         self.assertEqual(("small", "large"), plan.models)
         self.assertEqual({"small": 0.01}, deployment.services["advice"].model_costs)
 
+    def test_keys_are_required_where_customers_are_stated_at_all(self):
+        """Customers without keys looked like a configuration without customers."""
+        spec = dict(CONFIG)
+        del spec["tenants"]
+        cases = {
+            "absent": (spec, False),
+            "none": (spec | {"tenants": []}, True),
+            "null": (spec | {"tenants": None}, True),
+            "no keys": (spec | {"tenants": [{"name": "ring", "apiKeys": []}]}, True),
+        }
+        for name, (values, required) in cases.items():
+            with self.subTest(name):
+                item = StoredObject(Kind.DEPLOYMENT, "main", values)
+                deployment = DECODER.deployment(item)
+                self.assertEqual(required, deployment.keys_required)
+                self.assertEqual({}, deployment.customers)
+
     def test_a_route_that_changes_is_decoded_again_and_the_others_are_not(self):
         decoder = PlatformObjectDecoder()
         look, book, plan = CONFIG["routes"]
@@ -122,6 +139,12 @@
         item = StoredObject(Kind.ROLLOUT, "advice", order, status, 4)
         self.assertEqual(RolloutState.ORDERED, DECODER.rollout(item).state)
 
+    def test_an_order_holds_while_its_status_cannot_be_read(self):
+        order = {"service": "advice", "target": "v3", "durationS": 12}
+        for status in ({"state": "odd"}, {"state": None, "target": "v3"}, {"x": 1}):
+            item = StoredObject(Kind.ROLLOUT, "advice", order, status, 4)
+            self.assertEqual(RolloutState.ORDERED, DECODER.rollout(item).state)
+
 
 class SettingsTest(TestCase):
     def test_settings_are_decoded_and_unknown_fields_ignored(self):
