--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -46,6 +46,7 @@
         `prefix` begins and ends with a slash.
     kind : RouteKind
     shares : tuple of ServiceShare
+        Empty for a route that could not be read, whose requests are refused.
     timeout_s : float
         Longest time until a request is answered, if only with an error.
     objective_s : float
--- a/radishshift/gateway/peer_calls.py
+++ b/radishshift/gateway/peer_calls.py
@@ -103,7 +103,7 @@
     try:
         # The server has decompressed the body.
         message = msgspec.json.decode(body, type=message_type)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         logger.warning("received a malformed {}: {}", message_type.__name__, exc)
         return web.Response(status=400)
     # A host of an earlier release reads only what is not compressed.
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -176,6 +176,8 @@
             customer = deployment.customers.get(req.key)
             if customer is None:
                 raise AuthenticationError("the key is missing or unknown")
+        if not route.shares:
+            raise NoConfigurationError(f"the route {route.name} could not be read")
         sticky_key = _sticky_key(req)
         service = choose_service(route.shares, sticky_key)
         deadline = min(req.deadline, req.received_at + route.timeout_s)
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -73,6 +73,11 @@
         self.assertEqual(401, await self._status(world, key=KEY))
         self.assertEqual(200, await self._status(world, key="new"))
 
+    async def test_requests_of_a_route_that_could_not_be_read_have_not_run(self):
+        world = World([route(shares=())], {"a": [Script()]})
+        self.assertEqual(503, await self._status(world))
+        self.assertEqual([], world.attempted_endpoints())
+
     async def test_no_key_is_accepted_once_the_last_one_is_taken_away(self):
         """Hosts ran every request, as an empty table of keys meant no keys at all."""
         world = World([IDEMPOTENT], {"a": [Script()]})
