Keep silent streams that no other attempt can go on with

Cause: an attempt was given up for silence, or for bytes that complete no event, without asking whether anything could follow. Change: only a stream that may be resumed and has attempts and resumes left is given up.

--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -12,6 +12,7 @@
 from radishshift.verdicts import Verdict
 
 __all__ = [
+    "MAX_ATTEMPTS",
     "acquire_retry",
     "check_signature",
     "relay_complete_answer",
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -231,9 +231,16 @@
         attempt.view.prefill_done(attempt.prefill_ktokens)
         attempt.prefill_ktokens = 0.0
 
-    async def next_bytes(self, attempt: Attempt) -> bytes:
+    async def next_bytes(self, attempt: Attempt, may_go_on: bool = True) -> bytes:
         """Return the next bytes of a stream, or empty bytes at its end.
 
+        Parameters
+        ----------
+        attempt : Attempt
+        may_go_on : bool
+            Whether another attempt may go on with a stream that can be resumed. Without
+            one, a silent endpoint is better than none.
+
         Raises
         ------
         StreamBrokenError
@@ -243,7 +250,8 @@
                 async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
                     data = await attempt.answer.chunk()
             except TimeoutError:
-                self._silence.check(attempt)
+                if may_go_on and attempt.job.route.idempotent:
+                    self._silence.check(attempt)
                 continue
             now = self.clock.now()
             attempt.record_bytes(now)
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -10,6 +10,7 @@
 from radishshift.errors import EndpointError, StreamBrokenError, StreamStalledError
 from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.complete_answers import (
+    MAX_ATTEMPTS,
     acquire_retry,
     check_signature,
     retry_allowed,
@@ -151,7 +152,7 @@
         """
         job = self._job
         now = self._dispatcher.clock.now()
-        if not job.route.models or job.req.last_event_id:
+        if not job.route.models or job.req.last_event_id or not job.route.idempotent:
             return False
         elapsed_s = now - job.req.received_at
         if elapsed_s > job.route.objective_s * ESCALATION_DEADLINE_SHARE:
@@ -194,7 +195,7 @@
         began_at = dispatcher.clock.now()
         event_at = began_at
         timed = False
-        while data := await dispatcher.next_bytes(attempt):
+        while data := await dispatcher.next_bytes(attempt, self._may_go_on()):
             if buffer.events > events_before:
                 await asyncio.sleep(COALESCE_SHARE * dispatcher.bounds.event_latency_s)
                 data += attempt.answer.buffered_bytes()
@@ -218,6 +219,15 @@
             dispatcher.record_stream(attempt)
         await self._caller.finish()
 
+    def _may_go_on(self) -> bool:
+        """Return whether another attempt may go on with the stream of this one."""
+        resumes = self._resumes + 1 if self._caller.started else 0
+        return (
+            self._job.route.idempotent
+            and self._job.attempts < MAX_ATTEMPTS
+            and resumes <= MAX_RESUMES
+        )
+
     def _check_progress(self, unfinished_s: float) -> None:
         """Raise if an endpoint sends bytes, but completes no event.
 
@@ -225,7 +235,7 @@
         ------
         StreamStalledError
         """
-        if unfinished_s > EVENT_TIMEOUT_S:
+        if unfinished_s > EVENT_TIMEOUT_S and self._may_go_on():
             raise StreamStalledError(f"no complete event in {unfinished_s:.1f} s")
 
     async def _forward(self, attempt: Attempt, events: bytes) -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -4,6 +4,7 @@
 
 from radishshift.decisions.crashes import CRASHES_TO_BLOCK_PART, CrashSuspects, Traits
 from radishshift.decisions.retry_budget import RATIO_MARGIN
+from radishshift.gateway.complete_answers import MAX_ATTEMPTS
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.messages import PromptPart
@@ -139,6 +140,27 @@
         self.assertEqual(COMPLETE_STREAM, caller.body)
         self.assertTrue(caller.finished)
 
+    async def test_a_silent_stream_that_cannot_be_resumed_is_kept(self):
+        """Guards rule LOST: a pause of 1.25 s ended streams of a host that stopped."""
+        once = route(RouteKind.STREAM, resumable=False)
+        busy = stream_script(pauses_after=5, pause_s=3.0)
+        world = World([once], {"a": [busy], "b": [stream_script()]})
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.send_request()
+        self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
+        self.assertEqual(["a"], world.attempted_endpoints())
+
+    async def test_a_silent_stream_is_kept_after_its_last_resume(self):
+        broken = stream_script(breaks_after=1)
+        busy = stream_script(pauses_after=5, pause_s=3.0)
+        scripts = {"a": [*[broken] * (MAX_ATTEMPTS - 1), busy], "b": [busy]}
+        world = World([STREAM], scripts)
+        world.list_members(["a"])
+        world.endpoints.cut_off.add("a")
+        caller = await world.send_request()
+        self.assertEqual(MAX_ATTEMPTS, len(world.endpoints.attempts))
+        self.assertTrue(caller.finished)
+
     async def test_an_attempt_without_headers_at_an_active_endpoint_is_given_up(self):
         """Streams waited 11 s for headers of an endpoint that served other requests."""
         world = World([STREAM], {"a": [Script(error="hang")], "b": [stream_script()]})
@@ -176,6 +198,13 @@
         self.assertEqual(COMPLETE_STREAM, caller.body)
         self.assertTrue(world.endpoints.answers[0].aborted)
 
+    async def test_a_stream_that_cannot_be_resumed_is_not_run_by_a_second_model(self):
+        once = route(RouteKind.STREAM, models=MODELS, resumable=False)
+        world = World([once], {"a": [stream_script(confidence=20.0)]})
+        caller = await world.send_request(model="*")
+        self.assertEqual(COMPLETE_STREAM, caller.body)
+        self.assertEqual(["small"], [order.model for order in world.endpoints.attempts])
+
     async def test_a_high_confidence_keeps_the_small_model(self):
         world = World([CASCADE], {"a": [stream_script(confidence=80.0)]})
         await world.send_request(model="*")
@@ -522,6 +551,17 @@
         self.assertEqual(b"".join(EVENTS), caller.body)
         self.assertLess(caller.ended_at - sent_at, EVENT_TIMEOUT_S + 2.0)
 
+    async def test_one_that_cannot_be_resumed_ends_at_the_timeout_of_its_route(self):
+        trickle = Script(events=(EVENTS[0], *(b"." for _ in range(60))), gap_s=0.3)
+        once = route(RouteKind.STREAM, resumable=False)
+        world = World([once], {"a": [trickle], "b": [Script(events=EVENTS)]})
+        world.placer.view(world.member("b")).others_load = 5.0
+        sent_at = world.clock.now()
+        caller = await world.send_request(deadline_s=30.0)
+        self.assertTrue(caller.aborted)
+        self.assertEqual(["a"], world.attempted_endpoints())
+        self.assertAlmostEqual(once.timeout_s, caller.ended_at - sent_at, places=1)
+
     async def test_an_event_that_comes_in_pieces_is_not_cut(self):
         """The endpoint sends a piece of an event each 0.3 s."""
         pieces = [bytes([byte]) for byte in EVENTS[0]][:10]
