Compare revisions within an era of the store, and hold on to what it lost

Cause: revisions were compared across the restore, and nothing read the era. Change: the adapter puts the era above the revision, so that tables, heads, deltas, patches and conditions compare eras first; changes are never read, nor writes conditioned, across a restore. A configuration's version goes before its revision, so the copy's older one is neither taken up nor told to hosts that start.

--- a/radishshift/gateway/blocked_part_duty.py
+++ b/radishshift/gateway/blocked_part_duty.py
@@ -79,6 +79,8 @@
             if part not in stored and len(stored) < MAX_BLOCKED_PARTS
         }
         obsolete = self._suspects.obsolete_stored(now)
+        lost = self._host_view.lost_parts
+        due |= {part: 0 for part in lost if part not in {*due, *obsolete}}
         for part in [part for part in self._due_since if part not in {*due, *obsolete}]:
             del self._due_since[part]
         for part, count in due.items():
@@ -95,7 +97,12 @@
 
     async def _create(self, part: str, crashes: int) -> None:
         self._due_since[part] = now = self._clock.now()
-        spec = {"blocked_at": round(now, 3), "crashes": crashes, "host": self._host}
+        blocked_at = self._host_view.lost_parts.get(part, now)
+        spec = {
+            "blocked_at": round(blocked_at, 3),
+            "crashes": crashes,
+            "host": self._host,
+        }
         item = StoredObject(Kind.BLOCKED_PART, part, spec)
         try:
             try:
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import chain
 
 import logbook
@@ -16,13 +16,21 @@
 from radishshift.decisions.freshness import Freshness
 from radishshift.decisions.routes import RouteTable
 from radishshift.decisions.stated_departures import DepartureReport, StatedDepartures
+from radishshift.decisions.store_restores import StoreRestores
 from radishshift.endpoints import EndpointState
 from radishshift.errors import NotFoundError, UnreadableObjectError
-from radishshift.gateway.deployment import Deployment, Member, Rollout
+from radishshift.gateway.deployment import Deployment, Member, Rollout, RolloutState
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.object_decoder import ObjectDecoder
 from radishshift.object_table import Head, ObjectTable, TableDelta
-from radishshift.objects import ChangeType, Kind, Listing, ObjectChange, StoredObject
+from radishshift.objects import (
+    ChangeType,
+    Kind,
+    Listing,
+    ObjectChange,
+    StoredObject,
+    era_of,
+)
 
 __all__ = ["KINDS", "LARGE_KINDS", "Departure", "HostView", "kinds_in_use"]
 
@@ -95,6 +103,11 @@
     evacuated : frozenset of str
         Data centres whose endpoints must not be used, by order of the operators.
     cold : ColdEndpoints
+    restores : StoreRestores
+    lost_statuses : dict of str to RolloutState
+        Final states of roll-outs, by service, that the store lost when it was restored.
+    lost_parts : dict of str to float
+        Blocked parts that it lost.
     freshness : Freshness
         How old what is known of the urgent kinds may be.
     """
@@ -110,8 +123,10 @@
         self._drain_s = drain_s
         self._decoder = decoder
         self._clock = clock
+        ranks = {Kind.DEPLOYMENT: decoder.version_of}
         self.tables = {
-            kind: ObjectTable(kind, PAST_STATES.get(kind, 0)) for kind in kinds
+            kind: ObjectTable(kind, PAST_STATES.get(kind, 0), ranks.get(kind))
+            for kind in kinds
         }
         self.deployment: Deployment | None = None
         self.routes = RouteTable(())
@@ -122,6 +137,9 @@
         self.evacuated: frozenset[str] = frozenset()
         self.cold = ColdEndpoints()
         self.freshness = Freshness([kind for kind in URGENT_KINDS if kind in kinds])
+        self.restores = StoreRestores()
+        self.lost_statuses: dict[str, RolloutState] = {}
+        self.lost_parts: dict[str, float] = {}
         self._stated_departures = StatedDepartures()
         self._decoded: dict[str, tuple[int, Member | None]] = {}
         self._lapsed_until = 0.0
@@ -161,10 +179,20 @@
             changed = table.apply_deletion(update.item.name, update.item.revision)
         else:
             changed = table.upsert(_embed_status(update.item))
+        self._observe_era(kind)
         if changed:
             self._derive(kind, "platform")
         return changed
 
+    def _observe_era(self, kind: Kind) -> None:
+        """Begin to hold what is believed if the store has been restored."""
+        revision = self.tables[kind].head.complete
+        now = self._clock.now()
+        known = self.deployment is not None
+        if self.restores.observe(revision, known, now):
+            self._lapsed_until = max(self._lapsed_until, now + LAPSED_RETENTION_S)
+            logger.warning("store was restored", extra={"era": self.restores.era})
+
     def merge_written(self, stored: StoredObject) -> bool:
         """Merge an object that this host has written or read by its name.
 
@@ -207,6 +235,7 @@
     def merge(self, kind: Kind, delta: TableDelta, peer: str) -> bool:
         """Merge a peer's table delta; return whether anything changed."""
         changed = self.tables[kind].merge(delta)
+        self._observe_era(kind)
         if changed:
             self._derive(kind, peer)
         return changed
@@ -234,7 +263,11 @@
             self._derive_members(peer)
 
     def expire_departures(self) -> None:
-        """Forget what endpoints that are gone have said."""
+        """Forget what endpoints that are gone have said; end a hold that is over."""
+        if -math.inf < self.restores.held_until <= self._clock.now():
+            self.restores.held_until = -math.inf
+            for kind in self.kinds:
+                self._derive(kind, "end of a hold")
         listed = {member.incarnation for member in self._listed_members()}
         self.cold.keep_only(listed)
         self._stated_departures.expire(listed, self._clock.now())
@@ -385,6 +418,8 @@
         listed = list(self._listed_members())
         for member in listed:
             stated_at = self._stated_departures.since(member.incarnation)
+            if self._left_before_restore(member, now):
+                continue
             if member.state is EndpointState.LEAVING or stated_at is not None:
                 at = now if stated_at is None else stated_at
                 self._record_departure(member, at, "leaving", source)
@@ -407,6 +442,15 @@
             if now - departure.at > DEPARTED_RETENTION_S and name not in names:
                 del self.departed[name]
 
+    def _left_before_restore(self, member: Member, now: float) -> bool:
+        """Return whether a restored store lists an endpoint that had left."""
+        departure = self.departed.get(member.name)
+        return (
+            departure is not None
+            and departure.member.incarnation == member.incarnation
+            and self.restores.departed_before(departure.at, departure.announced, now)
+        )
+
     def _listed_members(self) -> Iterable[Member]:
         items = self.tables[Kind.ENDPOINT].items
         for name in [name for name in self._decoded if name not in items]:
@@ -481,6 +525,21 @@
                     },
                 )
 
+        for service in self.restores.keep_missing(
+            before, self.rollouts, self._clock.now()
+        ):
+            logger.warning("roll-out of {} is missing in the restored store", service)
+        lost_before, self.lost_statuses = self.lost_statuses, {}
+        for service, rollout in self.rollouts.items():
+            known = before.get(service)
+            if known is None or known.target != rollout.target:
+                continue
+            copied = era_of(known.revision) < era_of(rollout.revision)
+            lost = known.state.ended and not rollout.state.ended
+            if lost and (copied or service in lost_before):
+                self.rollouts[service] = replace(rollout, state=known.state)
+                self.lost_statuses[service] = known.state
+
     def _derive_evacuations(self, source: str) -> None:
         """Apply the orders to empty data centres; each order is named by one.
 
@@ -488,7 +547,9 @@
         without a word in their registrations yet.
         """
         before = self.evacuated
-        self.evacuated = frozenset(self.tables[Kind.EVACUATION].items)
+        orders = dict.fromkeys(self.tables[Kind.EVACUATION].items)
+        self.restores.keep_missing(dict.fromkeys(before), orders, self._clock.now())
+        self.evacuated = frozenset(orders)
         known = {member.data_centre for member in self.members.values()}
         for data_centre in sorted(self.evacuated - before):
             logger.warning(
@@ -525,6 +586,8 @@
                 logger.warning("blocked part {} does not say since when", name)
                 blocked_at = self._clock.now()
             self.blocked_parts[name] = float(blocked_at)
+        lost = self.restores.keep_missing(before, self.blocked_parts, self._clock.now())
+        self.lost_parts = {name: before[name] for name in lost}
 
 
 def _log_fields(member: Member, source: str) -> dict[str, str]:
--- a/radishshift/gateway/object_decoder.py
+++ b/radishshift/gateway/object_decoder.py
@@ -11,9 +11,17 @@
 class ObjectDecoder:
     """Decodes objects of a platform into the types of `deployment`.
 
-    All methods but `rollout_status` may raise `UnreadableObjectError`.
+    All methods but `rollout_status` and `version_of` may raise
+    `UnreadableObjectError`.
     """
 
+    def version_of(self, item: StoredObject) -> int:
+        """Return the version of a configuration, which operators never lower.
+
+        It is 0 if that can't be read.
+        """
+        raise NotImplementedError
+
     def deployment(self, item: StoredObject) -> Deployment:
         """Decode a configuration."""
         raise NotImplementedError
--- a/radishshift/object_table.py
+++ b/radishshift/object_table.py
@@ -9,7 +9,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -82,6 +82,9 @@
     kind : Kind
     past_states : int
         Number of earlier states to keep; a table that equals one is sent patches.
+    rank : callable or None
+        Returns a number of an object that its writers never lower. It goes before the
+        revision, so that an object of a restored platform does not replace a later one.
     items : dict of str to StoredObject
     deleted : dict of str to int
         Revisions of deletions, by name; those that no listing covers and the latest of
@@ -90,6 +93,7 @@
 
     kind: Kind
     past_states: int = 0
+    rank: Callable[[StoredObject], int] | None = None
     items: dict[str, StoredObject] = field(default_factory=dict)
     deleted: dict[str, int] = field(default_factory=dict)
     _complete: int = 0
@@ -129,7 +133,7 @@
         current = self.items.get(item.name)
         if current is None and item.revision <= self._listed:
             return False
-        if current is not None and current.revision >= item.revision:
+        if current is not None and self._order(current) >= self._order(item):
             return False
         if self.deleted.get(item.name, 0) >= item.revision:
             return False
@@ -147,6 +151,10 @@
         self._complete = max(self._complete, revision)
         return self._merge_deletion(name, revision)
 
+    def _order(self, item: StoredObject) -> tuple[int, int]:
+        rank = 0 if self.rank is None else self.rank(item)
+        return rank, item.revision
+
     def _merge_deletion(self, name: str, revision: int) -> bool:
         self.deleted[name] = max(revision, self.deleted.get(name, 0))
         current = self.items.get(name)
@@ -180,7 +188,10 @@
             Its head when a delta was last sent to it; one that has not moved since
             gets all objects.
         """
-        if peer.complete >= self._complete:
+        if peer.complete > self._complete:
+            return None
+        # Of two ranked tables with equal revisions one may hold a later object.
+        if peer.complete == self._complete and self.rank is None:
             return None
         if peer.digest == self._digest and peer.digest:
             return None
--- a/radishshift/objects.py
+++ b/radishshift/objects.py
@@ -3,6 +3,11 @@
 An object is addressed by kind and name. The platform has one revision counter: each
 write increments it and stamps the object with it. An update is accepted only if the
 object still has the revision that the writer has read (optimistic concurrency).
+
+A platform that is restored from an older copy gives revisions out again. It counts its
+restores, and what it says then is of a later era. If it states its era, `ERA_REVISIONS`
+are added to a revision for each, so that revisions compare across restores; the adapter
+translates them.
 """
 
 import enum
@@ -16,8 +21,13 @@
     "ObjectChange",
     "StoredObject",
     "bookmark",
+    "era_of",
+    "in_era",
+    "within_era",
 ]
 
+ERA_REVISIONS = 1 << 40
+
 
 class Kind(enum.StrEnum):
     """Kinds of object; the value is the plural used in the platform's URL paths."""
@@ -96,3 +106,18 @@
 def bookmark(kind: Kind, revision: int) -> ObjectChange:
     """Return the event that all changes of a kind up to a revision were delivered."""
     return ObjectChange(ChangeType.BOOKMARK, StoredObject(kind, "", revision=revision))
+
+
+def in_era(era: int, revision: int) -> int:
+    """Return a revision that the platform gave out in an era."""
+    return era * ERA_REVISIONS + revision
+
+
+def era_of(revision: int) -> int:
+    """Return the era of a revision, 0 if the platform states none."""
+    return revision // ERA_REVISIONS
+
+
+def within_era(revision: int) -> int:
+    """Return a revision as the platform states it."""
+    return revision % ERA_REVISIONS
--- a/tests/gateway/test_host_view.py
+++ b/tests/gateway/test_host_view.py
@@ -1,8 +1,18 @@
 """Tests of a host's view, independent of which source delivers a change first."""
 
+from radishshift.decisions.store_restores import RESTORE_HOLD_S
+from radishshift.gateway.deployment import RolloutState
 from radishshift.gateway.host_view import LAPSED_RETENTION_S, HostView
 from radishshift.object_table import Head
-from radishshift.objects import ChangeType, Kind, Listing, ObjectChange, StoredObject
+from radishshift.objects import (
+    ChangeType,
+    Kind,
+    Listing,
+    ObjectChange,
+    StoredObject,
+    era_of,
+    in_era,
+)
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import SERVICE, Script, SimpleObjectDecoder, World, route
 
@@ -146,3 +156,119 @@
         fresh.merge(Kind.ROLLOUT, delta, "edge-2")
         self.assertEqual("completed", fresh.rollouts[SERVICE].state)
         self.assertEqual(item, fresh.stored_rollout(SERVICE))
+
+
+class RestoresTest(VirtualTestCase):
+    """The store comes back from an older copy."""
+
+    def _world(self):
+        world = World([route()], {"a": [Script()], "b": [Script()]})
+        world.configure([route()], version=4)
+        return world
+
+    def _restore(self, world):
+        """Let the revisions from now on be those of the next era."""
+        world.revision = in_era(era_of(world.revision) + 1, 1)
+
+    def _names(self, world):
+        return sorted(member.name for member in world.host_view.members_of(SERVICE))
+
+    async def test_an_older_configuration_is_not_taken_up_nor_told(self):
+        world = self._world()
+        self._restore(world)
+        world.configure([], version=2)
+        (item,) = world.host_view.tables[Kind.DEPLOYMENT].items.values()
+        self.assertEqual(4, item.spec["deployment"].version)
+        self.assertEqual(4, world.host_view.version)
+        world.configure([], version=5)
+        self.assertEqual(5, world.host_view.version)
+
+    async def test_an_endpoint_that_had_said_that_it_leaves_does_not_come_back(self):
+        world = self._world()
+        world.list_members(["a", "b"], leaving=["a"])
+        await world.clock.sleep_until(world.clock.now() + 1.0)
+        self._restore(world)
+        for _ in range(3):
+            world.list_members(["a", "b"])
+            self.assertEqual(["b"], self._names(world))
+            await world.clock.sleep_until(world.clock.now() + RESTORE_HOLD_S)
+            world.host_view.expire_departures()
+        world.list_members(["a", "b"], born_ms=2)
+        self.assertEqual(["a", "b"], self._names(world))
+
+    async def test_an_endpoint_that_was_gone_stays_out_for_the_hold(self):
+        world = self._world()
+        world.list_members(["b"])
+        await world.clock.sleep_until(
+            world.clock.now() + 2.0
+        )  # else it might have lapsed
+        self._restore(world)
+        world.list_members(["a", "b"])
+        self.assertEqual(["b"], self._names(world))
+        await world.clock.sleep_until(world.clock.now() + RESTORE_HOLD_S + 0.1)
+        world.host_view.expire_departures()
+        self.assertEqual(["a", "b"], self._names(world))
+
+    async def test_an_endpoint_that_the_copy_lacks_is_used_until_it_registers(self):
+        world = self._world()
+        await world.clock.sleep_until(world.clock.now() + 1.0)
+        self._restore(world)
+        world.list_members(["b"])
+        self.assertEqual(["a", "b"], self._names(world))
+        await world.clock.sleep_until(world.clock.now() + 1.0)
+        world.list_members(["a", "b"])
+        self.assertEqual(["a", "b"], self._names(world))
+        self.assertIn("a", world.host_view.members)
+
+    def _list_rollout(self, world, *states):
+        world.revision += 1
+        items = [
+            StoredObject(
+                Kind.ROLLOUT,
+                SERVICE,
+                {"order": (SERVICE, "v2", 9.0)},
+                {"state": state.value},
+                world.revision,
+            )
+            for state in states
+        ]
+        world.host_view.apply(Kind.ROLLOUT, Listing(tuple(items), world.revision))
+
+    async def test_a_roll_out_that_had_ended_is_not_begun_again(self):
+        world = self._world()
+        self._list_rollout(world, RolloutState.ROLLED_BACK)
+        self._restore(world)
+        for _ in range(2):
+            self._list_rollout(world, RolloutState.RUNNING)
+            state = world.host_view.rollouts[SERVICE].state
+            self.assertEqual(RolloutState.ROLLED_BACK, state)
+            lost = world.host_view.lost_statuses
+            self.assertEqual({SERVICE: RolloutState.ROLLED_BACK}, lost)
+        self._list_rollout(world, RolloutState.ROLLED_BACK)
+        self.assertEqual({}, world.host_view.lost_statuses)
+
+    async def test_orders_and_blocked_parts_hold_until_they_are_written_again(self):
+        world = self._world()
+        view = world.host_view
+        self._list_rollout(world, RolloutState.RUNNING)
+        world.evacuate("mbeya")
+        part = StoredObject(Kind.BLOCKED_PART, "p1", {"blocked_at": 1.0}, {}, 50)
+        view.apply(Kind.BLOCKED_PART, Listing((part,), 50))
+        self._restore(world)
+        for _ in range(2):
+            self._list_rollout(world)
+            world.evacuate()
+            view.apply(Kind.BLOCKED_PART, Listing((), world.revision))
+            held = (set(view.rollouts), view.evacuated, view.blocked_parts)
+            self.assertEqual(({SERVICE}, {"mbeya"}, {"p1": 1.0}), held)
+            self.assertEqual({"p1": 1.0}, view.lost_parts)
+        await world.clock.sleep_until(world.clock.now() + RESTORE_HOLD_S + 0.1)
+        view.expire_departures()
+        held = (set(view.rollouts), view.evacuated, view.blocked_parts)
+        self.assertEqual((set(), set(), {}), held)
+
+    async def test_a_host_that_starts_takes_the_first_era_for_granted(self):
+        world = World([], {})
+        self._restore(world)
+        world.configure([route()])
+        self.assertFalse(world.host_view.restores.holds(world.clock.now()))
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -79,6 +79,10 @@
     def deployment(self, item):
         return item.spec["deployment"]
 
+    def version_of(self, item):
+        deployment = item.spec.get("deployment")
+        return getattr(deployment, "version", 0)
+
     def member(self, item):
         member = item.spec["member"]
         # A dictionary if it was received in a gossip message.
--- a/tests/test_object_table.py
+++ b/tests/test_object_table.py
@@ -1,11 +1,20 @@
 """Tests that object tables can be merged in any order."""
 
+from dataclasses import replace
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from radishshift.object_table import MAX_COVERED_DELETIONS, ObjectTable
-from radishshift.objects import Kind, Listing, StoredObject
+from radishshift.objects import (
+    Kind,
+    Listing,
+    StoredObject,
+    era_of,
+    in_era,
+    within_era,
+)
 from tests.cases import TestCase
 
 NAMES = st.sampled_from(["a", "b", "c"])
@@ -199,47 +208,63 @@
 
 
 class _Fleet(RuleBasedStateMachine):
-    """A store and the tables of three hosts that list, watch, gossip and restart."""
+    """A store and the tables of three hosts that list, watch, gossip and restart.
+
+    The store may come back from an older copy; its revisions are then of the next era.
+    """
 
     hosts = st.integers(0, 2)
 
     def __init__(self):
         super().__init__()
         self.history = [("a", True)]
+        self.era = 0
         self.tables = [ObjectTable(Kind.ENTRY, past_states=4) for _ in range(3)]
         self.sent = [{} for _ in range(3)]  # heads to which deltas were sent, by host
         self.on_the_way = []
 
+    def _item(self, name, at):
+        revision = in_era(self.era, at)
+        return StoredObject(Kind.ENTRY, name, {"at": revision}, {}, revision)
+
     @rule(name=NAMES, written=st.booleans())
     def change(self, name, written):
         if written or name in _state_at(self.history, len(self.history)):
             self.history.append((name, written))
 
+    @rule(lost=st.integers(1, 3))
+    def restore(self, lost):
+        self.history = self.history[: max(1, len(self.history) - lost)]
+        self.era += 1
+
     @rule(host=hosts, behind=st.integers(0, 3))
     def list_objects(self, host, behind):
         revision = max(1, len(self.history) - behind)
         state = _state_at(self.history, revision).items()
-        items = tuple(_item(name, at) for name, at in state)
-        self.tables[host].apply_listing(Listing(items, revision))
+        items = tuple(self._item(name, at) for name, at in state)
+        listing = Listing(items, in_era(self.era, revision))
+        self.tables[host].apply_listing(listing)
 
     @rule(host=hosts)
     def read_changes(self, host):
         table = self.tables[host]
         since = table.head.complete
+        if not since or era_of(since) != self.era:
+            return
         for at, (name, written) in enumerate(self.history, 1):
-            if not 0 < since < at:
+            if at <= within_era(since):
                 continue
             if written:
-                table.upsert(_item(name, at))
+                table.upsert(self._item(name, at))
             else:
-                table.apply_deletion(name, at)
-        table.confirm(len(self.history))
+                table.apply_deletion(name, in_era(self.era, at))
+        table.confirm(in_era(self.era, len(self.history)))
 
     @rule(host=hosts, name=NAMES)
     def read_one(self, host, name):
         at = _state_at(self.history, len(self.history)).get(name)
         if at is not None:
-            self.tables[host].merge_object(_item(name, at))
+            self.tables[host].merge_object(self._item(name, at))
 
     @rule(host=hosts)
     def restart(self, host):
@@ -271,19 +296,23 @@
     @invariant()
     def each_table_reflects_the_revision_that_it_states(self):
         for table in self.tables:
+            complete = table.head.complete
+            if era_of(complete) != self.era:
+                continue
             stated = {
                 name: (at, written)
                 for at, (name, written) in enumerate(self.history, 1)
-                if at <= table.head.complete
+                if at <= within_era(complete)
             }
             for name, (at, written) in stated.items():
                 held = _revisions(table).get(name, 0)
                 later = [
-                    later_at
+                    in_era(self.era, later_at)
                     for later_at, (other, _) in enumerate(self.history, 1)
                     if other == name and later_at > at
                 ]
-                allowed = {at if written else 0, *later, *([0] if later else [])}
+                stated_revision = in_era(self.era, at) if written else 0
+                allowed = {stated_revision, *later, *([0] if later else [])}
                 assert held in allowed, (name, held, table.head)
 
 
@@ -291,5 +320,31 @@
     """A host kept an endpoint that was gone: a peer that never had it sent the rest."""
 
     settings = settings(
-        max_examples=300, stateful_step_count=25, derandomize=True, deadline=None
+        max_examples=400, stateful_step_count=25, derandomize=True, deadline=None
     )
+
+
+class RankedTableTest(TestCase):
+    def test_a_later_object_outlives_a_restore_and_reaches_hosts_that_start(self):
+        """The operators write the configuration again, but only seconds later."""
+        one, other = (
+            ObjectTable(Kind.ENTRY, 2, lambda item: item.spec["at"]) for _ in range(2)
+        )
+        newest = replace(_item("main", 9), revision=9)
+        one.apply_listing(Listing((newest,), 9))
+        copied = replace(_item("main", 4), revision=in_era(1, 4))
+        for table in (one, other):
+            table.apply_listing(Listing((copied,), in_era(1, 5)))
+        self.assertEqual([9, 4], [t.items["main"].spec["at"] for t in (one, other)])
+        sent = None
+        for _ in range(2):
+            head = other.head
+            delta = one.delta_for(head, sent)
+            sent = head
+            if delta is not None:
+                other.merge(delta)
+        self.assertEqual(one.items, other.items)
+        self.assertIsNone(one.delta_for(other.head, None))
+        again = replace(newest, revision=in_era(1, 6))
+        for table in (one, other):
+            self.assertTrue(table.upsert(again))
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -13,7 +13,14 @@
     NotFoundError,
     PlatformUnavailableError,
 )
-from radishshift.objects import ChangeType, Kind, StoredObject, bookmark
+from radishshift.objects import (
+    ChangeType,
+    Kind,
+    StoredObject,
+    bookmark,
+    era_of,
+    in_era,
+)
 from radishshift.verdicts import Verdict
 from tests.cases import TestCase
 from tests.users_platform.served import running_platform
@@ -205,3 +212,63 @@
         )
         await client.close()
         await asyncio.sleep(0)
+
+
+class RestoresTest(TestCase):
+    """The store comes back from an older copy, and gives revisions out again."""
+
+    async def test_what_a_restored_store_says_comes_after_all_before(self):
+        async with _client() as (store, client):
+            store.era = 3
+            saved = store.copy()
+            store.put("servers", "new", {"x": 1})
+            before = await client.list_all(Kind.ENDPOINT)
+            store.restore(saved)
+            after = await client.list_all(Kind.ENDPOINT)
+        self.assertEqual((3, 4), (era_of(before.revision), era_of(after.revision)))
+        newest = max(item.revision for item in before.items)
+        self.assertGreater(min(item.revision for item in after.items), newest)
+
+    async def test_changes_are_not_read_across_a_restore(self):
+        """The store has given out the same revision meanwhile, for something else."""
+        async with _client() as (store, client):
+            store.era = 0
+            saved = store.copy()
+            store.put("servers", "lost", {})
+            since = (await client.list_all(Kind.ENDPOINT)).revision
+            store.restore(saved)
+            store.faults.history_start = 0
+            for name in ("one", "two", "three"):
+                store.put("servers", name, {})
+            for _ in range(2):
+                await self.assert_raises_async(
+                    GoneError, client.changes_since(Kind.ENDPOINT, since)
+                )
+            listing = await client.list_all(Kind.ENDPOINT)
+            nothing = await client.changes_since(Kind.ENDPOINT, listing.revision)
+        self.assertEqual([bookmark(Kind.ENDPOINT, in_era(1, store.revision))], nothing)
+
+    async def test_no_write_is_conditioned_on_a_revision_of_before(self):
+        async with _client() as (store, client):
+            store.era = 0
+            store.put("rollouts", "advice", {"target": "v2"})
+            stored = await client.get(Kind.ROLLOUT, "advice")
+            store.restore(store.copy())
+            again = await client.get(Kind.ROLLOUT, "advice")
+            for write in (
+                client.update_status(replace(stored, status={"state": "x"})),
+                client.update(replace(stored, spec={})),
+                client.delete(Kind.ROLLOUT, "advice", stored.revision),
+            ):
+                await self.assert_raises_async(ConflictError, write)
+            written = await client.update_status(replace(again, status={"state": "y"}))
+        self.assertEqual({"state": "y"}, written.status)
+
+    async def test_a_reply_without_an_era_is_of_the_one_known(self):
+        async with _client() as (store, client):
+            store.era = 2
+            await client.list_all(Kind.ENDPOINT)
+            for era in (None, "soon"):
+                store.era = era
+                listing = await client.list_all(Kind.ENDPOINT)
+                self.assertEqual(2, era_of(listing.revision))
--- a/tests/users_platform/test_unreadable_entries.py
+++ b/tests/users_platform/test_unreadable_entries.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from users_platform.object_decoder import PlatformObjectDecoder
 from users_platform.standins import server_entry
-from users_platform.store import StorePlatform
+from users_platform.store import StorePlatform, _Reply
 
 from radishshift.clocks import SystemClock
 from radishshift.errors import RadishshiftError
@@ -66,7 +66,7 @@
         super().__init__("127.0.0.1:1")
 
     async def _call(self, *args, **kwargs):
-        return self.reply
+        return _Reply(self.reply, 0)
 
 
 async def _with_store(reply, act):
