Tell hosts that start which requests are held back

Cause: hosts report crashes for 30 s and hold requests back for 600 s, so a host that started in between was told nothing. Change: messages carry the requests that the sender holds back, with the time since their last crash, at most 32; the earliest instant counts, so that a hold ends everywhere. Parts are at the store, as before.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -43,6 +43,8 @@
 SOUND_RETENTION_S = 60.0  # since the last sound answer
 REPORT_TIME_S = 30.0  # since the crash; by then all hosts have heard of it
 MAX_CRASHES = 256
+MAX_HELD_REPORTED = 32
+MAX_HELD = 256
 MAX_CRASHES_REPORTED = 16
 MAX_SUSPECTS_PER_CRASH = 64
 MAX_SUSPECTS_REPORTED = 16
@@ -145,6 +147,8 @@
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
         self._sound_at: OrderedDict[str, float] = OrderedDict()
         self._stored: dict[str, float] = {}
+        # Requests that peers hold back, with the instant of their last crash.
+        self._told: OrderedDict[str, float] = OrderedDict()
         self._attributed: dict[str, int] = {}
         self._blocked: dict[str, int] = {}
         self._outdated = False
@@ -199,7 +203,7 @@
     def blocked(self, now: float) -> dict[str, int]:
         """Return the traits whose requests must not run, with their crash counts.
 
-        The count is 0 for a part that was only read from the platform.
+        The count is 0 for one that this host only knows of from peers or the platform.
         """
         expired = self._expire(now)
         if expired or self._outdated or now >= self._settles_at:
@@ -207,7 +211,7 @@
             self._attributed = self._attribute(now)
             obsolete = set(self.obsolete_stored(now))
             stored = {part: 0 for part in self._stored if part not in obsolete}
-            blocked = stored | self._attributed
+            blocked = dict.fromkeys(self._told, 0) | stored | self._attributed
             changed = blocked.keys() != self._blocked.keys()
             self._blocked = blocked
             if changed:
@@ -239,6 +243,46 @@
             for endpoint, crash in newest
         ]
 
+    def held_ages_s(self, now: float) -> dict[str, float]:
+        """Return the requests that this host holds back, for its peers.
+
+        Crashes are reported for a shorter time than that for which their requests are
+        held back, and hosts that start meanwhile have to learn of these.
+
+        Returns
+        -------
+        dict of str to float
+            Time since the last crash by trait, in seconds.
+        """
+        last_at = dict(self._told)
+        for crash in self._crashes.values():
+            for trait in crash.candidates(now):
+                last_at[trait] = max(crash.at, last_at.get(trait, -math.inf))
+        held = [trait for trait in self.blocked(now) if _is_request(trait)]
+        newest = sorted(held, key=lambda trait: last_at.get(trait, now))
+        return {
+            trait: round(now - last_at.get(trait, now), 3)
+            for trait in newest[-MAX_HELD_REPORTED:]
+        }
+
+    def merge_held(self, ages_s: dict[str, float], now: float) -> None:
+        """Hold back the requests that a peer holds back.
+
+        The earliest instant counts, as ages shrink on their way from host to host.
+        """
+        for trait, age_s in ages_s.items():
+            at = now - age_s
+            expired = age_s > CRASH_RETENTION_S or not _is_request(trait)
+            if expired or at >= self._told.get(trait, math.inf):
+                continue
+            if self._sound_at.get(trait, -math.inf) > at:
+                continue
+            self._outdated = self._outdated or trait not in self._told
+            self._told[trait] = at
+            self._told.move_to_end(trait)
+            if len(self._told) > MAX_HELD:
+                self._told.popitem(last=False)
+
     def sound_ages_s(self, now: float) -> dict[str, float]:
         """Return the time since the last sound answer of suspected traits."""
         suspected = {
@@ -321,6 +365,10 @@
                 break
             del self._sound_at[trait]
         changed = False
+        for trait, at in list(self._told.items()):
+            if now - at > CRASH_RETENTION_S or self._sound_at.get(trait, 0.0) > at:
+                del self._told[trait]
+                changed = True
         while self._crashes:
             endpoint, crash = next(iter(self._crashes.items()))
             if now - crash.at <= CRASH_RETENTION_S:
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -341,6 +341,7 @@
             centre_load=self._centre_load(now) if coordinates and not brief else {},
             crash_reports=self._suspects.reports(now),
             sound_ages_s=self._suspects.sound_ages_s(now),
+            held_ages_s=self._suspects.held_ages_s(now),
             limits=self._limits.reports(now),
             departures=self._host_view.departure_reports(),
             reached=self.reached_ages_s(now),
@@ -430,6 +431,7 @@
             return
         self._record_load(message, now)
         self._suspects.merge(message.crash_reports, message.sound_ages_s, now)
+        self._suspects.merge_held(message.held_ages_s, now)
         self._merge_limits(message, now)
         self._host_view.merge_departures(message.departures, message.host)
         self._merge_rollout_evidence(message, now)
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -89,6 +89,9 @@
         Recent crashes of endpoints that the sender knows of.
     sound_ages_s : dict of str to float
         Time since the last sound answer of some of their suspects, by trait.
+    held_ages_s : dict of str to float
+        Requests that the sender holds back, and the time since they last crashed an
+        endpoint, by trait.
     limits : list of LimitReport
         What endpoints have last stated of their limits, as far as the sender knows.
     departures : list of DepartureReport
@@ -120,6 +123,7 @@
     centre_load: dict[str, float] = {}
     crash_reports: list[CrashReport] = []
     sound_ages_s: dict[str, float] = {}
+    held_ages_s: dict[str, float] = {}
     limits: list[LimitReport] = []
     departures: list[DepartureReport] = []
     reached: dict[str, float] = {}
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -66,6 +66,50 @@
         _merge(one, two, 2.0)
         self.assertEqual("", one.blocking(X, 2.0))
 
+    def test_hosts_that_start_later_hold_back_what_the_others_do(self):
+        """Four retries crashed endpoints: crashes were reported for 30 s only."""
+        hosts = [CrashSuspects() for _ in range(3)]
+        for number in range(CRASHES_TO_BLOCK_REQUEST):
+            _crash(hosts[-1], number, X, at=0.0)
+        now = 0.0
+        for _ in range(2):
+            for index in range(len(hosts)):
+                now += REPORT_TIME_S + 4.0
+                hosts[index] = started = CrashSuspects()
+                for other in hosts:
+                    if other is not started:
+                        _merge(started, other, now)
+                        started.merge_held(other.held_ages_s(now), now)
+                self.assertEqual("rx", started.blocking(X, now))
+        expired_at = CRASH_RETENTION_S + 1.0
+        for host in hosts:
+            self.assertEqual("rx", host.blocking(X, CRASH_RETENTION_S - 1.0))
+        for host in hosts:
+            for other in hosts:
+                host.merge_held(other.held_ages_s(expired_at), expired_at)
+            self.assertEqual("", host.blocking(X, expired_at))
+
+    def test_a_request_that_a_peer_holds_back_is_freed_by_a_sound_answer(self):
+        suspects = CrashSuspects()
+        suspects.merge_held({"rx": 50.0, "p1": 5.0}, 100.0)
+        self.assertEqual({"rx": 0}, suspects.blocked(100.0))
+        suspects.record_sound(X, 101.0)
+        suspects.merge_held({"rx": 52.0}, 102.0)
+        self.assertEqual({}, suspects.blocked(102.0))
+
+    def test_a_hold_does_not_grow_as_it_goes_from_host_to_host(self):
+        one, two = CrashSuspects(), CrashSuspects()
+        for number in range(CRASHES_TO_BLOCK_REQUEST):
+            _crash(one, number, X, at=0.0)
+        now = 1.0
+        for _ in range(1000):
+            ages_s = one.held_ages_s(now)
+            now += 0.5  # on the way
+            two.merge_held(ages_s, now)
+            one.merge_held(two.held_ages_s(now), now + 0.5)
+        self.assertEqual({}, one.held_ages_s(CRASH_RETENTION_S + 2.0))
+        self.assertEqual({}, two.held_ages_s(CRASH_RETENTION_S + 2.0))
+
     def test_suspects_expire(self):
         suspects = CrashSuspects()
         for number in range(CRASHES_TO_BLOCK_REQUEST):
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from radishshift.decisions.crashes import Traits
+from radishshift.decisions.crashes import REPORT_TIME_S, Traits
 from radishshift.gateway.deployment import Rollout, RolloutState
 from radishshift.gateway.gossip import (
     GOSSIP_INTERVAL_S,
@@ -56,6 +56,16 @@
         rollout = Rollout(SERVICE, "v2", 20.0, RolloutState.ORDERED, 1)
         host.world.versions.update_rollouts([rollout], began_at)
 
+    async def test_a_host_that_starts_later_hears_which_requests_are_held_back(self):
+        one, two = _hosts()
+        for endpoint in ("a@1", "b@1"):
+            at = one.world.clock.now()
+            one.world.suspects.record_crash(endpoint, Traits("rx"), True, at)
+        await asyncio.sleep(REPORT_TIME_S + 4.0)
+        two.receive_from(one)
+        blocked = two.world.suspects.blocked(two.world.clock.now())
+        self.assertEqual({"rx": 0}, blocked)
+
     async def test_a_silent_host_is_no_longer_live(self):
         one, two = _hosts()
         one.receive_from(two)
