Take a crash back if the endpoint proves to live

Cause: any connection that ended without an answer counted as a crash. Change: 0.15 s later the host opens a connection to the endpoint; if it is accepted the crash is taken back here and, by gossip, on all hosts, also where its report comes later. An endpoint that has crashed refuses connections until it starts again. The simulated endpoints of the tests now refuse probes for 3 s after a crash; before, they accepted them, which no test looked at.

Evidence: the test of a lookup with two lost answers failed before; with two crashes it is refused as before; the end-to-end test of crashing parts passes.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -37,6 +37,10 @@
 COINCIDENCE_S = 0.05
 # An endpoint that loses an answer later than this after another was alive in between.
 SAME_CRASH_S = 1.0
+# An endpoint that accepts a connection so soon after it lost an answer has not crashed:
+# one that has takes longer to start again.
+LIFE_PROOF_S = 1.0
+REPORT_DELAY_S = 0.5  # by which an instant seems later at a peer
 # By then another host has reported the request that was being answered, if any was.
 WAITING_SETTLE_S = 1.0
 CRASH_RETENTION_S = 600.0  # since the crash
@@ -146,6 +150,7 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
         self._sound_at: OrderedDict[str, float] = OrderedDict()
+        self._alive_at: OrderedDict[str, float] = OrderedDict()  # by endpoint
         self._stored: dict[str, float] = {}
         # Requests that peers hold back, with the instant of their last crash.
         self._told: OrderedDict[str, float] = OrderedDict()
@@ -172,6 +177,38 @@
         if crash is not None:
             self._add_suspects(crash, traits.depths().items(), answering)
 
+    def record_alive(self, endpoint: str, at: float) -> bool:
+        """Record that an endpoint accepted a connection; return whether that is news.
+
+        An answer that it lost shortly before was no crash.
+        """
+        if at <= self._alive_at.get(endpoint, -math.inf):
+            return False
+        self._alive_at[endpoint] = at
+        self._alive_at.move_to_end(endpoint)
+        if len(self._alive_at) > MAX_CRASHES:
+            self._alive_at.popitem(last=False)
+        crash = self._crashes.get(endpoint)
+        if crash is None or not crash.at <= at <= crash.at + LIFE_PROOF_S:
+            return False
+        del self._crashes[endpoint]
+        self._outdated = True
+        return True
+
+    def alive_ages_s(self, now: float) -> dict[str, float]:
+        """Return the time since endpoints proved to live, for peers."""
+        newest = list(self._alive_at.items())[-MAX_CRASHES_REPORTED:]
+        return {
+            endpoint: round(now - at, 3)
+            for endpoint, at in newest
+            if now - at <= REPORT_TIME_S
+        }
+
+    def merge_alive(self, ages_s: dict[str, float], now: float) -> None:
+        """Merge what a peer knows of endpoints that live."""
+        for endpoint, age_s in ages_s.items():
+            self.record_alive(endpoint, now - age_s)
+
     def record_sound(self, traits: Traits, now: float) -> None:
         """Record an answer that the traits of its request did not prevent."""
         for trait in traits.all():
@@ -302,7 +339,9 @@
         """Merge what a peer knows; repeated and older reports have no effect."""
         for report in reports:
             at = now - report.age_s
-            if now - at > REPORT_TIME_S:
+            alive_at = self._alive_at.get(report.endpoint, -math.inf)
+            lived = at - REPORT_DELAY_S <= alive_at <= at + LIFE_PROOF_S
+            if lived or now - at > REPORT_TIME_S:
                 continue
             crash = self._crash(report.endpoint, at)
             if crash is None:
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -30,7 +30,11 @@
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.host_view import HostView
 from radishshift.gateway.jobs import Job
-from radishshift.gateway.messages import EndpointAnswer, EndpointClient
+from radishshift.gateway.messages import (
+    EndpointAnswer,
+    EndpointClient,
+    ProbeOutcome,
+)
 from radishshift.gateway.placement import Placement
 from radishshift.gateway.relay_client import Helper, RelayClient
 from radishshift.gateway.service_monitor import ServiceMonitor
@@ -47,6 +51,8 @@
 # An endpoint crashes sooner than this after it has begun to answer a request that
 # crashes it.
 SOUND_AFTER_S = 1.0
+# After an answer is lost; by then the listening socket of a crashed endpoint is gone.
+LOOK_AFTER_S = 0.15
 # Longer than callers of such requests wait, so that they give up instead of retrying.
 POISON_RETRY_AFTER_S = 30.0
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
@@ -77,7 +83,7 @@
     relays : RelayClient or None
         Has attempts relayed by peers; None if there are none.
     on_crash : callable
-        Called after a crash of an endpoint was recorded.
+        Called after a crash of an endpoint was recorded, or taken back.
     """
 
     def __init__(
@@ -103,6 +109,7 @@
         self._client = client
         self.on_crash: Callable[[], None] = lambda: None
         self._budgets: dict[str, HostRetryBudget] = {}
+        self._looks: set[asyncio.Task[None]] = set()
         self._prober = ConnectionProber(clock, client)
         self.placement = Placement(
             clock, data_centre, host_view, placer, self._prober, bounds.drain_s
@@ -456,8 +463,25 @@
         streaming = attempt.job.route.kind is RouteKind.STREAM
         if attempt.body_began or (answering and not streaming):
             traits = traits.once_begun()
-        self.suspects.record_crash(f"{name}@{born_ms}", traits, answering, now)
+        endpoint = f"{name}@{born_ms}"
+        self.suspects.record_crash(endpoint, traits, answering, now)
         self.on_crash()
+        task = asyncio.create_task(self._look_for_life(attempt.member, endpoint))
+        self._looks.add(task)
+        task.add_done_callback(self._looks.discard)
+
+    async def _look_for_life(self, member: Member, endpoint: str) -> None:
+        """Take a crash back if the endpoint still accepts connections."""
+        await asyncio.sleep(LOOK_AFTER_S)
+        began_at = self.clock.now()
+        outcome = await self._client.probe(member)
+        if outcome is not ProbeOutcome.OPENED:
+            return
+        if self.suspects.record_alive(endpoint, began_at):
+            logger.info(
+                "endpoint lost an answer and lives", extra={"endpoint": member.name}
+            )
+            self.on_crash()
 
     def _share_outcome(self, attempt: Attempt, latency_ratio: float) -> None:
         if self.placement.shared is not None:
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -342,6 +342,7 @@
             crash_reports=self._suspects.reports(now),
             sound_ages_s=self._suspects.sound_ages_s(now),
             held_ages_s=self._suspects.held_ages_s(now),
+            alive_ages_s=self._suspects.alive_ages_s(now),
             limits=self._limits.reports(now),
             departures=self._host_view.departure_reports(),
             reached=self.reached_ages_s(now),
@@ -430,6 +431,7 @@
         if self.peers.record(message, now) is None:
             return
         self._record_load(message, now)
+        self._suspects.merge_alive(message.alive_ages_s, now)
         self._suspects.merge(message.crash_reports, message.sound_ages_s, now)
         self._suspects.merge_held(message.held_ages_s, now)
         self._merge_limits(message, now)
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -92,6 +92,8 @@
     held_ages_s : dict of str to float
         Requests that the sender holds back, and the time since they last crashed an
         endpoint, by trait.
+    alive_ages_s : dict of str to float
+        Time since endpoints that had lost answers proved to live.
     limits : list of LimitReport
         What endpoints have last stated of their limits, as far as the sender knows.
     departures : list of DepartureReport
@@ -124,6 +126,7 @@
     crash_reports: list[CrashReport] = []
     sound_ages_s: dict[str, float] = {}
     held_ages_s: dict[str, float] = {}
+    alive_ages_s: dict[str, float] = {}
     limits: list[LimitReport] = []
     departures: list[DepartureReport] = []
     reached: dict[str, float] = {}
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -6,6 +6,7 @@
     CRASHES_TO_BLOCK_PART,
     CRASHES_TO_BLOCK_REQUEST,
     CRASHES_TO_BLOCK_SOUND_PART,
+    LIFE_PROOF_S,
     MAX_CRASHES,
     MAX_CRASHES_REPORTED,
     MAX_SUSPECTS_PER_CRASH,
@@ -110,6 +111,29 @@
         self.assertEqual({}, one.held_ages_s(CRASH_RETENTION_S + 2.0))
         self.assertEqual({}, two.held_ages_s(CRASH_RETENTION_S + 2.0))
 
+    def test_an_endpoint_that_lives_has_not_crashed(self):
+        one, two = CrashSuspects(), CrashSuspects()
+        _crash(one, 1, X, at=10.0)
+        _crash(one, 2, X, at=10.1)
+        _merge(two, one, 10.2)
+        self.assertEqual("rx", two.blocking(X, 10.2))
+        self.assertTrue(one.record_alive("endpoint-1@1", 10.15))
+        two.merge_alive(one.alive_ages_s(10.3), 10.35)
+        self.assertEqual(["", ""], [host.blocking(X, 10.4) for host in (one, two)])
+        # A host that has not heard of it reports the crash again.
+        late = CrashSuspects()
+        _crash(late, 1, X, at=10.0)
+        _merge(two, late, 10.6)
+        self.assertEqual("", two.blocking(X, 10.6))
+
+    def test_an_endpoint_that_starts_again_proves_nothing(self):
+        suspects = CrashSuspects()
+        for number in (1, 2):
+            _crash(suspects, number, X, at=10.0)
+        self.assertFalse(suspects.record_alive("endpoint-1@1", 9.9))
+        self.assertFalse(suspects.record_alive("endpoint-2@1", 10.0 + LIFE_PROOF_S + 1))
+        self.assertEqual("rx", suspects.blocking(X, 12.0))
+
     def test_suspects_expire(self):
         suspects = CrashSuspects()
         for number in range(CRASHES_TO_BLOCK_REQUEST):
--- a/tests/gateway/test_complete_answers.py
+++ b/tests/gateway/test_complete_answers.py
@@ -126,6 +126,34 @@
         self.assertEqual(before, len(world.attempted_endpoints()))
 
 
+class LostAnswersTest(VirtualTestCase):
+    async def _status_after_lost_answers(self, lost):
+        world = World([IDEMPOTENT], {name: [lost, SUCCEEDS] for name in "abcd"})
+        for _ in range(2):
+            await world.send_request()
+            await asyncio.sleep(1.0)
+        return (await world.send_request()).status, world
+
+    async def test_a_lookup_that_lost_two_answers_is_served(self):
+        """It was refused for ten minutes, to all callers of the customer."""
+        for lost in (
+            Script(error="crash", lives=True),
+            Script(breaks_after=0, lives=True),
+        ):
+            status, world = await self._status_after_lost_answers(lost)
+            self.assertEqual(200, status)
+            self.assertEqual({}, world.suspects.blocked(world.clock.now()))
+
+    async def test_a_lookup_that_crashed_two_endpoints_is_refused(self):
+        status, _ = await self._status_after_lost_answers(Script(error="crash"))
+        self.assertEqual(503, status)
+
+    async def test_lives_are_looked_for_once_for_each_lost_answer(self):
+        lost = Script(error="crash", lives=True)
+        _, world = await self._status_after_lost_answers(lost)
+        self.assertLessEqual(world.endpoints.probes, len(world.attempted_endpoints()))
+
+
 class RetryTest(VirtualTestCase):
     async def test_an_endpoint_that_refuses_a_retry_still_counts_as_used(self):
         """A request ran at three endpoints instead of two (seed 35 of the soak).
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -53,6 +53,7 @@
 
 KEY = "key-of-ring"
 HOST = "example"
+DOWN_S = 3.0  # after a crash
 SERVICE = "advice"
 MODEL_COSTS = {"small": 0.02, "middle": 0.12, "large": 0.22}
 
@@ -115,6 +116,8 @@
         Events after which the stream hangs, or -1.
     pauses_after : int
         Events after which the next is sent `pause_s` late, or -1.
+    lives : bool
+        Whether an endpoint that breaks an answer off goes on, instead of crashing.
     """
 
     status: int = 200
@@ -131,6 +134,7 @@
     signed: bool = True
     confidence: float | None = None
     error: str = ""
+    lives: bool = False
 
 
 ERRORS = {
@@ -142,8 +146,9 @@
 
 
 class _Answer(EndpointAnswer):
-    def __init__(self, script, after):
+    def __init__(self, script, after, on_break):
         self.status = script.status
+        self._on_break = on_break
         self.headers = (("X-Signature", "s"),) if script.signed else ()
         self.signed = script.signed
         self.confidence = script.confidence
@@ -156,6 +161,7 @@
 
     async def read(self):
         if self._script.breaks_after >= 0:
+            self._on_break()
             raise StreamBrokenError("broke off")
         return self._script.body
 
@@ -168,6 +174,7 @@
             if script.partial_event and not self._partial_sent:
                 self._partial_sent = True
                 return script.partial_event
+            self._on_break()
             raise StreamBrokenError("broke off")
         if self._sent >= len(script.events):
             return b""
@@ -196,6 +203,12 @@
     answers: list = field(default_factory=list)
     forgotten: list = field(default_factory=list)
     cut_off: set = field(default_factory=set)
+    down_until: dict = field(default_factory=dict)
+    probes: int = 0
+
+    def _go_down(self, name, script):
+        if not script.lives:
+            self.down_until[name] = asyncio.get_running_loop().time() + DOWN_S
 
     async def send(self, order):
         self.attempts.append(order)
@@ -205,13 +218,20 @@
             await asyncio.Event().wait()
         await asyncio.sleep(script.first_s)
         if script.error:
+            if script.error == "crash":
+                self._go_down(order.member.name, script)
             raise ERRORS[script.error](script.error)
         after = int(order.last_event_id or 0)
-        answer = _Answer(script, after)
+        answer = _Answer(
+            script, after, lambda: self._go_down(order.member.name, script)
+        )
         self.answers.append(answer)
         return answer
 
     async def probe(self, member):
+        self.probes += 1
+        if self.down_until.get(member.name, 0.0) > asyncio.get_running_loop().time():
+            return ProbeOutcome.REFUSED
         if member.name in self.cut_off:
             await asyncio.sleep(0.35)
             return ProbeOutcome.UNANSWERED
