--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,8 @@
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
 
-from users_platform.standins import EndpointFaults
+import msgspec
+from users_platform.standins import EndpointFaults, server_entry
 
 from tests.soak.links import Link
 from tests.soak.modes import Mode
@@ -87,7 +88,7 @@
     return rng.choice(sorted(world.service_by_endpoint))
 
 
-@fault("host-killed", ("all", "limits", "evacuations"))
+@fault("host-killed", ("all", "limits", "evacuations", "copies"))
 async def _host_killed(world, rng):
     _host(world, rng).signal(signal.SIGKILL)
 
@@ -99,7 +100,9 @@
         await asyncio.sleep(rng.choice((0.0, 0.05)))
 
 
-@fault("host-stopped", ("all", "stops", "limits", "evacuations"), planned=True)
+@fault(
+    "host-stopped", ("all", "stops", "limits", "evacuations", "copies"), planned=True
+)
 async def _host_stopped(world, rng):
     host = _host(world, rng)
     host.terminate()
@@ -118,7 +121,7 @@
             await asyncio.sleep(rng.uniform(0.0, pause_s))
 
 
-@fault("host-paused", ("all", "limits", "evacuations"))
+@fault("host-paused", ("all", "limits", "evacuations", "copies"))
 async def _host_paused(world, rng):
     await _host(world, rng).pause(rng.uniform(0.1, 2.0))
 
@@ -129,7 +132,7 @@
         host.signal(signal.SIGHUP)
 
 
-@fault("configuration-changed", ("all", "stops"), planned=True)
+@fault("configuration-changed", ("all", "stops", "copies"), planned=True)
 async def _configuration_changed(world, rng):
     for _ in range(rng.randint(1, 3)):
         world.change_configuration()
@@ -162,6 +165,49 @@
     await _disturb_link(world.store_links[_host(world, rng).name], rng)
 
 
+@fault("store-restored", ("copies",))
+async def _store_restored(world, rng):
+    """Come back from a copy; operators and endpoints write again what is lost."""
+    store = world.platform.store
+    saved = store.copy()
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    store.faults.status = 503
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    newest = {kind: dict(store.objects_by_kind[kind]) for kind in ("config", "servers")}
+    store.restore(saved)
+    store.faults.status = 0
+    for kind, entries in newest.items():
+        for name, entry in entries.items():
+            store.put(kind, name, entry["spec"])
+            await asyncio.sleep(rng.uniform(0.0, 0.1))
+    for name in store.objects_by_kind["servers"].keys() - newest["servers"].keys():
+        store.remove("servers", name)
+
+
+@fault("entry-of-another-writer", ("copies",))
+async def _unreadable_entry(world, rng):
+    """Keep an entry that can't be read among the endpoints for a while."""
+    store = world.platform.store
+    texts = (b'"\\ud800"', b"1e999", b"[" * 900 + b"]" * 900, b"{}")
+    field = rng.choice(("service", "address", "born", "more"))
+    spec = server_entry("check", "127.0.0.1:1") | {
+        field: msgspec.Raw(rng.choice(texts))
+    }
+    store.put("servers", "odd", spec)
+    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    if "odd" in store.objects_by_kind["servers"]:
+        store.remove("servers", "odd")
+
+
+@fault("endpoint-sends-stray-heads", ("copies",))
+async def _stray_heads(world, rng):
+    endpoint = world.endpoints[_endpoint(world, rng)]
+    status = rng.choice((b"408 Request Timeout", b"421 Misdirected", b"200 OK"))
+    endpoint.stray_bytes = b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status
+    await asyncio.sleep(rng.uniform(0.2, 1.0))
+    endpoint.stray_bytes = b""
+
+
 @fault("callers-way-disturbed")
 async def _caller_link_disturbed(world, rng):
     await _disturb_link(world.caller_links[_host(world, rng).name], rng)
@@ -191,6 +237,7 @@
 fault("endpoints-break-unframed")(_endpoint_fault("unframed", "resets_within"))
 
 
+fault("endpoints-lose-answers", ("copies",))(_endpoint_fault("resets_before"))
 fault("endpoints-refuse", ("limits",))(_endpoint_fault("refuses"))
 
 
--- a/tests/soak/modes.py
+++ b/tests/soak/modes.py
@@ -83,6 +83,9 @@
         # Endpoints limit the requests of all hosts together, for long enough that hosts
         # have to know.
         Mode("limits", fault_gap_s=(0.1, 1.5), grace_s=2.0, event_gap_s=0.0),
+        # The store comes back from older copies and lists what can't be read; endpoints
+        # lose answers and send heads that belong to no request.
+        Mode("copies", fault_gap_s=(0.2, 1.5), grace_s=2.0, recovery_s=8.0),
         # Data centres are emptied, for long enough that hosts have to keep to it.
         Mode(
             "evacuations",
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,9 @@
 LIMITS_SEED = 14  # an endpoint limits its requests for most of the time
 LIMITS_HOSTS = 4
 LIMITS_TIME_S = 9.0
+COPIES_SEED = 3
+COPIES_HOSTS = 3
+COPIES_TIME_S = 6.0
 EVACUATIONS_SEED = 2  # begins with an order
 EVACUATIONS_HOSTS = 4
 EVACUATIONS_TIME_S = 8.0
@@ -43,6 +46,11 @@
         self.assertGreater(result.faults["endpoint-limits-requests"], 0)
         self.assertGreater(result.statuses[200], 0)
 
+    def test_no_promise_breaks_where_the_store_and_endpoints_say_what_is_not_so(self):
+        result = self._run_seed(COPIES_SEED, COPIES_HOSTS, COPIES_TIME_S, "copies")
+        self.assertGreater(result.faults["store-restored"], 0)
+        self.assertGreater(result.statuses[200], 0)
+
     def test_hosts_send_nothing_to_an_emptied_data_centre(self):
         result = self._run_seed(
             EVACUATIONS_SEED, EVACUATIONS_HOSTS, EVACUATIONS_TIME_S, "evacuations"
