A hold is told to peers only once its crashes can't be taken back

Holds are told 5 s after their last crash; until then the crash itself is reported, for 30 s. An endpoint's life counts against crashes that a peer learnt of late. Beside it: a host that saw no outage keeps lapsed endpoints after a restore, and ranked tables that are equal and empty exchange nothing.

Evidence: the new test fails without the 5 s; 97 tests of crashes, tables, gossip and the view pass.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -47,6 +47,8 @@
 SOUND_RETENTION_S = 60.0  # since the last sound answer
 REPORT_TIME_S = 30.0  # since the crash; by then all hosts have heard of it
 MAX_CRASHES = 256
+# By then a crash that was none has been taken back; until then its report is enough.
+HELD_AFTER_S = 5.0
 MAX_HELD_REPORTED = 32
 MAX_HELD = 256
 MAX_CRASHES_REPORTED = 16
@@ -177,10 +179,21 @@
         if crash is not None:
             self._add_suspects(crash, traits.depths().items(), answering)
 
-    def record_alive(self, endpoint: str, at: float) -> bool:
-        """Record that an endpoint accepted a connection; return whether that is news.
+    def record_alive(self, endpoint: str, at: float, delay_s: float = 0.0) -> bool:
+        """Record that an endpoint accepted a connection: it has not crashed before.
 
-        An answer that it lost shortly before was no crash.
+        Parameters
+        ----------
+        endpoint : str
+            Name and incarnation.
+        at : float
+        delay_s : float
+            By which the instant of the crash may seem later than it was.
+
+        Returns
+        -------
+        bool
+            Whether a crash was taken back.
         """
         if at <= self._alive_at.get(endpoint, -math.inf):
             return False
@@ -189,7 +202,7 @@
         if len(self._alive_at) > MAX_CRASHES:
             self._alive_at.popitem(last=False)
         crash = self._crashes.get(endpoint)
-        if crash is None or not crash.at <= at <= crash.at + LIFE_PROOF_S:
+        if crash is None or not crash.at - delay_s <= at <= crash.at + LIFE_PROOF_S:
             return False
         del self._crashes[endpoint]
         self._outdated = True
@@ -207,7 +220,7 @@
     def merge_alive(self, ages_s: dict[str, float], now: float) -> None:
         """Merge what a peer knows of endpoints that live."""
         for endpoint, age_s in ages_s.items():
-            self.record_alive(endpoint, now - age_s)
+            self.record_alive(endpoint, now - age_s, REPORT_DELAY_S)
 
     def record_sound(self, traits: Traits, now: float) -> None:
         """Record an answer that the traits of its request did not prevent."""
@@ -295,10 +308,14 @@
         for crash in self._crashes.values():
             for trait in crash.candidates(now):
                 last_at[trait] = max(crash.at, last_at.get(trait, -math.inf))
-        held = [trait for trait in self.blocked(now) if _is_request(trait)]
-        newest = sorted(held, key=lambda trait: last_at.get(trait, now))
+        held = [
+            trait
+            for trait in self.blocked(now)
+            if _is_request(trait) and now - last_at.get(trait, now) > HELD_AFTER_S
+        ]
+        newest = sorted(held, key=lambda trait: last_at[trait])
         return {
-            trait: round(now - last_at.get(trait, now), 3)
+            trait: round(now - last_at[trait], 3)
             for trait in newest[-MAX_HELD_REPORTED:]
         }
 
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -288,7 +288,8 @@
         they are alive, so they stay in use for a short time.
         """
         if recovered_at is not None:
-            self._lapsed_until = recovered_at + LAPSED_RETENTION_S
+            until = recovered_at + LAPSED_RETENTION_S
+            self._lapsed_until = max(self._lapsed_until, until)
 
     def members_of(self, service: str) -> Iterator[Member]:
         """Yield the endpoints of a service that take new work.
--- a/radishshift/json_entries.py
+++ b/radishshift/json_entries.py
@@ -7,11 +7,14 @@
 
 import re
 from collections.abc import Iterator
+from typing import TypeVar
 
 import msgspec
 
 __all__ = ["decode_entry", "document_members", "entries_of"]
 
+Model = TypeVar("Model")
+
 MAX_DEPTH = 32  # of lists and objects within each other
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
 _STRING = re.compile(rb'\s*"(?:[^"\\]|\\.)*"', re.DOTALL)
@@ -47,7 +50,7 @@
         return _split(data, b"[")
 
 
-def decode_entry(data: bytes, model: type, max_bytes: float):
+def decode_entry(data: bytes, model: type[Model], max_bytes: float) -> Model:
     """Decode one entry.
 
     Parameters
--- a/radishshift/object_table.py
+++ b/radishshift/object_table.py
@@ -190,10 +190,11 @@
         """
         if peer.complete > self._complete:
             return None
+        equal = peer.digest == self._digest
         # Of two ranked tables with equal revisions one may hold a later object.
-        if peer.complete == self._complete and self.rank is None:
+        if peer.complete == self._complete and (equal or self.rank is None):
             return None
-        if peer.digest == self._digest and peer.digest:
+        if equal and peer.digest:
             return None
         return self.delta(peer, whole=not peer.complete or sent == peer)
 
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -126,6 +126,22 @@
         _merge(two, late, 10.6)
         self.assertEqual("", two.blocking(X, 10.6))
 
+    def test_a_crash_that_is_taken_back_leaves_no_hold_with_peers(self):
+        """Messages told a hold that ended 0.2 s later, for ten minutes."""
+        one, two = CrashSuspects(), CrashSuspects()
+        for number in (1, 2):
+            _crash(one, number, X, at=10.0)
+        self.assertEqual("rx", one.blocking(X, 10.1))
+        _merge(two, one, 10.4)  # a slow message
+        two.merge_held(one.held_ages_s(10.1), 10.4)
+        for number in (1, 2):
+            one.record_alive(f"endpoint-{number}@1", 10.15)
+        two.merge_alive(one.alive_ages_s(10.2), 10.22)
+        for now in (10.5, 20.0):
+            two.merge_held(one.held_ages_s(now), now)
+            one.merge_held(two.held_ages_s(now), now)
+            self.assertEqual(["", ""], [host.blocking(X, now) for host in (one, two)])
+
     def test_an_endpoint_that_starts_again_proves_nothing(self):
         suspects = CrashSuspects()
         for number in (1, 2):
