Keep sessions that are under way as a roll-out is ordered on the old version

A fault that does this: hosts kept the version of a session only from the order on, so that a session under way was placed by its hash like a new one, and 7 to 10 in 100 moved to the new version in the first half of the roll-out. Change: hosts remember sessions also while no roll-out is known.

Evidence: 60 sessions with a request before the order and one after it: some moved before, none now.

--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -238,7 +238,11 @@
     def record_session_version(
         self, service: str, key: str, version: str, now: float
     ) -> None:
-        """Record the version that a request of a session runs on."""
+        """Record the version that a request of a session runs on.
+
+        It is empty while no roll-out is known: a session that is under way as one is
+        ordered stays on the old version, like those that began on it since.
+        """
         self._sessions[service + key] = (version, now)
         self._sessions.move_to_end(service + key)
         while len(self._sessions) > MAX_SESSIONS:
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -150,7 +150,7 @@
         NoConfigurationError, NotFoundError, AuthenticationError
         """
         job = self._decide_job(req)
-        if job.version:
+        if job.version or req.session:
             dispatcher = self._dispatcher
             dispatcher.versions.record_session_version(
                 job.service, _sticky_key(req), job.version, dispatcher.clock.now()
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -56,6 +56,20 @@
             guard.record_session_version(SERVICE, key, "v1", float(now))
             self.assertFalse(guard.uses_new_version(SERVICE, key, now + 0.5))
 
+    def test_a_session_under_way_as_a_roll_out_is_ordered_stays(self):
+        """Guards rule PINNED: a share of them moved to the new version at once."""
+        guard = VersionGuard("edge-1", Bounds())
+        keys = [f"s{number}" for number in range(400)]
+        for key in keys:
+            guard.record_session_version(SERVICE, key, "", 0.0)
+        guard.update_rollouts(
+            [Rollout(SERVICE, "v2", 20.0, RolloutState.ORDERED, 1)], 1.0
+        )
+        moved = [key for key in keys if guard.uses_new_version(SERVICE, key, 2.0)]
+        self.assertEqual([], moved)
+        begun = [guard.uses_new_version(SERVICE, f"new-{key}", 2.0) for key in keys]
+        self.assertIn(True, begun)
+
     def test_all_sessions_use_the_new_version_before_completion(self):
         guard = version_guard()
         record_answers(guard, 20, 0)
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -3,9 +3,14 @@
 import asyncio
 import math
 
-from radishshift.gateway.deployment import Customer, RouteKind
+from radishshift.gateway.deployment import (
+    Customer,
+    Rollout,
+    RolloutState,
+    RouteKind,
+)
 from tests.cases import VirtualTestCase
-from tests.gateway.worlds import KEY, Script, World, route
+from tests.gateway.worlds import KEY, SERVICE, Script, World, route
 
 IDEMPOTENT = route()
 STREAM = route(RouteKind.STREAM)
@@ -78,6 +83,24 @@
         self.assertEqual(503, await self._status(world))
         self.assertEqual([], world.attempted_endpoints())
 
+    async def test_sessions_under_way_stay_on_the_old_version(self):
+        """Guards rule PINNED: the version was kept only from the order on."""
+        world = World(
+            [STREAM],
+            {"a": [Script(events=EVENTS)], "b": [Script(events=EVENTS)]},
+            versions={"b": "v2"},
+        )
+        world.list_members(["a"])
+        keys = [f"s{number}" for number in range(60)]
+        for key in keys:
+            await world.send_request(session=key)
+        world.list_members(["a", "b"])
+        order = Rollout(SERVICE, "v2", 60.0, RolloutState.ORDERED, 1)
+        world.versions.update_rollouts([order], world.clock.now())
+        for key in keys:
+            await world.send_request(session=key)
+        self.assertEqual({"a"}, set(world.attempted_endpoints()))
+
     async def test_no_key_is_accepted_once_the_last_one_is_taken_away(self):
         """Hosts ran every request, as an empty table of keys meant no keys at all."""
         world = World([IDEMPOTENT], {"a": [Script()]})
