Write a lost final state by the turns that the other states use

A roll-out's final state that a restored store had lost went its own way to the store, beside the one of the duty: an own write, without the read after a failed one, and turns that had begun with the first write, so that all hosts wrote at once. It is now a state that is due like the others, and a turn is forgotten once the end of its roll-out is known.

--- a/radishshift/gateway/rollout_duty.py
+++ b/radishshift/gateway/rollout_duty.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from dataclasses import replace
 
 import logbook
 
@@ -67,8 +66,6 @@
             self._versions.update_rollouts(self._host_view.rollouts.values(), now)
             for service in list(self._versions.canaries):
                 await self._advance(service)
-            for service, state in list(self._host_view.lost_statuses.items()):
-                await self._write_again(service, state)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def _advance(self, service: str) -> None:
@@ -80,33 +77,17 @@
         old_in_flight = self._gossip.own_old_in_flight(service, target)
         old_in_flight += self._gossip.old_in_flight(service)
         state = self._versions.due_state(service, now, old_is_idle=old_in_flight == 0)
+        state = state or self._host_view.lost_statuses.get(service)
         if state is None:
+            if canary.rollout.state.ended:
+                self._due_since.pop((service, target, canary.rollout.state), None)
             return
-        if not self._is_turn((service, target, state), now):
+        since = self._due_since.setdefault((service, target, state), now)
+        turn = self._gossip.duty_turn()
+        if now < since + turn * WRITE_TURN_S:
             return
         await self._write(service, state)
 
-    async def _write_again(self, service: str, state: RolloutState) -> None:
-        """Write a final state that a restored store has lost."""
-        rollout = self._host_view.rollouts.get(service)
-        now = self._clock.now()
-        if rollout is None or not self._is_turn((service, rollout.target, state), now):
-            return
-        try:
-            stored = self._host_view.stored_rollout(service)
-            status = self._decoder.rollout_status(rollout, state)
-            stored = await self._platform.update_status(replace(stored, status=status))
-        except RadishshiftError as exc:
-            logger.warning("writing status {} again failed: {}", state, exc.code)
-            return
-        logger.info("status {} written again", state, extra={"service": service})
-        self._apply(stored)
-
-    def _is_turn(self, write: tuple[str, str, RolloutState], now: float) -> bool:
-        """Return whether this host is to make a write that is due."""
-        since = self._due_since.setdefault(write, now)
-        return now >= since + self._gossip.duty_turn() * WRITE_TURN_S
-
     async def _write(self, service: str, state: RolloutState) -> None:
         canary = self._versions.canaries[service]
         stored = self._host_view.stored_rollout(service)
--- a/radishshift/objects.py
+++ b/radishshift/objects.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 __all__ = [
+    "ERA_REVISIONS",
     "ChangeType",
     "Kind",
     "Listing",
--- a/tests/gateway/test_rollout_duty.py
+++ b/tests/gateway/test_rollout_duty.py
@@ -1,11 +1,12 @@
 """Tests of writing the status of roll-outs to the platform."""
 
 import asyncio
+from dataclasses import replace
 
 from radishshift.gateway.deployment import RolloutState
 from radishshift.gateway.host_view import KINDS
 from radishshift.gateway.rollout_duty import RolloutDuty
-from radishshift.objects import Kind, StoredObject
+from radishshift.objects import ERA_REVISIONS, Kind, StoredObject
 from radishshift.platform import MemoryPlatform
 from radishshift.standins.faulty import FaultyPlatform
 from radishshift.watching import follow_kind
@@ -114,6 +115,23 @@
         await asyncio.sleep(25)
         self.assertEqual(RolloutState.ROLLED_BACK, await fleet.state())
 
+    async def test_a_final_state_that_a_restored_store_lost_is_written_by_one_host(
+        self,
+    ):
+        """All hosts wrote it at once: their turns had begun with the first write."""
+        fleet = await self._fleet()
+        await asyncio.sleep(25)
+        self.assertEqual(RolloutState.COMPLETED, await fleet.state())
+        before = sum(connection.writes for connection in fleet.connections)
+        fleet.platform.revision += ERA_REVISIONS
+        stored = await fleet.platform.get(Kind.ROLLOUT, SERVICE)
+        copied = replace(stored, status={"state": "running"})
+        await fleet.platform.update_status(copied)
+        await asyncio.sleep(3)
+        self.assertEqual(RolloutState.COMPLETED, await fleet.state())
+        written = sum(connection.writes for connection in fleet.connections) - before
+        self.assertEqual(1, written)
+
     async def test_a_rollout_that_is_removed_during_the_write_of_another(self):
         """The duty ended with a `KeyError`, which stops the host."""
         fleet = await self._fleet(1)
