--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -202,7 +202,7 @@
         if len(self._alive_at) > MAX_CRASHES:
             self._alive_at.popitem(last=False)
         crash = self._crashes.get(endpoint)
-        if crash is None or not crash.at - delay_s <= at <= crash.at + LIFE_PROOF_S:
+        if crash is None or not _proves_life(at, crash.at, delay_s):
             return False
         del self._crashes[endpoint]
         self._outdated = True
@@ -304,14 +304,15 @@
         dict of str to float
             Time since the last crash by trait, in seconds.
         """
+        blocked = [trait for trait in self.blocked(now) if _is_request(trait)]
+        if not blocked:
+            return {}
         last_at = dict(self._told)
         for crash in self._crashes.values():
-            for trait in crash.candidates(now):
+            for trait in crash.candidates(now).keys() & blocked:
                 last_at[trait] = max(crash.at, last_at.get(trait, -math.inf))
         held = [
-            trait
-            for trait in self.blocked(now)
-            if _is_request(trait) and now - last_at.get(trait, now) > HELD_AFTER_S
+            trait for trait in blocked if now - last_at.get(trait, now) > HELD_AFTER_S
         ]
         newest = sorted(held, key=lambda trait: last_at[trait])
         return {
@@ -357,7 +358,7 @@
         for report in reports:
             at = now - report.age_s
             alive_at = self._alive_at.get(report.endpoint, -math.inf)
-            lived = at - REPORT_DELAY_S <= alive_at <= at + LIFE_PROOF_S
+            lived = _proves_life(alive_at, at, REPORT_DELAY_S)
             if lived or now - at > REPORT_TIME_S:
                 continue
             crash = self._crash(report.endpoint, at)
@@ -491,6 +492,11 @@
     return counts, depths
 
 
+def _proves_life(alive_at: float, crash_at: float, delay_s: float) -> bool:
+    """Return whether an accepted connection shows that an endpoint had not crashed."""
+    return crash_at - delay_s <= alive_at <= crash_at + LIFE_PROOF_S
+
+
 def _is_request(trait: str) -> bool:
     return trait.startswith((REQUEST_PREFIX, BEGUN_REQUEST_PREFIX))
 
--- a/radishshift/decisions/store_restores.py
+++ b/radishshift/decisions/store_restores.py
@@ -9,9 +9,8 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
-from typing import TypeVar
 
 from radishshift.objects import era_of
 
@@ -20,8 +19,6 @@
 # Endpoints renew their entries within 1.2 s, and are listed again within about 2 s.
 RESTORE_HOLD_S = 4.0
 
-Value = TypeVar("Value")
-
 
 @dataclass(slots=True)
 class StoreRestores:
@@ -70,15 +67,13 @@
         """Return whether what the copy lacks is still in force."""
         return now < self.held_until
 
-    def keep_missing(
-        self, before: Mapping[str, Value], after: dict[str, Value], now: float
+    def held_names(
+        self, before: Iterable[str], after: Container[str], now: float
     ) -> list[str]:
-        """Add to `after` what it lacks, and return its names."""
+        """Return what was known before and is missing, but still in force."""
         if not self.holds(now):
             return []
-        missing = [name for name in before if name not in after]
-        after |= {name: before[name] for name in missing}
-        return missing
+        return [name for name in before if name not in after]
 
     def departed_before(self, at: float, announced: bool, now: float) -> bool:
         """Return whether an endpoint that the copy lists had left before.
--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -245,9 +245,14 @@
         """
         self._sessions[service + key] = (version, now)
         self._sessions.move_to_end(service + key)
-        while len(self._sessions) > MAX_SESSIONS:
+        while len(self._sessions) > MAX_SESSIONS or self._oldest_has_ended(now):
             self._sessions.popitem(last=False)
 
+    def _oldest_has_ended(self, now: float) -> bool:
+        """Return whether the session with the earliest last request has ended."""
+        _, at = next(iter(self._sessions.values()))
+        return now - at > self.bounds.session_gap_s
+
     def record_answer(self, service: str, version: str, route: str, ok: bool) -> None:
         """Count an answer of a version."""
         counts = self._counts(service, version, route)
--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -12,9 +12,9 @@
 from radishshift.verdicts import Verdict
 
 __all__ = [
-    "MAX_ATTEMPTS",
     "acquire_retry",
     "check_signature",
+    "may_repeat",
     "relay_complete_answer",
     "retry_allowed",
 ]
@@ -96,6 +96,11 @@
     )
 
 
+def may_repeat(job: Job) -> bool:
+    """Return whether a job may run once more after an attempt that may have run."""
+    return job.route.idempotent and job.attempts < MAX_ATTEMPTS
+
+
 def retry_allowed(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
     """Return whether policy and retry budget allow a retry after a failed attempt."""
     now = dispatcher.clock.now()
@@ -107,7 +112,7 @@
     if exc.verdict is Verdict.NOT_RUN:
         allowed = job.attempts <= MAX_NOT_RUN_RETRIES
     else:
-        allowed = job.route.idempotent and job.attempts < MAX_ATTEMPTS
+        allowed = may_repeat(job)
     return allowed and dispatcher.budget(job.service).available(now) >= 1
 
 
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -238,15 +238,15 @@
         attempt.view.prefill_done(attempt.prefill_ktokens)
         attempt.prefill_ktokens = 0.0
 
-    async def next_bytes(self, attempt: Attempt, may_go_on: bool = True) -> bytes:
+    async def next_bytes(self, attempt: Attempt, may_give_up: bool) -> bytes:
         """Return the next bytes of a stream, or empty bytes at its end.
 
         Parameters
         ----------
         attempt : Attempt
-        may_go_on : bool
-            Whether another attempt may go on with a stream that can be resumed. Without
-            one, a silent endpoint is better than none.
+        may_give_up : bool
+            Whether another attempt may go on with the stream. Without one, a silent
+            endpoint is better than none.
 
         Raises
         ------
@@ -257,7 +257,7 @@
                 async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
                     data = await attempt.answer.chunk()
             except TimeoutError:
-                if may_go_on and attempt.job.route.idempotent:
+                if may_give_up:
                     self._silence.check(attempt)
                 continue
             now = self.clock.now()
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -465,7 +465,7 @@
                 if view.member.incarnation not in members and not view.in_flight:
                     self.endpoint_client.forget(view.member)
             self.placer.keep_only(members)
-            self.host_view.expire_departures()
+            self.host_view.expire()
             # While the store is away, endpoints whose entries lapsed stay in use.
             known = self.host_view.known_endpoints()
             self.endpoint_limits.keep_only(known, self.clock.now())
--- a/radishshift/gateway/host_view.py
+++ b/radishshift/gateway/host_view.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from itertools import chain
 
@@ -262,7 +262,7 @@
         if self._stated_departures.merge(reports, self._clock.now()):
             self._derive_members(peer)
 
-    def expire_departures(self) -> None:
+    def expire(self) -> None:
         """Forget what endpoints that are gone have said; end a hold that is over."""
         if -math.inf < self.restores.held_until <= self._clock.now():
             self.restores.held_until = -math.inf
@@ -525,11 +525,13 @@
                         "source": source,
                     },
                 )
+        self._hold_rollouts(before)
 
-        for service in self.restores.keep_missing(
-            before, self.rollouts, self._clock.now()
-        ):
+    def _hold_rollouts(self, before: Mapping[str, Rollout]) -> None:
+        """Keep orders and final states that a restored store has lost."""
+        for service in self._held_names(before, self.rollouts):
             logger.warning("roll-out of {} is missing in the restored store", service)
+            self.rollouts[service] = before[service]
         lost_before, self.lost_statuses = self.lost_statuses, {}
         for service, rollout in self.rollouts.items():
             known = before.get(service)
@@ -541,6 +543,9 @@
                 self.rollouts[service] = replace(rollout, state=known.state)
                 self.lost_statuses[service] = known.state
 
+    def _held_names(self, before: Iterable[str], after: Container[str]) -> list[str]:
+        return self.restores.held_names(before, after, self._clock.now())
+
     def _derive_evacuations(self, source: str) -> None:
         """Apply the orders to empty data centres; each order is named by one.
 
@@ -548,9 +553,8 @@
         without a word in their registrations yet.
         """
         before = self.evacuated
-        orders = dict.fromkeys(self.tables[Kind.EVACUATION].items)
-        self.restores.keep_missing(dict.fromkeys(before), orders, self._clock.now())
-        self.evacuated = frozenset(orders)
+        orders = self.tables[Kind.EVACUATION].items
+        self.evacuated = frozenset([*orders, *self._held_names(before, orders)])
         known = {member.data_centre for member in self.members.values()}
         for data_centre in sorted(self.evacuated - before):
             logger.warning(
@@ -587,8 +591,9 @@
                 logger.warning("blocked part {} does not say since when", name)
                 blocked_at = self._clock.now()
             self.blocked_parts[name] = float(blocked_at)
-        lost = self.restores.keep_missing(before, self.blocked_parts, self._clock.now())
+        lost = self._held_names(before, self.blocked_parts)
         self.lost_parts = {name: before[name] for name in lost}
+        self.blocked_parts |= self.lost_parts
 
 
 def _log_fields(member: Member, source: str) -> dict[str, str]:
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -217,8 +217,9 @@
         await self._resp.write_eof()
 
     async def _next_bytes(self, attempt: Attempt) -> bytes:
-        if attempt.job.route.kind is RouteKind.STREAM:
-            return await self._dispatcher.next_bytes(attempt)
+        route = attempt.job.route
+        if route.kind is RouteKind.STREAM:
+            return await self._dispatcher.next_bytes(attempt, route.idempotent)
         return await attempt.answer.chunk()
 
     def _head(self) -> RelayHead:
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -10,9 +10,9 @@
 from radishshift.errors import EndpointError, StreamBrokenError, StreamStalledError
 from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.complete_answers import (
-    MAX_ATTEMPTS,
     acquire_retry,
     check_signature,
+    may_repeat,
     retry_allowed,
 )
 from radishshift.gateway.dispatch import Dispatcher
@@ -221,12 +221,8 @@
 
     def _may_go_on(self) -> bool:
         """Return whether another attempt may go on with the stream of this one."""
-        resumes = self._resumes + 1 if self._caller.started else 0
-        return (
-            self._job.route.idempotent
-            and self._job.attempts < MAX_ATTEMPTS
-            and resumes <= MAX_RESUMES
-        )
+        may_resume = not self._caller.started or self._resumes < MAX_RESUMES
+        return may_resume and may_repeat(self._job)
 
     def _check_progress(self, unfinished_s: float) -> None:
         """Raise if an endpoint sends bytes, but completes no event.
--- a/tests/gateway/test_host_view.py
+++ b/tests/gateway/test_host_view.py
@@ -192,21 +192,20 @@
             world.list_members(["a", "b"])
             self.assertEqual(["b"], self._names(world))
             await world.clock.sleep_until(world.clock.now() + RESTORE_HOLD_S)
-            world.host_view.expire_departures()
+            world.host_view.expire()
         world.list_members(["a", "b"], born_ms=2)
         self.assertEqual(["a", "b"], self._names(world))
 
     async def test_an_endpoint_that_was_gone_stays_out_for_the_hold(self):
         world = self._world()
         world.list_members(["b"])
-        await world.clock.sleep_until(
-            world.clock.now() + 2.0
-        )  # else it might have lapsed
+        # Sooner it could be one that has lapsed.
+        await world.clock.sleep_until(world.clock.now() + 2.0)
         self._restore(world)
         world.list_members(["a", "b"])
         self.assertEqual(["b"], self._names(world))
         await world.clock.sleep_until(world.clock.now() + RESTORE_HOLD_S + 0.1)
-        world.host_view.expire_departures()
+        world.host_view.expire()
         self.assertEqual(["a", "b"], self._names(world))
 
     async def test_an_endpoint_that_the_copy_lacks_is_used_until_it_registers(self):
@@ -263,7 +262,7 @@
             self.assertEqual(({SERVICE}, {"mbeya"}, {"p1": 1.0}), held)
             self.assertEqual({"p1": 1.0}, view.lost_parts)
         await world.clock.sleep_until(world.clock.now() + RESTORE_HOLD_S + 0.1)
-        view.expire_departures()
+        view.expire()
         held = (set(view.rollouts), view.evacuated, view.blocked_parts)
         self.assertEqual((set(), set(), {}), held)
 
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -36,6 +36,28 @@
             await client.close()
 
 
+async def _list_parts(*parts, pause_s=0.0):
+    """List endpoints at a store that replies with these parts of a body."""
+
+    async def reply(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        length = sum(map(len, parts))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length)
+        for part in parts:
+            await asyncio.sleep(pause_s)
+            writer.write(part)
+        writer.close()
+
+    server = await asyncio.start_server(reply, "127.0.0.1", 0)
+    address, port = server.sockets[0].getsockname()
+    client = StorePlatform(f"{address}:{port}")
+    async with server:
+        try:
+            return await client.list_all(Kind.ENDPOINT)
+        finally:
+            await client.close()
+
+
 class StoreTest(TestCase):
     async def test_a_list_is_read_in_pages(self):
         async with _client() as (store, client):
@@ -149,41 +171,15 @@
 
     async def test_a_list_that_does_not_say_whether_it_ends_is_not_taken_as_whole(self):
         """What stood on the pages after it would have been taken to be gone."""
-
-        async def reply(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            body = b'{"entries": [], "asOf": 7}'
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
-            writer.write(body)
-            writer.close()
-
-        server = await asyncio.start_server(reply, "127.0.0.1", 0)
-        address, port = server.sockets[0].getsockname()
-        client = StorePlatform(f"{address}:{port}")
-        async with server:
-            await self.assert_raises_async(
-                PlatformUnavailableError, client.list_all(Kind.ENDPOINT)
-            )
-            await client.close()
+        await self.assert_raises_async(
+            PlatformUnavailableError, _list_parts(b'{"entries": [], "asOf": 7}')
+        )
 
     async def test_a_long_reply_over_a_small_link_counts_as_a_lost_store(self):
         """A host that took over 1.5 s to receive 1 MB took the store for lost."""
-
-        async def reply_slowly(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            body = b'{"entries": [], "more": false, "asOf": 7}'
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
-            for part in (body[:9], body[9:16], body[16:20], body[20:]):
-                await asyncio.sleep(0.5)
-                writer.write(part)
-            writer.close()
-
-        server = await asyncio.start_server(reply_slowly, "127.0.0.1", 0)
-        address, port = server.sockets[0].getsockname()
-        client = StorePlatform(f"{address}:{port}")
-        async with server:
-            listing = await client.list_all(Kind.ENDPOINT)
-            await client.close()
+        body = b'{"entries": [], "more": false, "asOf": 7}'
+        parts = (body[:9], body[9:16], body[16:20], body[20:])
+        listing = await _list_parts(*parts, pause_s=0.5)
         self.assertEqual(7, listing.revision)
 
     async def test_a_refused_call_had_no_effect(self):
