--- a/radishshift/open_connections.py
+++ b/radishshift/open_connections.py
@@ -1,14 +1,20 @@
-"""Waits until the answers on a server's open connections have left the process."""
+"""What is unanswered or unsent on a server's open connections."""
 
 import asyncio
 
 from radishshift import http_server as web
 
-__all__ = ["open_transports", "wait_until_sent"]
+__all__ = ["has_unanswered_requests", "open_transports", "wait_until_sent"]
 
 SENT_POLL_S = 0.02
 
 
+def has_unanswered_requests(request: web.BaseRequest) -> bool:
+    """Tell whether requests have been received over the connection after this one."""
+    # The library has no public view of the requests that it has parsed.
+    return bool(request.protocol._messages)
+
+
 def open_transports(server: web.Server) -> list[asyncio.Transport]:
     """Return the transports of a server's open connections."""
     connections = server.connections
