Read gossip entry by entry where a message can't be read whole

An entry that a receiver can't read cost it the whole message: a bandwidth that is no finite number is enough, which JSON has no form for, and so is an entry whose form another release changed.

Change: the lists and dicts of such a message lose what can't be read of them; a table goes as a whole with an object or patch of its, so that its head is not taken on without it. A field whose default states something, such as that the store is reachable, still costs the message. One log line an error.

Permits and the other calls between hosts have no such lists; the file formats of radishshift have no property test.

--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -268,7 +268,11 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Reply to a peer's message with this host's message."""
         return await answer_peer(
-            request, GossipMessage, self._reply, self.arrivals.receiving
+            request,
+            GossipMessage,
+            self._reply,
+            self.arrivals.receiving,
+            by_entry=True,
         )
 
     def _reply(self, message: GossipMessage) -> GossipMessage:
@@ -310,6 +314,7 @@
             GossipMessage,
             REQUEST_TIMEOUT_S,
             self.arrivals.receiving,
+            by_entry=True,
         )
 
     def _build_message(
--- a/radishshift/gateway/peer_calls.py
+++ b/radishshift/gateway/peer_calls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import zlib
 from collections.abc import Callable, Mapping
 from contextlib import AbstractContextManager, nullcontext
@@ -16,6 +17,7 @@
 
 from radishshift import http_server as web
 from radishshift.gateway.sockets import read_body
+from radishshift.json_entries import decode_struct
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
@@ -54,6 +56,7 @@
     reply_type: type[Reply],
     timeout_s: float = MAX_REPLY_S,
     receiving: Receiving = _ignore,
+    by_entry: bool = False,
 ) -> Reply:
     """Send a message to a peer and return its reply.
 
@@ -68,6 +71,9 @@
         pause in it.
     receiving : callable, optional
         Returns a context for the arrival of a reply of a number of bytes.
+    by_entry : bool, optional
+        Whether a reply is of use without those entries of its lists and dicts that
+        can't be read, as of a host of another release.
 
     Raises
     ------
@@ -85,7 +91,7 @@
     ):
         with receiving(resp.content_length or 0):
             reply = await read_body(resp, timeout, timeout_s, MAX_REPLY_S)
-    return decode_body(reply, resp.headers, reply_type)
+    return decode_body(reply, resp.headers, reply_type, by_entry)
 
 
 async def answer_peer(
@@ -93,16 +99,17 @@
     message_type: type[Message],
     answer: Callable[[Message], msgspec.Struct],
     receiving: Receiving = _ignore,
+    by_entry: bool = False,
 ) -> web.StreamResponse:
     """Answer a call of a peer; a malformed message gets status 400.
 
     `receiving` returns a context for the arrival of a message of a number of bytes.
+    `by_entry` is that of `call_peer`, for the message.
     """
     with receiving(request.content_length or 0):
         body = await request.read()
     try:
-        # The server has decompressed the body.
-        message = msgspec.json.decode(body, type=message_type)
+        message = _decode(body, message_type, by_entry)  # decompressed by the server
     except (msgspec.DecodeError, RecursionError) as exc:
         logger.warning("received a malformed {}: {}", message_type.__name__, exc)
         return web.Response(status=400)
@@ -123,7 +130,10 @@
 
 
 def decode_body(
-    body: bytes, headers: Mapping[str, str], message_type: type[Message]
+    body: bytes,
+    headers: Mapping[str, str],
+    message_type: type[Message],
+    by_entry: bool = False,
 ) -> Message:
     """Return the message of a body.
 
@@ -133,7 +143,26 @@
     """
     if headers.get("Content-Encoding") == ENCODING:
         body = _decompress(body)
-    return msgspec.json.decode(body, type=message_type)
+    return _decode(body, message_type, by_entry)
+
+
+def _decode(body: bytes, message_type: type[Message], by_entry: bool) -> Message:
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except (msgspec.DecodeError, RecursionError):
+        if not by_entry:
+            raise
+        return decode_struct(
+            body,
+            message_type,
+            lambda field, exc: _warn_once(message_type.__name__, field, str(exc)),
+        )
+
+
+@functools.lru_cache(maxsize=64)
+def _warn_once(message: str, field: str, error: str) -> None:
+    """Log what is left out of messages; peers repeat it with each of theirs."""
+    logger.warning("left an entry of {} out of a {}: {}", field, message, error)
 
 
 def _decompress(body: bytes) -> bytes:
--- a/radishshift/json_entries.py
+++ b/radishshift/json_entries.py
@@ -5,13 +5,14 @@
 refuses all. Then the document is cut at its brackets and commas, whatever lies between.
 """
 
+import math
 import re
-from collections.abc import Iterator
-from typing import TypeVar
+from collections.abc import Callable, Iterator
+from typing import Any, TypeVar, get_args, get_origin
 
 import msgspec
 
-__all__ = ["decode_entry", "document_members", "entries_of"]
+__all__ = ["decode_entry", "decode_struct", "document_members", "entries_of"]
 
 Model = TypeVar("Model")
 
@@ -72,6 +73,67 @@
     return msgspec.json.decode(data, type=model)
 
 
+def decode_struct(
+    data: bytes, model: type[Model], left_out: Callable[[str, Exception], None]
+) -> Model:
+    """Decode a struct, without those entries of its lists and dicts that can't be read.
+
+    Parameters
+    ----------
+    data : bytes
+    model : type
+        A struct, encoded as an object.
+    left_out : callable
+        Takes the name of a field and the error of one of its entries.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        A field that is no list and no dict, or lacks a default, can't be read.
+    """
+    members = document_members(data)
+    values: dict[str, Any] = {}
+    for field in msgspec.structs.fields(model):
+        if field.encode_name not in members:
+            if field.required:
+                raise msgspec.DecodeError(f"{field.name} is missing")
+            continue
+        member = members[field.encode_name]
+        try:
+            values[field.name] = decode_entry(member, field.type, math.inf)
+        except (msgspec.DecodeError, RecursionError):
+            values[field.name] = _readable_entries(member, field, left_out)
+    return model(**values)
+
+
+def _readable_entries(
+    data: bytes,
+    field: msgspec.structs.FieldInfo,
+    left_out: Callable[[str, Exception], None],
+) -> list | dict:
+    """Return the entries of a list or dict that can be read.
+
+    Raises
+    ------
+    msgspec.DecodeError
+    """
+    origin = get_origin(field.type)
+    if origin is dict:
+        entries = list(document_members(data).items())
+    elif origin is list:
+        entries = list(enumerate(entries_of(data)))
+    else:
+        raise msgspec.DecodeError(f"{field.name} can't be read")
+    entry_type = get_args(field.type)[-1]
+    readable = {}
+    for key, entry in entries:
+        try:
+            readable[key] = decode_entry(entry, entry_type, math.inf)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            left_out(field.name, exc)
+    return readable if origin is dict else list(readable.values())
+
+
 def _is_deep(data: bytes) -> bool:
     """Return whether pairs of brackets remain once the innermost are taken away."""
     brackets = data.translate(None, _NO_BRACKETS)
