Header bytes that aren't UTF-8 pass as they came

The library's writer drops them, and what needs UTF-8 failed on them: a request with such a byte in its ID ran at every endpoint in turn, as no answer echoed the ID, and then got a bare 500; in a session or part of the prompt it got 500.

Relays carried them already.

Evidence: two tests over sockets, which failed before with 500. An empty query still loses its question mark: the library's URLs can't hold it.

--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -3,9 +3,10 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import aiohttp
+from aiohttp import http_writer
 from aiohttp.client_proto import ResponseHandler
 
 from radishshift import http_server as web
@@ -17,6 +18,7 @@
     "keepalive_session",
     "read_body",
     "request_factory",
+    "valid_text",
 ]
 
 # A dead connection fails after 3 s without traffic: probes begin after 1 s and fail
@@ -41,6 +43,26 @@
     )
 
 
+_serialize_ascii_head = http_writer._serialize_headers
+
+
+def _serialize_head(first_line: str, headers: Mapping[str, str]) -> bytes:
+    """Return the bytes of a head, with those that aren't UTF-8 as they were received.
+
+    The parser stands them by surrogates, which the library's own function leaves out.
+    """
+    if first_line.isascii() and all(value.isascii() for value in headers.values()):
+        return _serialize_ascii_head(first_line, headers)
+    lines = [first_line, *(f"{name}: {value}" for name, value in headers.items())]
+    for line in lines:
+        http_writer._safe_header(line)
+    return "\r\n".join([*lines, "\r\n"]).encode(errors="surrogateescape")
+
+
+# The library has no option for it.
+http_writer._serialize_headers = _serialize_head
+
+
 class EndlessResponseError(aiohttp.ClientPayloadError):
     """A response is longer than the bound of its session."""
 
@@ -168,6 +190,16 @@
     return make
 
 
+def valid_text(header: str) -> str:
+    """Return a header's value with its bytes that aren't UTF-8 escaped.
+
+    As received, they can't be encoded, as hashes, logs and error bodies need.
+    """
+    if header.isascii():
+        return header
+    return header.encode(errors="backslashreplace").decode()
+
+
 async def read_body(
     resp: aiohttp.ClientResponse,
     timeout: asyncio.Timeout,
--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -55,7 +55,7 @@
 async def _send_raw(demo, text):
     """Send raw bytes on a new connection; return all bytes received."""
     reader, writer = await asyncio.open_connection(*demo.address.split(":"))
-    writer.write(text.encode())
+    writer.write(text.encode() if isinstance(text, str) else text)
     data = await asyncio.wait_for(reader.read(), 10)
     writer.close()
     return data
@@ -102,6 +102,32 @@
         for name in ("X-Retain", "X-Pin-Ms", "Kv-From", "X-Kv-Backup"):
             self.assertNotIn(name, sent)
 
+    async def test_header_bytes_that_are_not_utf8_pass_as_they_came(self):
+        """An ID lost its byte, so no answer was its own, and all endpoints ran it."""
+        odd = "s\udcff".encode(errors="surrogateescape")
+        names = ("X-Attempt-Id", "Session", "X-Prefix-Hash", "X-Own")
+        lines = [f"{name}: {value}" for name, value in BASE_HEADERS.items()]
+        lines = [line for line in lines if not line.startswith("X-Attempt-Id")]
+        head = "\r\n".join(["POST /book/x HTTP/1.1", *lines, "Content-Length: 1", ""])
+        data = head.encode() + b"".join(
+            b"%s: %s\r\n" % (n.encode(), odd) for n in names
+        )
+        async with _running_demo() as demo:
+            answer = await _send_raw(demo, data + b"Connection: close\r\n\r\nz")
+            runs = _executed(demo)
+        self.assertIn(b"HTTP/1.1 200", answer)
+        self.assertIn(b"X-Attempt-Id: %s\r\n" % odd, answer)
+        self.assertEqual(1, len(runs))
+        self.assertEqual(["s\udcff"] * len(names), [runs[0][1][name] for name in names])
+
+    async def test_an_error_names_an_id_that_is_not_utf8(self):
+        async with _running_demo() as demo:
+            host = f"Host: {HOST}\r\nX-Attempt-Id: a".encode()
+            data = b"GET /check/x HTTP/1.1\r\n%s\xff\r\nConnection: close\r\n\r\n"
+            answer = await _send_raw(demo, data % host)
+        self.assertIn(b"HTTP/1.1 401", answer)
+        self.assertIn(rb'"request_id":"a\\udcff"', answer)
+
     async def test_bodies_beyond_the_memory_are_rejected_as_not_run(self):
         """Twenty bodies of 8 MB at once would end a host of 128 MB."""
         async with _running_demo() as demo:
