Hosts tell each other which sessions stay on the old version of a roll-out

Change: a session whose hash would move it, and that was under way at the order, is told in gossip while the roll-out is in its first half: digest and age, 200 at most, forwarded by those that hear of it. A session goes on from the end of its last request, not its start, so a long answer doesn't end it. Requests without a session aren't remembered, as none follows them.

--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import xxhash
+
 from radishshift.decisions.routes import uniform
 from radishshift.gateway.deployment import Rollout, RolloutState
 from radishshift.gateway.host_settings import Bounds
@@ -45,6 +47,8 @@
 MAX_SLOWNESS = 8.0  # above this the version is stopped
 MAX_SLOWNESS_TO_EXPAND = 2.5  # above this the version gets no more sessions
 MAX_SESSIONS = 20_000
+MAX_KEPT = 200  # sessions told to peers, and remembered of what they tell
+KEPT_TOLERANCE_S = 0.5  # ages shrink on their way from host to host
 MAX_ROUTES = 64
 
 
@@ -95,6 +99,10 @@
         """Return the elapsed fraction of the roll-out's duration."""
         return (now - self.began_at) / max(0.001, self.rollout.duration_s)
 
+    def keeps_sessions(self, now: float) -> bool:
+        """Return whether sessions stay on the old version, as in the first half."""
+        return not self.rollout.state.ended and self.elapsed_share(now) < 0.5
+
     def totals(self) -> dict[tuple[bool, str], Counts]:
         """Return the counts summed over all hosts."""
         totals: dict[tuple[bool, str], Counts] = {}
@@ -158,6 +166,10 @@
     return new.bad - new.answers * (expected_rate + BAD_RATE_TOLERANCE)
 
 
+def _digest(session: str) -> str:
+    return xxhash.xxh32_hexdigest(session.encode())
+
+
 class VersionGuard:
     """Routes sessions between two versions and stops a new version that is bad.
 
@@ -172,6 +184,9 @@
         self.bounds = bounds
         self.canaries: dict[str, Canary] = {}
         self._sessions: OrderedDict[str, tuple[str, float]] = OrderedDict()
+        # Digests of sessions that stay on the old version against their hash, on any
+        # host, with the instant of their last request.
+        self._kept: OrderedDict[str, float] = OrderedDict()
 
     def update_rollouts(self, rollouts: Iterable[Rollout], now: float) -> None:
         """Update the tracked roll-outs to those that are known now."""
@@ -186,6 +201,7 @@
             ):
                 canary = Canary(rollout, now)
                 self.canaries[rollout.service] = canary
+                self._keep_sessions_under_way(rollout.service, now)
             canary.rollout = rollout
             if rollout.state is RolloutState.ROLLED_BACK:
                 canary.stopped = True
@@ -230,15 +246,17 @@
         session = self._sessions.get(service + key)
         if session is not None and now - session[1] <= self.bounds.session_gap_s:
             was_new = session[0] == canary.rollout.target
-            # A session stays on the old version for half of the roll-out's duration.
-            if was_new or canary.elapsed_share(now) < 0.5:
+            if was_new or canary.keeps_sessions(now):
                 return was_new
+        elif chosen and canary.keeps_sessions(now):
+            kept_at = self._kept.get(_digest(service + key), -math.inf)
+            return now - kept_at > self.bounds.session_gap_s
         return chosen
 
     def record_session_version(
         self, service: str, key: str, version: str, now: float
     ) -> None:
-        """Record the version that a request of a session runs on.
+        """Record the version that a request of a session runs on, or ran on.
 
         It is empty while no roll-out is known: a session that is under way as one is
         ordered stays on the old version, like those that began on it since.
@@ -247,6 +265,57 @@
         self._sessions.move_to_end(service + key)
         while len(self._sessions) > MAX_SESSIONS or self._oldest_has_ended(now):
             self._sessions.popitem(last=False)
+        canary = self.canaries.get(service)
+        if canary is not None and version != canary.rollout.target:
+            self._keep_if_chosen(service, key, now, now)
+
+    def kept_ages_s(self, now: float) -> dict[str, float]:
+        """Return the sessions that stay on an old version against their hash.
+
+        A host that gets the next request of such a session, and hasn't seen it, would
+        run it on the new version.
+
+        Returns
+        -------
+        dict of str to float
+            Time since the last request by digest of the session, in seconds; empty
+            unless a roll-out is in its first half.
+        """
+        if not any(canary.keeps_sessions(now) for canary in self.canaries.values()):
+            return {}
+        earliest = now - self.bounds.session_gap_s
+        return {
+            digest: round(now - at, 1)
+            for digest, at in self._kept.items()
+            if at >= earliest
+        }
+
+    def merge_kept(self, ages_s: dict[str, float], now: float) -> None:
+        """Keep the sessions that a peer, or one that it heard from, keeps."""
+        for digest, age_s in ages_s.items():
+            at = now - max(0.0, age_s)
+            if at > self._kept.get(digest, -math.inf) + KEPT_TOLERANCE_S:
+                self._keep(digest, at)
+
+    def _keep_sessions_under_way(self, service: str, now: float) -> None:
+        target = self.canaries[service].rollout.target
+        earliest = now - self.bounds.session_gap_s
+        for name, (version, at) in self._sessions.items():
+            if name.startswith(service) and version != target and at >= earliest:
+                self._keep_if_chosen(service, name.removeprefix(service), at, now)
+
+    def _keep_if_chosen(self, service: str, key: str, at: float, now: float) -> None:
+        """Keep a session of the old version that by its hash would go to the new."""
+        if not self.canaries[service].keeps_sessions(now):
+            return
+        if uniform("version" + key) < self.new_version_share(service, now):
+            self._keep(_digest(service + key), at)
+
+    def _keep(self, digest: str, at: float) -> None:
+        self._kept[digest] = at
+        self._kept.move_to_end(digest)
+        if len(self._kept) > MAX_KEPT:
+            self._kept.popitem(last=False)
 
     def _oldest_has_ended(self, now: float) -> bool:
         """Return whether the session with the earliest last request has ended."""
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -374,6 +374,7 @@
                 for service, canary in self._versions.canaries.items()
                 if not canary.rollout.state.ended
             },
+            kept_ages_s=self._versions.kept_ages_s(now),
             tables={} if requester is None else self._tables_for(requester),
         )
 
@@ -442,6 +443,7 @@
         self._merge_limits(message, now)
         self._host_view.merge_departures(message.departures, message.host)
         self._merge_rollout_evidence(message, now)
+        self._versions.merge_kept(message.kept_ages_s, now)
         self._host_view.confirm(message.heads)
         changed = [
             kind
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -104,6 +104,9 @@
         Attempts that the sender relays for its peers.
     trials : dict of str to RolloutEvidence
         Evidence on the roll-outs in progress, by service.
+    kept_ages_s : dict of str to float
+        Sessions that stay on an old version against their hash, and the time since
+        their last request, by digest.
     tables : dict of str to TableDelta
         Objects that the receiver lacks, by kind.
     """
@@ -132,4 +135,5 @@
     reached: dict[str, float] = {}
     relaying: int = 0
     trials: dict[str, RolloutEvidence] = {}
+    kept_ages_s: dict[str, float] = {}
     tables: dict[str, TableDelta] = {}
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -100,6 +100,8 @@
             await self._send_error(req, caller, outcome, InternalError(repr(exc)))
         finally:
             self.in_flight -= 1
+            if outcome.job is not None:
+                self._keep_session(outcome.job)
             self._report(outcome)
 
     async def _answer(
@@ -150,12 +152,16 @@
         NoConfigurationError, NotFoundError, AuthenticationError
         """
         job = self._decide_job(req)
-        if job.version or req.session:
+        self._keep_session(job)
+        return job
+
+    def _keep_session(self, job: Job) -> None:
+        """Keep a request's session, which goes on from its end, on its version."""
+        if job.req.session:
             dispatcher = self._dispatcher
             dispatcher.versions.record_session_version(
-                job.service, _sticky_key(req), job.version, dispatcher.clock.now()
+                job.service, job.req.session, job.version, dispatcher.clock.now()
             )
-        return job
 
     def _decide_job(self, req: CallerRequest) -> Job:
         """Decide route, customer, service and version for all attempts of a request.
--- a/tests/decisions/test_versions.py
+++ b/tests/decisions/test_versions.py
@@ -70,6 +70,57 @@
         begun = [guard.uses_new_version(SERVICE, f"new-{key}", 2.0) for key in keys]
         self.assertIn(True, begun)
 
+    def test_a_session_that_comes_to_another_host_stays(self):
+        """Guards rule PINNED: a host that didn't know it went by its hash."""
+        order = [Rollout(SERVICE, "v2", 20.0, RolloutState.ORDERED, 1)]
+        one, two, three = (VersionGuard(f"edge-{n}", Bounds()) for n in (1, 2, 3))
+        keys = [f"s{number}" for number in range(400)]
+        for key in keys:
+            one.record_session_version(SERVICE, key, "", 0.0)
+        for guard in (one, two, three):
+            guard.update_rollouts(order, 1.0)
+        by_hash = {key for key in keys if three.uses_new_version(SERVICE, key, 2.0)}
+        two.merge_kept(one.kept_ages_s(1.5), 1.5)
+        three.merge_kept(two.kept_ages_s(2.0), 2.1)
+        self.assertEqual(len(by_hash), len(one.kept_ages_s(2.0)))
+        self.assertGreater(len(by_hash), 0)
+        for key in keys:
+            self.assertFalse(three.uses_new_version(SERVICE, key, 3.0), key)
+
+    def test_a_session_is_kept_from_its_last_request_on(self):
+        order = [Rollout(SERVICE, "v2", 40.0, RolloutState.ORDERED, 1)]
+        one, two = VersionGuard("edge-1", Bounds()), VersionGuard("edge-2", Bounds())
+        gap_s = one.bounds.session_gap_s
+        for guard in (one, two):
+            guard.update_rollouts(order, 1.0)
+        key = next(
+            key
+            for key in map(str, range(500))
+            if one.uses_new_version(SERVICE, key, 1.0)
+        )
+        for now in (2.0, 6.0):
+            one.record_session_version(SERVICE, key, "v1", now)
+            two.merge_kept(one.kept_ages_s(now), now)
+        self.assertFalse(two.uses_new_version(SERVICE, key, 6.0 + gap_s))
+        self.assertTrue(two.uses_new_version(SERVICE, key, 6.1 + gap_s))
+        self.assertEqual({}, one.kept_ages_s(6.1 + gap_s))
+
+    def test_hosts_tell_each_other_no_age_that_shrinks(self):
+        """Each took the transit of the other's message for a later request."""
+        order = [Rollout(SERVICE, "v2", 90.0, RolloutState.ORDERED, 1)]
+        one, two = VersionGuard("edge-1", Bounds()), VersionGuard("edge-2", Bounds())
+        for number in range(400):
+            one.record_session_version(SERVICE, str(number), "", 0.0)
+        for guard in (one, two):
+            guard.update_rollouts(order, 0.0)
+        now = 0.0
+        while now < one.bounds.session_gap_s + 0.5:
+            for sender, receiver in ((one, two), (two, one)):
+                ages_s = sender.kept_ages_s(now)
+                now += 0.05
+                receiver.merge_kept(ages_s, now)
+        self.assertEqual(({}, {}), (one.kept_ages_s(now), two.kept_ages_s(now)))
+
     def test_all_sessions_use_the_new_version_before_completion(self):
         guard = version_guard()
         record_answers(guard, 20, 0)
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -56,6 +56,21 @@
         rollout = Rollout(SERVICE, "v2", 20.0, RolloutState.ORDERED, 1)
         host.world.versions.update_rollouts([rollout], began_at)
 
+    async def test_hosts_tell_each_other_which_sessions_stay_on_the_old_version(self):
+        one, two = _hosts()
+        keys = [f"s{number}" for number in range(200)]
+        for key in keys:
+            one.world.versions.record_session_version(SERVICE, key, "", now())
+        for host in (one, two):
+            self._order(host, now())
+        moved = [
+            k for k in keys if two.world.versions.uses_new_version(SERVICE, k, now())
+        ]
+        two.receive_from(one)
+        for key in moved:
+            self.assertFalse(two.world.versions.uses_new_version(SERVICE, key, now()))
+        self.assertGreater(len(moved), 0)
+
     async def test_a_host_that_starts_later_hears_which_requests_are_held_back(self):
         one, two = _hosts()
         for endpoint in ("a@1", "b@1"):
--- a/tests/gateway/test_gossip_messages.py
+++ b/tests/gateway/test_gossip_messages.py
@@ -47,6 +47,7 @@
     "departures": ["desk-1", 5, 1.0],
     "reached": 1.0,
     "trials": EVIDENCE,
+    "kept_ages_s": 1.0,
     "tables": DELTA,
 }
 
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -101,6 +101,17 @@
             await world.send_request(session=key)
         self.assertEqual({"a"}, set(world.attempted_endpoints()))
 
+    async def test_a_session_goes_on_from_the_end_of_its_request(self):
+        """Guards rule PINNED: a long answer left no time until the next request."""
+        slow = Script(events=EVENTS, gap_s=2.0)
+        world = World([STREAM], {"a": [slow]})
+        began_at = world.clock.now()
+        await world.send_request(session="s1")
+        ended_at = world.clock.now()
+        self.assertGreater(ended_at, began_at)
+        [(_, kept_at)] = world.versions._sessions.values()
+        self.assertEqual(ended_at, kept_at)
+
     async def test_no_key_is_accepted_once_the_last_one_is_taken_away(self):
         """Hosts ran every request, as an empty table of keys meant no keys at all."""
         world = World([IDEMPOTENT], {"a": [Script()]})
