--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -49,7 +49,7 @@
 def _serialize_head(first_line: str, headers: Mapping[str, str]) -> bytes:
     """Return the bytes of a head, with those that aren't UTF-8 as they were received.
 
-    The parser stands them by surrogates, which the library's own function leaves out.
+    The parser stands surrogates for them, which the library's own function leaves out.
     """
     if first_line.isascii() and all(value.isascii() for value in headers.values()):
         return _serialize_ascii_head(first_line, headers)
