Simplify what the review's mending added, without a change of behaviour

- put_newest serves the four bounded memories of crashes and two of sessions, which wrote the same four lines; two of them stood there before.
- Sessions are keyed by service and session, not by their texts joined, so that those of a service are found without cutting its name off.
- Looks for life run as BackgroundTasks, which the host already had.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -22,6 +22,8 @@
 import msgspec
 import xxhash
 
+from radishshift.recent import put_newest
+
 __all__ = ["CrashReport", "CrashSuspects", "Traits"]
 
 REQUEST_PREFIX = "r"
@@ -197,10 +199,7 @@
         """
         if at <= self._alive_at.get(endpoint, -math.inf):
             return False
-        self._alive_at[endpoint] = at
-        self._alive_at.move_to_end(endpoint)
-        if len(self._alive_at) > MAX_CRASHES:
-            self._alive_at.popitem(last=False)
+        put_newest(self._alive_at, endpoint, at, MAX_CRASHES)
         crash = self._crashes.get(endpoint)
         if crash is None or not _proves_life(at, crash.at, delay_s):
             return False
@@ -333,10 +332,7 @@
             if self._sound_at.get(trait, -math.inf) > at:
                 continue
             self._outdated = self._outdated or trait not in self._told
-            self._told[trait] = at
-            self._told.move_to_end(trait)
-            if len(self._told) > MAX_HELD:
-                self._told.popitem(last=False)
+            put_newest(self._told, trait, at, MAX_HELD)
 
     def sound_ages_s(self, now: float) -> dict[str, float]:
         """Return the time since the last sound answer of suspected traits."""
@@ -376,10 +372,8 @@
         if crash is not None and crash.at > at + SAME_CRASH_S:
             return None
         if crash is None or at > crash.at + SAME_CRASH_S:
-            crash = self._crashes[endpoint] = _Crash(at)
-            self._crashes.move_to_end(endpoint)
-            if len(self._crashes) > MAX_CRASHES:
-                self._crashes.popitem(last=False)
+            crash = _Crash(at)
+            put_newest(self._crashes, endpoint, crash, MAX_CRASHES)
         return crash
 
     def _add_suspects(
@@ -403,10 +397,7 @@
     def _record_sound(self, trait: str, at: float) -> None:
         if at <= self._sound_at.get(trait, -math.inf):
             return
-        self._sound_at[trait] = at
-        self._sound_at.move_to_end(trait)
-        if len(self._sound_at) > MAX_SOUND_TRAITS:
-            self._sound_at.popitem(last=False)
+        put_newest(self._sound_at, trait, at, MAX_SOUND_TRAITS)
         self._outdated = self._outdated or trait in self._stored
         for crash in self._crashes.values():
             suspected = trait in crash.answering or trait in crash.waiting
--- a/radishshift/decisions/versions.py
+++ b/radishshift/decisions/versions.py
@@ -16,6 +16,7 @@
 from radishshift.decisions.routes import uniform
 from radishshift.gateway.deployment import Rollout, RolloutState
 from radishshift.gateway.host_settings import Bounds
+from radishshift.recent import put_newest
 
 __all__ = ["Canary", "Counts", "VersionGuard"]
 
@@ -51,6 +52,8 @@
 KEPT_TOLERANCE_S = 0.5  # ages shrink on their way from host to host
 MAX_ROUTES = 64
 
+_Session = tuple[str, str]  # service, and what its requests have in common
+
 
 @dataclass(slots=True)
 class Counts:
@@ -166,8 +169,8 @@
     return new.bad - new.answers * (expected_rate + BAD_RATE_TOLERANCE)
 
 
-def _digest(session: str) -> str:
-    return xxhash.xxh32_hexdigest(session.encode())
+def _digest(session: _Session) -> str:
+    return xxhash.xxh32_hexdigest("".join(session).encode())
 
 
 class VersionGuard:
@@ -183,7 +186,8 @@
         self._host = host
         self.bounds = bounds
         self.canaries: dict[str, Canary] = {}
-        self._sessions: OrderedDict[str, tuple[str, float]] = OrderedDict()
+        # Version and instant of the last request, by service and session.
+        self._sessions: OrderedDict[_Session, tuple[str, float]] = OrderedDict()
         # Digests of sessions that stay on the old version against their hash, on any
         # host, with the instant of their last request.
         self._kept: OrderedDict[str, float] = OrderedDict()
@@ -243,13 +247,13 @@
         chosen = uniform("version" + key) < self.new_version_share(service, now)
         if canary.rollout.state is RolloutState.COMPLETED:
             return True
-        session = self._sessions.get(service + key)
+        session = self._sessions.get((service, key))
         if session is not None and now - session[1] <= self.bounds.session_gap_s:
             was_new = session[0] == canary.rollout.target
             if was_new or canary.keeps_sessions(now):
                 return was_new
         elif chosen and canary.keeps_sessions(now):
-            kept_at = self._kept.get(_digest(service + key), -math.inf)
+            kept_at = self._kept.get(_digest((service, key)), -math.inf)
             return now - kept_at > self.bounds.session_gap_s
         return chosen
 
@@ -261,13 +265,13 @@
         It is empty while no roll-out is known: a session that is under way as one is
         ordered stays on the old version, like those that began on it since.
         """
-        self._sessions[service + key] = (version, now)
-        self._sessions.move_to_end(service + key)
-        while len(self._sessions) > MAX_SESSIONS or self._oldest_has_ended(now):
+        session = (service, key)
+        put_newest(self._sessions, session, (version, now), MAX_SESSIONS)
+        while self._oldest_has_ended(now):
             self._sessions.popitem(last=False)
         canary = self.canaries.get(service)
         if canary is not None and version != canary.rollout.target:
-            self._keep_if_chosen(service, key, now, now)
+            self._keep_if_chosen(session, now, now)
 
     def kept_ages_s(self, now: float) -> dict[str, float]:
         """Return the sessions that stay on an old version against their hash.
@@ -295,27 +299,22 @@
         for digest, age_s in ages_s.items():
             at = now - max(0.0, age_s)
             if at > self._kept.get(digest, -math.inf) + KEPT_TOLERANCE_S:
-                self._keep(digest, at)
+                put_newest(self._kept, digest, at, MAX_KEPT)
 
     def _keep_sessions_under_way(self, service: str, now: float) -> None:
         target = self.canaries[service].rollout.target
         earliest = now - self.bounds.session_gap_s
-        for name, (version, at) in self._sessions.items():
-            if name.startswith(service) and version != target and at >= earliest:
-                self._keep_if_chosen(service, name.removeprefix(service), at, now)
+        for session, (version, at) in self._sessions.items():
+            if session[0] == service and version != target and at >= earliest:
+                self._keep_if_chosen(session, at, now)
 
-    def _keep_if_chosen(self, service: str, key: str, at: float, now: float) -> None:
+    def _keep_if_chosen(self, session: _Session, at: float, now: float) -> None:
         """Keep a session of the old version that by its hash would go to the new."""
+        service, key = session
         if not self.canaries[service].keeps_sessions(now):
             return
         if uniform("version" + key) < self.new_version_share(service, now):
-            self._keep(_digest(service + key), at)
-
-    def _keep(self, digest: str, at: float) -> None:
-        self._kept[digest] = at
-        self._kept.move_to_end(digest)
-        if len(self._kept) > MAX_KEPT:
-            self._kept.popitem(last=False)
+            put_newest(self._kept, _digest(session), at, MAX_KEPT)
 
     def _oldest_has_ended(self, now: float) -> bool:
         """Return whether the session with the earliest last request has ended."""
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -25,6 +25,7 @@
     StreamStalledError,
 )
 from radishshift.gateway.attempts import Attempt
+from radishshift.gateway.background import BackgroundTasks
 from radishshift.gateway.connection_prober import ConnectionProber
 from radishshift.gateway.deployment import Member, RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -109,7 +110,7 @@
         self._client = client
         self.on_crash: Callable[[], None] = lambda: None
         self._budgets: dict[str, HostRetryBudget] = {}
-        self._looks: set[asyncio.Task[None]] = set()
+        self._looks = BackgroundTasks()
         self._prober = ConnectionProber(clock, client)
         self.placement = Placement(
             clock, data_centre, host_view, placer, self._prober, bounds.drain_s
@@ -466,9 +467,9 @@
         endpoint = f"{name}@{born_ms}"
         self.suspects.record_crash(endpoint, traits, answering, now)
         self.on_crash()
-        task = asyncio.create_task(self._look_for_life(attempt.member, endpoint))
-        self._looks.add(task)
-        task.add_done_callback(self._looks.discard)
+        self._looks.spawn(
+            "look for life", self._look_for_life(attempt.member, endpoint)
+        )
 
     async def _look_for_life(self, member: Member, endpoint: str) -> None:
         """Take a crash back if the endpoint still accepts connections."""
--- a/radishshift/json_entries.py
+++ b/radishshift/json_entries.py
@@ -89,7 +89,7 @@
     Raises
     ------
     msgspec.DecodeError
-        A field that is no list and no dict, or lacks a default, can't be read.
+        A field that is no list or dict can't be read, or a required one is missing.
     """
     members = document_members(data)
     values: dict[str, Any] = {}
--- a/tests/users_platform/served.py
+++ b/tests/users_platform/served.py
@@ -1,6 +1,6 @@
 """A simulated users' platform on loopback, for tests of the adapter."""
 
-from users_platform import endpoints
+from users_platform import endpoints as attempts
 from users_platform.standins import standin_platform
 
 from tests.cases import TestCase
@@ -73,4 +73,4 @@
 
     def setUp(self):
         super().setUp()
-        self.patch(endpoints, "CONNECT_TIMEOUT_S", 30.0)
+        self.patch(attempts, "CONNECT_TIMEOUT_S", 30.0)
