Soak services that fail while hosts come and go; count repeats and deadlines

The soak could not see what was reported: no promise counted the repeats at a service within a window or deadlines that grow, callers obeyed Retry-After always, and nothing halted a host for parts of a second.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -112,7 +112,8 @@
         async with self.session() as session:
             while not self._stopped.is_set():
                 await self._send_request(session)
-                await asyncio.sleep(self._random.uniform(0.0, 0.05))
+                pause_s = self._random.uniform(0.0, self._mode.caller_pause_s)
+                await asyncio.sleep(pause_s)
 
     async def run_in_turn(
         self,
@@ -157,6 +158,9 @@
         """Send one request, with a few retries where a retry is safe."""
         kind = self._random.choice(self._mode.kinds)
         disconnects = self._random.random() < 0.05
+        # Modes without such callers draw what they did before there were any.
+        share = self._mode.impatient_share
+        impatient = share > 0 and self._random.random() < share
         for _ in range(1 + RETRIES):
             host = host or self._random.choice(sorted(self._addresses))
             async with turn:
@@ -171,7 +175,8 @@
                 return
             if kind == "book" and attempt.status not in NOT_RUN_STATUSES:
                 return
-            await asyncio.sleep(float(attempt.headers.get("Retry-After", "0.1")))
+            if not impatient:
+                await asyncio.sleep(float(attempt.headers.get("Retry-After", "0.1")))
             host, turn = "", NO_TURN
 
     async def send_attempt(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,7 +12,7 @@
 
 from tests.soak.links import Link
 from tests.soak.modes import Mode
-from tests.soak.worlds import DATA_CENTRES, SoakWorld
+from tests.soak.worlds import DATA_CENTRES, SERVICES, SoakWorld
 
 __all__ = ["FAULTS", "fault", "inject"]
 
@@ -111,7 +111,7 @@
         host.terminate()
 
 
-@fault("hosts-stopped-in-series", ("stops",), planned=True)
+@fault("hosts-stopped-in-series", ("stops", "brownouts"), planned=True)
 async def _hosts_stopped_in_series(world, rng):
     names = rng.sample(sorted(world.hosts), rng.randint(1, len(world.hosts)))
     pause_s = rng.choice((0.0, 0.2, 1.0, 3.0))
@@ -237,6 +237,46 @@
 fault("endpoints-break-unframed")(_endpoint_fault("unframed", "resets_within"))
 
 
+@fault("service-fails", ("brownouts",))
+async def _service_fails(world, rng):
+    """Let all endpoints of a service fail, in one way or another, for seconds."""
+    service = rng.choice(sorted(SERVICES))
+    names = rng.sample(("refuses", "resets_before", "resets_within"), rng.randint(1, 2))
+    endpoints = [
+        endpoint
+        for name, endpoint in world.endpoints.items()
+        if world.service_by_endpoint.get(name) == service
+    ]
+    for endpoint in endpoints:
+        endpoint.set_faults(**dict.fromkeys(names, True))
+    await asyncio.sleep(rng.uniform(3.0, 12.0))
+    for endpoint in endpoints:
+        endpoint.set_faults()
+
+
+@fault("hosts-killed-in-series", ("brownouts",))
+async def _hosts_killed_in_series(world, rng):
+    pause_s = rng.uniform(0.7, 3.0)
+    for _ in range(rng.randint(1, 6)):
+        for name in rng.sample(sorted(world.hosts), rng.randint(1, len(world.hosts))):
+            world.hosts[name].signal(signal.SIGKILL)
+        await asyncio.sleep(pause_s)
+
+
+@fault("hosts-halted", ("brownouts",))
+async def _hosts_halted(world, rng):
+    """Let hosts run by turns, as under a quota of processor time."""
+    names = rng.sample(sorted(world.hosts), rng.randint(1, len(world.hosts)))
+    halt_s, run_s = rng.choice(((0.046, 0.054), (0.2, 0.8), (0.4, 0.3), (0.6, 1.0)))
+    loop = asyncio.get_running_loop()
+    until = loop.time() + rng.uniform(1.0, 6.0)
+    while loop.time() < until:
+        async with asyncio.TaskGroup() as group:
+            for name in names:
+                group.create_task(world.hosts[name].pause(halt_s))
+        await asyncio.sleep(run_s)
+
+
 fault("endpoints-lose-answers", ("copies",))(_endpoint_fault("resets_before"))
 fault("endpoints-refuse", ("limits",))(_endpoint_fault("refuses"))
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,9 +10,9 @@
 
 from users_platform.settings import SETTINGS_VARIABLE
 
-__all__ = ["HostProcess", "HostStop"]
+__all__ = ["PROGRAM", "HostProcess", "HostStop"]
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+PROGRAM = Path(__file__).resolve().parent.parent.parent / "platform" / "entry.py"
 RESTART_DELAY_S = 0.2  # from the end of a process to its next start
 
 
@@ -50,6 +50,8 @@
         Settings file of the process; its log is written next to it.
     grace_s : float
         Time from SIGTERM until the process is killed.
+    program : Path
+        Program of the process, of this build or another.
     start_count : int
         Processes started so far. No state passes from one to the next.
     stops : list of HostStop
@@ -58,6 +60,7 @@
     name: str
     settings: Path
     grace_s: float
+    program: Path = PROGRAM
     start_count: int = 0
     stops: list[HostStop] = field(default_factory=list)
     _proc: asyncio.subprocess.Process | None = None
@@ -68,12 +71,15 @@
         self._supervisor = asyncio.create_task(self._supervise())
 
     async def _supervise(self) -> None:
-        env = os.environ | {SETTINGS_VARIABLE: str(self.settings)}
+        env = os.environ | {
+            SETTINGS_VARIABLE: str(self.settings),
+            "PYTHONPATH": str(self.program.parent.parent),
+        }
         while True:
             with self.settings.with_suffix(".log").open("ab") as log:
                 self._proc = await asyncio.create_subprocess_exec(
                     sys.executable,
-                    str(ROOT / "platform" / "entry.py"),
+                    str(self.program),
                     env=env,
                     stdout=log,
                     stderr=log,
--- a/tests/soak/modes.py
+++ b/tests/soak/modes.py
@@ -37,6 +37,10 @@
         Whether callers go on until all hosts that are stopping have ended.
     recovery_s : float
         Time without requests between the last fault and the check that all is served.
+    caller_pause_s : float
+        Longest pause of a caller of `caller_count` between two requests.
+    impatient_share : float
+        Share of the requests whose callers don't obey `Retry-After`.
     links : bool
         Whether callers reach the hosts, and hosts the endpoints, over links.
     evacuation_s : float
@@ -56,6 +60,8 @@
     callers_outlast_stops: bool = False
     # Covers the longest open time of a circuit breaker and the refill of retry budgets.
     recovery_s: float = 6.0
+    caller_pause_s: float = 0.05
+    impatient_share: float = 0.0
     links: bool = True
     evacuation_s: float = 0.0
 
@@ -86,6 +92,17 @@
         # The store comes back from older copies and lists what can't be read; endpoints
         # lose answers and send heads that belong to no request.
         Mode("copies", fault_gap_s=(0.2, 1.5), grace_s=2.0, recovery_s=8.0),
+        # Services fail for seconds while hosts come and go. Requests are few, so that
+        # the part of the retry budget that doesn't depend on them weighs most.
+        Mode(
+            "brownouts",
+            fault_gap_s=(0.3, 2.0),
+            grace_s=2.0,
+            caller_count=24,
+            recovery_s=12.0,
+            caller_pause_s=3.0,
+            impatient_share=0.3,
+        ),
         # Data centres are emptied, for long enough that hosts have to keep to it.
         Mode(
             "evacuations",
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -8,6 +8,7 @@
 
 from users_platform.standins import Arrival, LimitedAnswer
 
+from tests import retry_rule
 from tests.limit_rule import MAX_LEARNING_S, most_allowed, most_in_window
 from tests.soak.callers import (
     ANSWERED_STATUS,
@@ -18,7 +19,13 @@
 from tests.soak.fleet import HostStop
 from tests.soak.worlds import Evacuation
 
-__all__ = ["EndpointRun", "SoakRecord", "broken_promises", "promise"]
+__all__ = [
+    "EndpointRun",
+    "SoakRecord",
+    "broken_promises",
+    "max_repeat_ratio",
+    "promise",
+]
 
 SIGNATURE_HEADER = "X-Replica-Signature"
 CUSTOMER_HEADER = "X-Tenant"
@@ -31,6 +38,9 @@
 KILL_SLACK_S = 1.0  # for a process to be killed after the grace time
 TOLD_S = 0.5  # after which a process that got a limited answer has to keep to it
 SETTLE_S = 3.0  # time for which a disturbance is felt
+SERVICE_BY_KIND = {"check": "desk", "book": "desk", "step": "desk", "plan": "advice"}
+DEADLINE_SLACK_S = 0.5  # by which an attempt may state a later deadline
+MAX_GROWN, MAX_GROWN_SHARE = 20, 0.2  # of the attempts that state more than that
 NEWS_S = 1.5  # in which a disturbed host hears from its peers what it has missed
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 
@@ -306,6 +316,53 @@
                 )
 
 
+@promise("repeats-are-bounded")
+def _repeats_are_bounded(record: SoakRecord) -> Iterator[str]:
+    """Find services that got too many attempts beyond the first of each request."""
+    for service, repeats, allowed in _most_repeats(record):
+        if repeats > allowed:
+            yield f"{service} got {repeats} repeats within 10 s, {allowed:.0f} allowed"
+
+
+def max_repeat_ratio(record: SoakRecord) -> float:
+    """Return the most repeats at a service, relative to what is allowed."""
+    return max(
+        (repeats / allowed for _, repeats, allowed in _most_repeats(record)),
+        default=0.0,
+    )
+
+
+def _most_repeats(record: SoakRecord) -> Iterator[tuple[str, int, float]]:
+    """Yield each service with its worst window: repeats, and how many are allowed."""
+    requests, arrivals = defaultdict(list), defaultdict(list)
+    for attempt in record.attempts:
+        if attempt.sent_at:
+            requests[SERVICE_BY_KIND.get(attempt.kind)].append(attempt.sent_at)
+    for arrival in record.arrivals:
+        service = arrival.endpoint.partition("-")[0]
+        arrivals[service].append((arrival.request_id, arrival.at))
+    for service, at_service in arrivals.items():
+        yield (service, *retry_rule.worst_window(requests[service], at_service))
+
+
+@promise("deadlines-do-not-grow")
+def _deadlines_do_not_grow(record: SoakRecord) -> Iterator[str]:
+    """Find endpoints that were allowed far more time than callers had left."""
+    deadlines = {
+        attempt.attempt_id: attempt.sent_at + attempt.deadline_s
+        for attempt in record.attempts
+        if attempt.sent_at
+    }
+    grown = [
+        arrival
+        for arrival in record.arrivals
+        if arrival.at + arrival.left_s
+        > deadlines.get(arrival.request_id, math.inf) + DEADLINE_SLACK_S
+    ]
+    if len(grown) > MAX_GROWN and len(grown) > MAX_GROWN_SHARE * len(record.arrivals):
+        yield f"{len(grown)} of {len(record.arrivals)} attempts state a later deadline"
+
+
 def _process(attempt: CallerAttempt | None) -> tuple[str, int] | None:
     """Return the host and process that took an attempt, if it was one process."""
     if attempt is None or len(set(attempt.process_numbers)) > 1:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,13 +4,20 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from tests.soak.callers import Callers
 from tests.soak.faults import inject
-from tests.soak.fleet import HostStop
+from tests.soak.fleet import PROGRAM, HostStop
 from tests.soak.modes import MODES
-from tests.soak.promises import EndpointRun, SoakRecord, broken_promises
+from tests.soak.promises import (
+    EndpointRun,
+    SoakRecord,
+    broken_promises,
+    max_repeat_ratio,
+)
 from tests.soak.worlds import API_KEY, CUSTOMER, HOST_HEADER, SoakWorld
 
 __all__ = ["SoakResult", "run_seed"]
@@ -36,6 +43,8 @@
         Number of attempts by status; 0 for no answer.
     stops : list of HostStop
         Processes that got SIGTERM.
+    repeat_ratio : float
+        Most repeats at a service within a window, relative to what is allowed.
     log : str
         Log of all hosts; empty if no promise broke.
     """
@@ -45,17 +54,22 @@
     faults: Counter = field(default_factory=Counter)
     statuses: Counter = field(default_factory=Counter)
     stops: list[HostStop] = field(default_factory=list)
+    repeat_ratio: float = 0.0
     log: str = ""
 
 
 async def run_seed(
-    seed: int, hosts: int, time_s: float, faults: str = "all"
+    seed: int,
+    hosts: int,
+    time_s: float,
+    faults: str = "all",
+    programs: Sequence[Path] = (PROGRAM,),
 ) -> SoakResult:
     """Run one seed: a period with the faults of a mode, then requests without."""
     rng = random.Random(seed)
     result = SoakResult(seed)
     mode = MODES[faults]
-    world = SoakWorld(hosts, mode)
+    world = SoakWorld(hosts, mode, programs)
     stalls: list[tuple[float, float]] = []
     watching = asyncio.create_task(_watch_stalls(stalls))
     try:
@@ -90,6 +104,7 @@
             mode.evacuation_s,
         )
         result.broken += broken_promises(record)
+        result.repeat_ratio = max_repeat_ratio(record)
         result.statuses = Counter(attempt.status for attempt in callers.attempts)
         if result.broken:
             result.log = world.log()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -211,6 +211,47 @@
             broken = [line.split(":")[0] for line in broken_promises(record)]
             self.assertEqual(expected, set(broken) & {"limits-are-kept"})
 
+    def test_more_repeats_than_a_service_may_get(self):
+        for count, gap_s, endpoint, expected in (
+            (54, 0.1, "desk-1", {"repeats-are-bounded"}),
+            (54, 0.1, "advice-1", {"repeats-are-bounded"}),
+            (53, 0.1, "desk-1", set()),
+            (54, 0.5, "desk-1", set()),
+        ):
+            record = SoakRecord(
+                [_attempt("check", sent_at=100.0)],
+                arrivals=[
+                    Arrival(endpoint, "a1", (), 100.0 + number * gap_s)
+                    for number in range(count)
+                ],
+            )
+            broken = {line.partition(":")[0] for line in broken_promises(record)}
+            self.assertEqual(expected, broken & {"repeats-are-bounded"})
+
+    def test_deadlines_that_are_later_than_the_callers(self):
+        attempts = [
+            _attempt("check", attempt_id=f"a{number}", sent_at=100.0, deadline_s=1.0)
+            for number in range(100)
+        ]
+        for late_s, late, expected in (
+            (0.6, 21, {"deadlines-do-not-grow"}),
+            (0.6, 20, set()),
+            (0.4, 100, set()),
+        ):
+            arrivals = [
+                Arrival(
+                    "desk-1",
+                    attempt.attempt_id,
+                    (),
+                    100.5,
+                    0.5 + late_s * (number < late),
+                )
+                for number, attempt in enumerate(attempts)
+            ]
+            record = SoakRecord(attempts, arrivals=arrivals)
+            broken = {line.partition(":")[0] for line in broken_promises(record)}
+            self.assertEqual(expected, broken & {"deadlines-do-not-grow"})
+
     def test_a_request_at_an_endpoint_of_an_emptied_data_centre(self):
         name = "emptied-endpoints-get-nothing"
         for at, endpoint, disturbances, expected in (
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -5,6 +5,7 @@
 import os
 import random
 import tempfile
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -19,7 +20,7 @@
 )
 
 from tests.soak.callers import STREAM_EVENTS
-from tests.soak.fleet import HostProcess
+from tests.soak.fleet import PROGRAM, HostProcess
 from tests.soak.links import Link
 from tests.soak.modes import Mode
 
@@ -101,6 +102,8 @@
     ----------
     hosts : int
     mode : Mode
+    programs : sequence of Path
+        Programs of the hosts, which take them in turn.
 
     Attributes
     ----------
@@ -117,8 +120,11 @@
     evacuations : list of Evacuation
     """
 
-    def __init__(self, hosts: int, mode: Mode) -> None:
+    def __init__(
+        self, hosts: int, mode: Mode, programs: Sequence[Path] = (PROGRAM,)
+    ) -> None:
         self.mode = mode
+        self._programs = programs
         self.disturbances: list[tuple[float, float]] = []
         self.evacuations: list[Evacuation] = []
         self.hosts: dict[str, HostProcess] = {}
@@ -179,7 +185,8 @@
 """,
             encoding="utf-8",
         )
-        host = HostProcess(name, path, self.mode.grace_s)
+        program = self._programs[number % len(self._programs)]
+        host = HostProcess(name, path, self.mode.grace_s, program)
         host.start()
         self._stack.push_async_callback(host.stop)
         self.hosts[name] = host
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -18,6 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
+from tests.soak.fleet import PROGRAM  # noqa: E402
 from tests.soak.modes import MODES  # noqa: E402
 from tests.soak.soak import SoakResult, run_seed  # noqa: E402
 
@@ -30,15 +31,22 @@
 flags.DEFINE_float("time", 15.0, "seconds under faults, for each seed")
 flags.DEFINE_enum("faults", "all", sorted(MODES), "which faults to inject")
 flags.DEFINE_integer("jobs", 2, "seeds to run at a time")
+flags.DEFINE_list(
+    "programs",
+    [str(PROGRAM)],
+    "programs of the hosts, which take them in turn; of earlier builds, for example",
+)
 flags.DEFINE_string(
     "logs", "", "folder for the hosts' logs of seeds that broke a promise"
 )
 
 
-def _run(seed: int, hosts: int, time_s: float, faults: str) -> SoakResult:
+def _run(
+    seed: int, hosts: int, time_s: float, faults: str, programs: list[Path]
+) -> SoakResult:
     # Stand-ins reset connections as injected faults, which aiohttp would log as errors.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
-    return asyncio.run(run_seed(seed, hosts, time_s, faults))
+    return asyncio.run(run_seed(seed, hosts, time_s, faults, programs))
 
 
 def _record_failure(result: SoakResult) -> None:
@@ -65,11 +73,12 @@
 
 
 def _main(_: list[str]) -> None:
+    programs = [Path(name).resolve() for name in FLAGS.programs]
     seeds = range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds)
     failed = 0
     with ProcessPoolExecutor(FLAGS.jobs) as pool:
         futures = [
-            pool.submit(_run, seed, FLAGS.hosts, FLAGS.time, FLAGS.faults)
+            pool.submit(_run, seed, FLAGS.hosts, FLAGS.time, FLAGS.faults, programs)
             for seed in seeds
         ]
         for fut in futures:
@@ -78,6 +87,7 @@
             print(
                 f"seed {result.seed}: {sum(result.faults.values())} faults, "
                 f"{_describe_stops(result)}, answers {statuses}, "
+                f"repeats {result.repeat_ratio:.2f} of those allowed, "
                 f"{len(result.broken)} broken",
                 flush=True,
             )
