Divide the retry slack among processes that outlive a window, by the largest fleet known

Cause: a process that started had a share of the slack at once, whatever its predecessor had spent, and the share was that of the hosts in sight, at least four. Six hosts that each restart twice within a window had three shares each.

Change: the ratio applies to the requests that the process itself received, as before, with parts of a retry rounded up, so that the first request can be repeated. Its share of the slack begins one window after its start, when what the process before it spent is out of the window, and it divides by the largest fleet that it or a peer has known in ten minutes, by 12 at least. 0.8 of the slack are divided; the rest covers what is rounded up. Lines of failed attempts state the budget.

--- a/radishshift/decisions/patience.py
+++ b/radishshift/decisions/patience.py
@@ -42,4 +42,3 @@
 
     def __init__(self) -> None:
         super().__init__(EARLY_RETRY_RATIO, WINDOW_S, SLACK)
-        self.host_count = 1
--- a/radishshift/decisions/retry_budget.py
+++ b/radishshift/decisions/retry_budget.py
@@ -1,17 +1,49 @@
-"""One host's share of a retry budget that applies to all hosts together.
+"""One host's part of a retry budget that applies to all hosts together.
 
 Load pattern: endpoints fail or refuse requests while callers retry too, so that each
 retry adds to the load that made the first attempt fail. The bound holds for the sum
-over all hosts: each applies the ratio to its own requests and gets a fixed share of
-the slack, so the hosts need not coordinate.
+over all hosts in any window, also if processes are killed, start again and are cut from
+each other meanwhile. Each process applies the ratio to the requests that it received
+itself, which needs no agreement; a part of a retry counts as a whole one, so that also
+the first request can be repeated. The slack belongs to machines rather than requests: a
+process uses a share of it only once what its predecessor spent is out of the window,
+and the share is that of the largest fleet known of late.
 """
 
+import math
 from collections import deque
 
-__all__ = ["HostRetryBudget"]
+from radishshift.decisions.fleet_size import FleetSize
 
+__all__ = ["HostRetryBudget", "SlackShare"]
+
+# Share of the slack that is divided; the rest covers what processes round up.
+SLACK_MARGIN = 0.8
 RATIO_MARGIN = 0.85  # share of the ratio in use, as callers' requests are counted late
-INITIAL_HOST_COUNT = 12  # divides the slack until the real number is known
+# Divides the slack at least, as parts of a small fleet may know of each other alone.
+MIN_HOSTS = 12
+
+
+class SlackShare:
+    """The share of the fleet's slack that this process may use.
+
+    Parameters
+    ----------
+    fleet_size : FleetSize
+    usable_from : float
+        Instant at which whatever the host's last process spent is out of the window.
+    """
+
+    def __init__(self, fleet_size: FleetSize, usable_from: float) -> None:
+        self._fleet_size = fleet_size
+        self.usable_from = usable_from
+
+    def at(self, now: float) -> float:
+        """Return the share, 0 while the process or its knowledge is too young."""
+        hosts = self._fleet_size.largest(now)
+        if now < self.usable_from or not hosts:
+            return 0.0
+        return SLACK_MARGIN / max(hosts, MIN_HOSTS)
 
 
 class HostRetryBudget:
@@ -25,15 +57,23 @@
         Length of the window over which retries and requests are compared.
     slack : float
         Retries per window, over all hosts, that are allowed on top of the ratio.
+    share : SlackShare, optional
+        Without it, the whole slack is this host's.
     """
 
-    def __init__(self, ratio: float, window_s: float, slack: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        window_s: float,
+        slack: float,
+        share: SlackShare | None = None,
+    ) -> None:
         self._ratio = ratio * RATIO_MARGIN
         self._window_s = window_s
         self._slack = slack
+        self._share = share
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
-        self.host_count = INITIAL_HOST_COUNT
 
     def request_received(self, now: float) -> None:
         """Record a caller's request for the service."""
@@ -43,8 +83,17 @@
     def available(self, now: float) -> float:
         """Return how many retries may be sent now."""
         self._forget_old(now)
-        slack_share = self._slack / max(1, self.host_count)
-        return self._ratio * len(self._requests) + slack_share - len(self._retries)
+        share = 1.0 if self._share is None else self._share.at(now)
+        allowed = math.ceil(self._ratio * len(self._requests)) + self._slack * share
+        return allowed - len(self._retries)
+
+    def state(self, now: float) -> dict[str, float]:
+        """Return what the budget is made of, for logs."""
+        return {
+            "retries_left": round(self.available(now), 2),
+            "retries": len(self._retries),
+            "requests": len(self._requests),
+        }
 
     def _forget_old(self, now: float) -> None:
         for timestamps in (self._requests, self._retries):
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -8,9 +8,10 @@
 
 from radishshift.clocks import Clock
 from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.fleet_size import FleetSize
 from radishshift.decisions.moving_averages import MovingAverages
 from radishshift.decisions.placing import Placer
-from radishshift.decisions.retry_budget import HostRetryBudget
+from radishshift.decisions.retry_budget import HostRetryBudget, SlackShare
 from radishshift.decisions.stream_times import StreamTimes
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import (
@@ -81,6 +82,9 @@
         Chooses the endpoints.
     services : ServiceMonitor
         Knows which services this host reaches.
+    fleet_size : FleetSize
+    slack_share : SlackShare or None
+        This host's share of the slack of retry budgets; None if all of it is its own.
     relays : RelayClient or None
         Has attempts relayed by peers; None if there are none.
     on_crash : callable
@@ -109,6 +113,10 @@
         placer.room_tokens = host_view.memory_tokens
         self._client = client
         self.on_crash: Callable[[], None] = lambda: None
+        self.fleet_size = FleetSize()
+        self.slack_share: SlackShare | None = SlackShare(
+            self.fleet_size, clock.now() + bounds.retry_window_s
+        )
         self._budgets: dict[str, HostRetryBudget] = {}
         self._looks = BackgroundTasks()
         self._prober = ConnectionProber(clock, client)
@@ -129,7 +137,10 @@
         if budget is None:
             bounds = self.bounds
             budget = HostRetryBudget(
-                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+                bounds.retry_ratio,
+                bounds.retry_window_s,
+                bounds.retry_slack,
+                self.slack_share,
             )
             self._budgets[service] = budget
         return budget
@@ -138,11 +149,6 @@
         """Return when this host last received a byte of an endpoint, 0 if never."""
         return self._placer.view(member).last_byte_at
 
-    def set_host_count(self, host_count: int) -> None:
-        """Set the number of hosts among which the retry slack is divided."""
-        for budget in self._budgets.values():
-            budget.host_count = host_count
-
     async def choose_target(self, job: Job, model: str = "") -> Member | Helper:
         """Return the endpoint for the next attempt, or the peer to relay it.
 
@@ -446,7 +452,8 @@
                 "parts": [
                     part.digest[:16] for part in job.req.parts[:MAX_PARTS_LOGGED]
                 ],
-            },
+            }
+            | self.budget(job.service).state(now),
         )
 
     def _may_have_crashed(self, attempt: Attempt, now: float) -> bool:
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -155,6 +155,7 @@
             self.crash_suspects,
             self.versions,
             self.endpoint_limits,
+            self.dispatcher.fleet_size,
         )
         self.gossip.on_change = self._on_peer_update
         self.dispatcher.on_crash = self._announce_change
@@ -455,9 +456,8 @@
 
     async def _clean_up(self) -> None:
         while True:
+            self._observe_fleet()
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            # With too low a count, all hosts together could exceed the retry budget.
-            self.dispatcher.set_host_count(max(self.gossip.host_count() + 1, 4))
             members = {
                 endpoint.incarnation for endpoint in self.host_view.members.values()
             }
@@ -472,6 +472,12 @@
             self.permits.keep_only(known)
             self.endpoint_pauses.keep_only(known, self.clock.now())
 
+    def _observe_fleet(self) -> None:
+        """Record how many hosts there are, unless this one has heard of no other."""
+        hosts = self.gossip.host_count()
+        if hosts > 1 or not self.settings.seeds:
+            self.dispatcher.fleet_size.observe(hosts, self.clock.now())
+
     async def _watch_settings(self) -> None:
         """Reload the settings on SIGHUP and periodically."""
         while True:
--- a/radishshift/gateway/gossip.py
+++ b/radishshift/gateway/gossip.py
@@ -20,6 +20,7 @@
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.fleet_load import FleetLoad
+from radishshift.decisions.fleet_size import FleetSize
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import Counts, VersionGuard
 from radishshift.gateway.gossip_messages import GossipMessage, RolloutEvidence
@@ -42,6 +43,7 @@
 # meanwhile, and a round goes on without it.
 PROMPT_REPLY_S = 0.15
 PATH = "/exchange"
+MAX_HOSTS = 10_000  # a larger fleet is taken for a garbled message
 
 logger = logbook.Logger("exchange")
 
@@ -58,6 +60,7 @@
     suspects : CrashSuspects
     versions : VersionGuard
     limits : EndpointLimits
+    fleet_size : FleetSize
 
     Attributes
     ----------
@@ -79,6 +82,7 @@
         suspects: CrashSuspects,
         versions: VersionGuard,
         limits: EndpointLimits,
+        fleet_size: FleetSize,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -87,6 +91,7 @@
         self._suspects = suspects
         self._versions = versions
         self._limits = limits
+        self._fleet_size = fleet_size
         self._incarnation = int(clock.now() * 1000)
         self.peers = PeerTable(settings, random.Random(f"peers of {settings.host}"))
         self.fleet_load = FleetLoad()
@@ -352,6 +357,7 @@
             departures=self._host_view.departure_reports(),
             reached=self.reached_ages_s(now),
             relaying=self.relaying(),
+            most_hosts=self._fleet_size.report(now),
             trials={
                 service: RolloutEvidence(
                     canary.rollout.target,
@@ -441,6 +447,7 @@
         self._suspects.merge(message.crash_reports, message.sound_ages_s, now)
         self._suspects.merge_held(message.held_ages_s, now)
         self._merge_limits(message, now)
+        self._merge_fleet_size(message, now)
         self._host_view.merge_departures(message.departures, message.host)
         self._merge_rollout_evidence(message, now)
         self._versions.merge_kept(message.kept_ages_s, now)
@@ -468,6 +475,11 @@
         elif message.centre_load:
             self.fleet_load.report(message.data_centre, message.centre_load, now)
 
+    def _merge_fleet_size(self, message: GossipMessage, now: float) -> None:
+        hosts, age_s = message.most_hosts
+        if 0 < hosts <= MAX_HOSTS:
+            self._fleet_size.observe(hosts, now, max(0.0, age_s))
+
     def _merge_limits(self, message: GossipMessage, now: float) -> None:
         for report in self._limits.merge(message.limits, now):
             logger.info(
--- a/radishshift/gateway/gossip_messages.py
+++ b/radishshift/gateway/gossip_messages.py
@@ -102,6 +102,9 @@
         Services that the sender reaches, and the seconds since it last did.
     relaying : int
         Attempts that the sender relays for its peers.
+    most_hosts : tuple
+        Largest number of hosts that the sender has known of late, 0 if it knows none,
+        and the seconds since it was known.
     trials : dict of str to RolloutEvidence
         Evidence on the roll-outs in progress, by service.
     kept_ages_s : dict of str to float
@@ -134,6 +137,7 @@
     departures: list[DepartureReport] = []
     reached: dict[str, float] = {}
     relaying: int = 0
+    most_hosts: tuple[int, float] = (0, 0.0)
     trials: dict[str, RolloutEvidence] = {}
     kept_ages_s: dict[str, float] = {}
     tables: dict[str, TableDelta] = {}
--- a/tests/gateway/metered_fleets.py
+++ b/tests/gateway/metered_fleets.py
@@ -10,6 +10,7 @@
 
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
+from radishshift.decisions.fleet_size import FleetSize
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import PlatformUnavailableError
@@ -245,6 +246,7 @@
             CrashSuspects(),
             VersionGuard(name, BOUNDS),
             EndpointLimits(),
+            FleetSize(),
         )
         self.gossip._send = self._send
         self.gossip.on_change = self._on_peer_update
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -71,6 +71,21 @@
             self.assertFalse(two.world.versions.uses_new_version(SERVICE, key, now()))
         self.assertGreater(len(moved), 0)
 
+    async def test_a_host_that_starts_amid_a_cut_hears_how_many_hosts_there_were(self):
+        one, two = _hosts()
+        one.world.dispatcher.fleet_size.observe(30, now() - 20.0)
+        two.receive_from(one)
+        size = two.world.dispatcher.fleet_size
+        self.assertEqual((30, 20.0), size.report(now()))
+
+    async def test_an_impossible_number_of_hosts_is_ignored(self):
+        one, two = _hosts()
+        for hosts in (-1, 10**9):
+            message = one.gossip._build_message(None)
+            message.most_hosts = (hosts, 0.0)
+            two.gossip._receive(message)
+        self.assertEqual(1, two.world.dispatcher.fleet_size.largest(now()))
+
     async def test_a_host_that_starts_later_hears_which_requests_are_held_back(self):
         one, two = _hosts()
         for endpoint in ("a@1", "b@1"):
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -322,6 +322,9 @@
             self.versions,
             bounds,
         )
+        # As at a host of a small fleet that has run for a while.
+        self.dispatcher.fleet_size.observe(1, self.clock.now())
+        self.dispatcher.slack_share.usable_from = self.clock.now()
         self.configured = asyncio.Event()
         self.path = RequestPath(
             self.dispatcher, Monitor("edge-1", "mbeya"), self._wait_for_initial_load
@@ -349,6 +352,7 @@
             self.suspects,
             self.versions,
             self.limits,
+            self.dispatcher.fleet_size,
         )
 
     def place_together(self, settings, gossip):
--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -44,6 +44,11 @@
                 await demo.stop()
 
 
+def _outlive_window(demo):
+    """Give the host its share of the slack, as one that has run for a while has it."""
+    demo.gateway_host.dispatcher.slack_share.usable_from = 0.0
+
+
 async def _send(demo, path="/check/x", method="GET", data=None, **headers):
     extra = {name.replace("_", "-"): value for name, value in headers.items()}
     async with demo.session.request(
@@ -187,6 +192,7 @@
 
     async def test_a_broken_stream_is_resumed_within_one_answer(self):
         async with _running_demo() as demo:
+            _outlive_window(demo)
             for endpoint in demo.endpoints.values():
                 endpoint.gap_s = 0.05
             demo.endpoints["llm-1"].set_faults(resets_within=True)
@@ -208,6 +214,7 @@
         """Without a length or chunks, such an end looks like that of the body."""
         for unframed in (False, True):
             async with _running_demo() as demo:
+                _outlive_window(demo)
                 for endpoint in demo.endpoints.values():
                     endpoint.ends_within_event = True
                     endpoint.set_faults(unframed=unframed)
