Handle input that came during a pause of the process before timers that came due

Cause: asyncio runs timers that are due before the tasks that the input of the same iteration wakes. A process that is stopped while it waits is worse: Python's epoll returns no events at all if the wait was interrupted beyond its timeout, so the timers run before the input is even read.

Change: one mechanism for all timeouts, keep-alives and silence looks. The selector notices pauses from 50 ms on; timers that came due during one run once ten iterations have brought no further input, or after 0.25 s.

--- a/radishshift/loops.py
+++ b/radishshift/loops.py
@@ -1,23 +1,101 @@
-"""Event loop for a host with many slow streams.
+"""Event loops for hosts that stand still at times, and for those with many streams.
+
+A process may be stopped, or denied the processor, for a while. As it goes on, input and
+timers are due together, and asyncio would run the timers before the tasks that the
+input wakes: an answer that lies in a socket would count as missing. Here timers that
+came due during a pause wait until the input that came meanwhile has been handled.
 
 With hundreds of streams, nearly every received chunk would wake the loop by itself,
 and a loop iteration costs more than processing the chunk. Like interrupt coalescing in
-network cards, the selector of this loop lets I/O events accumulate for about two
+network cards, the selector of the second loop lets I/O events accumulate for about two
 milliseconds while the host is busy.
 """
 
 import asyncio
+import math
 import selectors
 import time
 
-__all__ = ["coalescing_event_loop"]
+__all__ = ["InputFirstLoop", "coalescing_event_loop", "input_first_event_loop"]
+
+MIN_PAUSE_S = 0.05  # shorter ones are the work of a busy loop
+# Iterations of the loop without input after which the tasks that it woke have run. A
+# connection that was made during a pause takes six to send its request.
+SETTLING_ITERATIONS = 10
+MAX_DELAY_S = 0.25  # of timers after a pause, however much input there is
 
 COALESCING_INTERVAL_S = 0.002
 LOAD_WINDOW_S = 0.05
 BUSY_EVENTS_PER_WINDOW = 100
 
+Events = list[tuple[selectors.SelectorKey, int]]
+
+
+class PauseSelector(selectors.EpollSelector):
+    """Notices pauses of the process, and when the input that came meanwhile is handled.
+
+    Attributes
+    ----------
+    resumed_at : float
+        Instant of the monotonic clock at which the process went on after a pause.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.resumed_at = -math.inf
+        self._returned_at = time.monotonic()
+        self._idle_iterations = SETTLING_ITERATIONS
+
+    def behind(self) -> bool:
+        """Return whether input that came during a pause may not be handled yet."""
+        return (
+            self._idle_iterations < SETTLING_ITERATIONS
+            and time.monotonic() < self.resumed_at + MAX_DELAY_S
+        )
+
+    def select(self, timeout: float | None = None) -> Events:
+        """Return the ready events."""
+        called_at = time.monotonic()
+        events = super().select(timeout)
+        now = time.monotonic()
+        overslept_s = (
+            now - called_at - max(0.0, math.inf if timeout is None else timeout)
+        )
+        pause_s = max(called_at - self._returned_at, overslept_s)
+        self._returned_at = now
+        if pause_s > MIN_PAUSE_S:
+            self.resumed_at = now
+            self._idle_iterations = 0
+        elif events:
+            self._idle_iterations = 0
+        else:
+            self._idle_iterations += 1
+        return events
+
+
+class InputFirstLoop(asyncio.SelectorEventLoop):
+    """Event loop in which timers that came due during a pause wait for its input."""
+
+    def __init__(self, selector: PauseSelector) -> None:
+        self._pauses = selector
+        super().__init__(selector)
+
+    def call_at(self, when, callback, *args, context=None) -> asyncio.TimerHandle:
+        """Call back at an instant of the loop's clock, or later after a pause."""
 
-class CoalescingSelector(selectors.EpollSelector):
+        def run() -> None:
+            if handle.cancelled():
+                return
+            if when <= self._pauses.resumed_at and self._pauses.behind():
+                self.call_soon(run, context=context)
+            else:
+                callback(*args)
+
+        handle = super().call_at(when, run, context=context)
+        return handle
+
+
+class CoalescingSelector(PauseSelector):
     """Polls at most once per `COALESCING_INTERVAL_S` while the host is busy."""
 
     def __init__(self) -> None:
@@ -27,9 +105,7 @@
         self._events = 0
         self._busy = False
 
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, int]]:
+    def select(self, timeout: float | None = None) -> Events:
         """Return the ready events, after a short pause if there were many recently."""
         now = time.monotonic()
         pause_s = self._next_poll_at - now
@@ -49,6 +125,11 @@
         return events
 
 
+def input_first_event_loop() -> asyncio.AbstractEventLoop:
+    """Return an event loop that handles input before timers after a pause."""
+    return InputFirstLoop(PauseSelector())
+
+
 def coalescing_event_loop() -> asyncio.AbstractEventLoop:
-    """Return an event loop that coalesces I/O events under load."""
-    return asyncio.SelectorEventLoop(CoalescingSelector())
+    """Return such an event loop that also coalesces I/O events under load."""
+    return InputFirstLoop(CoalescingSelector())
