Keep slow streams where streams at the other endpoints pause as long

Cause: the timeout of a silent stream knew its own endpoint alone. Whether another one would be better was never asked.

Evidence: test_slow_streams_stay_where_all_endpoints_are_as_slow fails before; a silent endpoint among prompt ones is left as soon as before. The soak's mode brownouts has slow streams as well.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -267,6 +267,7 @@
                 if may_give_up:
                     self._silence.check(attempt)
                 continue
+            self._silence.stream_went_on(attempt)
             now = self.clock.now()
             attempt.record_bytes(now)
             attempt.body_began = attempt.body_began or bool(data)
--- a/radishshift/gateway/silence.py
+++ b/radishshift/gateway/silence.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from radishshift.clocks import Clock
+from radishshift.decisions.event_pauses import EventPauses
 from radishshift.decisions.patience import EarlyRetries
 from radishshift.decisions.retry_budget import HostRetryBudget
 from radishshift.errors import StreamStalledError
@@ -43,6 +44,19 @@
         self._budget = budget
         self._has_alternative = has_alternative
         self._early_retries = EarlyRetries()
+        self._pauses = EventPauses()
+
+    def stream_went_on(self, attempt: Attempt) -> None:
+        """Record how long a stream has paused; called before its bytes are recorded."""
+        self._record_pause(attempt, self._clock.now())
+
+    def _record_pause(self, attempt: Attempt, now: float) -> None:
+        self._pauses.record(
+            attempt.job.service,
+            attempt.member.name,
+            now - attempt.last_byte_at,
+            now,
+        )
 
     def attempt_started(self) -> None:
         """Count an attempt, a share of which may be given up early."""
@@ -71,6 +85,8 @@
             if self._has_alternative(attempt)
             else TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE
         ):
+            if attempt.answer is not None:
+                self._record_pause(attempt, now)
             raise StreamStalledError(
                 f"no data received for {now - attempt.last_byte_at:.1f} s"
             )
@@ -108,7 +124,9 @@
         down.
         """
         view = attempt.view
-        attempt_overdue = (now - attempt.last_byte_at) / attempt.stall_timeout_s
+        attempt_overdue = (now - attempt.last_byte_at) / self._stall_timeout_s(
+            attempt, now
+        )
         if attempt.helper:
             attempt_overdue /= RELAY_STALL_FACTOR
         if attempt.job.route.kind is RouteKind.STREAM:
@@ -117,6 +135,14 @@
                 return attempt_overdue
         return max(attempt_overdue, _quiet_s(attempt, now) / attempt.silence_timeout_s)
 
+    def _stall_timeout_s(self, attempt: Attempt, now: float) -> float:
+        """Return the time without data after which an attempt counts as stalled."""
+        job = attempt.job
+        usual_s = attempt.stall_timeout_s
+        if attempt.answer is None or job.route.kind is not RouteKind.STREAM:
+            return usual_s
+        return self._pauses.timeout_s(job.service, attempt.member.name, usual_s, now)
+
 
 def _quiet_s(attempt: Attempt, now: float) -> float:
     """Return the time since a byte came from the other side of an attempt."""
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -113,6 +113,30 @@
         self.assertEqual(["a"], world.attempted_endpoints())
         self.assertEqual(COMPLETE_STREAM, caller.body)
 
+    async def test_slow_streams_stay_where_all_endpoints_are_as_slow(self):
+        """Guards BUDGET and LOST: sound streams went from endpoint to endpoint.
+
+        Each paused for 2.5 s at all endpoints, and was moved after 2 s.
+        """
+        slow = [stream_script(pauses_after=5, pause_s=2.5)]
+        world = World([STREAM], {"a": slow, "b": slow, "c": slow})
+        callers = [await world.send_request() for _ in range(4)]
+        for caller in callers:
+            self.assertEqual(COMPLETE_STREAM, caller.body)
+        self.assertLessEqual(len(world.attempted_endpoints()), 4 + 1)
+
+    async def test_a_silent_endpoint_is_left_where_the_others_are_prompt(self):
+        prompt = [stream_script()]
+        slow = [stream_script(pauses_after=5, pause_s=3.0)]
+        world = World([STREAM], {"a": slow, "b": prompt, "c": prompt})
+        for _ in range(3):
+            world.placer.view(world.member("a")).in_flight = 0
+            world.placer.view(world.member("b")).in_flight = 5
+            world.placer.view(world.member("c")).in_flight = 5
+            caller = await world.send_request()
+            self.assertEqual(COMPLETE_STREAM, caller.body)
+            self.assertLess(max_pause_s(caller), 2.5)
+
     async def test_a_queue_at_an_endpoint_is_waited_for(self):
         world = World(
             [STREAM], {"a": [stream_script(first_s=0.95)], "b": [stream_script()]}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -254,6 +254,18 @@
         endpoint.set_faults()
 
 
+@fault("streams-slow", ("brownouts",))
+async def _streams_slow(world, rng):
+    """Let all streams pause between events for longer than sound ones do."""
+    gap_s = rng.uniform(0.9, 2.5)
+    endpoints = list(world.endpoints.values())
+    for endpoint in endpoints:
+        endpoint.gap_s = gap_s
+    await asyncio.sleep(rng.uniform(3.0, 8.0))
+    for endpoint in endpoints:
+        endpoint.gap_s = world.mode.event_gap_s
+
+
 @fault("hosts-killed-in-series", ("brownouts",))
 async def _hosts_killed_in_series(world, rng):
     pause_s = rng.uniform(0.7, 3.0)
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -309,6 +309,7 @@
         for endpoint in self.endpoints.values():
             endpoint.set_faults()
             endpoint.limit_per_s = None
+            endpoint.gap_s = self.mode.event_gap_s
         self.platform.store.faults = StoreFaults()
 
     def log(self) -> str:
