State and count the time left from when a request arrived and is sent

Cause: the time that a caller allows was counted from when the process read the request, and what was left was computed before the connection to the endpoint was made, which may take 0.35 s, or longer now that a connection made during a pause is used.

Change: after a pause, a request counts as received when its connection last received data, as the kernel tells. The time left is stated once the connection is there.

--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import socket
+import sys
 from collections.abc import Callable, Mapping
 
 import aiohttp
@@ -18,6 +19,7 @@
     "keepalive_session",
     "read_body",
     "request_factory",
+    "unread_s",
     "valid_text",
 ]
 
@@ -43,6 +45,26 @@
     )
 
 
+# Place of `tcpi_last_data_recv`, in ms, in the kernel's `struct tcp_info`.
+LAST_RECEIVED_OFFSET = 52
+MAX_UNREAD_S = 60.0  # what is older is taken for a number that means something else
+
+
+def unread_s(sock: socket.socket | None) -> float:
+    """Return the time since a TCP connection last received data, 0 if unknown."""
+    if sock is None:
+        return 0.0
+    end = LAST_RECEIVED_OFFSET + 4
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, end)
+    except OSError:
+        return 0.0
+    if len(info) < end:
+        return 0.0
+    age_s = int.from_bytes(info[LAST_RECEIVED_OFFSET:], sys.byteorder) / 1000
+    return age_s if age_s <= MAX_UNREAD_S else 0.0
+
+
 _serialize_ascii_head = http_writer._serialize_headers
 
 
@@ -134,6 +156,7 @@
     idle_s: float = 15.0,
     read_bytes: int = 1 << 16,
     max_bytes: tuple[int, int] | None = None,
+    request_class: type[aiohttp.ClientRequest] = aiohttp.ClientRequest,
 ) -> aiohttp.ClientSession:
     """Return a client session for numeric IP addresses with TCP keepalive.
 
@@ -148,6 +171,7 @@
     max_bytes : tuple of int, optional
         Received bytes of a head, and of a complete response, over which a connection is
         closed.
+    request_class : type, optional
     """
     connector = aiohttp.TCPConnector(
         limit=0,
@@ -166,6 +190,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         read_bufsize=read_bytes,
+        request_class=request_class,
     )
     # aiohttp retries idempotent methods by default. Here the route, or the code that
     # calls the store, decides what may be retried.
--- a/radishshift/loops.py
+++ b/radishshift/loops.py
@@ -16,7 +16,12 @@
 import selectors
 import time
 
-__all__ = ["InputFirstLoop", "coalescing_event_loop", "input_first_event_loop"]
+__all__ = [
+    "InputFirstLoop",
+    "coalescing_event_loop",
+    "input_first_event_loop",
+    "paused_lately",
+]
 
 MIN_PAUSE_S = 0.05  # shorter ones are the work of a busy loop
 # Iterations of the loop without input after which the tasks that it woke have run. A
@@ -24,6 +29,8 @@
 SETTLING_ITERATIONS = 10
 MAX_DELAY_S = 0.25  # of timers after a pause, however much input there is
 
+PAUSE_EFFECT_S = 1.0  # in which what came during a pause is read
+
 COALESCING_INTERVAL_S = 0.002
 LOAD_WINDOW_S = 0.05
 BUSY_EVENTS_PER_WINDOW = 100
@@ -80,6 +87,11 @@
         self._pauses = selector
         super().__init__(selector)
 
+    @property
+    def paused_lately(self) -> bool:
+        """Tell whether input may have waited for the process to go on."""
+        return time.monotonic() < self._pauses.resumed_at + PAUSE_EFFECT_S
+
     def call_at(self, when, callback, *args, context=None) -> asyncio.TimerHandle:
         """Call back at an instant of the loop's clock, or later after a pause."""
 
@@ -125,6 +137,12 @@
         return events
 
 
+def paused_lately() -> bool:
+    """Tell whether input of the running loop may have waited for the process."""
+    loop = asyncio.get_running_loop()
+    return isinstance(loop, InputFirstLoop) and loop.paused_lately
+
+
 def input_first_event_loop() -> asyncio.AbstractEventLoop:
     """Return an event loop that handles input before timers after a pause."""
     return InputFirstLoop(PauseSelector())
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -91,6 +91,22 @@
         for name in ("Accept", "Accept-Encoding", "User-Agent"):
             self.assertNotIn(name, headers)
 
+    async def test_the_time_left_is_stated_once_a_connection_is_there(self):
+        """Guards rule BUDGET: the time that a connection took was handed on as well."""
+        async with _client() as (platform, client, clock):
+            order = _order(clock, platform.addresses[NAME])
+            connector = client._http_session_for(order.member).connector
+            connect = connector.connect
+
+            async def connect_late(*args, **options):
+                await asyncio.sleep(0.3)
+                return await connect(*args, **options)
+
+            connector.connect = connect_late
+            await (await client.send(order)).read()
+            stated_ms = int(platform.endpoints[NAME].ran[0][1]["X-Deadline-Ms"])
+        self.assertLessEqual(stated_ms, 3700)
+
     async def test_a_refused_attempt_was_not_run(self):
         exc = await self._assert_send_fails(EndpointRefusedError, refuses=True)
         self.assertEqual(Verdict.NOT_RUN, exc.verdict)
