Store which whole requests crash endpoints, not only which parts of prompts

What is held back was known to processes and their peers alone, and each full restart began a new count. Only parts of prompts were stored.

Change: the duty that stores blocked parts also stores requests, once their crashes can't be taken back (5 s), 50 at most, so that parts have room. A sound answer or ten minutes end that, as for parts.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -24,7 +24,7 @@
 
 from radishshift.recent import put_newest
 
-__all__ = ["CrashReport", "CrashSuspects", "Traits"]
+__all__ = ["CrashReport", "CrashSuspects", "Traits", "is_request"]
 
 REQUEST_PREFIX = "r"
 BEGUN_REQUEST_PREFIX = "b"  # a request whose answer had begun
@@ -138,7 +138,7 @@
         return {
             trait: depth
             for trait, depth in (self.answering or self.waiting).items()
-            if trait not in self.cleared and (settled or _is_request(trait))
+            if trait not in self.cleared and (settled or is_request(trait))
         }
 
 
@@ -227,26 +227,30 @@
             self._record_sound(trait, now)
 
     def set_stored(self, parts: dict[str, float]) -> None:
-        """Set the parts that are blocked by the platform, with the time since when."""
+        """Set the traits that are blocked by the platform, with the time since when."""
         if parts != self._stored:
             self._stored = dict(parts)
             self._outdated = True
 
     def obsolete_stored(self, now: float) -> list[str]:
-        """Return the stored parts that have expired or had sound answers since."""
+        """Return the stored traits that have expired or had sound answers since."""
         return [
             part
             for part, at in self._stored.items()
             if now - at > CRASH_RETENTION_S or self._sound_at.get(part, 0.0) > at
         ]
 
-    def attributed_parts(self, now: float) -> dict[str, int]:
-        """Return the parts to which crashes are attributed, with their counts."""
-        self.blocked(now)
+    def lasting(self, now: float) -> dict[str, int]:
+        """Return the traits to store for hosts that start, with their crash counts.
+
+        These are the parts to which crashes are attributed, and the latest requests,
+        once their crashes can't be taken back.
+        """
+        held = self.held_ages_s(now)
         return {
             trait: count
             for trait, count in self._attributed.items()
-            if not _is_request(trait)
+            if trait in held or not is_request(trait)
         }
 
     def blocked(self, now: float) -> dict[str, int]:
@@ -303,7 +307,7 @@
         dict of str to float
             Time since the last crash by trait, in seconds.
         """
-        blocked = [trait for trait in self.blocked(now) if _is_request(trait)]
+        blocked = [trait for trait in self.blocked(now) if is_request(trait)]
         if not blocked:
             return {}
         last_at = dict(self._told)
@@ -326,7 +330,7 @@
         """
         for trait, age_s in ages_s.items():
             at = now - age_s
-            expired = age_s > CRASH_RETENTION_S or not _is_request(trait)
+            expired = age_s > CRASH_RETENTION_S or not is_request(trait)
             if expired or at >= self._told.get(trait, math.inf):
                 continue
             if self._sound_at.get(trait, -math.inf) > at:
@@ -459,7 +463,7 @@
     def _threshold(self, trait: str) -> int:
         if trait.startswith(BEGUN_REQUEST_PREFIX):
             return CRASHES_TO_BLOCK_BEGUN_REQUEST
-        if _is_request(trait):
+        if is_request(trait):
             return CRASHES_TO_BLOCK_REQUEST
         if trait in self._sound_at:
             return CRASHES_TO_BLOCK_SOUND_PART
@@ -477,7 +481,7 @@
         for trait, depth in candidates.items():
             depths[trait] = max(depth, depths.get(trait, 0))
             pause_s = at - last_at.get(trait, -math.inf)
-            if _is_request(trait) or pause_s >= COINCIDENCE_S:
+            if is_request(trait) or pause_s >= COINCIDENCE_S:
                 counts[trait] = counts.get(trait, 0) + 1
                 last_at[trait] = at
     return counts, depths
@@ -488,7 +492,8 @@
     return crash_at - delay_s <= alive_at <= crash_at + LIFE_PROOF_S
 
 
-def _is_request(trait: str) -> bool:
+def is_request(trait: str) -> bool:
+    """Return whether a trait is that of a whole request."""
     return trait.startswith((REQUEST_PREFIX, BEGUN_REQUEST_PREFIX))
 
 
--- a/radishshift/gateway/blocked_part_duty.py
+++ b/radishshift/gateway/blocked_part_duty.py
@@ -1,6 +1,7 @@
-"""Writes the parts of prompts that crash endpoints to the platform, and deletes them.
+"""Writes what crashes endpoints to the platform, and deletes it there.
 
-Hosts that start, and data centres that hear from no other, learn of them there. Any
+These are parts of prompts and, by their hashes, whole requests. Hosts that start, also
+all at once, and data centres that hear from no other, learn of them there. Any
 host may write. Hosts take turns in the order of their names, as for roll-outs.
 """
 
@@ -10,7 +11,7 @@
 import logbook
 
 from radishshift.clocks import Clock
-from radishshift.decisions.crashes import CrashSuspects
+from radishshift.decisions.crashes import CrashSuspects, is_request
 from radishshift.errors import AlreadyExistsError, NotFoundError, RadishshiftError
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_view import HostView
@@ -23,7 +24,8 @@
 CHECK_INTERVAL_S = 0.2
 SETTLE_S = 1.0  # by then other hosts have reported suspects and sound answers
 WRITE_TURN_S = 0.7  # time for the write of one host before the next one tries
-MAX_BLOCKED_PARTS = 100  # stored at a time
+MAX_BLOCKED_PARTS = 100  # stored at a time, whole requests included
+MAX_BLOCKED_REQUESTS = 50  # of these; a part stands for many requests
 
 logger = logbook.Logger("blocked_parts")
 
@@ -75,8 +77,8 @@
         stored = self._host_view.blocked_parts
         due = {
             part: count
-            for part, count in self._suspects.attributed_parts(now).items()
-            if part not in stored and len(stored) < MAX_BLOCKED_PARTS
+            for part, count in self._suspects.lasting(now).items()
+            if part not in stored
         }
         obsolete = self._suspects.obsolete_stored(now)
         lost = self._host_view.lost_parts
@@ -84,12 +86,19 @@
         for part in [part for part in self._due_since if part not in {*due, *obsolete}]:
             del self._due_since[part]
         for part, count in due.items():
-            if self._is_turn(part, now):
+            if self._is_turn(part, now) and (part in lost or self._has_room(part)):
                 await self._create(part, count)
         for part in obsolete:
             if self._is_turn(part, now):
                 await self._delete(part)
 
+    def _has_room(self, part: str) -> bool:
+        stored = self._host_view.blocked_parts
+        if len(stored) >= MAX_BLOCKED_PARTS:
+            return False
+        requests = sum(map(is_request, stored))
+        return not is_request(part) or requests < MAX_BLOCKED_REQUESTS
+
     def _is_turn(self, part: str, now: float) -> bool:
         """Return whether this host is to write a part's change now."""
         since = self._due_since.setdefault(part, now)
--- a/tests/gateway/test_blocked_part_duty.py
+++ b/tests/gateway/test_blocked_part_duty.py
@@ -2,8 +2,16 @@
 
 import asyncio
 
-from radishshift.decisions.crashes import CRASH_RETENTION_S, Traits
-from radishshift.gateway.blocked_part_duty import BlockedPartDuty
+from radishshift.decisions.crashes import (
+    CRASH_RETENTION_S,
+    CRASHES_TO_BLOCK_REQUEST,
+    HELD_AFTER_S,
+    Traits,
+)
+from radishshift.gateway.blocked_part_duty import (
+    MAX_BLOCKED_REQUESTS,
+    BlockedPartDuty,
+)
 from radishshift.objects import Kind
 from radishshift.platform import MemoryPlatform
 from radishshift.standins.faulty import FaultyPlatform
@@ -86,6 +94,41 @@
         self.addCleanup(fleet.stop)
         return fleet
 
+    async def test_a_request_that_crashes_endpoints_is_held_after_all_restart(self):
+        """Guards rule BUDGET: all hosts forgot it when all of them were killed."""
+        fleet = _Fleet(2)
+        traits = Traits("rbad")
+        for number in range(CRASHES_TO_BLOCK_REQUEST):
+            world = fleet.hosts[number].world
+            name = f"endpoint-{number}@1"
+            world.suspects.record_crash(name, traits, True, world.clock.now())
+        await asyncio.sleep(HELD_AFTER_S - 1.0)
+        self.assertEqual([], await fleet.stored())
+        await asyncio.sleep(5.0)
+        self.assertEqual(["rbad"], await fleet.stored())
+        fleet.stop()
+        fleet.hosts.clear()
+        fleet.add_host("edge-3")
+        await asyncio.sleep(0.5)
+        world = fleet.hosts[0].world
+        self.assertEqual("rbad", world.suspects.blocking(traits, world.clock.now()))
+        world.suspects.record_sound(traits, world.clock.now())
+        await asyncio.sleep(5.0)
+        self.assertEqual([], await fleet.stored())
+        fleet.stop()
+
+    async def test_requests_leave_room_for_parts(self):
+        fleet = _Fleet(1)
+        world = fleet.hosts[0].world
+        for number in range(2 * (MAX_BLOCKED_REQUESTS + 10)):
+            name = f"endpoint-{number}@1"
+            traits = Traits(f"r{number // 2}")
+            world.suspects.record_crash(name, traits, True, world.clock.now())
+        await asyncio.sleep(HELD_AFTER_S + 60.0)
+        stored = len(await fleet.stored())
+        self.assertTrue(0 < stored <= MAX_BLOCKED_REQUESTS, stored)
+        fleet.stop()
+
     async def test_a_part_is_stored_once_and_known_to_a_host_that_starts(self):
         fleet = self._fleet()
         await asyncio.sleep(1)
