--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,9 @@
 EVACUATIONS_SEED = 2  # begins with an order
 EVACUATIONS_HOSTS = 4
 EVACUATIONS_TIME_S = 8.0
+BROWNOUTS_SEED = 9  # a service fails while hosts are killed, stopped and halted
+BROWNOUTS_HOSTS = 4
+BROWNOUTS_TIME_S = 8.0
 FAILED_SEEDS_FILE = Path(__file__).parent / "failed-seeds.txt"
 
 
@@ -58,6 +61,13 @@
         self.assertGreater(result.faults["data-centre-emptied"], 0)
         self.assertGreater(result.statuses[200], 0)
 
+    def test_repeats_are_bounded_while_a_service_fails_and_hosts_come_and_go(self):
+        result = self._run_seed(
+            BROWNOUTS_SEED, BROWNOUTS_HOSTS, BROWNOUTS_TIME_S, "brownouts"
+        )
+        self.assertGreater(result.faults["service-fails"], 0)
+        self.assertGreater(result.repeat_ratio, 0.0)
+
     def test_seeds_that_broke_a_promise_keep_them_now(self):
         """Each line of the file holds seed, hosts, seconds, mode, and what broke."""
         for line in FAILED_SEEDS_FILE.read_text(encoding="utf-8").splitlines():
