Store a request that crashes endpoints 2.5 s after it is blamed

It was stored 5 s after its last crash, so a request that went on to crash endpoints was never stored while it did. The time now runs from when the crashes are attributed to the request. By then crashes of endpoints that live have been taken back.

--- a/radishshift/decisions/crashes.py
+++ b/radishshift/decisions/crashes.py
@@ -240,18 +240,10 @@
             if now - at > CRASH_RETENTION_S or self._sound_at.get(part, 0.0) > at
         ]
 
-    def lasting(self, now: float) -> dict[str, int]:
-        """Return the traits to store for hosts that start, with their crash counts.
-
-        These are the parts to which crashes are attributed, and the latest requests,
-        once their crashes can't be taken back.
-        """
-        held = self.held_ages_s(now)
-        return {
-            trait: count
-            for trait, count in self._attributed.items()
-            if trait in held or not is_request(trait)
-        }
+    def attributed(self, now: float) -> dict[str, int]:
+        """Return the traits to which crashes are attributed, with their counts."""
+        self.blocked(now)
+        return self._attributed
 
     def blocked(self, now: float) -> dict[str, int]:
         """Return the traits whose requests must not run, with their crash counts.
--- a/radishshift/gateway/blocked_part_duty.py
+++ b/radishshift/gateway/blocked_part_duty.py
@@ -23,6 +23,9 @@
 
 CHECK_INTERVAL_S = 0.2
 SETTLE_S = 1.0  # by then other hosts have reported suspects and sound answers
+# By then they have taken crashes back whose endpoints live. A few are enough to blame a
+# whole request, unlike a part.
+REQUEST_SETTLE_S = 2.5
 WRITE_TURN_S = 0.7  # time for the write of one host before the next one tries
 MAX_BLOCKED_PARTS = 100  # stored at a time, whole requests included
 MAX_BLOCKED_REQUESTS = 50  # of these; a part stands for many requests
@@ -77,7 +80,7 @@
         stored = self._host_view.blocked_parts
         due = {
             part: count
-            for part, count in self._suspects.lasting(now).items()
+            for part, count in self._suspects.attributed(now).items()
             if part not in stored
         }
         obsolete = self._suspects.obsolete_stored(now)
@@ -102,7 +105,8 @@
     def _is_turn(self, part: str, now: float) -> bool:
         """Return whether this host is to write a part's change now."""
         since = self._due_since.setdefault(part, now)
-        return now >= since + SETTLE_S + self._gossip.duty_turn() * WRITE_TURN_S
+        settle_s = REQUEST_SETTLE_S if is_request(part) else SETTLE_S
+        return now >= since + settle_s + self._gossip.duty_turn() * WRITE_TURN_S
 
     async def _create(self, part: str, crashes: int) -> None:
         self._due_since[part] = now = self._clock.now()
