Repeat the first request of a process once, instead of rounding each budget up

With 195 hosts of a few requests each, rounding up adds 0.4 of a retry a host beyond the ratio, more than the slack held back for it. Only the first request of a window is rounded up now, at most to what the ratio rounds to, so none where no retries are allowed. 0.9 of the slack are divided.

--- a/radishshift/decisions/retry_budget.py
+++ b/radishshift/decisions/retry_budget.py
@@ -4,21 +4,20 @@
 retry adds to the load that made the first attempt fail. The bound holds for the sum
 over all hosts in any window, also if processes are killed, start again and are cut from
 each other meanwhile. Each process applies the ratio to the requests that it received
-itself, which needs no agreement; a part of a retry counts as a whole one, so that also
-the first request can be repeated. The slack belongs to machines rather than requests: a
-process uses a share of it only once what its predecessor spent is out of the window,
-and the share is that of the largest fleet known of late.
+itself, which needs no agreement; the first one may be repeated once. The slack belongs
+to machines rather than requests: a process uses a share of it only once what its
+predecessor spent is out of the window, and the share is that of the largest fleet known
+of late.
 """
 
-import math
 from collections import deque
 
 from radishshift.decisions.fleet_size import FleetSize
 
 __all__ = ["HostRetryBudget", "SlackShare"]
 
-# Share of the slack that is divided; the rest covers what processes round up.
-SLACK_MARGIN = 0.8
+# Share of the slack that is divided; the rest covers first requests that are repeated.
+SLACK_MARGIN = 0.9
 RATIO_MARGIN = 0.85  # share of the ratio in use, as callers' requests are counted late
 # Divides the slack at least, as parts of a small fleet may know of each other alone.
 MIN_HOSTS = 12
@@ -69,6 +68,7 @@
         share: SlackShare | None = None,
     ) -> None:
         self._ratio = ratio * RATIO_MARGIN
+        self._first = min(1.0, round(ratio))  # retries of the first request
         self._window_s = window_s
         self._slack = slack
         self._share = share
@@ -84,8 +84,10 @@
         """Return how many retries may be sent now."""
         self._forget_old(now)
         share = 1.0 if self._share is None else self._share.at(now)
-        allowed = math.ceil(self._ratio * len(self._requests)) + self._slack * share
-        return allowed - len(self._retries)
+        by_ratio = self._ratio * len(self._requests)
+        if self._requests:
+            by_ratio = max(by_ratio, self._first)
+        return by_ratio + self._slack * share - len(self._retries)
 
     def state(self, now: float) -> dict[str, float]:
         """Return what the budget is made of, for logs."""
