--- a/tests/gateway/test_mixed_builds.py
+++ b/tests/gateway/test_mixed_builds.py
@@ -56,6 +56,13 @@
         new.gossip._receive(_as_received(old.gossip._build_message(message)))
         self.assertEqual({"dc-0"}, new.world.host_view.evacuated)
 
+    async def test_a_host_of_an_earlier_build_tells_no_size_of_the_fleet(self):
+        network = Network(2, 2, 1, 1)
+        new, old = network.hosts.values()
+        message = old.gossip._build_message(None)
+        new.gossip._receive(_as_received(message, dropped=("most_hosts",)))
+        self.assertEqual(1, new.world.dispatcher.fleet_size.largest(now()))
+
     async def test_a_host_of_an_earlier_build_tells_no_age_and_ignores_it(self):
         network = Network(4, 2, 1, 1)
         new, old = network.hosts.values()
