--- a/radishshift/connection_log.py
+++ b/radishshift/connection_log.py
@@ -35,6 +35,7 @@
 
     def _unanswered(self) -> Iterator[tuple[str, str]]:
         """Yield the ID and the state of each request that has no complete answer."""
+        # The library has no public view of them.
         request = self._current_request
         if request is not None:
             yield self._id_of(request.headers), _state_of(request)
--- a/radishshift/decisions/event_pauses.py
+++ b/radishshift/decisions/event_pauses.py
@@ -37,7 +37,12 @@
 
     def record(self, service: str, endpoint: str, pause_s: float, now: float) -> None:
         """Record a pause that has ended, or after which a stream was moved."""
-        known = self._services.setdefault(service, {}).setdefault(endpoint, _Endpoint())
+        endpoints = self._services.get(service)
+        if endpoints is None:
+            endpoints = self._services[service] = {}
+        known = endpoints.get(endpoint)
+        if known is None:
+            known = endpoints[endpoint] = _Endpoint()
         known.received_at = now
         if pause_s < MIN_PAUSE_S:
             return
--- a/radishshift/gateway/blocked_part_duty.py
+++ b/radishshift/gateway/blocked_part_duty.py
@@ -23,8 +23,8 @@
 
 CHECK_INTERVAL_S = 0.2
 SETTLE_S = 1.0  # by then other hosts have reported suspects and sound answers
-# By then they have taken crashes back whose endpoints live. A few are enough to blame a
-# whole request, unlike a part.
+# By then crashes of endpoints that live have been taken back. A whole request is blamed
+# after fewer crashes than a part.
 REQUEST_SETTLE_S = 2.5
 WRITE_TURN_S = 0.7  # time for the write of one host before the next one tries
 MAX_BLOCKED_PARTS = 100  # stored at a time, whole requests included
