--- a/radishshift/connection_log.py
+++ b/radishshift/connection_log.py
@@ -6,6 +6,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from radishshift import http_server as web
+from radishshift.gateway.sockets import valid_text
 
 __all__ = ["LoggingServer"]
 
@@ -43,8 +44,7 @@
             yield self._id_of(getattr(message, "headers", {})), "waiting"
 
     def _id_of(self, headers) -> str:
-        text = headers.get(self.id_header, "")
-        return text.encode(errors="backslashreplace").decode()
+        return valid_text(headers.get(self.id_header, ""))
 
 
 def _state_of(request: web.BaseRequest) -> str:
