--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -17,6 +17,7 @@
     "RouteKind",
     "Service",
     "ServiceShare",
+    "is_api_key",
 ]
 
 
@@ -130,6 +131,11 @@
     regions: tuple[str, ...] = ()
 
 
+def is_api_key(key: str) -> bool:
+    """Return whether a text can be an API key: one of blanks reads like none."""
+    return bool(key.strip())
+
+
 @dataclass(frozen=True, slots=True)
 class Deployment:
     """One version of the operators' configuration.
@@ -150,6 +156,10 @@
     customers: Mapping[str, Customer]
     keys_required: bool = True
 
+    def customer_of(self, key: str) -> Customer | None:
+        """Return the customer that holds an API key, None for a blank key."""
+        return self.customers.get(key) if is_api_key(key) else None
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -179,7 +179,7 @@
             raise NotFoundError("no route for this host and path")
         customer: Customer | None = None
         if deployment.keys_required and not route.public:
-            customer = deployment.customers.get(req.key)
+            customer = deployment.customer_of(req.key)
             if customer is None:
                 raise AuthenticationError("the key is missing or unknown")
         if not route.shares:
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -78,6 +78,17 @@
         self.assertEqual(401, await self._status(world, key=KEY))
         self.assertEqual(200, await self._status(world, key="new"))
 
+    async def test_a_request_without_a_key_is_rejected_whatever_keys_are_held(self):
+        """An empty key in a configuration let every request without a key run."""
+        for blank in ("", " ", "\t", "\u00a0"):
+            world = World([IDEMPOTENT], {"a": [Script()]})
+            world.configure(
+                [IDEMPOTENT], version=2, customers={blank: Customer("mill")}
+            )
+            with self.subTest(repr(blank)):
+                self.assertEqual(401, await self._status(world, key=blank))
+                self.assertEqual([], world.attempted_endpoints())
+
     async def test_requests_of_a_route_that_could_not_be_read_have_not_run(self):
         world = World([route(shares=())], {"a": [Script()]})
         self.assertEqual(503, await self._status(world))
--- a/tests/users_platform/test_object_decoder.py
+++ b/tests/users_platform/test_object_decoder.py
@@ -1,5 +1,6 @@
 """Tests of decoding the store's objects and the settings file."""
 
+import logbook
 from users_platform.object_decoder import PlatformObjectDecoder
 from users_platform.settings import read_settings
 from users_platform.standins import server_entry
@@ -13,6 +14,7 @@
 from tests.users_platform.served import CONFIG, KEY
 
 DECODER = PlatformObjectDecoder()
+BLANK_KEYS_LINE = "customer {!r} holds {} blank keys; nobody may use them"
 SETTINGS = """
 nodeName = "edge-mbeya-1"
 ip = "10.1.0.40"
@@ -72,6 +74,21 @@
                 self.assertEqual(required, deployment.keys_required)
                 self.assertEqual({}, deployment.customers)
 
+    def test_blank_keys_are_no_keys_and_the_operator_is_told(self):
+        """An empty key in a configuration let every request without a key run."""
+        tenants = [
+            {"name": "ring", "apiKeys": ["", " \t", "\u00a0", KEY]},
+            {"name": "mill", "apiKeys": [""]},
+        ]
+        item = StoredObject(Kind.DEPLOYMENT, "main", CONFIG | {"tenants": tenants})
+        with logbook.TestHandler() as logged:
+            deployment = PlatformObjectDecoder().deployment(item)
+        self.assertEqual({KEY}, set(deployment.customers))
+        self.assertTrue(deployment.keys_required)
+        self.assertTrue(logged.has_warning(BLANK_KEYS_LINE.format("ring", 3)))
+        self.assertTrue(logged.has_warning(BLANK_KEYS_LINE.format("mill", 1)))
+        self.assertFalse(any(KEY in record.message for record in logged.records))
+
     def test_a_route_that_changes_is_decoded_again_and_the_others_are_not(self):
         decoder = PlatformObjectDecoder()
         look, book, plan = CONFIG["routes"]
