A list without regions allows none, instead of all

Requests of a route or customer whose list of regions is empty ran in all regions; docs/design/restrictions.md had it so, against its own principle.

Cause: the decoder replaced an absent, a null and an empty list by the same empty tuple, which read as no restriction. Change: no list is None, and a list stated as empty or null allows no region. Relay orders keep the empty list for all regions, as peers of the last release send and expect it; a request that may run nowhere is never relayed.

--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -62,8 +62,8 @@
         Whether a broken stream may be resumed at another endpoint.
     models : tuple of str
         Models to choose from, smallest first; empty if the caller names one.
-    regions : tuple of str
-        Regions in which its requests may run; empty for all.
+    regions : tuple of str or None
+        Regions in which its requests may run; None for all.
     """
 
     name: str
@@ -78,7 +78,7 @@
     public: bool = False
     resumable: bool = False
     models: tuple[str, ...] = ()
-    regions: tuple[str, ...] = ()
+    regions: tuple[str, ...] | None = None
 
     @property
     def idempotent(self) -> bool:
@@ -122,13 +122,13 @@
     name : str
     priority : int or None
         Overrides that of the route, if set.
-    regions : tuple of str
-        Regions in which its requests may run; empty for all.
+    regions : tuple of str or None
+        Regions in which its requests may run; None for all.
     """
 
     name: str
     priority: int | None = None
-    regions: tuple[str, ...] = ()
+    regions: tuple[str, ...] | None = None
 
 
 def is_api_key(key: str) -> bool:
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -71,11 +71,11 @@
         parts = self.req.parts if self.req.session else self.req.parts[:-1]
         shared = (part.digest for part in parts)
         self.traits = Traits.of(digest.hexdigest(), self.service, shared)
-        customer_regions = () if self.customer is None else self.customer.regions
+        customer_regions = None if self.customer is None else self.customer.regions
         restrictions = [
             frozenset(regions)
             for regions in (self.route.regions, customer_regions)
-            if regions
+            if regions is not None
         ]
         self.regions = frozenset.intersection(*restrictions) if restrictions else None
 
--- a/radishshift/gateway/relay_messages.py
+++ b/radishshift/gateway/relay_messages.py
@@ -43,6 +43,7 @@
     req : CallerRequest
         Without the caller's key, and with instants that mean nothing to the peer.
     route : Route
+        With no regions for all, as a request that may run in none is not relayed.
     left_s : float
         Time until the peer must have the whole answer, in seconds.
     model, last_event_id : str
@@ -71,7 +72,7 @@
         deadline = now + self.left_s
         return Job(
             replace(self.req, deadline=deadline, received_at=now),
-            self.route,
+            replace(self.route, regions=self.route.regions or None),
             self.service,
             Customer(self.customer) if self.customer else None,
             deadline,
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -138,7 +138,7 @@
     def _world(self, **changes):
         world = _stream_world(a=Script(events=EVENTS), b=Script(events=EVENTS))
         world.dispatcher.placement.regions = {"mbeya": "south", "iringa": "north"}
-        customer = Customer("ring", regions=changes.pop("customer", ()))
+        customer = Customer("ring", regions=changes.pop("customer", None))
         world.configure(
             [route(RouteKind.STREAM, **changes)], 2, customers={KEY: customer}
         )
@@ -158,9 +158,12 @@
             self.assertEqual(expected, set(world.attempted_endpoints()))
 
     async def test_a_request_without_a_region_is_rejected_at_once(self):
+        """A list without a region restricted nothing."""
         for changes in (
             {"regions": ("north",), "customer": ("south",)},
             {"regions": ("elsewhere",)},
+            {"regions": ()},
+            {"customer": ()},
         ):
             world = self._world(**changes)
             caller = await world.send_request()
--- a/tests/gateway/test_relay_messages.py
+++ b/tests/gateway/test_relay_messages.py
@@ -18,9 +18,10 @@
 
 
 class RelayOrderTest(VirtualTestCase):
-    async def _relayed(self, **changes):
+    async def _relayed(self, route_regions=None, **changes):
         """Return a job and the one that a peer makes of its order."""
-        world = World([route(RouteKind.STREAM)], dict.fromkeys(NAMES))
+        stream = route(RouteKind.STREAM, regions=route_regions)
+        world = World([stream], dict.fromkeys(NAMES))
         job = world.path._create_job(world.request(**changes))
         job.used_endpoints = ["a", "via edge-2"]
         job.failed_endpoints = ["a"]
@@ -40,6 +41,13 @@
         self.assertEqual("", relayed.req.key)
         self.assertEqual(("large", "7"), (order.model, order.last_event_id))
 
+    async def test_the_peer_restricts_the_regions_as_the_sender_does(self):
+        """Peers of the last release state and expect an empty list for all regions."""
+        for regions, sent in ((None, ()), (("north", "south"), ("north", "south"))):
+            job, order, relayed = await self._relayed(route_regions=regions)
+            self.assertEqual(sent, order.route.regions)
+            self.assertEqual(job.regions, relayed.regions)
+
     async def test_the_peer_itself_is_none_of_the_endpoints_in_use(self):
         job, _, relayed = await self._relayed()
         self.assertEqual(["a"], relayed.used_endpoints)
--- a/tests/users_platform/test_object_decoder.py
+++ b/tests/users_platform/test_object_decoder.py
@@ -89,6 +89,22 @@
         self.assertTrue(logged.has_warning(BLANK_KEYS_LINE.format("mill", 1)))
         self.assertFalse(any(KEY in record.message for record in logged.records))
 
+    def test_a_list_without_regions_allows_none(self):
+        """It read like no list, so requests ran in all regions."""
+        cases = {"absent": ({}, None), "null": ({"allowedRegions": None}, ())}
+        for regions in ([], ["south"]):
+            cases[str(regions)] = ({"allowedRegions": regions}, tuple(regions))
+        for name, (changes, expected) in cases.items():
+            spec = CONFIG | {
+                "routes": [CONFIG["routes"][0] | changes],
+                "tenants": [CONFIG["tenants"][0] | changes],
+            }
+            with self.subTest(name):
+                item = StoredObject(Kind.DEPLOYMENT, "main", spec)
+                deployment = PlatformObjectDecoder().deployment(item)
+                self.assertEqual(expected, deployment.routes[0].regions)
+                self.assertEqual(expected, deployment.customers[KEY].regions)
+
     def test_a_route_that_changes_is_decoded_again_and_the_others_are_not(self):
         decoder = PlatformObjectDecoder()
         look, book, plan = CONFIG["routes"]
