Leave out services without weight, and refuse empty versions and services

A route whose services all have the weight 0 sent its requests to the last of them, an order for the version "" let a roll-out move all requests to any version, and beside an endpoint of the version "" requests kept off the new version ran on any, as the empty version stands for any in placement.

Change: only services with a positive weight get requests, a route without one refuses them, and an entry with an empty service or version is unreadable, as one without it was.

Not seen by callers; found by reading.

--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -47,7 +47,8 @@
         `prefix` begins and ends with a slash.
     kind : RouteKind
     shares : tuple of ServiceShare
-        Empty for a route that could not be read, whose requests are refused.
+        Empty for a route that could not be read or has no service with a weight;
+        its requests are refused.
     timeout_s : float
         Longest time until a request is answered, if only with an error.
     objective_s : float
--- a/radishshift/gateway/request_path.py
+++ b/radishshift/gateway/request_path.py
@@ -183,7 +183,7 @@
             if customer is None:
                 raise AuthenticationError("the key is missing or unknown")
         if not route.shares:
-            raise NoConfigurationError(f"the route {route.name} could not be read")
+            raise NoConfigurationError(f"the route {route.name} names no service")
         sticky_key = _sticky_key(req)
         service = choose_service(route.shares, sticky_key)
         deadline = min(req.deadline, req.received_at + route.timeout_s)
--- a/tests/users_platform/test_object_decoder.py
+++ b/tests/users_platform/test_object_decoder.py
@@ -89,6 +89,23 @@
         self.assertTrue(logged.has_warning(BLANK_KEYS_LINE.format("mill", 1)))
         self.assertFalse(any(KEY in record.message for record in logged.records))
 
+    def test_a_service_without_weight_is_no_share_of_a_route(self):
+        """The last of a route's services took all requests if none had a weight."""
+        desk, advice = ({"service": name, "weight": 0} for name in ("desk", "advice"))
+        cases = (
+            ([desk, advice], ()),
+            ([desk | {"weight": -1}, advice | {"weight": 1}], ("advice",)),
+            ([desk | {"weight": 2}, advice], ("desk",)),
+            ([], ("desk",)),
+        )
+        for split, expected in cases:
+            changed = CONFIG["routes"][0] | {"split": split}
+            item = StoredObject(Kind.DEPLOYMENT, "main", CONFIG | {"routes": [changed]})
+            (route,) = PlatformObjectDecoder().deployment(item).routes
+            with self.subTest(split):
+                services = tuple(share.service for share in route.shares)
+                self.assertEqual(expected, services)
+
     def test_a_list_without_regions_allows_none(self):
         """It read like no list, so requests ran in all regions."""
         cases = {"absent": ({}, None), "null": ({"allowedRegions": None}, ())}
@@ -171,6 +188,8 @@
             {"address": "somewhere:80"},
             {"address": None},
             {"seqNo": "x"},
+            {"service": ""},
+            {"version": ""},
             {"born": 1.5},
         ):
             self.assertRaises(UnreadableObjectError, _member, **changes)
@@ -190,6 +209,13 @@
             self.assertEqual(state, rollout.state)
             self.assertEqual(status, DECODER.rollout_status(rollout, state))
 
+    def test_an_order_without_a_version_or_service_is_unreadable(self):
+        """An empty version reads as any, so the order would restrict nothing."""
+        order = {"service": "advice", "target": "v2", "durationS": 12}
+        for changes in ({"target": ""}, {"service": ""}, {"target": None}):
+            item = StoredObject(Kind.ROLLOUT, "advice", order | changes, {}, 4)
+            self.assertRaises(UnreadableObjectError, DECODER.rollout, item)
+
     def test_the_status_of_an_earlier_order_is_ignored(self):
         order = {"service": "advice", "target": "v3", "durationS": 12}
         status = {"state": "completed", "target": "v2"}
