radishshift-entry: accept no blank API key and no short session key

With the digest of an empty text in the catalogue, as hashing an unset variable gives it, a caller with a blank bearer token was that customer. A session key that is empty let anybody forge session tokens; one that could not be parsed ended the task that refreshes the keys.

Change: a blank token is no key, `radishshift check` refuses the digest of a blank key, and session keys of another form than hosts write are left out with a log line. The function that hashes a key stood twice.

--- a/radishshift/caller_requests.py
+++ b/radishshift/caller_requests.py
@@ -1,7 +1,6 @@
 """Reads and validates the HTTP requests of callers."""
 
 import asyncio
-import hashlib
 import math
 import re
 from typing import Any
@@ -9,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from radishshift.contracts import Contract, TaskClass
+from radishshift.contracts import Contract, TaskClass, key_digest
 from radishshift.errors import (
     AuthenticationError,
     BadRequestError,
@@ -82,12 +81,11 @@
     AuthenticationError
     """
     scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-    if scheme.lower() != "bearer" or not key:
+    if scheme.lower() != "bearer" or not key.strip():
         raise AuthenticationError(
             "an API key is required as `Authorization: Bearer KEY`"
         )
-    digest = hashlib.sha256(key.strip().encode("utf-8", "surrogateescape")).hexdigest()
-    contract = request.app[ROUTER].catalogue.by_key_digest.get(digest)
+    contract = request.app[ROUTER].catalogue.by_key_digest.get(key_digest(key))
     if contract is None:
         raise AuthenticationError("the API key belongs to no customer")
     return contract
--- a/radishshift/catalogue_checks.py
+++ b/radishshift/catalogue_checks.py
@@ -6,6 +6,7 @@
 from radishshift.balance import balancer_names
 from radishshift.cascade import planner_names
 from radishshift.catalogue import Catalogue, VersionState
+from radishshift.contracts import BLANK_KEY_DIGEST
 from radishshift.policy_parameters import parameter_problems
 
 __all__ = ["cross_entry_problems"]
@@ -66,6 +67,13 @@
                 )
 
 
+@_register_check
+def _keys_are_not_blank(catalogue: Catalogue) -> Iterator[str]:
+    for contract in catalogue.contracts.values():
+        if BLANK_KEY_DIGEST in contract.key_digests:
+            yield f"{contract.customer}.keyDigests: the digest of a blank API key"
+
+
 @_register_check
 def _versions_are_named_after_their_model(catalogue: Catalogue) -> Iterator[str]:
     for version in catalogue.versions.values():
--- a/radishshift/contracts.py
+++ b/radishshift/contracts.py
@@ -1,10 +1,27 @@
 """Contracts of customers and task classes: limits, quality targets and objectives."""
 
+import hashlib
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-__all__ = ["Contract", "Limits", "Objectives", "QualityTarget", "TaskClass"]
+__all__ = [
+    "BLANK_KEY_DIGEST",
+    "Contract",
+    "Limits",
+    "Objectives",
+    "QualityTarget",
+    "TaskClass",
+    "key_digest",
+]
+
+
+def key_digest(key: str) -> str:
+    """Return the SHA-256 of an API key, without blanks around it, in hexadecimal."""
+    return hashlib.sha256(key.strip().encode("utf-8", "surrogateescape")).hexdigest()
+
+
+BLANK_KEY_DIGEST = key_digest("")  # no customer's, so that a key is always needed
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshift/session_keys.py
+++ b/radishshift/session_keys.py
@@ -7,6 +7,7 @@
 """
 
 import secrets
+from typing import Annotated
 
 import logbook
 import msgspec
@@ -17,6 +18,7 @@
     NotFoundError,
     PlatformUnavailableError,
     RadishshiftError,
+    UnreadableObjectError,
 )
 from radishshift.objects import Kind, StoredObject
 from radishshift.platform import Platform
@@ -34,7 +36,7 @@
 
 
 class _KeySpec(msgspec.Struct, rename="camel"):
-    key: str
+    key: Annotated[str, msgspec.Meta(pattern=f"^[0-9a-f]{{{2 * KEY_BYTES}}}$")]
     signs_from: float
 
 
@@ -88,7 +90,7 @@
 
         Raises
         ------
-        PlatformUnavailableError
+        PlatformUnavailableError, UnreadableObjectError
             The keys loaded so far stay in use.
         """
         await self._load()
@@ -102,7 +104,11 @@
         listing = await self._platform.list_all(Kind.SESSION_KEY)
         keys: dict[str, SessionKey] = {}
         for item in listing.items:
-            key = _parse_key(item)
+            try:
+                key = _parse_key(item)
+            except UnreadableObjectError as exc:
+                logger.warning("session key ignored: {}", exc.message)
+                continue
             if self._is_expired(key):
                 await self._delete_expired(item)
             else:
@@ -151,5 +157,8 @@
 
 
 def _parse_key(item: StoredObject) -> SessionKey:
-    spec = msgspec.convert(item.spec, _KeySpec)
+    try:
+        spec = msgspec.convert(item.spec, _KeySpec)
+    except msgspec.ValidationError as exc:
+        raise UnreadableObjectError(f"session key {item.name}: {exc}") from exc
     return SessionKey(bytes.fromhex(spec.key), spec.signs_from)
--- a/radishshift/standins/deployment.py
+++ b/radishshift/standins/deployment.py
@@ -1,11 +1,11 @@
 """A small deployment of stand-ins in one process, on loopback addresses."""
 
-import hashlib
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
+from radishshift.contracts import key_digest
 from radishshift.listening import listening
 from radishshift.objects import Kind, StoredObject
 from radishshift.platform import MemoryPlatform
@@ -14,17 +14,12 @@
 from radishshift.standins.ratings import StandinRatings
 from radishshift.standins.service import StandinService
 
-__all__ = ["Deployment", "deployed", "key_digest", "small_catalogue"]
+__all__ = ["Deployment", "deployed", "small_catalogue"]
 
 KEY = "key-of-uyole-ring"
 OTHER_KEY = "key-of-igurusi-ring"
 
 
-def key_digest(key: str) -> str:
-    """Return the digest of an API key, as a customer's entry stores it."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def _version(model: str, prices: tuple[int, int], quality: float) -> dict[str, Any]:
     return {
         "type": "version",
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP API for callers."""
 
 import asyncio
+import hashlib
 import json
 import os
 
@@ -238,6 +239,18 @@
                 async with entry.get(f"services/booking-desk/{path}") as resp:
                     self.assertIn(resp.status, (400, 404))
 
+    async def test_a_caller_without_a_key_is_no_customer(self):
+        """The digest of an empty key in the catalogue let in callers without one."""
+        async with served() as entry:
+            by_key_digest = entry.host.router.catalogue.by_key_digest
+            blank_digest = hashlib.sha256(b"").hexdigest()
+            by_key_digest[blank_digest] = next(iter(by_key_digest.values()))
+            for value in ("", "Bearer", "Bearer ", "Bearer \u00a0", "Bearer \u2003"):
+                with self.subTest(value):
+                    await self.check_rejected(
+                        entry, 401, "bad-key", Authorization=value
+                    )
+
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,5 +1,6 @@
 """Tests of the operations on the catalogue."""
 
+import hashlib
 from dataclasses import replace
 
 from testtools import ExpectedException
@@ -51,6 +52,16 @@
         exc = self.assertRaises(SettingsError, check_catalogue, specs)
         self.assertEqual(3, len(exc.problems))
 
+    def test_the_digest_of_a_blank_key_is_refused(self):
+        """Hashing a variable that isn't set gives this digest."""
+        specs = small_catalogue()
+        blank_digest = hashlib.sha256(b"").hexdigest()
+        specs["uyole-ring"]["keyDigests"] = [blank_digest]
+        exc = self.assertRaises(SettingsError, check_catalogue, specs)
+        self.assertEqual(
+            ["uyole-ring.keyDigests: the digest of a blank API key"], exc.problems
+        )
+
     def test_a_parameter_that_no_policy_reads_is_refused(self):
         """A misspelt parameter name was once accepted and then ignored."""
         specs = small_catalogue()
--- a/tests/test_session_keys.py
+++ b/tests/test_session_keys.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from radishshift.errors import PlatformUnavailableError, SessionError
-from radishshift.objects import Kind
+from radishshift.objects import Kind, StoredObject
 from radishshift.platform import MemoryPlatform
 from radishshift.session_keys import PlatformSessionKeys
 from radishshift.sessions import Session
@@ -57,6 +57,26 @@
             exc = self.assertRaises(SessionError, host_keys.read, *args)
             self.assertIs(Verdict.NOT_RUN, exc.verdict)
 
+    async def test_a_key_that_cannot_be_read_signs_and_verifies_nothing(self):
+        """An empty key let anybody forge tokens; a malformed one ended the refresh."""
+        specs = (
+            {"key": "", "signsFrom": 0.0},
+            {"key": "ab" * 8, "signsFrom": 0.0},
+            {"key": "odd", "signsFrom": 0.0},
+            {"key": 7, "signsFrom": 0.0},
+            {"key": "ab" * 32},
+            {},
+        )
+        platform = MemoryPlatform()
+        for number, spec in enumerate(specs):
+            await platform.create(StoredObject(Kind.SESSION_KEY, f"k{number}", spec))
+        host_keys = self.host_keys(platform)
+        await host_keys.try_refresh()
+        self.assertEqual(1, len(host_keys.keys))
+        self.assertNotIn("k0", host_keys.keys)
+        token = host_keys.issue(self.session(), CLOCK.now())
+        host_keys.read(token, "uyole-ring", CLOCK.now())
+
     async def test_sessions_survive_key_rotation(self):
         platform, fleet_keys = await self.hosts(2)
         for _ in range(40):
