Wait for the order before the status of a roll-out is written

When the store came back from a copy without an order, hosts went on with it for 4 s, as they should. If a state became due in that time, the task that writes states ended with an error on each host, was started again each second, and the roll-outs of other services waited with it.

Cause: the object is looked up outside of what handles errors of the store; an order that holds without its object was not thought of. Change: the state stays due, and is written once operators have written the order again.

Evidence: the test failed before (NotFoundError).

--- a/radishshift/gateway/rollout_duty.py
+++ b/radishshift/gateway/rollout_duty.py
@@ -10,7 +10,7 @@
 
 from radishshift.clocks import Clock
 from radishshift.decisions.versions import VersionGuard
-from radishshift.errors import RadishshiftError
+from radishshift.errors import NotFoundError, RadishshiftError
 from radishshift.gateway.deployment import RolloutState
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_view import HostView
@@ -90,7 +90,10 @@
 
     async def _write(self, service: str, state: RolloutState) -> None:
         canary = self._versions.canaries[service]
-        stored = self._host_view.stored_rollout(service)
+        try:
+            stored = self._host_view.stored_rollout(service)
+        except NotFoundError:
+            return  # the order holds, but a restored store lacks it as yet
         status = self._decoder.rollout_status(canary.rollout, state)
         item = StoredObject(
             Kind.ROLLOUT, stored.name, stored.spec, status, stored.revision
--- a/tests/gateway/test_rollout_duty.py
+++ b/tests/gateway/test_rollout_duty.py
@@ -132,6 +132,29 @@
         written = sum(connection.writes for connection in fleet.connections) - before
         self.assertEqual(1, written)
 
+    async def test_a_state_is_due_while_the_restored_store_lacks_the_order(self):
+        """The duty ended with an error, as the order holds without an object."""
+        fleet = await self._fleet(1)
+        platform = fleet.platform
+        await asyncio.sleep(1)
+        self.assertEqual(RolloutState.RUNNING, await fleet.state())
+        order = platform._items[Kind.ROLLOUT].pop(SERVICE)
+        platform._history.clear()
+        platform.revision += ERA_REVISIONS
+        platform._oldest_revision = platform.revision
+        other = StoredObject(Kind.ROLLOUT, "zz", {"order": ("zz", "v2", 20.0)})
+        await platform.create(other)
+        await asyncio.sleep(1)
+        world = fleet.hosts[0].world
+        self.assertIn(SERVICE, world.host_view.rollouts)
+        world.versions.due_state = lambda *args, **kwargs: RolloutState.ROLLED_BACK
+        await asyncio.sleep(1)
+        duty = fleet.tasks[0]
+        self.assertFalse(duty.done() and duty.exception())
+        await platform.create(order)
+        await asyncio.sleep(1)
+        self.assertEqual(RolloutState.ROLLED_BACK, await fleet.state())
+
     async def test_a_rollout_that_is_removed_during_the_write_of_another(self):
         """The duty ended with a `KeyError`, which stops the host."""
         fleet = await self._fleet(1)
