Specify restores of the store; play them at 73 and 195 hosts in virtual time

Fleets of 73 hosts, once with all but three turned away by the store in two restores in a row, and of 195 hosts take the next configuration and departures within their bounds.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -9,11 +9,12 @@
 from spec.configuration import CONFIGURATION
 from spec.leases import LEASES
 from spec.model import Model, Result, check_model
+from spec.restores import RESTORES
 from spec.rollouts import ROLLOUTS
 
 MODELS = {
     model.name: model
-    for model in (CLAIMS, BILLS, CONFIGURATION, LEASES, ATTEMPTS, ROLLOUTS)
+    for model in (CLAIMS, BILLS, CONFIGURATION, RESTORES, LEASES, ATTEMPTS, ROLLOUTS)
 }
 WORKER_PROCESSES = 4
 
--- a/tests/gateway/metered_fleets.py
+++ b/tests/gateway/metered_fleets.py
@@ -22,7 +22,14 @@
 from radishshift.gateway.peer_calls import MIN_BYTES_PER_S, decode_body, encode_body
 from radishshift.gateway.platform_sync import PlatformSync
 from radishshift.gateway.view_refresh import ViewRefresher
-from radishshift.objects import ChangeType, Kind, StoredObject
+from radishshift.objects import (
+    ChangeType,
+    Kind,
+    StoredObject,
+    era_of,
+    in_era,
+    within_era,
+)
 from radishshift.platform import MemoryPlatform, Platform
 from radishshift.verdicts import Verdict
 from radishshift.virtual_time import LoopClock
@@ -176,6 +183,42 @@
         item = self.store._items[Kind.EVACUATION][data_centre]
         await self.store.delete(item.kind, item.name, item.revision)
 
+    def copy(self):
+        """Return a copy of the store, for `restore`."""
+        items = {kind: dict(items) for kind, items in self.store._items.items()}
+        return self.store.revision, items
+
+    async def restore(self, copy, away_s):
+        """Let the store be away, and come back from a copy with the next era."""
+        self.without_store.update(self.hosts)
+        await asyncio.sleep(away_s)
+        revision, items = copy
+        era = era_of(self.store.revision) + 1
+
+        def restored(item):
+            return replace(item, revision=in_era(era, within_era(item.revision)))
+
+        store = self.store
+        store._items = {
+            kind: {name: restored(item) for name, item in items[kind].items()}
+            for kind in items
+        }
+        store.revision = store._oldest_revision = in_era(era, within_era(revision))
+        store._history.clear()
+        async with store._change_condition:
+            store._change_condition.notify_all()
+        self.without_store.clear()
+
+    async def write_again(self, version, routes):
+        """Write what operators and endpoints had written before a restore."""
+        await self._put(Kind.DEPLOYMENT, "main", configuration(version, routes))
+        await self.register_endpoints()
+
+    async def register_endpoints(self):
+        """Let all endpoints write their entries."""
+        for number in range(self._endpoints):
+            await self._put(Kind.ENDPOINT, f"i-{number}", endpoint(number))
+
     def version_ages_s(self, hosts=None):
         """Return by version how long it took until it was in force at all hosts."""
         hosts = self.hosts.values() if hosts is None else hosts
