--- a/tests/gateway/test_mixed_builds.py
+++ b/tests/gateway/test_mixed_builds.py
@@ -5,9 +5,10 @@
 from radishshift.gateway.endpoint_permits import PermitQuestion
 from radishshift.gateway.host_view import KINDS
 from radishshift.gateway.shared_placement import _Question
-from radishshift.objects import Kind
+from radishshift.objects import Kind, in_era
 from tests.cases import VirtualTestCase
 from tests.gateway.networks import Network, now
+from tests.gateway.worlds import route
 
 
 def _as_received(message, dropped=(), added=()):
@@ -71,6 +72,27 @@
         new.gossip._receive(reply, asked_at=now())
         self.assertIsNone(freshness.staleness_s(now()))
 
+    async def test_a_host_of_a_build_without_eras_reverts_nothing_after_a_restore(self):
+        """Its table seems older than what a host that knows of the restore has."""
+        network = Network(5, 2, 1, 1)
+        new, old = network.hosts.values()
+        view = new.world.host_view
+        endpoints = set(view.members)
+        new.world.configure([route()], version=4)
+        new.world.revision = in_era(1, 1)
+        new.world.configure([route()], version=4)
+        new.world.list_members(list(endpoints))
+        for version in (2, 4, 5):  # as the copy has it, written again, and the next
+            old.world.configure([route()], version=version)
+            old.world.list_members([])
+            heads = new.gossip._build_message(None)
+            new.gossip._receive(_as_received(old.gossip._build_message(heads)))
+            self.assertEqual(4, view.version)
+            self.assertEqual(endpoints, set(view.members))
+        new.world.configure([route()], version=5)
+        new.world.configure([route()], version=6)
+        self.assertEqual(6, view.version)
+
     async def test_messages_of_a_later_build_are_read(self):
         network = Network(3, 2, 1, 1)
         host = network.hosts["edge-0"]
