Keep silent attempts that no other may follow, through peers and before the head too

A stream relayed by a peer was cut for a pause of 2 s, with half of the answer at its caller, when the host that has the request could not resume it: its retry budget was spent, or its last resume under way. The last attempt of a request was also given up while its head was waited for.

Change: each attempt says whether another may follow; orders to peers carry it, including whether the sender's budget has a retry left as it is sent.

--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -46,6 +46,9 @@
         Instant at which the status and headers were received.
     body_began : bool
         Whether bytes of the answer's body have been received.
+    may_retry : bool
+        Whether another attempt may follow; without one, a silent endpoint is better
+        than none.
     sound : bool
         Whether the answer went on for so long that the request crashes no endpoints.
     helper : str
@@ -61,6 +64,7 @@
     answer: EndpointAnswer | None = None
     answered_at: float = 0.0
     body_began: bool = False
+    may_retry: bool = True
     sound: bool = False
     last_byte_at: float = 0.0
     mean_first_event_s: float = 0.0
--- a/radishshift/gateway/complete_answers.py
+++ b/radishshift/gateway/complete_answers.py
@@ -55,6 +55,7 @@
     target = await dispatcher.choose_target(job)
     dispatcher.check_before_attempt(job)  # placement takes time
     with dispatcher.attempt(job, target, "") as attempt:
+        attempt.may_retry = may_repeat(job)
         answer = await dispatcher.open(attempt)
         body = await answer.read()
         check_signature(answer)
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -211,7 +211,7 @@
         sending = asyncio.ensure_future(self._send(attempt, last_event_id))
         try:
             # A stream may be retried at an endpoint that it has used.
-            may_give_up = job.route.idempotent and (
+            may_give_up = attempt.may_retry and (
                 job.endpoints_left > 0 or job.route.kind is RouteKind.STREAM
             )
             await self._wait_for_head(attempt, sending, may_give_up)
@@ -231,7 +231,9 @@
         if not attempt.helper:
             order = job.order(attempt.member, attempt.model, last_event_id)
             return await self._client.send(order)
-        reply = await self.relays.send(attempt, last_event_id)
+        budget = self.budget(job.service)
+        may_retry = attempt.may_retry and budget.available(self.clock.now()) >= 1
+        reply = await self.relays.send(attempt, last_event_id, may_retry)
         if reply.endpoint is not None:
             _set_endpoint(attempt, reply.endpoint)
         elif not isinstance(reply.error, EndpointError) and attempt.first_at_endpoint:
@@ -245,16 +247,9 @@
         attempt.view.prefill_done(attempt.prefill_ktokens)
         attempt.prefill_ktokens = 0.0
 
-    async def next_bytes(self, attempt: Attempt, may_give_up: bool) -> bytes:
+    async def next_bytes(self, attempt: Attempt) -> bytes:
         """Return the next bytes of a stream, or empty bytes at its end.
 
-        Parameters
-        ----------
-        attempt : Attempt
-        may_give_up : bool
-            Whether another attempt may go on with the stream. Without one, a silent
-            endpoint is better than none.
-
         Raises
         ------
         StreamBrokenError
@@ -264,7 +259,7 @@
                 async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
                     data = await attempt.answer.chunk()
             except TimeoutError:
-                if may_give_up:
+                if attempt.may_retry:
                     self._silence.check(attempt)
                 continue
             self._silence.stream_went_on(attempt)
--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -234,9 +234,18 @@
         """Leave a peer out for a while."""
         self._paused_until[host] = self._clock.now() + HELPER_PAUSE_S
 
-    async def send(self, attempt: Attempt, last_event_id: str) -> RelayReply:
+    async def send(
+        self, attempt: Attempt, last_event_id: str, may_retry: bool
+    ) -> RelayReply:
         """Send an attempt to its peer; return once the head of the answer is known.
 
+        Parameters
+        ----------
+        attempt : Attempt
+        last_event_id : str
+        may_retry : bool
+            Whether another attempt may follow if the peer gives this one up.
+
         Raises
         ------
         HelperUnavailableError
@@ -246,7 +255,7 @@
         """
         host = attempt.helper
         order = relay_order(
-            self._settings.host, attempt, last_event_id, self._clock.now()
+            self._settings.host, attempt, last_event_id, may_retry, self._clock.now()
         )
         address = attempt.view.member.address
         try:
--- a/radishshift/gateway/relay_messages.py
+++ b/radishshift/gateway/relay_messages.py
@@ -52,6 +52,8 @@
         Version that the endpoint must run, or empty for any.
     used, failed : list of str
         As in `Job`.
+    may_retry : bool
+        Whether the sender may make another attempt if this one is given up.
     """
 
     sender: str
@@ -66,6 +68,7 @@
     used: list[str] = []
     failed: list[str] = []
     may_have_run: bool = False
+    may_retry: bool = True
 
     def job(self, now: float) -> Job:
         """Return the job of the attempt, as the sender decided it."""
@@ -129,7 +132,7 @@
 
 
 def relay_order(
-    sender: str, attempt: Attempt, last_event_id: str, now: float
+    sender: str, attempt: Attempt, last_event_id: str, may_retry: bool, now: float
 ) -> RelayOrder:
     """Return the order for an attempt."""
     job = attempt.job
@@ -150,6 +153,7 @@
         used=used,
         failed=list(job.failed_endpoints),
         may_have_run=job.may_have_run,
+        may_retry=may_retry,
     )
 
 
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -193,6 +193,7 @@
         dispatcher.check_before_attempt(job)
         with dispatcher.attempt(job, member, self._order.model) as attempt:
             self._attempt = attempt
+            attempt.may_retry = job.route.idempotent and self._order.may_retry
             answer = await dispatcher.open(attempt, self._order.last_event_id)
             head = self._head()
             head.status = answer.status
@@ -219,7 +220,7 @@
     async def _next_bytes(self, attempt: Attempt) -> bytes:
         route = attempt.job.route
         if route.kind is RouteKind.STREAM:
-            return await self._dispatcher.next_bytes(attempt, route.idempotent)
+            return await self._dispatcher.next_bytes(attempt)
         return await attempt.answer.chunk()
 
     def _head(self) -> RelayHead:
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -111,6 +111,7 @@
         target = await dispatcher.choose_target(job, self.model)
         dispatcher.check_before_attempt(job)  # placement takes time
         with dispatcher.attempt(job, target, self.model) as attempt:
+            attempt.may_retry = self._resumes < MAX_RESUMES and may_repeat(job)
             resume_after_id = self._buffer.last_event_id or job.req.last_event_id
             answer = await dispatcher.open(attempt, resume_after_id)
             job.may_have_run = True
@@ -195,14 +196,14 @@
         began_at = dispatcher.clock.now()
         event_at = began_at
         timed = False
-        while data := await dispatcher.next_bytes(attempt, self._may_go_on()):
+        while data := await dispatcher.next_bytes(attempt):
             if buffer.events > events_before:
                 await asyncio.sleep(COALESCE_SHARE * dispatcher.bounds.event_latency_s)
                 data += attempt.answer.buffered_bytes()
             events = buffer.feed(data)
             now = dispatcher.clock.now()
             if not events:
-                self._check_progress(now - event_at)
+                _check_progress(attempt, now - event_at)
                 continue
             event_at = now
             await self._forward(attempt, events)
@@ -219,21 +220,6 @@
             dispatcher.record_stream(attempt)
         await self._caller.finish()
 
-    def _may_go_on(self) -> bool:
-        """Return whether another attempt may go on with the stream of this one."""
-        may_resume = not self._caller.started or self._resumes < MAX_RESUMES
-        return may_resume and may_repeat(self._job)
-
-    def _check_progress(self, unfinished_s: float) -> None:
-        """Raise if an endpoint sends bytes, but completes no event.
-
-        Raises
-        ------
-        StreamStalledError
-        """
-        if unfinished_s > EVENT_TIMEOUT_S and self._may_go_on():
-            raise StreamStalledError(f"no complete event in {unfinished_s:.1f} s")
-
     async def _forward(self, attempt: Attempt, events: bytes) -> None:
         if not self._caller.started:
             self.first_at = self._dispatcher.clock.now()
@@ -244,3 +230,14 @@
             self.max_pause_s = max(self.max_pause_s, now - self._last_write_at)
         self._last_write_at = now
         await self._caller.write(events)
+
+
+def _check_progress(attempt: Attempt, unfinished_s: float) -> None:
+    """Raise if an endpoint sends bytes, but completes no event.
+
+    Raises
+    ------
+    StreamStalledError
+    """
+    if unfinished_s > EVENT_TIMEOUT_S and attempt.may_retry:
+        raise StreamStalledError(f"no complete event in {unfinished_s:.1f} s")
--- a/tests/gateway/test_relay_messages.py
+++ b/tests/gateway/test_relay_messages.py
@@ -27,7 +27,7 @@
         job.failed_endpoints = ["a"]
         member = Member("via edge-2", "", "10.0.0.2:1", "mbeya", "", 0)
         attempt = Attempt(job, member, None, "large", world.clock.now())
-        order = relay_order("edge-1", attempt, "7", world.clock.now())
+        order = relay_order("edge-1", attempt, "7", True, world.clock.now())
         sent = decode_message(encode_message(order), RelayOrder)
         return job, sent, sent.job(world.clock.now())
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -4,6 +4,7 @@
 
 from radishshift.decisions.crashes import CRASHES_TO_BLOCK_PART, CrashSuspects, Traits
 from radishshift.decisions.retry_budget import RATIO_MARGIN
+from radishshift.gateway import complete_answers
 from radishshift.gateway.complete_answers import MAX_ATTEMPTS
 from radishshift.gateway.deployment import Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -187,6 +188,18 @@
         self.assertEqual(MAX_ATTEMPTS, len(world.endpoints.attempts))
         self.assertTrue(caller.finished)
 
+    async def test_the_head_of_the_last_attempt_is_waited_for(self):
+        """Guards rule LOST: it was given up, though no further attempt could follow."""
+        self.patch(complete_answers, "MAX_ATTEMPTS", 2)
+        slow = stream_script(first_s=4.0)
+        broken = stream_script(breaks_after=1)
+        world = World([STREAM], {"a": [broken, slow], "b": [slow], "c": [slow]})
+        for name in "bc":
+            world.placer.view(world.member(name)).in_flight = 5
+        caller = await world.send_request()
+        self.assertEqual(2, len(world.endpoints.attempts))
+        self.assertTrue(caller.finished)
+
     async def test_an_attempt_without_headers_at_an_active_endpoint_is_given_up(self):
         """Streams waited 11 s for headers of an endpoint that served other requests."""
         world = World([STREAM], {"a": [Script(error="hang")], "b": [stream_script()]})
--- a/tests/users_platform/test_relays.py
+++ b/tests/users_platform/test_relays.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from radishshift.decisions.retry_budget import HostRetryBudget
 from radishshift.gateway.relay_server import _Relay
 from radishshift.gateway.service_monitor import PROBE_LOST_INTERVAL_S
 from radishshift.open_connections import open_transports
@@ -158,6 +159,25 @@
             self.assertEqual(list(range(1, 41)), ids)
             self.assertEqual(2, len(arrivals(fleet, "plan-2")))
 
+    async def test_a_silent_stream_is_kept_by_the_peer_if_no_retry_is_left(self):
+        """Guards rule LOST: the peer gave up what the sender could not go on with."""
+        async with fleet_with_cut_host() as (fleet, session, host):
+            endpoints = fleet.platform.endpoints.values()
+            for endpoint in endpoints:
+                endpoint.event_count, endpoint.gap_s = 20, 0.02
+            host.dispatcher._budgets[SERVICE] = HostRetryBudget(0.0, 10.0, 0.0)
+            async with post(session, host, number=2) as resp:
+                body = await resp.content.readany()
+                for endpoint in endpoints:
+                    endpoint.gap_s = 2.6
+                await asyncio.sleep(0.1)
+                for endpoint in endpoints:
+                    endpoint.gap_s = 0.02
+                body += await resp.read()
+            ids = [int(line[4:]) for line in body.split(b"\n") if line[:3] == b"id:"]
+            self.assertEqual(list(range(1, 21)), ids)
+            self.assertEqual(1, len(arrivals(fleet, "plan-2")))
+
     async def test_a_booking_whose_peer_is_lost_runs_once_and_is_not_called_unrun(self):
         async with fleet_with_cut_host() as (fleet, session, host):
             for endpoint in fleet.platform.endpoints.values():
