What one writer sends or stores costs itself alone: five more formats

Found by property tests of the formats that were left out of them: - a relay order nested 1,200 deep, or with a time left of 1e308 s, was an internal error of the peer, after which its sender must take the request for run; - a number of 400 digits in a question to /explain was one, too; - half of a surrogate pair in a file was a traceback of `radishshift check`; - one crash record that can't be read kept all others from every host of radishshift-entry; - a recorded answer whose body can't be decoded was an internal error, though the call is known to have run.

Permits, placements and shards of claims passed: a shard that can't be read refuses its calls as not run.

--- a/radishshift/claim_shards.py
+++ b/radishshift/claim_shards.py
@@ -15,7 +15,9 @@
 import msgspec
 
 from radishshift.engines import ServiceReply
+from radishshift.errors import ResultLostError
 from radishshift.objects import Kind, StoredObject
+from radishshift.verdicts import Verdict
 
 __all__ = [
     "AcquireOp",
@@ -58,10 +60,23 @@
         return cls(reply.status, reply.content_type, sha256, body)
 
     def reply(self) -> ServiceReply | None:
-        """Return the reply, or None if its body was too long to store."""
+        """Return the reply, or None if its body was too long to store.
+
+        Raises
+        ------
+        ResultLostError
+            The stored body can't be read.
+        """
         if self.body is None:
             return None
-        body = base64.b64decode(self.body)
+        try:
+            body = base64.b64decode(self.body, validate=True)
+        except ValueError as exc:
+            raise ResultLostError(
+                f"the call has run with status {self.status}; its stored answer can't "
+                f"be read: {exc}",
+                verdict=Verdict.RAN,
+            ) from exc
         return ServiceReply(self.status, self.content_type, body)
 
 
--- a/radishshift/gateway/explanations.py
+++ b/radishshift/gateway/explanations.py
@@ -4,6 +4,8 @@
 `/explain` of the metrics address: the question is the body of a POST.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from radishshift.clocks import Clock
@@ -21,6 +23,8 @@
 PATH = "/explain"
 REQUEST_ID = "explained"  # no endpoint sees it
 
+TokenCount = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
+
 
 class Question(msgspec.Struct, rename="camel", forbid_unknown_fields=True):
     """A request to explain, as a caller would send it.
@@ -42,10 +46,10 @@
     key: str = ""
     session: str = ""
     model: str = ""
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
+    prompt_tokens: TokenCount = 0
+    answer_tokens: TokenCount = 0
     timeout_s: float = 10.0
-    parts: list[tuple[str, int]] = []
+    parts: list[tuple[str, TokenCount]] = []
 
 
 class EndpointExplanation(msgspec.Struct, rename="camel"):
--- a/radishshift/gateway/relay_messages.py
+++ b/radishshift/gateway/relay_messages.py
@@ -7,7 +7,7 @@
 
 import json
 from dataclasses import replace
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -29,6 +29,7 @@
 HEAD_END = b"\n"
 # Subtracted from the time left, for the way to the peer and back.
 RELAY_WAY_S = 0.02
+MAX_LEFT_S = 86_400.0  # longer than any route's timeout
 
 Message = TypeVar("Message", bound=msgspec.Struct)
 
@@ -60,7 +61,7 @@
     req: CallerRequest
     route: Route
     service: str
-    left_s: float
+    left_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_LEFT_S)]
     customer: str = ""
     model: str = ""
     last_event_id: str = ""
@@ -176,5 +177,5 @@
     """
     try:
         return msgspec.convert(json.loads(data), message_type)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise msgspec.DecodeError(f"no valid {message_type.__name__}: {exc}") from exc
--- a/radishshift/poison_records.py
+++ b/radishshift/poison_records.py
@@ -1,5 +1,6 @@
 """Crash records stored at the platform, one object for each suspect request."""
 
+import logbook
 import msgspec
 import xxhash
 
@@ -17,6 +18,8 @@
 
 MAX_ATTEMPTS = 3
 
+logger = logbook.Logger("poison")
+
 
 class _SuspectSpec(msgspec.Struct):
     crashes: list[Crash]
@@ -73,7 +76,7 @@
         found = []
         for item in listing.items:
             crashes = _crashes_of(item)
-            if all(crash.at + POISON_TTL_S <= now for crash in crashes):
+            if crashes and all(crash.at + POISON_TTL_S <= now for crash in crashes):
                 await self._delete_expired(item)
             else:
                 found += crashes
@@ -92,4 +95,9 @@
 
 
 def _crashes_of(item: StoredObject) -> list[Crash]:
-    return msgspec.convert(item.spec, _SuspectSpec).crashes
+    """Return the crashes of a record, none if it can't be read."""
+    try:
+        return msgspec.convert(item.spec, _SuspectSpec).crashes
+    except msgspec.ValidationError as exc:
+        logger.warning("crash record {} ignored: {}", item.name, exc)
+        return []
--- a/radishshift/validation.py
+++ b/radishshift/validation.py
@@ -1,5 +1,6 @@
 """Validation of JSON values against msgspec types that reports all problems at once."""
 
+import json
 import types
 from collections.abc import Iterator
 from pathlib import Path
@@ -13,6 +14,15 @@
 __all__ = ["problems", "read_commented_json", "read_text_file", "validated"]
 
 
+# A text may hold half of a surrogate pair, a number be too large for a float.
+UNREADABLE_ERRORS = (
+    msgspec.ValidationError,
+    UnicodeEncodeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 def read_text_file(path: str) -> str:
     """Return the contents of a UTF-8 text file.
 
@@ -34,9 +44,11 @@
     SettingsError
     """
     try:
-        return json5.loads(text)
+        value = json5.loads(text)
+        json.dumps(value, ensure_ascii=False).encode()  # half of a surrogate pair fails
     except (ValueError, RecursionError) as exc:
         raise SettingsError([f"{source}: {exc}"]) from exc
+    return value
 
 
 def validated(value: Any, expected_type: Any, source: str) -> Any:
@@ -53,7 +65,7 @@
     try:
         return msgspec.convert(value, expected_type)
     # `problems` does not check everything, such as the keys of dictionaries.
-    except msgspec.ValidationError as exc:
+    except UNREADABLE_ERRORS as exc:
         raise SettingsError([f"{source}: {exc}"]) from exc
 
 
@@ -94,7 +106,7 @@
 def _plain_problems(value: Any, expected_type: Any, path: str) -> Iterator[str]:
     try:
         msgspec.convert(value, expected_type)
-    except msgspec.ValidationError as exc:
+    except UNREADABLE_ERRORS as exc:
         yield f"{path}: {exc}"
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,17 +1,20 @@
 """Tests that a claimed call runs at most once and that its result is stored."""
 
 import asyncio
+from dataclasses import replace
 
 from radishshift import claim_writer
-from radishshift.claim_shards import ClaimRecord, ClaimShard
+from radishshift.claim_shards import ClaimRecord, ClaimShard, Result
 from radishshift.engines import ServiceReply
 from radishshift.errors import (
     BadRequestError,
     DeadlineError,
     InProgressError,
     PlatformUnavailableError,
+    RadishshiftError,
     ResultLostError,
 )
+from radishshift.objects import Kind
 from radishshift.verdicts import Verdict
 from tests.cases import TestCase, VirtualTestCase
 from tests.claims_fleet import CLOCK, REPLY, Fleet, booking
@@ -30,6 +33,27 @@
         for claims in fleet.claims.values():
             self.assertEqual(REPLY, (await claims.claim(booking())).recorded_reply)
 
+    async def test_a_recorded_answer_that_cannot_be_read_is_not_run_again(self):
+        """Guards the format of recorded answers: an odd body was an internal error."""
+        for body in ("odd!", "ab", "\u00e9"):
+            result = Result(200, "text/plain", "", body)
+            exc = self.assertRaises(ResultLostError, result.reply)
+            self.assertIs(Verdict.RAN, exc.verdict)
+
+    async def test_a_shard_that_cannot_be_read_refuses_its_calls_as_not_run(self):
+        for spec in ({"claims": 7}, {"segments": [{}]}, {"claims": {"k": {}}}):
+            fleet = Fleet("mbeya-1")
+            claims = fleet.claims["mbeya-1"]
+            await claims.claim(booking("other"))
+            for item in fleet.platform._items[Kind.CLAIM_SHARD].values():
+                odd = replace(item, spec=spec)
+                fleet.platform._items[Kind.CLAIM_SHARD][item.name] = odd
+            fleet.add("mbeya-1", incarnation=9)
+            exc = await self.assert_raises_async(
+                RadishshiftError, fleet.claims["mbeya-1"].claim(booking("other"))
+            )
+            self.assertIs(Verdict.NOT_RUN, exc.verdict)
+
     async def test_a_resend_while_the_call_runs_gets_a_retry_after(self):
         fleet = Fleet()
         await fleet.claims["mbeya-1"].claim(booking())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,6 +16,7 @@
 from radishshift.standins.deployment import small_catalogue
 from radishshift.standins.platform import make_platform_app
 from tests.cases import TestCase
+from tests.gateway.test_gossip_messages import UNREADABLE
 
 VERSION = "farm-advice-large.v2"
 
@@ -93,6 +94,25 @@
         self.assertEqual(cli.ExitCode.INVALID, report.code)
         self.assertEqual(2, len(report.value["problems"]))
 
+    async def test_files_that_cannot_be_read_are_reported_as_invalid(self):
+        """Guards the formats of files: an odd value must end in no traceback."""
+        for odd in UNREADABLE:
+            texts = [odd, b'{"entries": %s}' % odd, b'{"entries": {"a": %s}}' % odd]
+            for name, spec in small_catalogue().items():
+                for field in spec:
+                    members = b",".join(
+                        b'"%s":%s'
+                        % (key.encode(), odd if key == field else _json(value))
+                        for key, value in spec.items()
+                    )
+                    texts.append(
+                        b'{"entries": {"%s": {%s}}}' % (name.encode(), members)
+                    )
+            for text in texts:
+                report = await self._run("check", self._write_bytes(text))
+                sound = (cli.ExitCode.DONE,) if b"entries" in text else ()
+                self.assertIn(report.code, (cli.ExitCode.INVALID, *sound), text[:200])
+
     def test_the_script_exits_with_the_code_and_prints_json(self):
         out, err = io.StringIO(), io.StringIO()
         flags.FLAGS(["radishshift", "--output=json"])
@@ -107,3 +127,12 @@
         path = Path(folder.name) / "file.jsonc"
         path.write_text(json5.dumps(values), encoding="utf-8")
         return str(path)
+
+    def _write_bytes(self, data):
+        path = Path(self._write_file({}))
+        path.write_bytes(data)
+        return str(path)
+
+
+def _json(value):
+    return json.dumps(value).encode()
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -5,10 +5,11 @@
 
 from radishshift.errors import DeadlineError, EndpointCrashedError, PoisonError
 from radishshift.hosts import Host
-from radishshift.objects import Kind
+from radishshift.objects import Kind, StoredObject
 from radishshift.peers import MemoryPeers
 from radishshift.platform import MemoryPlatform
 from radishshift.poison import MAX_SUSPECTS, Crash, PoisonTracker
+from radishshift.poison_records import PoisonRecords
 from radishshift.poison_retries import PoisonGuard
 from radishshift.standins.faulty import FaultyPlatform, PlatformFaults
 from radishshift.verdicts import Verdict
@@ -18,6 +19,18 @@
 NAMES = ("mbeya-1", "mbeya-2", "iringa-1", "iringa-2", "njombe-1", "njombe-2")
 
 
+class PoisonRecordsTest(VirtualTestCase):
+    async def test_a_record_that_cannot_be_read_costs_itself_alone(self):
+        """None of the others was read, on any host, as long as it was stored."""
+        platform = MemoryPlatform()
+        records = PoisonRecords(platform)
+        crash = Crash("request-1", "engine-1", CLOCK.now())
+        await records.add(crash)
+        for number, spec in enumerate(({}, {"crashes": 7}, {"crashes": [[1]]})):
+            await platform.create(StoredObject(Kind.POISON, f"odd-{number}", spec))
+        self.assertEqual([crash], await records.read(CLOCK.now()))
+
+
 class PoisonTrackerTest(TestCase):
     def test_the_state_is_bounded_and_expires(self):
         tracker = PoisonTracker()
--- a/tests/users_platform/test_host.py
+++ b/tests/users_platform/test_host.py
@@ -486,6 +486,37 @@
             await demo._stack.aclose()
         self.assertEqual(2, data.count(b"HTTP/1.1 "))
 
+    async def test_a_stopping_host_answers_a_request_behind_a_stream_that_pauses(self):
+        """Guards rule LOST: silence ended the stream, and its end the connection."""
+        plan = "".join(
+            f"{name}: {value}\r\n"
+            for name, value in (BASE_HEADERS | STREAM_HEADERS).items()
+        )
+        check = "".join(f"{name}: {value}\r\n" for name, value in BASE_HEADERS.items())
+        text = (
+            f"POST /plan/x HTTP/1.1\r\n{plan}Content-Length: 0\r\n\r\n"
+            f"GET /check/2 HTTP/1.1\r\n{check}\r\n"
+        )
+        async with _running_demo() as demo:
+            for endpoint in demo.endpoints.values():
+                endpoint.gap_s = 0.02
+            reader, writer = await asyncio.open_connection(*demo.address.split(":"))
+            writer.write(text.encode())
+            await _wait_until(lambda: _executed(demo))
+            for endpoint in demo.endpoints.values():
+                endpoint.gap_s = 1.4
+            demo.gateway_host.stop("test")
+            await asyncio.sleep(0.1)
+            for endpoint in demo.endpoints.values():
+                endpoint.gap_s = 0.02
+            data = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            await demo.host_task
+            await demo._stack.aclose()
+        self.assertEqual(2, data.count(b"HTTP/1.1 200"))
+        self.assertIn(b"id: 10\n", data)
+        self.assertIn(b"answer", data.rpartition(b"id: 10\n")[2])
+
     async def test_connections_are_closed_before_the_parts_of_a_stopping_host(self):
         async with _running_demo() as demo:
             host = demo.gateway_host
