--- a/tests/users_platform/test_store_restores.py
+++ b/tests/users_platform/test_store_restores.py
@@ -3,7 +3,16 @@
 import asyncio
 
 from tests.cases import TestCase
-from tests.users_platform.fleets import CONFIG, KEY, SERVICE, running_fleet
+from tests.users_platform.fleets import (
+    CONFIG,
+    DESK,
+    HOST_HEADER,
+    KEY,
+    SERVICE,
+    running_fleet,
+)
+
+CONFIG_APPLY_S = 2.0
 
 
 def _config(version, key=KEY):
@@ -43,6 +52,26 @@
                 customers = host.host_view.deployment.customers
                 self.assertEqual(["another-key"], list(customers))
 
+    async def test_callers_get_the_next_configuration_after_a_restore(self):
+        """Guards rule CONFIG: a route got 404, and a key taken away went on running."""
+        async with running_fleet(3, (SERVICE, DESK)) as (fleet, session):
+            store, hosts = fleet.platform.store, fleet.hosts
+            saved = store.copy()
+            for version in range(2, 9):
+                store.put("config", "main", _config(version))
+            await _until(lambda: all(host.host_view.version == 8 for host in hosts))
+            store.restore(saved)
+            store.put("config", "main", _config(8))
+            await asyncio.sleep(1.0)
+            store.put("config", "main", _config(9, "another-key"))
+            await asyncio.sleep(CONFIG_APPLY_S)
+            for host in hosts:
+                for key, expected in ((KEY, 401), ("another-key", 200)):
+                    url = f"http://{host.settings.caller_address}/book/1"
+                    headers = {"Host": HOST_HEADER, "X-Key": key, "X-Attempt-Id": key}
+                    async with session.post(url, headers=headers) as resp:
+                        self.assertEqual(expected, resp.status)
+
     async def test_endpoints_that_register_again_are_used(self):
         async with running_fleet(3) as (fleet, _):
             store, hosts = fleet.platform.store, fleet.hosts
