Apply the ratio of retries to a short span as well, not to a whole window alone

Cause: what a process saves up before a window is spent in it, and only the process itself remembered that. Change: within 1.5 s it repeats no more than the ratio of its requests in 1.5 s, rounded up, and its share of the slack.

--- a/radishshift/decisions/patience.py
+++ b/radishshift/decisions/patience.py
@@ -41,4 +41,5 @@
     """Bound on the attempts that one host gives up early."""
 
     def __init__(self) -> None:
-        super().__init__(EARLY_RETRY_RATIO, WINDOW_S, SLACK)
+        # Each is also a retry of the budget, which bounds what is spent at once.
+        super().__init__(EARLY_RETRY_RATIO, WINDOW_S, SLACK, burst_share=1.0)
--- a/tests/decisions/test_decisions.py
+++ b/tests/decisions/test_decisions.py
@@ -1,6 +1,7 @@
 """Tests of routes, retry budgets, model choice and moving averages."""
 
 import itertools
+import random
 
 from radishshift.decisions.fleet_size import FleetSize
 from radishshift.decisions.model_choice import (
@@ -56,13 +57,13 @@
         self.assertEqual(chosen, again)
 
 
-def _budget(hosts, started_at=-10.0, known_at=0.0):
+def _budget(hosts, started_at=-10.0, known_at=0.0, slack=52.0):
     """Return the budget of a process that knows of `hosts`."""
     fleet_size = FleetSize()
     if hosts:
         fleet_size.observe(hosts, known_at)
     share = SlackShare(fleet_size, started_at + 10.0)
-    return HostRetryBudget(0.9, 10.0, 52.0, share)
+    return HostRetryBudget(0.9, 10.0, slack, share)
 
 
 class HostRetryBudgetTest(TestCase):
@@ -124,6 +125,33 @@
             retries = sum(start <= at < start + 10 for at in retried_at)
             self.assertLessEqual(retries, 0.9 * 1000 + 52)
 
+    def test_processes_in_series_that_spend_at_their_end_stay_within_the_budget(self):
+        """Each saved up what it could, spent it at once and was killed."""
+        for hosts, slack, per_s in ((6, 52.0, 24), (64, 218.0, 128)):
+            for ends in ((), (16.0,), (16.0, 19.0), (16.0, 17.5, 19.0, 21.0)):
+                retries = self._repeats_of_series(hosts, slack, per_s, ends)
+                most = max(
+                    sum(start / 4 <= at < start / 4 + 10 for at in retries)
+                    for start in range(56, 88)
+                )
+                self.assertLessEqual(most, 0.9 * 10 * per_s + slack, (hosts, ends))
+
+    def _repeats_of_series(self, hosts, slack, per_s, ends):
+        """Return when fleets repeat of which all processes end at some instants."""
+        rng = random.Random(1)
+        budgets = [_budget(hosts, slack=slack) for _ in range(hosts)]
+        retried_at = []
+        for step in range(26 * 20):
+            now = step / 20
+            for _ in range((step + 1) * per_s // 20 - step * per_s // 20):
+                rng.choice(budgets).request_received(now)
+            if now in ends:
+                budgets = [_budget(hosts, now, now, slack) for _ in range(hosts)]
+            for budget in budgets if now >= 15.9 else ():
+                while budget.try_acquire(now):
+                    retried_at.append(now)
+        return retried_at
+
     def test_a_process_that_started_retries_by_the_ratio_alone(self):
         budget = _budget(hosts=6, started_at=100.0, known_at=100.0)
         for _ in range(10):
--- a/tests/decisions/test_patience.py
+++ b/tests/decisions/test_patience.py
@@ -28,4 +28,4 @@
         early = EarlyRetries()
         for number in range(100_000):
             early.request_received(number / 10)
-        self.assertLessEqual(len(early._requests), 101)
+        self.assertLessEqual(len(early._window.requests), 101)
