--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(VENV)/bin/ruff check .
 
 tests: $(STAMP)
-	$(PY) -m pytest -n 6 tests
+	$(PY) -m pytest -n 6 --dist worksteal tests
 
 test: check spec tests
 
--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -10,7 +10,7 @@
 from radishshift.gateway.deployment import RouteKind
 from radishshift.gateway.endpoint_permits import PermitQuestion
 from radishshift.objects import Kind, Listing, StoredObject
-from tests.cases import VirtualTestCase
+from tests.cases import VirtualTestCase, for_each_fleet
 from tests.gateway.networks import EVENTS, STREAM, Network, now
 from tests.gateway.worlds import SERVICE, Script, World, route
 
@@ -90,11 +90,11 @@
             ]
             self.assertLessEqual(_most_in_a_second(cold), BOUND, name)
 
-    async def test_a_data_centre_returns_cold_under_load(self):
-        for fleet in FLEETS:
-            network, names, began_at = await self._return_under_load(fleet)
-            self._assert_kept(network, names, began_at)
-            self.assertEqual({200}, set(network.statuses), fleet)
+    @for_each_fleet(FLEETS)
+    async def test_a_data_centre_returns_cold_under_load(self, fleet):
+        network, names, began_at = await self._return_under_load(fleet)
+        self._assert_kept(network, names, began_at)
+        self.assertEqual({200}, set(network.statuses), fleet)
 
     async def test_warm_endpoints_get_their_share_within_a_second(self):
         fleet = FLEETS[1]
@@ -108,17 +108,17 @@
         share = fleet[0] * fleet[3] * 1.5 * len(names) / len(network.centre_of)
         self.assertGreater(arrivals, 0.5 * share)
 
-    async def test_the_keeper_dies_while_endpoints_are_cold(self):
+    @for_each_fleet(FLEETS)
+    async def test_the_keeper_dies_while_endpoints_are_cold(self, fleet):
         async def kill_keeper(network, name):
             await asyncio.sleep(0.7)
             peers = network.hosts["edge-1"].gossip.peers
             network.kill(peers.keeper(name, network.centre_of[name], now()))
 
-        for fleet in FLEETS:
-            network, names, began_at = await self._return_under_load(
-                fleet, kill_keeper, seed=2
-            )
-            self._assert_kept(network, names, began_at)
+        network, names, began_at = await self._return_under_load(
+            fleet, kill_keeper, seed=2
+        )
+        self._assert_kept(network, names, began_at)
 
     async def test_two_hosts_that_both_keep_a_budget_stay_within_the_bound(self):
         """Hosts may disagree on the keeper for a while; new budgets start empty."""
--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -7,7 +7,7 @@
 
 from radishshift.gateway.deployment import RouteKind
 from radishshift.gateway.endpoint_permits import PermitQuestion
-from tests.cases import VirtualTestCase
+from tests.cases import VirtualTestCase, for_each_fleet
 from tests.gateway.networks import EVENTS, STREAM, Network, now
 from tests.gateway.worlds import Script, World, route
 from tests.limit_rule import MAX_LEARNING_S, most_allowed
@@ -36,50 +36,52 @@
                 network.most_arrivals(name, since), most_allowed(LIMIT_PER_S)
             )
 
-    async def test_hosts_together_keep_to_the_limit_of_an_endpoint(self):
+    @for_each_fleet(FLEETS)
+    async def test_hosts_together_keep_to_the_limit_of_an_endpoint(self, fleet):
         """Each host took the endpoint in need, which got little, for an idle one."""
-        for fleet in FLEETS:
-            network, names, began_at = await self._run(fleet)
-            self._assert_kept(network, names, began_at + MAX_LEARNING_S)
-            used = [at for at in network.arrivals[names[0]] if at > began_at + 4]
-            self.assertTrue(used, fleet)
-            self.assertEqual({200}, set(network.statuses))
-
-    async def test_retries_keep_to_the_limit_of_an_endpoint(self):
-        for fleet in FLEETS:
-            network, names, began_at = await self._run(fleet, refused_share=0.4)
-            self._assert_kept(network, names, began_at + MAX_LEARNING_S)
-
-    async def test_the_budgets_are_used_if_all_endpoints_limit_their_requests(self):
-        for fleet in FLEETS[:2]:
-            limited = fleet[1] * fleet[2]
-            network, names, began_at = await self._run(fleet, 14.0, limited=limited)
-            since = began_at + MAX_LEARNING_S
-            self._assert_kept(network, names, since)
-            used = sum(at >= since for name in names for at in network.arrivals[name])
-            permitted = limited * LIMIT_PER_S * (14.0 - MAX_LEARNING_S)
-            self.assertGreater(used, 0.7 * permitted, fleet)
-            self.assertEqual({200, 503}, set(network.statuses))
-
-    async def test_the_budget_outlives_the_host_that_keeps_it(self):
-        for fleet in FLEETS:
-            hosts, centres, endpoints, rate_per_s = fleet
-            network = Network(2, hosts, centres, endpoints)
-            await network.start()
-            name = min(network.centre_of)
-            network.limits = {name: LIMIT_PER_S}
-            began_at = now()
-            load = asyncio.create_task(network.load(rate_per_s, 18.0))
-            await asyncio.sleep(6.0)
-            first = network.hosts["edge-0"].gossip.peers
-            keeper = first.keeper(name, network.centre_of[name], now())
-            network.kill(keeper)
-            died_at = now()
-            await load
-            await network.stop()
-            self._assert_kept(network, [name], began_at + MAX_LEARNING_S)
-            late = [at for at in network.arrivals[name] if at > died_at + 6.0]
-            self.assertTrue(late, fleet)
+        network, names, began_at = await self._run(fleet)
+        self._assert_kept(network, names, began_at + MAX_LEARNING_S)
+        used = [at for at in network.arrivals[names[0]] if at > began_at + 4]
+        self.assertTrue(used, fleet)
+        self.assertEqual({200}, set(network.statuses))
+
+    @for_each_fleet(FLEETS)
+    async def test_retries_keep_to_the_limit_of_an_endpoint(self, fleet):
+        network, names, began_at = await self._run(fleet, refused_share=0.4)
+        self._assert_kept(network, names, began_at + MAX_LEARNING_S)
+
+    @for_each_fleet(FLEETS[:2])
+    async def test_the_budgets_are_used_if_all_endpoints_limit_their_requests(
+        self, fleet
+    ):
+        limited = fleet[1] * fleet[2]
+        network, names, began_at = await self._run(fleet, 14.0, limited=limited)
+        since = began_at + MAX_LEARNING_S
+        self._assert_kept(network, names, since)
+        used = sum(at >= since for name in names for at in network.arrivals[name])
+        permitted = limited * LIMIT_PER_S * (14.0 - MAX_LEARNING_S)
+        self.assertGreater(used, 0.7 * permitted, fleet)
+        self.assertEqual({200, 503}, set(network.statuses))
+
+    @for_each_fleet(FLEETS)
+    async def test_the_budget_outlives_the_host_that_keeps_it(self, fleet):
+        hosts, centres, endpoints, rate_per_s = fleet
+        network = Network(2, hosts, centres, endpoints)
+        await network.start()
+        name = min(network.centre_of)
+        network.limits = {name: LIMIT_PER_S}
+        began_at = now()
+        load = asyncio.create_task(network.load(rate_per_s, 18.0))
+        await asyncio.sleep(6.0)
+        first = network.hosts["edge-0"].gossip.peers
+        keeper = first.keeper(name, network.centre_of[name], now())
+        network.kill(keeper)
+        died_at = now()
+        await load
+        await network.stop()
+        self._assert_kept(network, [name], began_at + MAX_LEARNING_S)
+        late = [at for at in network.arrivals[name] if at > died_at + 6.0]
+        self.assertTrue(late, fleet)
 
     async def test_an_endpoint_whose_limit_has_ended_gets_its_share_again(self):
         fleet = FLEETS[0]
@@ -99,22 +101,23 @@
 
 
 class DepartureTest(VirtualTestCase):
-    async def test_all_hosts_hear_from_one_that_an_endpoint_leaves(self):
+    @for_each_fleet(FLEETS)
+    async def test_all_hosts_hear_from_one_that_an_endpoint_leaves(self, fleet):
         """The store still lists the endpoint, in the list of each host."""
-        for hosts, centres, endpoints, _ in FLEETS:
-            network = Network(4, hosts, centres, endpoints)
-            await network.start()
-            name = min(network.centre_of)
-            first = network.hosts["edge-1"].world
-            self.assertTrue(first.host_view.record_leaving(first.member(name)))
-            await asyncio.sleep(2.0)
-            await network.stop()
-            using = [
-                host.name
-                for host in network.hosts.values()
-                if name in host.world.host_view.members
-            ]
-            self.assertEqual([], using, hosts)
+        hosts, centres, endpoints, _ = fleet
+        network = Network(4, hosts, centres, endpoints)
+        await network.start()
+        name = min(network.centre_of)
+        first = network.hosts["edge-1"].world
+        self.assertTrue(first.host_view.record_leaving(first.member(name)))
+        await asyncio.sleep(2.0)
+        await network.stop()
+        using = [
+            host.name
+            for host in network.hosts.values()
+            if name in host.world.host_view.members
+        ]
+        self.assertEqual([], using, hosts)
 
 
 class PermitsTest(VirtualTestCase):
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from radishshift.gateway.relay_server import MAX_RELAYING
-from tests.cases import VirtualTestCase
+from tests.cases import VirtualTestCase, for_each_fleet
 from tests.gateway.networks import Network, now
 
 # Hosts, data centres, endpoints of each data centre and requests a second of each host.
@@ -41,75 +41,72 @@
         await network.stop()
         return network, cut_off, began_at + CONTACT_S
 
-    async def test_some_hosts_of_each_data_centre_are_cut_off(self):
-        for fleet in FLEETS:
-            network, cut_off, since = await self.run_fleet(
-                fleet, lambda host: int(host.name[5:]) < 3
-            )
-            others = [host for host in network.hosts.values() if host not in cut_off]
-            self.assertGreaterEqual(served_share(cut_off, since), MIN_SERVED, fleet)
-            self.assertGreaterEqual(served_share(others, since), MIN_SERVED, fleet)
+    @for_each_fleet(FLEETS)
+    async def test_some_hosts_of_each_data_centre_are_cut_off(self, fleet):
+        network, cut_off, since = await self.run_fleet(
+            fleet, lambda host: int(host.name[5:]) < 3
+        )
+        others = [host for host in network.hosts.values() if host not in cut_off]
+        self.assertGreaterEqual(served_share(cut_off, since), MIN_SERVED, fleet)
+        self.assertGreaterEqual(served_share(others, since), MIN_SERVED, fleet)
 
-    async def test_a_whole_data_centre_is_cut_off(self):
-        for fleet in FLEETS:
-            network, cut_off, since = await self.run_fleet(
-                fleet, lambda host: host.data_centre == "dc-0"
-            )
-            others = [host for host in network.hosts.values() if host not in cut_off]
-            self.assertGreaterEqual(served_share(cut_off, since), MIN_SERVED, fleet)
-            relaying = [host.most_relaying for host in others]
-            helping = sum(most > 0 for most in relaying)
-            self.assertGreater(helping, len(others) / 2, fleet)
+    @for_each_fleet(FLEETS)
+    async def test_a_whole_data_centre_is_cut_off(self, fleet):
+        network, cut_off, since = await self.run_fleet(
+            fleet, lambda host: host.data_centre == "dc-0"
+        )
+        others = [host for host in network.hosts.values() if host not in cut_off]
+        self.assertGreaterEqual(served_share(cut_off, since), MIN_SERVED, fleet)
+        relaying = [host.most_relaying for host in others]
+        helping = sum(most > 0 for most in relaying)
+        self.assertGreater(helping, len(others) / 2, fleet)
 
-    async def test_no_host_is_swamped_when_all_but_two_are_cut_off(self):
-        for fleet in FLEETS:
-            network, cut_off, since = await self.run_fleet(
-                fleet, lambda host: int(host.name[5:]) >= 2
-            )
-            others = [host for host in network.hosts.values() if host not in cut_off]
-            self.assertTrue(any(host.most_relaying for host in others))
-            for host in others:
-                self.assertLessEqual(host.most_relaying, MAX_RELAYING + 1)
-            self.assertGreaterEqual(served_share(others, since), MIN_SERVED, fleet)
-            failed = {
-                status
-                for host in cut_off
-                for at, status in host.statuses
-                if at >= since
-            }
-            self.assertLessEqual(failed, {200, 503}, fleet)
+    @for_each_fleet(FLEETS)
+    async def test_no_host_is_swamped_when_all_but_two_are_cut_off(self, fleet):
+        network, cut_off, since = await self.run_fleet(
+            fleet, lambda host: int(host.name[5:]) >= 2
+        )
+        others = [host for host in network.hosts.values() if host not in cut_off]
+        self.assertTrue(any(host.most_relaying for host in others))
+        for host in others:
+            self.assertLessEqual(host.most_relaying, MAX_RELAYING + 1)
+        self.assertGreaterEqual(served_share(others, since), MIN_SERVED, fleet)
+        failed = {
+            status for host in cut_off for at, status in host.statuses if at >= since
+        }
+        self.assertLessEqual(failed, {200, 503}, fleet)
 
-    async def test_hosts_that_reach_the_endpoints_again_use_them(self):
-        for fleet in FLEETS[:2]:
-            _, cut_off, _ = await self.run_fleet(
-                fleet, lambda host: host.data_centre == "dc-0", heal=True
-            )
-            relayed = [host.relays.client.sent for host in cut_off]
-            self.assertEqual(self.relayed_before, relayed, fleet)
-            self.assertEqual(0, sum(h.relays.server.in_flight for h in cut_off))
+    @for_each_fleet(FLEETS[:2])
+    async def test_hosts_that_reach_the_endpoints_again_use_them(self, fleet):
+        _, cut_off, _ = await self.run_fleet(
+            fleet, lambda host: host.data_centre == "dc-0", heal=True
+        )
+        relayed = [host.relays.client.sent for host in cut_off]
+        self.assertEqual(self.relayed_before, relayed, fleet)
+        self.assertEqual(0, sum(h.relays.server.in_flight for h in cut_off))
 
-    async def test_endpoints_that_are_silent_for_a_second_lose_no_service(self):
-        for fleet in FLEETS:
-            hosts, centres, endpoints, rate_per_s = fleet
-            network = Network(7, hosts, centres, endpoints)
-            await network.start()
-            load = asyncio.create_task(network.load(rate_per_s, 7.0))
-            await asyncio.sleep(2.0)
-            began_at = now()
-            names = sorted(network.centre_of)
-            for name in names[: max(2, len(names) // 4)]:
-                network.silence(name, 1.0)
-                await asyncio.sleep(0.3)
-            await load
-            await network.stop()
-            all_hosts = network.hosts.values()
-            self.assertGreaterEqual(served_share(all_hosts, began_at), MIN_SERVED)
-            lost = [
-                host.name
-                for host in all_hosts
-                if host.world.dispatcher.services.tracker.lost_services()
-            ]
-            self.assertEqual([], lost, fleet)
+    @for_each_fleet(FLEETS)
+    async def test_endpoints_that_are_silent_for_a_second_lose_no_service(self, fleet):
+        hosts, centres, endpoints, rate_per_s = fleet
+        network = Network(7, hosts, centres, endpoints)
+        await network.start()
+        load = asyncio.create_task(network.load(rate_per_s, 7.0))
+        await asyncio.sleep(2.0)
+        began_at = now()
+        names = sorted(network.centre_of)
+        for name in names[: max(2, len(names) // 4)]:
+            network.silence(name, 1.0)
+            await asyncio.sleep(0.3)
+        await load
+        await network.stop()
+        all_hosts = network.hosts.values()
+        self.assertGreaterEqual(served_share(all_hosts, began_at), MIN_SERVED)
+        lost = [
+            host.name
+            for host in all_hosts
+            if host.world.dispatcher.services.tracker.lost_services()
+        ]
+        self.assertEqual([], lost, fleet)
 
     async def test_an_attempt_is_never_handed_on_twice(self):
         """The only peer that seems to help has just been cut off, too."""
