Bound what is repeated at once by what the margin covers, and by the mean rate

Change: the span is as long as the margin of the ratio covers, 1.8 s, and requests count by their mean over the window where that is more.

Evidence: the test passes unchanged.

--- a/radishshift/decisions/retry_budget.py
+++ b/radishshift/decisions/retry_budget.py
@@ -24,8 +24,8 @@
 # Divides the slack at least, as parts of a small fleet may know of each other alone.
 MIN_HOSTS = 12
 # Share of the window in which retries may not exceed the ratio either. What is saved up
-# for so long before a window is spent in it; `RATIO_MARGIN` leaves room for that.
-BURST_SHARE = 0.15
+# for so long before a window may be spent in it; `RATIO_MARGIN` leaves room for that.
+BURST_SHARE = 1 / RATIO_MARGIN - 1
 
 
 class SlackShare:
@@ -101,6 +101,7 @@
         self._share = share
         self._window = _Span(window_s)
         self._burst = _Span(burst_share * window_s)
+        self._burst_share = burst_share
 
     def request_received(self, now: float) -> None:
         """Record a caller's request for the service."""
@@ -120,8 +121,10 @@
         span.forget_old(now)
         by_ratio = self._ratio * len(span.requests)
         if span is self._burst:
-            # Hosts with few requests would lose much to rounding in each short span.
-            by_ratio = math.ceil(by_ratio)
+            # What fails now may have come before the span, and hosts with few requests
+            # would lose much to rounding in each.
+            mean = self._burst_share * len(self._window.requests)
+            by_ratio = math.ceil(self._ratio * max(len(span.requests), mean))
         if self._window.requests:
             by_ratio = max(by_ratio, self._first)
         return by_ratio - len(span.retries)
