--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -47,8 +47,8 @@
     body_began : bool
         Whether bytes of the answer's body have been received.
     may_retry : bool
-        Whether another attempt may follow; without one, a silent endpoint is better
-        than none.
+        Whether another attempt may follow. It is given up for silence only then, as a
+        silent endpoint is better than none.
     sound : bool
         Whether the answer went on for so long that the request crashes no endpoints.
     helper : str
@@ -64,7 +64,7 @@
     answer: EndpointAnswer | None = None
     answered_at: float = 0.0
     body_began: bool = False
-    may_retry: bool = True
+    may_retry: bool = False
     sound: bool = False
     last_byte_at: float = 0.0
     mean_first_event_s: float = 0.0
