--- a/tests/gateway/test_store_restores.py
+++ b/tests/gateway/test_store_restores.py
@@ -41,14 +41,17 @@
             versions = sorted(host.versions_at, key=host.versions_at.get)
             self.assertEqual(sorted(versions), versions)
 
-    async def test_73_hosts_take_the_next_configuration_after_a_restore(self):
-        fleet = await self._fleet(73, 4)
+    async def _check_restore(self, fleet):
+        """Restore the store once, in reach of all hosts, and change it."""
         saved = await self._lose_changes(fleet)
         await fleet.restore(saved, AWAY_S)
         await fleet.write_again(4, ROUTES)
         await asyncio.sleep(STABLE_S)
         await self._check_next_changes(fleet)
 
+    async def test_73_hosts_take_the_next_configuration_after_a_restore(self):
+        await self._check_restore(await self._fleet(73, 4))
+
     async def test_73_hosts_of_which_most_hear_of_two_restores_from_peers(self):
         fleet = await self._fleet(73, 4)
         saved = await self._lose_changes(fleet)
@@ -60,9 +63,4 @@
         await self._check_next_changes(fleet)
 
     async def test_195_hosts_take_the_next_configuration_after_a_restore(self):
-        fleet = await self._fleet(195, 5)
-        saved = await self._lose_changes(fleet)
-        await fleet.restore(saved, AWAY_S)
-        await fleet.write_again(4, ROUTES)
-        await asyncio.sleep(STABLE_S)
-        await self._check_next_changes(fleet)
+        await self._check_restore(await self._fleet(195, 5))
