Client connections: a module of their own

No change of behaviour: the class that bounds responses, and its errors, move out of gateway/sockets.py, which is about sockets and their options.

--- a/radishshift/gateway/http_answers.py
+++ b/radishshift/gateway/http_answers.py
@@ -3,8 +3,8 @@
 import aiohttp
 
 from radishshift.errors import EndlessAnswerError, StreamBrokenError
+from radishshift.gateway.client_connections import EndlessResponseError
 from radishshift.gateway.messages import EndpointAnswer
-from radishshift.gateway.sockets import EndlessResponseError
 
 __all__ = ["BodyBudget", "HttpAnswer"]
 
--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -8,13 +8,11 @@
 
 import aiohttp
 from aiohttp import http_writer
-from aiohttp.client_proto import ResponseHandler
 
 from radishshift import http_server as web
+from radishshift.gateway.client_connections import BoundedResponseHandler
 
 __all__ = [
-    "EndlessResponseError",
-    "StaleBytesError",
     "enable_keepalive",
     "keepalive_session",
     "read_body",
@@ -85,66 +83,6 @@
 http_writer._serialize_headers = _serialize_head
 
 
-class EndlessResponseError(aiohttp.ClientPayloadError):
-    """A response is longer than the bound of its session."""
-
-
-class StaleBytesError(aiohttp.ClientConnectionError):
-    """An idle connection has received bytes that belong to no request; nothing sent."""
-
-
-class _BoundedResponseHandler(ResponseHandler):
-    """Breaks off a response of which too many bytes have been received.
-
-    The library bounds each line of a head. Bytes that it skips have no bound: interim
-    responses, blank lines, extensions of chunks. It would also take what arrives on an
-    idle connection, such as a second copy of an answer, for the next response.
-    """
-
-    def __init__(
-        self, head_bytes: int, response_bytes: int, loop: asyncio.AbstractEventLoop
-    ) -> None:
-        super().__init__(loop)
-        self._max_head_bytes = head_bytes
-        self._max_response_bytes = response_bytes
-        self._received_bytes = 0
-        self._head_complete = False
-
-    def set_response_params(self, **params) -> None:
-        """Prepare for the response to a new request, which is sent next.
-
-        Raises
-        ------
-        StaleBytesError
-        """
-        if self._buffer or self._tail:
-            self.close()
-            raise StaleBytesError("bytes received while the connection was idle")
-        self._received_bytes = 0
-        self._head_complete = False
-        super().set_response_params(**params)
-
-    def feed_data(self, data, size: int = 0) -> None:
-        """Take a complete head with its payload."""
-        message, _ = data
-        self._head_complete = self._head_complete or message.code >= 200
-        super().feed_data(data, size)
-
-    def data_received(self, data: bytes) -> None:
-        """Take bytes from the connection, unless they exceed a bound."""
-        self._received_bytes += len(data)
-        super().data_received(data)
-        bound = (
-            self._max_response_bytes if self._head_complete else self._max_head_bytes
-        )
-        if self._received_bytes > bound and self.transport is not None:
-            exc = EndlessResponseError(f"more than {bound} bytes received")
-            self.set_exception(exc)
-            if self._payload is not None and not self._payload.is_eof():
-                self._payload.set_exception(exc)
-            self.transport.abort()
-
-
 def _open_socket(address: tuple) -> socket.socket:
     sock = socket.socket(address[0], address[1], address[2])
     sock.setblocking(False)
@@ -183,7 +121,7 @@
     if max_bytes is not None:
         # The library has no option for the class of its protocol.
         connector._factory = functools.partial(
-            _BoundedResponseHandler, *max_bytes, loop=asyncio.get_running_loop()
+            BoundedResponseHandler, *max_bytes, loop=asyncio.get_running_loop()
         )
     session = aiohttp.ClientSession(
         connector=connector,
