Log which connection carried a failed attempt, and what it had carried before

A refusal whose connection had carried the same request before may be a copy; one on a new connection may not. The lines of failed attempts now hold local_port, requests_before and same_id_before.

--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -318,11 +318,18 @@
 
 
 class EndpointError(RadishshiftError):
-    """An endpoint failed an attempt."""
+    """An endpoint failed an attempt.
+
+    Attributes
+    ----------
+    connection : ConnectionUse or None
+        The connection that carried the attempt; None if none did, or it isn't known.
+    """
 
     code = "endpoint-failed"
     status = 502
     default_verdict = Verdict.MAY_HAVE_RUN
+    connection: Any = None
 
 
 class EndpointCrashedError(EndpointError):
--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -1,11 +1,18 @@
 """Connections of HTTP clients: what comes on them is bounded and was asked for."""
 
 import asyncio
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["BoundedResponseHandler", "EndlessResponseError", "StaleBytesError"]
+__all__ = [
+    "BoundedResponseHandler",
+    "ConnectionUse",
+    "EndlessResponseError",
+    "IdentifiedRequest",
+    "StaleBytesError",
+]
 
 
 class EndlessResponseError(aiohttp.ClientPayloadError):
@@ -16,6 +23,25 @@
     """An idle connection has received bytes that belong to no request; nothing sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """The connection over which a request was sent.
+
+    Attributes
+    ----------
+    local_port : int
+        0 if it is not known.
+    requests_before : int
+        Requests that it had carried before.
+    same_id_before : bool
+        Whether one of them had the ID of this request.
+    """
+
+    local_port: int
+    requests_before: int
+    same_id_before: bool
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Breaks off a response of which too many bytes have been received.
 
@@ -32,6 +58,17 @@
         self._max_response_bytes = response_bytes
         self._received_bytes = 0
         self._head_complete = False
+        self._request_ids: list[str] = []
+
+    def carry(self, request_id: str) -> ConnectionUse:
+        """Record the request that is sent next, and return what came before it."""
+        address = None
+        if self.transport is not None:
+            address = self.transport.get_extra_info("sockname")
+        ids = self._request_ids
+        use = ConnectionUse(address[1] if address else 0, len(ids), request_id in ids)
+        ids.append(request_id)
+        return use
 
     def set_response_params(self, **params) -> None:
         """Prepare for the response to a new request, which is sent next.
@@ -66,3 +103,23 @@
             if self._payload is not None and not self._payload.is_eof():
                 self._payload.set_exception(exc)
             self.transport.abort()
+
+
+class IdentifiedRequest(aiohttp.ClientRequest):
+    """Request that its connection, a `BoundedResponseHandler`, knows by its ID.
+
+    Attributes
+    ----------
+    id_header : str
+        Header that holds the ID.
+    """
+
+    id_header = ""
+
+    async def send(self, conn) -> aiohttp.ClientResponse:
+        """Send the request over a connection."""
+        self.sent_over(conn.protocol.carry(self.headers.get(self.id_header, "")))
+        return await super().send(conn)
+
+    def sent_over(self, use: ConnectionUse) -> None:
+        """Take note of the connection."""
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import asdict
 
 import logbook
 
@@ -449,6 +450,7 @@
                     part.digest[:16] for part in job.req.parts[:MAX_PARTS_LOGGED]
                 ],
             }
+            | _connection_state(exc)
             | self.budget(job.service).state(now),
         )
 
@@ -522,6 +524,11 @@
         job.used_endpoints.append(member.name)
 
 
+def _connection_state(exc: EndpointError) -> dict[str, int | bool]:
+    """Return what the log says of the connection that carried a failed attempt."""
+    return {} if exc.connection is None else asdict(exc.connection)
+
+
 def _since(at: float, now: float) -> float | None:
     """Return the seconds since an instant, None if it is 0 for never."""
     return round(now - at, 3) if at else None
