A connection to an endpoint carries no request ID twice

Callers got a 503 that promised "not run" for requests that an endpoint ran (rule REFUSED), or their request was sent on and ran twice (TWICE). Cause: a refusal gives its connection back to the pool, the next attempt of the same request takes it, and the endpoint, which has read the request, first sends a copy of the refusal. The copy bears the right ID, so it was believed.

An ID tells a copy from an answer only on a connection that has never carried that ID before. So a connection remembers the IDs that it has carried, and is closed where an attempt would repeat one; the next connection is taken. A look at the idle connection does not do: the copy may come after it.

--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -11,14 +11,22 @@
     "ConnectionUse",
     "EndlessResponseError",
     "IdentifiedRequest",
+    "RepeatedRequestError",
     "StaleBytesError",
 ]
 
+# Bounds what a connection remembers; it is closed after the answer to the last.
+MAX_REQUESTS = 512
+
 
 class EndlessResponseError(aiohttp.ClientPayloadError):
     """A response is longer than the bound of its session."""
 
 
+class RepeatedRequestError(aiohttp.ClientConnectionError):
+    """A connection has carried a request with the same ID before; nothing sent."""
+
+
 class StaleBytesError(aiohttp.ClientConnectionError):
     """An idle connection has received bytes that belong to no request; nothing sent."""
 
@@ -33,13 +41,10 @@
         0 if it is not known.
     requests_before : int
         Requests that it had carried before.
-    same_id_before : bool
-        Whether one of them had the ID of this request.
     """
 
     local_port: int
     requests_before: int
-    same_id_before: bool
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -48,6 +53,10 @@
     The library bounds each line of a head. Bytes that it skips have no bound: interim
     responses, blank lines, extensions of chunks. It would also take what arrives on an
     idle connection, such as a second copy of an answer, for the next response.
+
+    A copy may also come once the next request has been sent, and is told from the
+    answer by its ID alone. So a connection carries no ID twice: neither a request that
+    was refused, and is sent again, nor a stream that is resumed.
     """
 
     def __init__(
@@ -58,16 +67,25 @@
         self._max_response_bytes = response_bytes
         self._received_bytes = 0
         self._head_complete = False
-        self._request_ids: list[str] = []
+        self._request_ids: set[str] = set()
 
     def carry(self, request_id: str) -> ConnectionUse:
-        """Record the request that is sent next, and return what came before it."""
+        """Record the request that is sent next, and return what came before it.
+
+        Raises
+        ------
+        RepeatedRequestError
+        """
+        ids = self._request_ids
+        if request_id in ids:
+            raise RepeatedRequestError(f"has carried {len(ids)} requests, also this")
         address = None
         if self.transport is not None:
             address = self.transport.get_extra_info("sockname")
-        ids = self._request_ids
-        use = ConnectionUse(address[1] if address else 0, len(ids), request_id in ids)
-        ids.append(request_id)
+        use = ConnectionUse(address[1] if address else 0, len(ids))
+        ids.add(request_id)
+        if len(ids) >= MAX_REQUESTS:
+            self.force_close()
         return use
 
     def set_response_params(self, **params) -> None:
