Close the connection of an answer that belongs to another request

Callers of unsafe requests got 502 in series, and a stream reached its endpoint seconds after it was sent, with all the time that its caller had left then. Cause: the connection of an answer with another ID was to be closed, but the library gives a connection back to the pool as soon as a response is complete, so that closing the response does nothing if its body came with the head. The endpoint still worked on the request there; the next one waited unread behind it, got its answer, and so on. Now the connection itself is marked when the head arrives, and isn't pooled.

--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 
 __all__ = [
     "BoundedResponseHandler",
@@ -67,11 +68,19 @@
         self._max_response_bytes = response_bytes
         self._received_bytes = 0
         self._head_complete = False
+        self._id_header = ""
+        self._request_id = ""
         self._request_ids: set[str] = set()
 
-    def carry(self, request_id: str) -> ConnectionUse:
+    def carry(self, request_id: str, id_header: str) -> ConnectionUse:
         """Record the request that is sent next, and return what came before it.
 
+        Parameters
+        ----------
+        request_id : str
+        id_header : str
+            Header in which the response repeats the ID.
+
         Raises
         ------
         RepeatedRequestError
@@ -84,6 +93,8 @@
             address = self.transport.get_extra_info("sockname")
         use = ConnectionUse(address[1] if address else 0, len(ids))
         ids.add(request_id)
+        self._id_header = id_header
+        self._request_id = request_id
         if len(ids) >= MAX_REQUESTS:
             self.force_close()
         return use
@@ -105,9 +116,21 @@
     def feed_data(self, data, size: int = 0) -> None:
         """Take a complete head with its payload."""
         message, _ = data
-        self._head_complete = self._head_complete or message.code >= 200
+        if message.code >= 200:
+            self._head_complete = True
+            if not self._is_own(message):
+                # The library puts a connection back once a response is complete, also
+                # if its reader closes it; the request is still under way.
+                self.force_close()
         super().feed_data(data, size)
 
+    def _is_own(self, message: RawResponseMessage) -> bool:
+        """Return whether a response repeats the ID of the request."""
+        if not self._id_header:
+            return True
+        echoed_ids = set(message.headers.getall(self._id_header, ())) - {""}
+        return echoed_ids == {self._request_id} - {""}
+
     def data_received(self, data: bytes) -> None:
         """Take bytes from the connection, unless they exceed a bound."""
         self._received_bytes += len(data)
@@ -136,7 +159,8 @@
 
     async def send(self, conn) -> aiohttp.ClientResponse:
         """Send the request over a connection."""
-        self.sent_over(conn.protocol.carry(self.headers.get(self.id_header, "")))
+        request_id = self.headers.get(self.id_header, "")
+        self.sent_over(conn.protocol.carry(request_id, self.id_header))
         return await super().send(conn)
 
     def sent_over(self, use: ConnectionUse) -> None:
--- a/tests/users_platform/test_endpoints.py
+++ b/tests/users_platform/test_endpoints.py
@@ -216,7 +216,7 @@
 class SecondCopyTest(PatientTestCase):
     """An endpoint sends its answer twice, over a connection that is used again."""
 
-    async def _answers(self, copy_delay_s, pause_s, count=2):
+    async def _answers(self, copy_delay_s, pause_s, count=2, work_s=0.0):
         """Return the ids in the answers to requests that follow each other."""
         connections = []
 
@@ -233,6 +233,7 @@
                 answer += b"\r\nContent-Length: 2\r\n\r\n" + request_id
                 if not copy_delay_s and previous:
                     writer.write(previous)
+                await asyncio.sleep(work_s)
                 writer.write(answer)
                 previous = answer
                 if copy_delay_s:
@@ -270,6 +271,12 @@
         answers, _ = await self._answers(0.0, 0.0)
         self.assertEqual(["a0", Verdict.MAY_HAVE_RUN], answers)
 
+    async def test_no_request_follows_on_the_connection_of_a_foreign_answer(self):
+        """Each got the answer to the request before it, for which it also waited."""
+        answers, connections = await self._answers(0.0, 0.0, 4, work_s=0.1)
+        self.assertEqual(["a0", Verdict.MAY_HAVE_RUN, "a2"], answers[:3])
+        self.assertEqual((Verdict.MAY_HAVE_RUN, 2), (answers[3], connections))
+
 
 class NetworkFailureTest(PatientTestCase):
     async def test_a_lost_network_path_is_a_stall_and_not_a_crash(self):
