--- /dev/null
+++ b/tests/test_engine_connections.py
@@ -0,0 +1,231 @@
+"""Tests of endpoints that send an answer once more, over a connection in use again."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from radishshift.clocks import SystemClock
+from radishshift.endpoints import Endpoint
+from radishshift.engines import open_engine_client
+from radishshift.errors import RadishshiftError, ResumeRefusedError
+from radishshift.requests import ModelRequest
+from tests.cases import TestCase
+from tests.test_engines import BOOKING, CONTRACT, make_call
+
+DEADLINE_S = 5.0
+COPY_DELAY_S = 0.05
+IDLE_S = 0.2
+
+
+def answer(status, body, content_type="text/event-stream"):
+    head = f"HTTP/1.1 {status} Reason\r\nContent-Type: {content_type}\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+
+
+def stream_of(attempt_id, done=True):
+    event = f'data: {{"id":"{attempt_id}","choices":[]}}\n\n'
+    return answer(200, event + ("data: [DONE]\n\n" if done else ""))
+
+
+class RepeatingEndpoint:
+    """Writes its last answer on a connection a second time.
+
+    Parameters
+    ----------
+    answers : iterable of bytes
+        To the requests in their order, over whichever connections they come.
+    while_idle : bool
+        Whether copies are written after a short time, else before the next answer.
+
+    Attributes
+    ----------
+    requests : list of (int, str)
+        Number of the connection, and the request line.
+    """
+
+    def __init__(self, answers, while_idle=False):
+        self.requests = []
+        self._answers = iter(answers)
+        self._while_idle = while_idle
+        self._writers = []
+
+    @property
+    def connections(self):
+        return [number for number, _ in self.requests]
+
+    @asynccontextmanager
+    async def listening(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        try:
+            yield Endpoint(
+                "one", f"http://{host}:{port}", "mbeya", frozenset(), 1, False
+            )
+        finally:
+            server.close()
+            for writer in self._writers:
+                writer.close()
+
+    async def _serve(self, reader, writer):
+        number = len(self._writers)
+        self._writers.append(writer)
+        copy = b""
+        while request := await self._request(reader):
+            self.requests.append((number, request))
+            current = next(self._answers)
+            writer.write(copy + current)
+            if self._while_idle:
+                await asyncio.sleep(COPY_DELAY_S)
+                writer.write(current)
+            else:
+                copy = current
+
+    async def _request(self, reader):
+        """Return the request line of the next request, empty if there is none."""
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return ""
+        lines = head.lower().split("\r\n")
+        for line in lines:
+            if line.startswith("content-length:"):
+                await reader.readexactly(int(line.partition(":")[2]))
+        return head.partition("\r\n")[0]
+
+
+@asynccontextmanager
+async def client():
+    async with open_engine_client(SystemClock(), 1.0, 2.0, 10_000) as engines:
+        yield engines
+
+
+def model_request():
+    now = SystemClock().now()
+    return ModelRequest(
+        request_id="id-1",
+        contract=CONTRACT,
+        task_class=BOOKING,
+        operation="chat/completions",
+        model="small.v1",
+        body={"messages": []},
+        body_bytes=b"{}",
+        stream=True,
+        include_usage=True,
+        arrived=now,
+        deadline=now + DEADLINE_S,
+    )
+
+
+async def read_all(opening):
+    """Return what a stream holds, or the error in its place."""
+    try:
+        async with opening as stream:
+            parts = []
+            while part := await stream.read():
+                parts.append(part)
+    except RadishshiftError as exc:
+        return exc
+    return b"".join(parts).decode()
+
+
+class RepeatedRefusalsTest(TestCase):
+    async def _second_answer(self, endpoint, first_call):
+        """Return the answer to an attempt that follows another call."""
+        async with client() as engines, endpoint.listening() as address:
+            await first_call(engines, address)
+            attempt = engines.open(address, model_request(), "small.v1", "id-1.b")
+            return await read_all(attempt)
+
+    async def test_a_copy_of_a_refusal_is_not_believed_for_the_next_attempt(self):
+        """The second attempt counted as not run while the engine worked on it."""
+
+        async def first(engines, endpoint):
+            attempt = engines.open(endpoint, model_request(), "small.v1", "id-1.a")
+            self.assertIsInstance(await read_all(attempt), RadishshiftError)
+
+        for status in (400, 404, 413, 422, 429, 500, 503):
+            refusal = answer(status, "{}", "application/json")
+            endpoint = RepeatingEndpoint([refusal, stream_of("id-1.b")])
+            second = await self._second_answer(endpoint, first)
+            self.assertIn("id-1.b", str(second), status)
+
+    async def test_a_copy_of_another_calls_refusal_is_not_believed_for_an_attempt(self):
+        """Load reports go over the connections of attempts."""
+
+        async def first(engines, endpoint):
+            url = f"{endpoint.address}/v1/load"
+            async with engines.session.get(url) as resp:
+                await resp.read()
+
+        for status in (404, 429, 503):
+            refusal = answer(status, "{}", "application/json")
+            endpoint = RepeatingEndpoint([refusal, stream_of("id-1.b")])
+            second = await self._second_answer(endpoint, first)
+            self.assertIn("id-1.b", str(second), status)
+
+
+class IdleConnectionsTest(TestCase):
+    async def test_a_connection_that_receives_bytes_while_idle_is_not_used_again(self):
+        """The next attempt took the copy of a stream for its own, and broke."""
+        streams = [stream_of("id-1.a"), stream_of("id-1.b")]
+        endpoint = RepeatingEndpoint(streams, while_idle=True)
+        async with client() as engines, endpoint.listening() as address:
+            for attempt_id in ("id-1.a", "id-1.b"):
+                attempt = engines.open(address, model_request(), "small.v1", attempt_id)
+                self.assertIn(attempt_id, str(await read_all(attempt)))
+                await asyncio.sleep(IDLE_S)
+
+    async def test_a_connection_that_received_nothing_since_is_used_again(self):
+        streams = [stream_of("id-1.a"), stream_of("id-1.b")]
+        endpoint = RepeatingEndpoint(streams)
+        async with client() as engines, endpoint.listening() as address:
+            for attempt_id in ("id-1.a", "id-1.b"):
+                attempt = engines.open(address, model_request(), "small.v1", attempt_id)
+                await read_all(attempt)
+        self.assertEqual([0, 0], endpoint.connections)
+
+
+class ResumedStreamsTest(TestCase):
+    async def test_a_copy_of_a_streams_first_part_is_not_taken_for_the_rest(self):
+        """It bears the same id, so callers got events twice."""
+        rest = answer(200, "data: the rest\n\n")
+        endpoint = RepeatingEndpoint([stream_of("id-1.a", done=False), rest])
+        async with client() as engines, endpoint.listening() as address:
+            attempt = engines.open(address, model_request(), "small.v1", "id-1.a")
+            await read_all(attempt)
+            resumed = await read_all(engines.resume(address, "id-1.a", 1))
+        self.assertEqual("data: the rest\n\n", str(resumed))
+
+    async def test_a_copy_of_a_refused_resume_is_not_believed_for_the_next(self):
+        """The endpoint counted as crashed by a request whose stream it still had."""
+        refusal = answer(409, "{}", "application/json")
+        endpoint = RepeatingEndpoint([refusal, stream_of("id-1.b")])
+        async with client() as engines, endpoint.listening() as address:
+            first = await read_all(engines.resume(address, "id-1.a", 1))
+            self.assertIsInstance(first, ResumeRefusedError)
+            second = await read_all(engines.resume(address, "id-1.b", 0))
+        self.assertIn("id-1.b", str(second))
+
+    async def test_a_connection_carries_an_attempt_id_once(self):
+        ok = answer(200, "{}", "application/json")
+        stream = stream_of("id-1.a", done=False)
+        endpoint = RepeatingEndpoint([stream, stream_of("id-1.a"), ok])
+        async with client() as engines, endpoint.listening() as address:
+            attempt = engines.open(address, model_request(), "small.v1", "id-1.a")
+            await read_all(attempt)
+            await read_all(engines.resume(address, "id-1.a", 1))
+            await engines.cancel(address, "id-1.a")
+        self.assertEqual([0, 1, 2], endpoint.connections)
+
+
+class ServiceCallsTest(TestCase):
+    async def test_a_call_does_not_get_the_answer_of_an_earlier_one(self):
+        """A plain service repeats no id, so that nothing tells a copy."""
+        for idempotent in (True, False):
+            replies = [answer(200, body, "text/plain") for body in ("first", "second")]
+            endpoint = RepeatingEndpoint(replies)
+            async with client() as engines, endpoint.listening() as address:
+                bodies = []
+                for _ in replies:
+                    call = make_call("GET", "/seats", idempotent=idempotent)
+                    bodies.append((await engines.call(address, call)).body)
+            self.assertEqual([b"first", b"second"], bodies)
