Engines: nothing follows a refusal on its connection

Callers of radishshift-entry could be told "not run" of a request that an engine was working on; elsewhere it ran a second time, and the first attempt was neither billed nor cancelled.

Cause: the statuses 404, 429 and 503 mean that an attempt was not run, 400, 413 and 422 that the caller's request is bad, and 409 and the like that a stream can't be resumed. Nobody looked at whose answer that was. A refusal bears no id of its request, and its connection was used again; a late copy of it stood in the place of the next answer. Load reports and imports of caches share these connections, so a copy of their refusals was believed, too.

Now a connection is closed with the head of any response whose status isn't 200, for whichever call. A copy then has no connection to arrive on. What is left in use again has only carried answers that say "run", none of which can be taken for a refusal.

Cost: a new connection after each refusal.

Ways weighed: an echo of X-Request-Id (engines need not send one, and it would have to be trusted alone); a look at the connection before its use (a copy may come after it); one connection for each attempt (a connection more for each answer).

--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -14,6 +14,7 @@
 
 from radishshift.clocks import Clock, SystemClock
 from radishshift.endpoints import Endpoint
+from radishshift.engine_connections import engine_connector
 from radishshift.errors import (
     AnswerTooLargeError,
     BadRequestError,
@@ -402,13 +403,13 @@
     ssl_context: ssl.SSLContext | bool = True,
 ) -> AsyncIterator[HttpEngineClient]:
     """Yield a client of endpoints that has its own connections."""
-    pooled_connector = aiohttp.TCPConnector(limit=0, ssl=ssl_context)
     unpooled_connector = aiohttp.TCPConnector(
         limit=0, force_close=True, ssl=ssl_context
     )
     async with (
         aiohttp.ClientSession(
-            connector=pooled_connector, cookie_jar=aiohttp.DummyCookieJar()
+            connector=engine_connector(ssl_context),
+            cookie_jar=aiohttp.DummyCookieJar(),
         ) as session,
         aiohttp.ClientSession(
             connector=unpooled_connector, cookie_jar=aiohttp.DummyCookieJar()
