Engines: a connection that receives bytes while idle is closed

A model request could get the events of an earlier one as its answer: the stream then counts as broken, is fetched once more, and where the engine can't resume it, the request is suspected of having crashed the engine.

Cause: what arrived on an idle connection stayed in the library's buffer and was taken for the next response; the library doesn't look before it uses a connection again. The gateway's client looks (_BoundedResponseHandler in gateway/sockets.py), that of radishshift-entry did not.

Now bytes after the end of a response close the connection as they arrive, whole heads and parts of one alike, so that the pool finds it gone and takes another. A copy that comes only after the next request was sent is told by the ids of its events.

--- a/radishshift/engine_connections.py
+++ b/radishshift/engine_connections.py
@@ -2,7 +2,9 @@
 
 An endpoint may send an answer once more where the next one is due. The events of a
 stream bear the id of their attempt. A refusal bears nothing that tells a copy from the
-refusal of the next request, so no request follows it on its connection.
+refusal of the next request, so no request follows it on its connection. Nor does one
+follow bytes that arrived after the end of a response, which the library would take for
+the next.
 """
 
 import asyncio
@@ -16,18 +18,46 @@
 
 
 class _ResponseHandler(ResponseHandler):
-    """Closes its connection after a response with a status other than 200."""
+    """Closes its connection after certain responses.
+
+    These are a response with a status other than 200, and one that is followed by
+    further bytes.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._head_complete = False
+
+    @property
+    def _ended(self) -> bool:
+        """Return whether the response to the latest request is complete."""
+        payload = self._payload
+        return self._head_complete and payload is not None and payload.is_eof()
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the response to a new request, which is sent next."""
+        self._head_complete = False
+        super().set_response_params(**params)
 
     def feed_data(self, data, size: int = 0) -> None:
         """Take a complete head with its payload."""
         message, _ = data
+        self._head_complete = self._head_complete or message.code >= 200
         if message.code > 200:
             self.force_close()
         super().feed_data(data, size)
 
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the connection; those of no response close it."""
+        # The library also calls this without data.
+        if data and self._ended:
+            self.close()
+            return
+        super().data_received(data)
+
 
 def engine_connector(ssl_context: ssl.SSLContext | bool = True) -> aiohttp.TCPConnector:
-    """Return a pool of connections that carry nothing more after a refusal."""
+    """Return a pool of connections, none of which is used again after a refusal."""
     connector = aiohttp.TCPConnector(limit=0, ssl=ssl_context)
     # The library has no option for the class of its protocol.
     connector._factory = functools.partial(
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -13,7 +13,7 @@
 
 DEADLINE_S = 5.0
 COPY_DELAY_S = 0.05
-IDLE_S = 0.2
+ARRIVAL_S = 0.05  # a write in the same event loop has arrived by then
 
 
 def answer(status, body, content_type="text/event-stream"):
@@ -40,10 +40,13 @@
     ----------
     requests : list of (int, str)
         Number of the connection, and the request line.
+    idle_copies : int
+        Copies written while a connection was idle.
     """
 
     def __init__(self, answers, while_idle=False):
         self.requests = []
+        self.idle_copies = 0
         self._answers = iter(answers)
         self._while_idle = while_idle
         self._writers = []
@@ -76,6 +79,7 @@
             if self._while_idle:
                 await asyncio.sleep(COPY_DELAY_S)
                 writer.write(current)
+                self.idle_copies += 1
             else:
                 copy = current
 
@@ -169,10 +173,12 @@
         streams = [stream_of("id-1.a"), stream_of("id-1.b")]
         endpoint = RepeatingEndpoint(streams, while_idle=True)
         async with client() as engines, endpoint.listening() as address:
-            for attempt_id in ("id-1.a", "id-1.b"):
+            for count, attempt_id in enumerate(("id-1.a", "id-1.b"), 1):
                 attempt = engines.open(address, model_request(), "small.v1", attempt_id)
                 self.assertIn(attempt_id, str(await read_all(attempt)))
-                await asyncio.sleep(IDLE_S)
+                while endpoint.idle_copies < count:
+                    await asyncio.sleep(ARRIVAL_S)
+                await asyncio.sleep(ARRIVAL_S)
 
     async def test_a_connection_that_received_nothing_since_is_used_again(self):
         streams = [stream_of("id-1.a"), stream_of("id-1.b")]
