Engines: a stream is resumed and cancelled over connections of their own

Callers could get events of a model's answer twice. If an engine ends a response before the end marker, the rest is fetched, over the same pooled connection. A late copy of the first part then stood in the place of the rest. It bears the id of the same attempt, so the id tells nothing, and engines that don't number their events give no other sign.

Now the calls that concern an earlier attempt go over the session that uses no connection twice. So a connection carries an attempt's id once (ids are new for each attempt), and what is left of an answer, which may be nothing but the end marker, which bears no id, can be copied into no other answer. That session is no longer optional: without it both calls would fall back to the pool.

Streams are resumed after a fault, mostly after their connection broke, and cancelled once they have failed.

--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -202,12 +202,13 @@
     Parameters
     ----------
     session : aiohttp.ClientSession
+    unpooled_session : aiohttp.ClientSession
+        It reuses no connections. For calls that may run at most once, so that none is
+        sent on a connection that the endpoint is just closing, and for what concerns
+        an earlier attempt, so that no connection carries an attempt's id twice.
     connect_s, idle_s : float
         Timeouts for a connection and for the next bytes, in seconds.
     clock : Clock, optional
-    unpooled_session : aiohttp.ClientSession, optional
-        For calls that may run at most once. It reuses no connections, so that no
-        call is sent on one that the endpoint is just closing.
     answer_bytes : int
         Limit on the response of a plain service.
     """
@@ -215,14 +216,14 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        unpooled_session: aiohttp.ClientSession,
         connect_s: float,
         idle_s: float,
         clock: Clock | None = None,
-        unpooled_session: aiohttp.ClientSession | None = None,
         answer_bytes: int = ANSWER_MAX_BYTES,
     ) -> None:
         self._session = session
-        self._unpooled_session = unpooled_session or session
+        self._unpooled_session = unpooled_session
         self._connect_s = connect_s
         self._idle_s = idle_s
         self._clock = clock or SystemClock()
@@ -266,7 +267,7 @@
     ) -> AsyncIterator[EngineStream]:
         """Resume a stream after a number of events."""
         async with self._send(
-            self._session,
+            self._unpooled_session,
             "GET",
             f"{endpoint.address}/v1/streams/{attempt_id}",
             math.inf,
@@ -286,7 +287,7 @@
         url = f"{endpoint.address}/v1/streams/{attempt_id}"
         try:
             async with asyncio.timeout(CANCEL_TIMEOUT_S):
-                async with self._session.delete(url, allow_redirects=False):
+                async with self._unpooled_session.delete(url, allow_redirects=False):
                     pass
         except (aiohttp.ClientError, OSError):
             return
@@ -416,5 +417,5 @@
         ) as unpooled_session,
     ):
         yield HttpEngineClient(
-            session, connect_s, idle_s, clock, unpooled_session, answer_bytes
+            session, unpooled_session, connect_s, idle_s, clock, answer_bytes
         )
