Engines: each call of a plain service has a connection of its own

A customer could get the answer to another customer's call of an idempotent service, or a refusal that wasn't its own, and with it "not run".

Cause: idempotent calls went over pooled connections. A plain service repeats no id, so nothing tells a late copy of an earlier answer from the answer that is due; a look at the connection before its use doesn't see a copy that comes later.

Now all calls of plain services go over the session that uses no connection twice, as those that may run at most once already did.

Cost: a connection for each idempotent call.

Way weighed: to keep the connection where a service repeats X-Request-Id. No service must, and callers choose that id, so it may come twice.

--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -203,9 +203,9 @@
     ----------
     session : aiohttp.ClientSession
     unpooled_session : aiohttp.ClientSession
-        It reuses no connections. For calls that may run at most once, so that none is
-        sent on a connection that the endpoint is just closing, and for what concerns
-        an earlier attempt, so that no connection carries an attempt's id twice.
+        It reuses no connections. For calls of plain services, whose answers bear no
+        id, and for what concerns an earlier attempt, so that no connection carries an
+        attempt's id twice.
     connect_s, idle_s : float
         Timeouts for a connection and for the next bytes, in seconds.
     clock : Clock, optional
@@ -297,11 +297,10 @@
         headers = dict(call.headers)
         headers["Idempotency-Key"] = call.idempotency_key
         headers["X-Request-Id"] = call.request_id
-        session = self._session if call.idempotent else self._unpooled_session
         try:
             async with asyncio.timeout(call.deadline - self._clock.now()):
                 async with self._send(
-                    session,
+                    self._unpooled_session,
                     call.method,
                     yarl.URL(endpoint.address + call.path, encoded=True),
                     call.deadline,
