Tests: interim responses and trailers of engines are no refusals

Both held before: the client of engines judges by the status of the final head alone. The first guards the closing of connections on bytes after a response, too: what follows an interim response is no such bytes.

--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -33,6 +33,8 @@
     ----------
     answers : iterable of bytes
         To the requests in their order, over whichever connections they come.
+    interim : bytes
+        Written on its own before each answer.
     while_idle : bool
         Whether copies are written after a short time, else before the next answer.
 
@@ -44,11 +46,12 @@
         Copies written while a connection was idle.
     """
 
-    def __init__(self, answers, while_idle=False):
+    def __init__(self, answers, while_idle=False, interim=b""):
         self.requests = []
         self.idle_copies = 0
         self._answers = iter(answers)
         self._while_idle = while_idle
+        self._interim = interim
         self._writers = []
 
     @property
@@ -74,6 +77,9 @@
         copy = b""
         while request := await self._request(reader):
             self.requests.append((number, request))
+            if self._interim:
+                writer.write(self._interim)
+                await asyncio.sleep(ARRIVAL_S)
             current = next(self._answers)
             writer.write(copy + current)
             if self._while_idle:
@@ -167,6 +173,24 @@
             self.assertIn("id-1.b", str(second), status)
 
 
+class InterimResponsesTest(TestCase):
+    async def test_an_interim_response_is_no_refusal_and_ends_no_answer(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nRetry-After: 1\r\n\r\n"
+        endpoint = RepeatingEndpoint([stream_of("id-1.a")], interim=interim)
+        async with client() as engines, endpoint.listening() as address:
+            attempt = engines.open(address, model_request(), "small.v1", "id-1.a")
+            self.assertIn("id-1.a", str(await read_all(attempt)))
+
+    async def test_trailers_make_no_refusal(self):
+        body = stream_of("id-1.a").partition(b"\r\n\r\n")[2]
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunked += b"%x\r\n%b\r\n0\r\nRetry-After: 1\r\n\r\n" % (len(body), body)
+        endpoint = RepeatingEndpoint([chunked])
+        async with client() as engines, endpoint.listening() as address:
+            attempt = engines.open(address, model_request(), "small.v1", "id-1.a")
+            self.assertIn("id-1.a", str(await read_all(attempt)))
+
+
 class IdleConnectionsTest(TestCase):
     async def test_a_connection_that_receives_bytes_while_idle_is_not_used_again(self):
         """The next attempt took the copy of a stream for its own, and broke."""
