Failing tests: permits of brittle endpoints count requests by their callers' ids

What is in flight at a brittle endpoint is counted by the name of the attempt, the caller's id and a number that each host counts from 0. Requests that share an id, at one host or at several, count as one, and the end of one frees the others. A relayed request is such a pair without its caller's doing: the host that relays it counts anew from 0.

--- a/tests/gateway/test_endpoint_permits.py
+++ b/tests/gateway/test_endpoint_permits.py
@@ -217,3 +217,40 @@
             self.assertIs(
                 permitted, await host.permits.acquire(member, host.world.job())
             )
+
+    async def _brittle_fleet(self):
+        """Return the hosts, and an endpoint that runs six requests at a time."""
+        network = Network(1, 6, 3, 2)
+        await network.start()
+        await network.stop()
+        hosts = list(network.hosts.values())
+        member = hosts[0].world.member("0-0")
+        for host in hosts:
+            host.world.limits.record(member.incarnation, None, now(), 100)
+            await host.permits.acquire(member, host.world.job())
+        await asyncio.sleep(2.0)  # a keeper permits nothing at first
+        return hosts, member
+
+    async def test_requests_with_one_id_count_one_by_one_at_a_brittle_endpoint(self):
+        """Callers choose the ids; all requests with one id counted as one."""
+        hosts, member = await self._brittle_fleet()
+        permitted = [
+            await host.permits.acquire(member, host.world.job())
+            for host in (*hosts, *hosts)
+        ]
+        self.assertEqual(member.slots, sum(permitted))
+
+    async def test_the_end_of_an_attempt_frees_no_other_with_its_id(self):
+        """A relayed request is counted anew by the host that relays it."""
+        hosts, member = await self._brittle_fleet()
+        jobs = [host.world.job() for host in hosts]
+        for host, job in zip(hosts, jobs, strict=True):
+            self.assertTrue(await host.permits.acquire(member, job))
+        for _ in range(2):
+            hosts[0].permits.attempt_ended(member, jobs[0].attempt_id, False)
+            await asyncio.sleep(0.2)
+        permitted = [
+            await hosts[1].permits.acquire(member, hosts[1].world.job(number))
+            for number in (2, 3)
+        ]
+        self.assertEqual([True, False], permitted)
