Permits: the name of an attempt is its own, whichever id its caller gave

Endpoints that fall over when they refuse too much could get more requests than they bear. Cause: attempts in flight there were counted by the caller's id and a number from 0, so requests that share an id counted as one, and a relayed request shares its id and number with the attempts of the host that asked.

Now each job has a random token, and the names of its attempts are made of it.

--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -1,5 +1,6 @@
 """A request being routed, with what was decided for all its attempts."""
 
+import secrets
 from dataclasses import dataclass, field
 
 import xxhash
@@ -10,6 +11,8 @@
 
 __all__ = ["Job"]
 
+TOKEN_BYTES = 8
+
 
 @dataclass(slots=True)
 class Job:
@@ -44,6 +47,8 @@
         Number of attempts for which this host could open no connection.
     helpers : list of str
         Peers that were asked to relay an attempt.
+    token : str
+        Name that no other job has, at whichever host; callers may repeat their ids.
     """
 
     req: CallerRequest
@@ -61,6 +66,7 @@
     coordinated: int = 0
     unreachable_attempts: int = 0
     helpers: list[str] = field(default_factory=list)
+    token: str = field(default_factory=lambda: secrets.token_hex(TOKEN_BYTES))
 
     def __post_init__(self) -> None:
         """Compute the traits and the regions."""
@@ -82,7 +88,7 @@
     @property
     def attempt_id(self) -> str:
         """Return the name of the next attempt."""
-        return f"{self.req.request_id}/{self.attempts}"
+        return f"{self.token}/{self.attempts}"
 
     def may_run_in(self, region: str | None) -> bool:
         """Return whether a region, None for an unknown one, may see the request."""
