Failing test: an answer fetched from another host goes on with another run's

A host that fetches an answer for a slow caller asks its holder for the bytes from a position on, by the request's id. If the request has failed and was sent again meanwhile, the holder has another answer under that id, and the caller gets its rest as that of the first.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -136,3 +136,25 @@
         replay = self.remote["entry-1"].replay("id-0", CUSTOMER, RecordingSink())
         exc = await self.assert_raises_async(PeerUnavailableError, replay)
         self.assertIsNot(None, exc.retry_after_s)
+
+    async def test_an_answer_does_not_go_on_with_that_of_a_later_run(self):
+        """A slow caller got the first half of one answer and the second of another."""
+        answers = self.answers["entry-2"]
+        first = answers.open("id-0", CUSTOMER, 10.0)
+        first.start()
+        first.append(b"data: 0 of the first\n\n")
+
+        class SlowSink(RecordingSink):
+            async def write(self, data):
+                await super().write(data)
+                if not first.ended:
+                    first.end(DeadlineError("the deadline has passed"))
+                    second = answers.open("id-0", CUSTOMER, 10.0)
+                    second.start()
+                    second.append(b"data: 0 of the second\n\ndata: 1 of the second\n\n")
+                    second.end()
+
+        sink = SlowSink()
+        replay = self.remote["entry-1"].replay("id-0", CUSTOMER, sink)
+        await self.assert_raises_async(NotFoundError, replay)
+        self.assertEqual(b"data: 0 of the first\n\n", sink.data)
