Answers: what is fetched from another host is of one run

A caller that came back for an answer could get the first part of one run and the rest of another, without an error. Cause: the host that fetches it names the request and a position, and the holder answers with whatever it has under that id; a request that failed and is sent again runs anew under the same id. The window is the time for which a slow caller takes the part before.

Now each answer has a random token, which the holder's replies state; once the answer has begun, each further query names it, and the holder of another answer says that it has none. A host of an earlier release states no token and ignores one.

--- a/radishshift/answers.py
+++ b/radishshift/answers.py
@@ -1,6 +1,7 @@
 """Answers, stored as they grow, so that a caller can reconnect and resume."""
 
 import asyncio
+import secrets
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -19,6 +20,7 @@
 ANSWER_OVERHEAD_BYTES = 1024
 ANSWER_BYTES_MAX = 4_000_000
 CHUNK_BYTES_MAX = 1 << 16
+TOKEN_BYTES = 8
 
 
 @dataclass(slots=True, eq=False)
@@ -30,6 +32,8 @@
     request_id, customer : str
     expires_at : float
         Instant after which the host deletes it.
+    token : str
+        Tells it from the answers of other runs of the request.
     key, fingerprint : str
         Identify a resend of the request; `key` is empty if the caller gave none.
     status : int
@@ -64,6 +68,7 @@
     ended_verdict: Verdict = Verdict.NOT_RUN
     attempt_running: bool = False
     store: "Answers | None" = None
+    token: str = field(default_factory=lambda: secrets.token_hex(TOKEN_BYTES))
     _waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     @property
--- a/radishshift/remote_answers.py
+++ b/radishshift/remote_answers.py
@@ -25,10 +25,13 @@
 
 
 class _Query(msgspec.Struct):
+    """Asks for an answer; `token` is empty until a part of it has been received."""
+
     request_id: str
     customer: str
     position: int = 0
     events: int = 0
+    token: str = ""
 
 
 class _QueryReply(msgspec.Struct):
@@ -40,6 +43,7 @@
     content_type: str = ""
     headers: dict[str, str] = {}
     error: dict[str, Any] | None = None
+    token: str = ""
 
 
 class RemoteAnswers:
@@ -79,7 +83,7 @@
         Raises
         ------
         NotFoundError
-            No host of the data centre has it.
+            No host of the data centre has it, or its holder no longer has it.
         PeerUnavailableError
             No reachable host has it, but some were unreachable; or the host that
             has it became unreachable.
@@ -102,7 +106,8 @@
                 break
             if sink.caller_disconnected:
                 return
-            query = _Query(request_id, customer, head.position + len(data))
+            token = head.token if received.started else ""
+            query = _Query(request_id, customer, head.position + len(data), token=token)
             head, data = await self._query(host, query)
         if head.error is not None:
             raise rebuild_error(head.error)
@@ -141,6 +146,8 @@
         try:
             answer = self._answers.find(query.request_id, query.customer)
         except NotFoundError:
+            answer = None
+        if answer is None or query.token not in ("", answer.token):
             return msgspec.json.encode(_QueryReply()) + b"\n"
         position = query.position or skip_events(answer.data, query.events)
         if position >= len(answer.data) and not answer.ended:
@@ -155,6 +162,7 @@
             content_type=answer.content_type,
             headers=answer.headers,
             error=None if answer.error is None else answer.error.body()["error"],
+            token=answer.token,
         )
         return msgspec.json.encode(head) + b"\n" + data
 
