Ratings: no connection to the rating service is used twice

An answer of a small model could be accepted, or dropped for a larger one, by the score of another answer. Cause: scores were fetched over connections in use again, and a score bears nothing of its answer, so a late copy of an earlier one was taken for it. A connection for each call leaves a copy nowhere to arrive.

--- a/radishshift/ratings.py
+++ b/radishshift/ratings.py
@@ -244,7 +244,9 @@
     if not address:
         yield Ratings()
         return
-    async with aiohttp.ClientSession() as session:
+    # A score bears nothing of its answer, so no connection carries a second one.
+    connector = aiohttp.TCPConnector(force_close=True)
+    async with aiohttp.ClientSession(connector=connector) as session:
         client = RatingsClient(session, clock, address, asker, score_timeout_s)
         task = asyncio.create_task(client.fetch_periodically(period_s))
         try:
