Ratings: a rating is asked for by a number, not by the request's id

The rating of one customer's answer could be counted for another's, as evidence of a version's quality for the wrong task class, and the other got none. Cause: the token under which a rating comes back was the request's id and the version; callers choose their ids, and those of two customers, or of two runs of one request, may be the same.

Now tokens are numbers that each process counts. The name of the asker, under which the service keeps them, is new with each process.

--- a/radishshift/ratings.py
+++ b/radishshift/ratings.py
@@ -125,6 +125,7 @@
         self._score_timeout_s = score_timeout_s
         self._pending: dict[str, tuple[float, RatingCallback]] = {}
         self._last_fetched = 0
+        self._requested = 0
 
     def is_available(self, now: float) -> bool:
         """Return whether the judge is available for synchronous scores."""
@@ -157,7 +158,8 @@
         self._evict_pending(now)
         # The callback is stored first, as a concurrent `fetch` may receive the rating
         # before the response to this request.
-        token = f"{answer.request_id}/{answer.version}"
+        self._requested += 1
+        token = str(self._requested)
         self._pending[token] = (now + PENDING_RATING_TTL_S, on_rating)
         body = _request_body(answer) | {"asker": self._asker, "token": token}
         deadline = now + self._score_timeout_s
