Close a connection on which a part of an answer arrives while it is idle

Callers got 502 for requests that an endpoint answered soundly. Cause: what came on an idle connection was looked at before the next request, and only whole responses were seen; of a part of a head the parser holds the bytes, and the rest of it failed the next request as one that may have run.

Now bytes after the end of a response close the connection as they arrive, for the users' endpoints as for engines; the class that does so for engines serves both.

--- a/radishshift/engine_connections.py
+++ b/radishshift/engine_connections.py
@@ -2,9 +2,7 @@
 
 An endpoint may send an answer once more where the next one is due. The events of a
 stream bear the id of their attempt. A refusal bears nothing that tells a copy from the
-refusal of the next request, so no request follows it on its connection. Nor does one
-follow bytes that arrived after the end of a response, which the library would take for
-the next.
+refusal of the next request, so no request follows it on its connection.
 """
 
 import asyncio
@@ -12,49 +10,22 @@
 import ssl
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["engine_connector"]
-
-
-class _ResponseHandler(ResponseHandler):
-    """Closes its connection after certain responses.
+from radishshift.gateway.client_connections import WatchfulResponseHandler
 
-    These are a response with a status other than 200, and one that is followed by
-    further bytes.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        self._head_complete = False
+__all__ = ["engine_connector"]
 
-    @property
-    def _ended(self) -> bool:
-        """Return whether the response to the latest request is complete."""
-        payload = self._payload
-        return self._head_complete and payload is not None and payload.is_eof()
 
-    def set_response_params(self, **params) -> None:
-        """Prepare for the response to a new request, which is sent next."""
-        self._head_complete = False
-        super().set_response_params(**params)
+class _ResponseHandler(WatchfulResponseHandler):
+    """Closes its connection after a response with a status other than 200."""
 
     def feed_data(self, data, size: int = 0) -> None:
         """Take a complete head with its payload."""
         message, _ = data
-        self._head_complete = self._head_complete or message.code >= 200
         if message.code > 200:
             self.force_close()
         super().feed_data(data, size)
 
-    def data_received(self, data: bytes) -> None:
-        """Take bytes from the connection; those of no response close it."""
-        # The library also calls this without data.
-        if data and self._ended:
-            self.close()
-            return
-        super().data_received(data)
-
 
 def engine_connector(ssl_context: ssl.SSLContext | bool = True) -> aiohttp.TCPConnector:
     """Return a pool of connections, none of which is used again after a refusal."""
--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+import logbook
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
@@ -14,11 +15,14 @@
     "IdentifiedRequest",
     "RepeatedRequestError",
     "StaleBytesError",
+    "WatchfulResponseHandler",
 ]
 
 # Bounds what a connection remembers; it is closed after the answer to the last.
 MAX_REQUESTS = 512
 
+logger = logbook.Logger("connections")
+
 
 class EndlessResponseError(aiohttp.ClientPayloadError):
     """A response is longer than the bound of its session."""
@@ -48,16 +52,51 @@
     requests_before: int
 
 
-class BoundedResponseHandler(ResponseHandler):
+class WatchfulResponseHandler(ResponseHandler):
+    """Closes a connection on which bytes arrive after the end of a response.
+
+    The library would take them, such as a second copy of an answer, for the response to
+    the next request, or for its beginning.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._head_complete = False
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the response to a new request, which is sent next."""
+        self._head_complete = False
+        super().set_response_params(**params)
+
+    def feed_data(self, data, size: int = 0) -> None:
+        """Take a complete head with its payload."""
+        message, _ = data
+        self._head_complete = self._head_complete or message.code >= 200
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the connection, unless they belong to no response."""
+        payload = self._payload
+        ended = self._head_complete and payload is not None and payload.is_eof()
+        # The library also calls this without data.
+        if not data or not ended:
+            super().data_received(data)
+            return
+        if self.transport is not None:
+            peer = self.transport.get_extra_info("peername")
+            logger.warning("received bytes for no request from {}", peer)
+        self.close()
+
+
+class BoundedResponseHandler(WatchfulResponseHandler):
     """Breaks off a response of which too many bytes have been received.
 
     The library bounds each line of a head. Bytes that it skips have no bound: interim
-    responses, blank lines, extensions of chunks. It would also take what arrives on an
-    idle connection, such as a second copy of an answer, for the next response.
+    responses, blank lines, extensions of chunks.
 
-    A copy may also come once the next request has been sent, and is told from the
-    answer by its ID alone. So a connection carries no ID twice: neither a request that
-    was refused, and is sent again, nor a stream that is resumed.
+    A copy of an answer may also come once the next request has been sent, and is told
+    from the answer by its ID alone. So a connection carries no ID twice: neither a
+    request that was refused, and is sent again, nor a stream that is resumed.
     """
 
     def __init__(
@@ -67,7 +106,6 @@
         self._max_head_bytes = head_bytes
         self._max_response_bytes = response_bytes
         self._received_bytes = 0
-        self._head_complete = False
         self._id_header = ""
         self._request_id = ""
         self._request_ids: set[str] = set()
@@ -110,18 +148,15 @@
             self.close()
             raise StaleBytesError("bytes received while the connection was idle")
         self._received_bytes = 0
-        self._head_complete = False
         super().set_response_params(**params)
 
     def feed_data(self, data, size: int = 0) -> None:
         """Take a complete head with its payload."""
         message, _ = data
-        if message.code >= 200:
-            self._head_complete = True
-            if not self._is_own(message):
-                # The library puts a connection back once a response is complete, also
-                # if its reader closes it; the request is still under way.
-                self.force_close()
+        if message.code >= 200 and not self._is_own(message):
+            # The library puts a connection back once a response is complete, also if
+            # its reader closes it; the request is still under way.
+            self.force_close()
         super().feed_data(data, size)
 
     def _is_own(self, message: RawResponseMessage) -> bool:
