Skip copies of earlier answers, and wait for the request's own

Callers got 502 for requests that were being answered: a copy of an earlier answer came first on the connection, with the ID of the earlier request, and ended the attempt. Requests that may not be repeated were lost by that.

A connection carries no ID twice, so a response with the one ID of an earlier request there is a copy for certain. It is read to its end and skipped, where its length is known; otherwise nothing tells where it ends, and the attempt ends as before, as does one whose answer bears an ID that the connection has not carried. What it risks: an attempt waits, at most as long as for a silent endpoint, where none but the copy ever comes. The answer that is taken bears the request's own ID, as before, so none is mixed, and nothing is sent again, so none runs twice; what a copy says of its endpoint is not passed on.

The test that expected 502 for such a copy now expects the own answer, at once and after 0.1 s of work, for one copy and three; the old expectation stands for an ID that the connection has not carried.

--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -7,6 +7,7 @@
 import logbook
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 
 __all__ = [
     "BoundedResponseHandler",
@@ -71,9 +72,13 @@
     def feed_data(self, data, size: int = 0) -> None:
         """Take a complete head with its payload."""
         message, _ = data
-        self._head_complete = self._head_complete or message.code >= 200
+        self._head_complete = self._head_complete or self._is_final(message)
         super().feed_data(data, size)
 
+    def _is_final(self, message: RawResponseMessage) -> bool:
+        """Return whether no other response to the request follows this one."""
+        return message.code >= 200
+
     def data_received(self, data: bytes) -> None:
         """Take bytes from the connection, unless they belong to no response."""
         payload = self._payload
@@ -96,7 +101,8 @@
 
     A copy of an answer may also come once the next request has been sent, and is told
     from the answer by its ID alone. So a connection carries no ID twice: neither a
-    request that was refused, and is sent again, nor a stream that is resumed.
+    request that was refused, and is sent again, nor a stream that is resumed. Then a
+    response with the ID of an earlier request is a copy for certain, and is skipped.
     """
 
     def __init__(
@@ -106,6 +112,7 @@
         self._max_head_bytes = head_bytes
         self._max_response_bytes = response_bytes
         self._received_bytes = 0
+        self._copies = 0
         self._id_header = ""
         self._request_id = ""
         self._request_ids: set[str] = set()
@@ -148,31 +155,64 @@
             self.close()
             raise StaleBytesError("bytes received while the connection was idle")
         self._received_bytes = 0
+        self._copies = 0
         super().set_response_params(**params)
 
     def feed_data(self, data, size: int = 0) -> None:
         """Take a complete head with its payload."""
         message, _ = data
-        if message.code >= 200 and not self._is_own(message):
+        self._copies += self._is_copy(message)
+        if self._is_final(message) and not self._is_own(message):
             # The library puts a connection back once a response is complete, also if
             # its reader closes it; the request is still under way.
             self.force_close()
         super().feed_data(data, size)
 
+    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the next head with its payload, without copies of earlier ones."""
+        while True:
+            message, payload = await super().read()
+            if not self._is_copy(message):
+                return message, payload
+            logger.warning(
+                "skipped the copy of an earlier answer",
+                extra={"request_id": self._request_id, "status": message.code},
+            )
+            while await payload.readany():
+                pass
+
+    def _is_final(self, message: RawResponseMessage) -> bool:
+        return super()._is_final(message) and not self._is_copy(message)
+
+    def _is_copy(self, message: RawResponseMessage) -> bool:
+        """Return whether a response repeats one to an earlier request.
+
+        Without a length, nothing tells where it ends and the response begins.
+        """
+        if message.code < 200 or not self._id_header:
+            return False
+        if not message.chunked and "Content-Length" not in message.headers:
+            return False
+        echoed_ids = self._echoed_ids(message)
+        if len(echoed_ids) != 1 or self._request_id in echoed_ids:
+            return False
+        return echoed_ids <= self._request_ids
+
     def _is_own(self, message: RawResponseMessage) -> bool:
         """Return whether a response repeats the ID of the request."""
         if not self._id_header:
             return True
-        echoed_ids = set(message.headers.getall(self._id_header, ())) - {""}
-        return echoed_ids == {self._request_id} - {""}
+        return self._echoed_ids(message) == {self._request_id} - {""}
+
+    def _echoed_ids(self, message: RawResponseMessage) -> set[str]:
+        return set(message.headers.getall(self._id_header, ())) - {""}
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the connection, unless they exceed a bound."""
         self._received_bytes += len(data)
         super().data_received(data)
-        bound = (
-            self._max_response_bytes if self._head_complete else self._max_head_bytes
-        )
+        head_complete = self._head_complete or self._copies
+        bound = self._max_response_bytes if head_complete else self._max_head_bytes
         if self._received_bytes > bound and self.transport is not None:
             exc = EndlessResponseError(f"more than {bound} bytes received")
             self.set_exception(exc)
