Failing tests: answers of engines that others have displaced

An engine writes the copy of an answer with status 200 where the next one is due. The connection is free again after the copy; the answer that it displaced comes where that to the third request is due, and if it is a refusal, the third counts as not run while the engine runs it. So a connection that has only carried status 200 isn't safe, as holds: attempts, load polls and imports of caches share the pool. Three tests, of each kind of call.

Two tests of a copy, or its beginning, that arrives with the last bytes of an answer: the connection is back in the pool by then, and the library takes it for the next answer, or breaks the next attempt.

--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -7,6 +7,7 @@
 from radishshift.endpoints import Endpoint
 from radishshift.engines import open_engine_client
 from radishshift.errors import RadishshiftError, ResumeRefusedError
+from radishshift.kv_moves import KvMover
 from radishshift.requests import ModelRequest
 from tests.cases import TestCase
 from tests.test_engines import BOOKING, CONTRACT, make_call
@@ -259,3 +260,131 @@
                     call = make_call("GET", "/seats", idempotent=idempotent)
                     bodies.append((await engines.call(address, call)).body)
             self.assertEqual([b"first", b"second"], bodies)
+
+
+class DisplacedAnswersTest(TestCase):
+    """A copy takes the place of an answer, which then comes where the next is due."""
+
+    async def _assert_refusal_is_not_believed(self, first, second):
+        """Make two calls, of which the second is refused late, and then an attempt."""
+        refusal = answer(503, "{}", "application/json")
+        ran = []
+        displaced = asyncio.Event()
+        writers = []
+
+        async def serve(reader, writer):
+            writers.append(writer)
+            previous = b""
+            late = b""
+            while head := await _read_request(reader):
+                writer.write(late)
+                late = b""
+                attempt_id = _header(head, "x-request-id")
+                if attempt_id == "id-1.c":
+                    ran.append(attempt_id)
+                    writer.write(stream_of(attempt_id))
+                elif displaced.is_set():
+                    writer.write(refusal)
+                elif previous:
+                    displaced.set()
+                    writer.write(previous)
+                    late = refusal
+                else:
+                    previous = stream_of(attempt_id)
+                    writer.write(previous)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        address = f"http://{host}:{port}"
+        endpoint = Endpoint("one", address, "mbeya", frozenset(), 1, False)
+        async with client() as engines:
+            await first(engines, endpoint, "id-1.a")
+            await second(engines, endpoint, "id-1.b")
+            attempt = engines.open(endpoint, model_request(), "small.v1", "id-1.c")
+            outcome = await read_all(attempt)
+        server.close()
+        for writer in writers:
+            writer.close()
+        self.assertEqual(["id-1.c"], ran)
+        self.assertIn("id-1.c", str(outcome))
+
+    async def _attempt(self, engines, endpoint, attempt_id):
+        await read_all(engines.open(endpoint, model_request(), "small.v1", attempt_id))
+
+    async def _poll(self, engines, endpoint, attempt_id):
+        async with engines.session.get(f"{endpoint.address}/v1/load") as resp:
+            await resp.read()
+
+    async def _import(self, engines, endpoint, attempt_id):
+        mover = KvMover(engines.session, SystemClock())
+        source = Endpoint("two", "http://two", "mbeya", frozenset(), 1, False)
+        prefix = int(attempt_id == "id-1.b")
+        await mover.transfer(source, endpoint, prefix, 1000, {})
+
+    async def test_the_refusal_of_an_earlier_attempt_is_not_believed(self):
+        """An attempt counted as not run while the engine worked on it."""
+        await self._assert_refusal_is_not_believed(self._attempt, self._attempt)
+
+    async def test_the_refusal_of_an_earlier_load_poll_is_not_believed(self):
+        await self._assert_refusal_is_not_believed(self._poll, self._poll)
+
+    async def test_the_refusal_of_an_earlier_cache_import_is_not_believed(self):
+        await self._assert_refusal_is_not_believed(self._import, self._import)
+
+
+class LastSegmentTest(TestCase):
+    """A copy, or its beginning, arrives with the last bytes of the answer."""
+
+    async def _second_answer(self, copied_bytes):
+        first = stream_of("id-1.a")
+        writers = []
+
+        async def serve(reader, writer):
+            writers.append(writer)
+            rest = b""
+            while head := await _read_request(reader):
+                attempt_id = _header(head, "x-request-id")
+                if attempt_id == "id-1.a":
+                    writer.write(first[:-1])
+                    await asyncio.sleep(ARRIVAL_S)
+                    writer.write(first[-1:] + first[:copied_bytes])
+                    rest = first[copied_bytes:]
+                else:
+                    writer.write(rest + stream_of(attempt_id))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        address = f"http://{host}:{port}"
+        endpoint = Endpoint("one", address, "mbeya", frozenset(), 1, False)
+        async with client() as engines:
+            for attempt_id in ("id-1.a", "id-1.b"):
+                attempt = engines.open(
+                    endpoint, model_request(), "small.v1", attempt_id
+                )
+                outcome = await read_all(attempt)
+        server.close()
+        for writer in writers:
+            writer.close()
+        return str(outcome)
+
+    async def test_a_copy_in_the_last_segment_is_not_taken_for_the_next_answer(self):
+        copy_bytes = len(stream_of("id-1.a"))
+        self.assertIn("id-1.b", await self._second_answer(copy_bytes))
+
+    async def test_a_copy_that_begins_in_the_last_segment_breaks_no_attempt(self):
+        """The endpoint counted as crashed by the next request."""
+        self.assertIn("id-1.b", await self._second_answer(20))
+
+
+async def _read_request(reader):
+    """Return the head of the next request in lower case, empty if there is none."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return ""
+    await reader.readexactly(int(_header(head, "content-length") or 0))
+    return head
+
+
+def _header(head, name):
+    return head.partition(f"\r\n{name}: ")[2].partition("\r\n")[0]
