Simulated endpoints that repeat refusals and answers

An endpoint may refuse a share of the attempts, and write a copy of a refusal or of a complete answer where the next answer on its connection is due: once it has read the next request there and before it works on it, or right behind the answer. A copy bears the ID of the request that was answered, also when that request is under way again on the connection.

--- a/tests/users_platform/test_standins.py
+++ b/tests/users_platform/test_standins.py
@@ -1,4 +1,4 @@
-"""Tests of the simulated endpoints that crash."""
+"""Tests of the simulated endpoints that crash or answer too often."""
 
 import asyncio
 
@@ -87,3 +87,78 @@
         self.assertEqual((NAME, "a1"), (arrival.endpoint, arrival.request_id))
         self.assertEqual(("first", "bad", "own-1"), arrival.parts)
         self.assertEqual([], self.endpoint.ran)
+
+
+class ExtraAnswersTest(TestCase):
+    def run_coroutine(self, test):
+        asyncio.run(self._with_platform(test))
+
+    async def _with_platform(self, test):
+        async with running_platform() as platform:
+            self.endpoint = platform.endpoints["desk-1"]
+            self.endpoint.echoes_id = True
+            self.extra = self.endpoint.extra_answers
+            ip, _, port = platform.addresses["desk-1"].partition(":")
+            self.reader, self.writer = await asyncio.open_connection(ip, int(port))
+            try:
+                await test
+            finally:
+                self.writer.close()
+
+    async def _send(self, request_id, answers=1):
+        """Return status and ID of each answer, and whether it has a body."""
+        head = f"POST /book/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {request_id}\r\n"
+        self.writer.write(head.encode() + b"Content-Length: 4\r\n\r\nbody")
+        return [await self._receive() for _ in range(answers)]
+
+    async def _receive(self):
+        async with asyncio.timeout(10):
+            head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+            fields = dict(line.split(": ") for line in head.split("\r\n")[1:-2])
+            size = int(fields.get("Content-Length", "0"))
+            body = await self.reader.readexactly(size)
+            if "Transfer-Encoding" in fields:
+                body = await self.reader.readuntil(b"\r\n0\r\n\r\n")
+        return head.split()[1], fields["X-Attempt-Id"], bool(body)
+
+    async def test_a_refusal_is_repeated_where_the_next_answer_is_due(self):
+        self.endpoint.refused_share = self.extra.refusals_share = 1.0
+        self.assertEqual([("503", "a1", False)], await self._send("a1"))
+        self.endpoint.refused_share = 0.0
+        self.assertEqual(
+            [("503", "a1", False), ("200", "a1", True)],
+            await self._send("a1", answers=2),
+        )
+        self.assertEqual((1, 1), (self.extra.count, self.extra.same_id_count))
+        self.assertEqual(1, len(self.endpoint.ran))
+
+    async def test_a_copy_may_come_twice_and_bears_the_id_of_its_request(self):
+        self.endpoint.refused_share = self.extra.refusals_share = 1.0
+        self.extra.twice_share = 1.0
+        await self._send("a1")
+        copies = [("503", "a1", False)] * 2
+        self.assertEqual(
+            [*copies, ("503", "a2", False)], await self._send("a2", answers=3)
+        )
+        self.assertEqual((2, 0), (self.extra.count, self.extra.same_id_count))
+
+    async def test_a_copy_may_follow_its_refusal_at_once(self):
+        self.endpoint.refused_share = self.extra.refusals_share = 1.0
+        self.extra.at_once_share = 1.0
+        self.assertEqual([("503", "a1", False)] * 2, await self._send("a1", answers=2))
+        self.assertEqual(0, self.extra.count)
+
+    async def test_a_complete_answer_is_repeated_where_the_next_one_is_due(self):
+        self.extra.answers_share = 1.0
+        self.assertEqual([("200", "a1", True)], await self._send("a1"))
+        self.assertEqual(
+            [("200", "a1", True), ("200", "a2", True)],
+            await self._send("a2", answers=2),
+        )
+
+    async def test_copies_that_are_due_are_dropped_at_the_end(self):
+        self.endpoint.refused_share = self.extra.refusals_share = 1.0
+        await self._send("a1")
+        self.extra.end()
+        self.assertEqual([("503", "a2", False)], await self._send("a2"))
+        self.assertEqual(0, self.extra.count)
