A soak of repeated refusals, and a seed of it that fails

The users saw on real processes that unsafe requests ran twice, or ran after a promised refusal; an endpoint's extra answer may be the copy of a refusal, with the ID of a request that is under way again on the same connection. No mode had such copies.

The mode `refusals` has few endpoints that refuse and write copies in spells of up to 4 s, while hosts are stopped, killed and paused, endpoints lose answers, the ways to endpoints are disturbed, and single hosts are cut off from all endpoints, so that peers relay. For the latter, hosts have addresses of their own for the endpoints. The faults of the other modes are what they were, and so are the draws of their seeds.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -88,7 +88,7 @@
     return rng.choice(sorted(world.service_by_endpoint))
 
 
-@fault("host-killed", ("all", "limits", "evacuations", "copies"))
+@fault("host-killed", ("all", "limits", "evacuations", "copies", "refusals"))
 async def _host_killed(world, rng):
     _host(world, rng).signal(signal.SIGKILL)
 
@@ -101,7 +101,9 @@
 
 
 @fault(
-    "host-stopped", ("all", "stops", "limits", "evacuations", "copies"), planned=True
+    "host-stopped",
+    ("all", "stops", "limits", "evacuations", "copies", "refusals"),
+    planned=True,
 )
 async def _host_stopped(world, rng):
     host = _host(world, rng)
@@ -121,7 +123,7 @@
             await asyncio.sleep(rng.uniform(0.0, pause_s))
 
 
-@fault("host-paused", ("all", "limits", "evacuations", "copies"))
+@fault("host-paused", ("all", "limits", "evacuations", "copies", "refusals"))
 async def _host_paused(world, rng):
     await _host(world, rng).pause(rng.uniform(0.1, 2.0))
 
@@ -213,7 +215,7 @@
     await _disturb_link(world.caller_links[_host(world, rng).name], rng)
 
 
-@fault("endpoints-way-disturbed")
+@fault("endpoints-way-disturbed", ("all", "refusals"))
 async def _endpoint_link_disturbed(world, rng):
     await _disturb_link(world.endpoint_links[_endpoint(world, rng)], rng)
 
@@ -289,10 +291,41 @@
         await asyncio.sleep(run_s)
 
 
-fault("endpoints-lose-answers", ("copies",))(_endpoint_fault("resets_before"))
+fault("endpoints-lose-answers", ("copies", "refusals"))(
+    _endpoint_fault("resets_before")
+)
 fault("endpoints-refuse", ("limits",))(_endpoint_fault("refuses"))
 
 
+@fault("endpoints-repeat-refusals", ("refusals",))
+async def _refusals_repeated(world, rng):
+    """Let endpoints refuse a share of attempts, and send answers a second time."""
+    names = sorted(world.service_by_endpoint)
+    names = rng.sample(names, rng.randint(1, len(names)))
+    endpoints = [world.endpoints[name] for name in names]
+    for endpoint in endpoints:
+        endpoint.refused_share = rng.uniform(0.2, 0.8)
+        endpoint.pause_s = rng.choice((0.0, round(rng.uniform(0.0, 0.2), 3)))
+        extra = endpoint.extra_answers
+        extra.refusals_share = rng.uniform(0.3, 1.0)
+        extra.answers_share = rng.choice((0.0, 0.02))
+        extra.twice_share = extra.at_once_share = 0.2
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    for endpoint in endpoints:
+        endpoint.refused_share = 0.0
+        extra = endpoint.extra_answers
+        extra.refusals_share = extra.answers_share = 0.0
+
+
+@fault("host-cut-off-from-endpoints", ("refusals",))
+async def _host_cut_off(world, rng):
+    """Cut a host off for long enough that its peers relay for it."""
+    host = rng.choice(sorted(world.own_links))
+    if any(link.is_cut for link in world.own_links[host]):
+        return
+    await world.cut_from_endpoints(host, rng.uniform(2.0, 6.0))
+
+
 @fault("endpoint-limits-requests", ("limits",))
 async def _endpoint_limits(world, rng):
     endpoint = world.endpoints[_endpoint(world, rng)]
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -19,11 +19,13 @@
     target : str
         IP:PORT that connections are forwarded to.
     address : str
-        IP:PORT that the link listens on.
+        IP:PORT that the link listens on; chosen at the start if empty.
     delay_s : float
         Delay added to each chunk, in both directions.
     silent_to_target, silent_from_target : bool
         Whether bytes towards the target, or from it, are held up.
+    rewritten : pair of bytes, optional
+        Text in the bytes from the target, and what replaces it.
     """
 
     target: str
@@ -31,13 +33,15 @@
     delay_s: float = 0.0
     silent_to_target: bool = False
     silent_from_target: bool = False
+    rewritten: tuple[bytes, bytes] | None = None
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     async def start(self) -> None:
-        """Listen on a loopback port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        """Listen on a loopback port, once or again after `cut`."""
+        ip, _, port = (self.address or "127.0.0.1:0").rpartition(":")
+        self._server = await asyncio.start_server(self._accept, ip, int(port))
         ip, port = self._server.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
 
@@ -53,6 +57,16 @@
         self.delay_s = 0.0
         self.silent_to_target = self.silent_from_target = False
 
+    @property
+    def is_cut(self) -> bool:
+        """Return whether connections are refused."""
+        return not self._server.is_serving()
+
+    def cut(self) -> None:
+        """Refuse new connections, and reset the others."""
+        self._server.close()
+        self.reset()
+
     def reset(self) -> None:
         """Reset all connections."""
         for writer in tuple(self._writers):
@@ -97,6 +111,8 @@
                 await asyncio.sleep(self.delay_s)
             while self.silent_to_target if to_target else self.silent_from_target:
                 await asyncio.sleep(0.02)
+            if self.rewritten and not to_target:
+                data = data.replace(*self.rewritten)
             writer.write(data)
             await writer.drain()
         if to_target:
--- a/tests/soak/modes.py
+++ b/tests/soak/modes.py
@@ -46,6 +46,12 @@
     evacuation_s : float
         Time from the order to empty a data centre until its endpoints may get nothing;
         0 where there are no such orders.
+    endpoint_counts : dict of str to tuple of int
+        Numbers of endpoints to choose from, by service, where not the usual one.
+    unsafe_attempts : int
+        Endpoints that one unsafe request may be sent to.
+    own_links : bool
+        Whether single hosts can be cut off from the endpoints.
     """
 
     name: str
@@ -64,6 +70,9 @@
     impatient_share: float = 0.0
     links: bool = True
     evacuation_s: float = 0.0
+    endpoint_counts: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    unsafe_attempts: int = 1
+    own_links: bool = False
 
 
 MODES = {
@@ -111,5 +120,19 @@
             event_gap_s=0.0,
             evacuation_s=3.0,
         ),
+        # Endpoints refuse, and repeat refusals where the next answer is due. They are
+        # few, so that a refused request comes back over the connection of its refusal.
+        Mode(
+            "refusals",
+            fault_gap_s=(0.2, 1.0),
+            grace_s=2.0,
+            work_s=(0.01, 0.3),
+            caller_count=20,
+            kinds=("check", "book", "book", "plan"),
+            caller_pause_s=0.2,
+            endpoint_counts={"desk": (1, 2), "advice": (2, 3)},
+            unsafe_attempts=3,
+            own_links=True,
+        ),
     )
 }
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -23,6 +23,7 @@
     "EndpointRun",
     "SoakRecord",
     "broken_promises",
+    "late_arrivals",
     "max_repeat_ratio",
     "promise",
 ]
@@ -348,19 +349,24 @@
 @promise("deadlines-do-not-grow")
 def _deadlines_do_not_grow(record: SoakRecord) -> Iterator[str]:
     """Find endpoints that were allowed far more time than callers had left."""
+    grown = late_arrivals(record)
+    if len(grown) > MAX_GROWN and len(grown) > MAX_GROWN_SHARE * len(record.arrivals):
+        yield f"{len(grown)} of {len(record.arrivals)} attempts state a later deadline"
+
+
+def late_arrivals(record: SoakRecord) -> list[Arrival]:
+    """Return the attempts that were allowed far more time than callers had left."""
     deadlines = {
         attempt.attempt_id: attempt.sent_at + attempt.deadline_s
         for attempt in record.attempts
         if attempt.sent_at
     }
-    grown = [
+    return [
         arrival
         for arrival in record.arrivals
         if arrival.at + arrival.left_s
         > deadlines.get(arrival.request_id, math.inf) + DEADLINE_SLACK_S
     ]
-    if len(grown) > MAX_GROWN and len(grown) > MAX_GROWN_SHARE * len(record.arrivals):
-        yield f"{len(grown)} of {len(record.arrivals)} attempts state a later deadline"
 
 
 def _process(attempt: CallerAttempt | None) -> tuple[str, int] | None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
     EndpointRun,
     SoakRecord,
     broken_promises,
+    late_arrivals,
     max_repeat_ratio,
 )
 from tests.soak.worlds import API_KEY, CUSTOMER, HOST_HEADER, SoakWorld
@@ -45,6 +46,11 @@
         Processes that got SIGTERM.
     repeat_ratio : float
         Most repeats at a service within a window, relative to what is allowed.
+    extra_count, same_id_count : int
+        Copies of answers that endpoints wrote after the next request on a connection,
+        and those of them with the ID of that request.
+    late_count : int
+        Attempts that endpoints read so late that they had far more time than callers.
     log : str
         Log of all hosts; empty if no promise broke.
     """
@@ -55,6 +61,9 @@
     statuses: Counter = field(default_factory=Counter)
     stops: list[HostStop] = field(default_factory=list)
     repeat_ratio: float = 0.0
+    extra_count: int = 0
+    same_id_count: int = 0
+    late_count: int = 0
     log: str = ""
 
 
@@ -73,7 +82,7 @@
     stalls: list[tuple[float, float]] = []
     watching = asyncio.create_task(_watch_stalls(stalls))
     try:
-        await world.start()
+        await world.start(rng)
         callers = Callers(
             world.caller_addresses(),
             lambda name: world.hosts[name].start_count,
@@ -92,7 +101,7 @@
         record = SoakRecord(
             callers.attempts,
             _endpoint_runs(world),
-            MAX_ENDPOINTS,
+            MAX_ENDPOINTS | {"book": mode.unsafe_attempts},
             CUSTOMER,
             result.stops,
             world.disturbances,
@@ -105,6 +114,10 @@
         )
         result.broken += broken_promises(record)
         result.repeat_ratio = max_repeat_ratio(record)
+        result.late_count = len(late_arrivals(record))
+        extras = [endpoint.extra_answers for endpoint in endpoints]
+        result.extra_count = sum(extra.count for extra in extras)
+        result.same_id_count = sum(extra.same_id_count for extra in extras)
         result.statuses = Counter(attempt.status for attempt in callers.attempts)
         if result.broken:
             result.log = world.log()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,6 +25,9 @@
 BROWNOUTS_SEED = 9  # a service fails while hosts are killed, stopped and halted
 BROWNOUTS_HOSTS = 4
 BROWNOUTS_TIME_S = 8.0
+REFUSALS_SEED = 1964  # the one plain endpoint repeats refusals for most of the time
+REFUSALS_HOSTS = 4
+REFUSALS_TIME_S = 8.0
 FAILED_SEEDS_FILE = Path(__file__).parent / "failed-seeds.txt"
 
 
@@ -68,6 +71,13 @@
         self.assertGreater(result.faults["service-fails"], 0)
         self.assertGreater(result.repeat_ratio, 0.0)
 
+    def test_a_copy_of_a_refusal_does_not_end_the_request_when_it_is_sent_again(self):
+        result = self._run_seed(
+            REFUSALS_SEED, REFUSALS_HOSTS, REFUSALS_TIME_S, "refusals"
+        )
+        self.assertGreater(result.faults["endpoints-repeat-refusals"], 0)
+        self.assertGreater(result.statuses[200], 0)
+
     def test_seeds_that_broke_a_promise_keep_them_now(self):
         """Each line of the file holds seed, hosts, seconds, mode, and what broke."""
         for line in FAILED_SEEDS_FILE.read_text(encoding="utf-8").splitlines():
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -40,6 +40,7 @@
 CUSTOMER = "ring"
 SERVICES = {"desk": 3, "advice": 3}
 DATA_CENTRES = ("mbeya", "iringa")
+MAX_OWN_LINKS = 8  # hosts whose ways to endpoints have addresses of their own
 READY_TIMEOUT_S = 30.0  # a start takes 1 s on a machine that is not overloaded
 # Below the kernel's range of ephemeral ports.
 CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7001, 7002, 7003, 7004
@@ -111,6 +112,9 @@
         Links to the store, and to the callers' port of the host, by host.
     endpoint_links : dict of str to Link
         Links to the endpoints, by endpoint.
+    own_links : dict of str to list of Link
+        Links that lead a host alone to `endpoint_links`, by host, where the mode has
+        them.
     service_by_endpoint : dict of str to str
         Services of the registered endpoints that are not being replaced.
     added_route_count : int
@@ -131,6 +135,7 @@
         self.store_links: dict[str, Link] = {}
         self.caller_links: dict[str, Link] = {}
         self.endpoint_links: dict[str, Link] = {}
+        self.own_links: dict[str, list[Link]] = {}
         self.endpoints: dict[str, SoakEndpoint] = {}
         self.service_by_endpoint: dict[str, str] = {}
         self.platform: StandinPlatform | None = None
@@ -141,25 +146,34 @@
         self._replacements = 0
         self._stack = AsyncExitStack()
 
-    async def start(self) -> None:
+    async def start(self, rng: random.Random) -> None:
         """Start everything; return once all hosts are ready."""
+        chosen = {
+            service: rng.choice(counts)
+            for service, counts in self.mode.endpoint_counts.items()
+        }
         self.folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        if self.mode.own_links:
+            self.own_links = {name: [] for name in self._names[:MAX_OWN_LINKS]}
         starting = standin_platform(self._config(), ())
         self.platform = await self._stack.enter_async_context(starting)
-        for service, count in SERVICES.items():
+        for service, count in (SERVICES | chosen).items():
             for number in range(1, count + 1):
                 await self.add_endpoint(f"{service}-{number}", service)
         ips = {name: _loopback_ip(number) for number, name in enumerate(self._names)}
-        for name, ip in ips.items():
+        for number, (name, ip) in enumerate(ips.items()):
             self._ready_addresses[name] = f"{ip}:{READY_PORT}"
             self.caller_links[name] = await self._link(f"{ip}:{CALLER_PORT}")
             self.store_links[name] = await self._link(self.platform.store_address)
+            if name in self.own_links:
+                own = f'"{_own_ip(number)}:'.encode()
+                self.store_links[name].rewritten = (b'"127.0.0.1:', own)
             others = [f"{other}:{PEER_PORT}" for other in ips.values() if other != ip]
             self._start_host(name, ip, others)
         await self.until_ready()
 
-    async def _link(self, target: str) -> Link:
-        link = Link(target)
+    async def _link(self, target: str, address: str = "") -> Link:
+        link = Link(target, address)
         await link.start()
         self._stack.push_async_callback(link.stop)
         return link
@@ -225,6 +239,10 @@
         self._stack.callback(listener.close)
         ip, port = listener.sockets[0].getsockname()
         link = await self._link(f"{ip}:{port}")
+        port = link.address.rpartition(":")[2]
+        for number, links in enumerate(self.own_links.values()):
+            own = f"{_own_ip(number)}:{port}"
+            links.append(await self._link(link.address, own))
         self.platform.endpoints[name] = endpoint
         self.platform.addresses[name] = self._address(link)
         zone = DATA_CENTRES[len(self.endpoints) % len(DATA_CENTRES)]
@@ -250,7 +268,7 @@
             "version": 1 + 3 * self.added_route_count,
             "routes": [
                 _route("check", "safe", "desk", 2),
-                _route("book", "unsafe", "desk", 1),
+                _route("book", "unsafe", "desk", self.mode.unsafe_attempts),
                 _route(
                     "plan",
                     "streaming",
@@ -301,6 +319,15 @@
         await asyncio.sleep(0.5)
         self.platform.store.remove("servers", name)
 
+    async def cut_from_endpoints(self, host: str, time_s: float) -> None:
+        """Refuse all connections of a host to endpoints for a time."""
+        links = tuple(self.own_links[host])
+        for link in links:
+            link.cut()
+        await asyncio.sleep(time_s)
+        for link in links:
+            await link.start()
+
     def heal(self) -> None:
         """End all faults that are still active."""
         for links in (self.store_links, self.caller_links, self.endpoint_links):
@@ -309,6 +336,8 @@
         for endpoint in self.endpoints.values():
             endpoint.set_faults()
             endpoint.limit_per_s = None
+            endpoint.refused_share = 0.0
+            endpoint.extra_answers.end()
             endpoint.gap_s = self.mode.event_gap_s
         self.platform.store.faults = StoreFaults()
 
@@ -328,6 +357,11 @@
     return f"127.{1 + (pid >> 8) % 250}.{pid % 256}.{1 + number}"
 
 
+def _own_ip(number: int) -> str:
+    """Return an address of one host's ways, as long as that which it replaces."""
+    return f"127.0.0.{2 + number}"
+
+
 async def _is_ready(session: aiohttp.ClientSession, address: str) -> bool:
     try:
         async with session.get(f"http://{address}/-/readyz") as resp:
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -88,6 +88,9 @@
                 f"seed {result.seed}: {sum(result.faults.values())} faults, "
                 f"{_describe_stops(result)}, answers {statuses}, "
                 f"repeats {result.repeat_ratio:.2f} of those allowed, "
+                f"{result.extra_count} answers too many "
+                f"({result.same_id_count} with the ID under way), "
+                f"{result.late_count} read late, "
                 f"{len(result.broken)} broken",
                 flush=True,
             )
