Failing tests: an end marker alone, and a change of protocol, taken for answers

Of streams, only the events bear the id of their attempt. An engine that gives an empty answer sends the end marker alone; its copy, before the next answer on that connection, ended the next attempt as complete and empty (seen at the client over loopback, once).

--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -6,8 +6,9 @@
 from radishshift.clocks import SystemClock
 from radishshift.endpoints import Endpoint
 from radishshift.engines import open_engine_client
-from radishshift.errors import RadishshiftError, ResumeRefusedError
+from radishshift.errors import EndpointError, RadishshiftError, ResumeRefusedError
 from radishshift.requests import ModelRequest
+from radishshift.verdicts import Verdict
 from tests.cases import TestCase
 from tests.test_engines import BOOKING, CONTRACT, make_call
 
@@ -190,6 +191,19 @@
             attempt = engines.open(address, model_request(), "small.v1", "id-1.a")
             self.assertIn("id-1.a", str(await read_all(attempt)))
 
+    async def test_a_change_of_protocol_is_no_answer_of_a_service(self):
+        """Callers got the status 101, after which they await another protocol."""
+        interim = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n"
+        interim += b"Connection: upgrade\r\n\r\n"
+        for idempotent in (True, False):
+            endpoint = RepeatingEndpoint([interim])
+            async with client() as engines, endpoint.listening() as address:
+                call = make_call("GET", "/seats", idempotent=idempotent)
+                exc = await self.assert_raises_async(
+                    EndpointError, engines.call(address, call)
+                )
+            self.assertIs(Verdict.MAY_HAVE_RUN, exc.verdict)
+
 
 class IdleConnectionsTest(TestCase):
     async def test_a_connection_that_receives_bytes_while_idle_is_not_used_again(self):
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -91,6 +91,13 @@
         scanner.discard_partial_event()
         self.assertEqual(make_event(2, "c"), scanner.feed(make_event(2, "c")))
 
+    def test_an_end_marker_alone_ends_no_stream(self):
+        """It bears no id, so that the copy of an empty stream ended the next one."""
+        for keep_usage in (False, True):
+            scanner = EventScanner(keep_usage, "s-1")
+            self.assertRaises(StreamBrokenError, scanner.feed, DONE_EVENT)
+            self.assertFalse(scanner.done)
+
     def test_an_error_event_ends_the_stream(self):
         scanner = EventScanner(False, "s-1")
         self.assertRaises(EndpointError, scanner.feed, b'data: {"error":{}}\n\n')
