Engine streams: an end marker without an event ends nothing

A model request could be answered with nothing, and billed, while its engine worked on it. Cause: the end marker of a stream bears no id, and a connection is used again after a complete stream. The copy of an empty one (nothing but the marker), where the next answer is due, ended the next attempt.

By the format, a usage event comes before the marker, and the client always asks for it; its id is checked. A marker before any event now breaks the connection off, and the stream is asked for again over another, where the engine still has it. An engine that gives an empty answer without a usage event fails such a request from now on.

--- a/radishshift/events.py
+++ b/radishshift/events.py
@@ -3,7 +3,8 @@
 An engine sends blocks that end in an empty line: `data: {...}`, where the JSON object
 holds the stream's `id`, preceded by a line `id: N` that counts from 0 if the engine
 numbers its events. The last block but one holds the usage, the last one is
-`data: [DONE]`. JSON escapes newlines in text, so an empty line always separates events.
+`data: [DONE]`. As that bears no id, it ends only a stream with an event. JSON escapes
+newlines in text, so an empty line always separates events.
 """
 
 from dataclasses import dataclass
@@ -145,7 +146,8 @@
         Raises
         ------
         StreamBrokenError
-            An event is malformed, missing, or from another stream.
+            An event is malformed, missing, or from another stream; or the end marker
+            comes before any event.
         EndpointError
             The engine sent an error event.
         """
@@ -207,6 +209,8 @@
             return False
         number, body = self._split(block)
         if body == b"[DONE]":
+            if not self.events:
+                raise StreamBrokenError("the stream ended without an event")
             self.done = True
             return False
         if number is not None and number != self.events:
