Plain services: a change of protocol is no answer

A caller of a plain service got the service's status 101, after which it awaits another protocol on its own connection. Cause: any status but 429 and 503 was passed on. Statuses below 200 precede an answer, and the library hands on 101 alone. The call now fails as one that may have run.

--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -311,6 +311,10 @@
                         raise EndpointError(
                             "the endpoint is overloaded", verdict=NOT_RUN
                         )
+                    if resp.status < 200:
+                        raise EndpointError(
+                            f"the endpoint answered with status {resp.status}"
+                        )
                     body = await self._read_bounded(resp)
                     return ServiceReply(resp.status, resp.content_type, body)
         except TimeoutError as exc:
