--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -63,28 +63,33 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._head_complete = False
+        self._ended = False
 
     def set_response_params(self, **params) -> None:
         """Prepare for the response to a new request, which is sent next."""
         self._head_complete = False
+        self._ended = False
         super().set_response_params(**params)
 
     def feed_data(self, data, size: int = 0) -> None:
         """Take a complete head with its payload."""
-        message, _ = data
-        self._head_complete = self._head_complete or self._is_final(message)
+        message, payload = data
+        if self._is_final(message):
+            self._head_complete = True
+            payload.on_eof(self._response_ended)
         super().feed_data(data, size)
 
+    def _response_ended(self) -> None:
+        self._ended = True
+
     def _is_final(self, message: RawResponseMessage) -> bool:
         """Return whether no other response to the request follows this one."""
         return message.code >= 200
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the connection, unless they belong to no response."""
-        payload = self._payload
-        ended = self._head_complete and payload is not None and payload.is_eof()
         # The library also calls this without data.
-        if not data or not ended:
+        if not data or not self._ended:
             super().data_received(data)
             return
         if self.transport is not None:
