See a part of an answer that comes with the end of the one before

Found by a review. Callers got 502 for sound requests, and an engine's attempt got the copy of an earlier stream. Cause: bytes in the segment that ends an answer were overlooked: the library puts the connection back while it parses them, and a part of a head stays in a parser that the next request replaces.

The pool asks a connection whether it is connected before it uses it again; now one that holds whole messages or a part of one answers no. What a server sends before the first request is found as the request is sent, where the library closes the connection; before, each was left to the collector with an error in the log. Relays among hosts are checked there, too.

--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -54,19 +54,55 @@
 
 
 class WatchfulResponseHandler(ResponseHandler):
-    """Closes a connection on which bytes arrive after the end of a response.
+    """Keeps bytes that belong to no response from the next request.
 
     The library would take them, such as a second copy of an answer, for the response to
-    the next request, or for its beginning.
+    that request, or for its beginning.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._head_complete = False
         self._ended = False
+        self._stale = False
+        self._id_header = ""
+        self._request_id = ""
+
+    def is_connected(self) -> bool:
+        """Return whether the connection can be used, also for a further request."""
+        return super().is_connected() and not (self._ended and self._has_leftover())
+
+    def _has_leftover(self) -> bool:
+        """Return whether bytes came with the end of the response."""
+        if self._parser is not None and not self._stale:
+            parser, self._parser = self._parser, None
+            try:
+                self._stale = parser.feed_eof() is not None
+            except Exception:
+                self._stale = True
+        return bool(self._stale or self._buffer or self._tail)
+
+    def carry(self, request_id: str, id_header: str) -> None:
+        """Take note of the request that is sent next.
+
+        Parameters
+        ----------
+        request_id : str
+        id_header : str
+            Header in which the response repeats the ID; empty if it does not.
+
+        Raises
+        ------
+        StaleBytesError
+        """
+        if self._stale:
+            raise StaleBytesError("bytes received while the connection was idle")
+        self._id_header = id_header
+        self._request_id = request_id
 
     def set_response_params(self, **params) -> None:
         """Prepare for the response to a new request, which is sent next."""
+        self._stale = bool(self._buffer or self._tail)
         self._head_complete = False
         self._ended = False
         super().set_response_params(**params)
@@ -86,6 +122,15 @@
         """Return whether no other response to the request follows this one."""
         return message.code >= 200
 
+    def _is_own(self, message: RawResponseMessage) -> bool:
+        """Return whether a response repeats the ID of the request, if it must."""
+        if not self._id_header:
+            return True
+        return self._echoed_ids(message) == {self._request_id} - {""}
+
+    def _echoed_ids(self, message: RawResponseMessage) -> set[str]:
+        return set(message.headers.getall(self._id_header, ())) - {""}
+
     def data_received(self, data: bytes) -> None:
         """Take bytes from the connection, unless they belong to no response."""
         # The library also calls this without data.
@@ -118,47 +163,32 @@
         self._max_response_bytes = response_bytes
         self._received_bytes = 0
         self._copies = 0
-        self._id_header = ""
-        self._request_id = ""
-        self._request_ids: set[str] = set()
+        self._requests = 0
+        self._carried: set[str] = set()
 
     def carry(self, request_id: str, id_header: str) -> ConnectionUse:
-        """Record the request that is sent next, and return what came before it.
-
-        Parameters
-        ----------
-        request_id : str
-        id_header : str
-            Header in which the response repeats the ID.
+        """Take note of the request that is sent next; return what came before it.
 
         Raises
         ------
-        RepeatedRequestError
+        StaleBytesError, RepeatedRequestError
         """
-        ids = self._request_ids
-        if request_id in ids:
-            raise RepeatedRequestError(f"has carried {len(ids)} requests, also this")
+        super().carry(request_id, id_header)
+        if id_header:
+            if request_id in self._carried:
+                raise RepeatedRequestError(f"one of {self._requests} had the same ID")
+            self._carried.add(request_id)
         address = None
         if self.transport is not None:
             address = self.transport.get_extra_info("sockname")
-        use = ConnectionUse(address[1] if address else 0, len(ids))
-        ids.add(request_id)
-        self._id_header = id_header
-        self._request_id = request_id
-        if len(ids) >= MAX_REQUESTS:
+        use = ConnectionUse(address[1] if address else 0, self._requests)
+        self._requests += 1
+        if self._requests >= MAX_REQUESTS:
             self.force_close()
         return use
 
     def set_response_params(self, **params) -> None:
-        """Prepare for the response to a new request, which is sent next.
-
-        Raises
-        ------
-        StaleBytesError
-        """
-        if self._buffer or self._tail:
-            self.close()
-            raise StaleBytesError("bytes received while the connection was idle")
+        """Prepare for the response to a new request, which is sent next."""
         self._received_bytes = 0
         self._copies = 0
         super().set_response_params(**params)
@@ -201,16 +231,7 @@
         echoed_ids = self._echoed_ids(message)
         if len(echoed_ids) != 1 or self._request_id in echoed_ids:
             return False
-        return echoed_ids <= self._request_ids
-
-    def _is_own(self, message: RawResponseMessage) -> bool:
-        """Return whether a response repeats the ID of the request."""
-        if not self._id_header:
-            return True
-        return self._echoed_ids(message) == {self._request_id} - {""}
-
-    def _echoed_ids(self, message: RawResponseMessage) -> set[str]:
-        return set(message.headers.getall(self._id_header, ())) - {""}
+        return echoed_ids <= self._carried
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the connection, unless they exceed a bound."""
@@ -227,21 +248,21 @@
 
 
 class IdentifiedRequest(aiohttp.ClientRequest):
-    """Request that its connection, a `BoundedResponseHandler`, knows by its ID.
+    """Request of which its connection, a `WatchfulResponseHandler`, takes note.
 
     Attributes
     ----------
     id_header : str
-        Header that holds the ID.
+        Header that holds its ID, and that the response repeats; empty if there is none.
     """
 
     id_header = ""
 
     async def send(self, conn) -> aiohttp.ClientResponse:
         """Send the request over a connection."""
-        request_id = self.headers.get(self.id_header, "")
+        request_id = self.headers.get(self.id_header, "") if self.id_header else ""
         self.sent_over(conn.protocol.carry(request_id, self.id_header))
         return await super().send(conn)
 
-    def sent_over(self, use: ConnectionUse) -> None:
+    def sent_over(self, use: ConnectionUse | None) -> None:
         """Take note of the connection."""
--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -18,6 +18,7 @@
     rebuild_error,
 )
 from radishshift.gateway.attempts import Attempt
+from radishshift.gateway.client_connections import IdentifiedRequest
 from radishshift.gateway.deployment import Member
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.http_answers import BodyBudget, HttpAnswer
@@ -277,7 +278,10 @@
     async def _post(self, address: str, body: bytes) -> aiohttp.ClientResponse:
         if self._session is None:
             self._session = keepalive_session(
-                IDLE_TIMEOUT_S, READ_BUFFER_BYTES, (MAX_HEAD_BYTES, MAX_REPLY_BYTES)
+                IDLE_TIMEOUT_S,
+                READ_BUFFER_BYTES,
+                (MAX_HEAD_BYTES, MAX_REPLY_BYTES),
+                IdentifiedRequest,
             )
         return await self._session.post(
             f"http://{address}{PATH}",
