Engines: a connection is used again only after a proven answer

Found by a review. An attempt counted as not run while its engine worked on it. Cause: a copy of a 200 took the place of an attempt's answer, and the connection went back to the pool; the attempt's own answer, a refusal, came where the next one was due, and was believed.

Now a request follows another on a connection only if the answer to the first repeats its X-Request-Id, which is new for each attempt, and has status 200. Load polls and imports of caches bear no such ID, and have connections of their own by that.

--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -14,7 +14,7 @@
 
 from radishshift.clocks import Clock, SystemClock
 from radishshift.endpoints import Endpoint
-from radishshift.engine_connections import engine_connector
+from radishshift.engine_connections import EngineRequest, engine_connector
 from radishshift.errors import (
     AnswerTooLargeError,
     BadRequestError,
@@ -414,6 +414,7 @@
         aiohttp.ClientSession(
             connector=engine_connector(ssl_context),
             cookie_jar=aiohttp.DummyCookieJar(),
+            request_class=EngineRequest,
         ) as session,
         aiohttp.ClientSession(
             connector=unpooled_connector, cookie_jar=aiohttp.DummyCookieJar()
