--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -164,7 +164,8 @@
         self._received_bytes = 0
         self._copies = 0
         self._requests = 0
-        self._carried: set[str] = set()
+        # Hashes, as callers choose the IDs and their length.
+        self._carried: set[int] = set()
 
     def carry(self, request_id: str, id_header: str) -> ConnectionUse:
         """Take note of the request that is sent next; return what came before it.
@@ -175,9 +176,9 @@
         """
         super().carry(request_id, id_header)
         if id_header:
-            if request_id in self._carried:
+            if hash(request_id) in self._carried:
                 raise RepeatedRequestError(f"one of {self._requests} had the same ID")
-            self._carried.add(request_id)
+            self._carried.add(hash(request_id))
         address = None
         if self.transport is not None:
             address = self.transport.get_extra_info("sockname")
@@ -231,7 +232,7 @@
         echoed_ids = self._echoed_ids(message)
         if len(echoed_ids) != 1 or self._request_id in echoed_ids:
             return False
-        return echoed_ids <= self._carried
+        return hash(echoed_ids.pop()) in self._carried
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the connection, unless they exceed a bound."""
