Use no connection to an endpoint again after a HEAD request

The copy of an answer to HEAD states a length and has no body; skipped as a copy, it took the next answer for its body, and that request got 504 after its whole time. The test fails on the code before: both requests go over one connection.

--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -263,6 +263,10 @@
         """Send the request over a connection."""
         request_id = self.headers.get(self.id_header, "") if self.id_header else ""
         self.sent_over(conn.protocol.carry(request_id, self.id_header))
+        if self.method == "HEAD":
+            # The copy of its answer states a length and has no body, so that nothing
+            # tells where it ends.
+            conn.protocol.force_close()
         return await super().send(conn)
 
     def sent_over(self, use: ConnectionUse | None) -> None:
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -117,3 +117,18 @@
                 for handler, _ in idle
             ]
         self.assertLess(sum(sizes), 1 << 16)
+
+
+class HeadTest(PatientTestCase):
+    async def test_a_connection_that_carried_a_head_request_is_closed(self):
+        """A copy of its answer states a body that never comes; the next one waited."""
+        ports = []
+
+        async def respond(request_id, writer):
+            ports.append(writer.get_extra_info("peername")[1])
+            writer.write(_answer(request_id, b"" if request_id == b"a0" else b"ok"))
+
+        async with _served(respond) as (_, send):
+            await send("a0", "HEAD")
+            self.assertEqual(b"ok", await send("a1"))
+        self.assertEqual(2, len(set(ports)))
