Gauges of what callers' connections hold, and of the process's memory

The budget's gauge is the stated lengths alone, so no metric told bodies in arrival, requests sent ahead and unsent answers apart, nor what the process holds besides; heads are what remains of the resident memory.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -5,7 +5,7 @@
 import signal
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 import logbook
 
@@ -46,8 +46,14 @@
 from radishshift.gateway.standstill import StandstillWatch
 from radishshift.gateway.view_refresh import ViewRefresher
 from radishshift.objects import Kind
-from radishshift.open_connections import open_transports, wait_until_sent
+from radishshift.open_connections import (
+    HeldOnConnections,
+    held_on,
+    open_transports,
+    wait_until_sent,
+)
 from radishshift.platform import Platform
+from radishshift.process_usage import open_descriptors, resident_bytes
 
 __all__ = ["Adapter", "GatewayHost"]
 
@@ -408,10 +414,17 @@
         register("background_failures", lambda: self._background.failures)
         register("held_bytes", lambda: self.held_bytes.total)
         register("rejected_for_memory", lambda: self.held_bytes.rejected)
+        for field in fields(HeldOnConnections):
+            register(f"caller_{field.name}", self._held_on_connections(field.name))
+        register("resident_bytes", resident_bytes)
+        register("open_descriptors", open_descriptors)
         register("store_calls", lambda: self.platform.calls)
         self.relays.register_gauges(self.monitor)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
+    def _held_on_connections(self, name: str) -> Callable[[], float]:
+        return lambda: getattr(held_on(self._caller_server), name)
+
     def _staleness_s(self) -> float:
         """Return how old the host's view may be, infinite if it is not known."""
         staleness_s = self.host_view.freshness.staleness_s(self.clock.now())
