--- a/tests/users_platform/crowds.py
+++ b/tests/users_platform/crowds.py
@@ -81,6 +81,7 @@
 
     process: HostProcess
     address: tuple[str, int]
+    metrics_port: int
     max_open_fds: int = 0
 
     @property
@@ -187,7 +188,7 @@
             process.start()
             try:
                 await _until_ready(ports[1])
-                yield CrowdedHost(process, ("127.0.0.1", ports[0]))
+                yield CrowdedHost(process, ("127.0.0.1", ports[0]), ports[3])
             finally:
                 await process.stop()
 
