--- a/radishshift/caller_limits.py
+++ b/radishshift/caller_limits.py
@@ -22,4 +22,4 @@
     head_bytes: int = 65_536
     body_bytes: int = 1 << 23
     head_timeout_s: float = 30.0
-    idle_timeout_s: float = 20.0
+    idle_timeout_s: float = 15.0
--- a/radishshift/gateway/deployment.py
+++ b/radishshift/gateway/deployment.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from radishshift.caller_limits import CallerLimits
 from radishshift.endpoints import EndpointState
 
 __all__ = [
@@ -20,6 +21,8 @@
     "is_api_key",
 ]
 
+_DEFAULT_LIMITS = CallerLimits()
+
 
 class RouteKind(enum.StrEnum):
     """Whether and how requests of a route may be retried."""
@@ -149,6 +152,7 @@
         By API key.
     keys_required : bool
         Whether requests need an API key, also while no customer holds one.
+    limits : CallerLimits
     """
 
     version: int
@@ -156,6 +160,7 @@
     services: Mapping[str, Service]
     customers: Mapping[str, Customer]
     keys_required: bool = True
+    limits: CallerLimits = _DEFAULT_LIMITS
 
     def customer_of(self, key: str) -> Customer | None:
         """Return the customer that holds an API key, None for a blank key."""
--- a/tests/users_platform/test_object_decoder.py
+++ b/tests/users_platform/test_object_decoder.py
@@ -1,10 +1,13 @@
 """Tests of decoding the store's objects and the settings file."""
 
+from dataclasses import replace
+
 import logbook
 from users_platform.object_decoder import PlatformObjectDecoder
 from users_platform.settings import read_settings
 from users_platform.standins import server_entry
 
+from radishshift.caller_limits import CallerLimits
 from radishshift.decisions.routes import RouteTable
 from radishshift.endpoints import EndpointState
 from radishshift.errors import SettingsError, UnreadableObjectError
@@ -122,6 +125,29 @@
                 self.assertEqual(expected, deployment.routes[0].regions)
                 self.assertEqual(expected, deployment.customers[KEY].regions)
 
+    def test_limits_on_callers_are_decoded_and_unreadable_ones_are_the_defaults(self):
+        """What a configuration states as limits bound nothing."""
+        stated = {
+            "maxHeaderBytes": 20_000,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 2500,
+            "idleTimeoutMs": 30_000,
+        }
+        cases = {
+            "stated": (stated, CallerLimits(20_000, 4_194_304, 2.5, 30.0)),
+            "in part": (
+                {"maxBodyBytes": 9e6},
+                replace(CallerLimits(), body_bytes=9_000_000),
+            ),
+            "absent": (None, CallerLimits()),
+            "zero": (stated | {"maxBodyBytes": 0}, CallerLimits()),
+            "text": (stated | {"idleTimeoutMs": "long"}, CallerLimits()),
+            "no table": (7, CallerLimits()),
+        }
+        for name, (limits, expected) in cases.items():
+            item = StoredObject(Kind.DEPLOYMENT, "main", CONFIG | {"limits": limits})
+            self.assertEqual(expected, DECODER.deployment(item).limits, name)
+
     def test_a_route_that_changes_is_decoded_again_and_the_others_are_not(self):
         decoder = PlatformObjectDecoder()
         look, book, plan = CONFIG["routes"]
