One account of what callers make a host hold

Callers saw a host that was killed for its memory, or large bodies refused for as long as others stood still. Cause: the budget knew the stated lengths of bodies in work alone. Bodies in chunks counted when they were whole; heads, bodies that wait for their turn and unsent answers never; and nothing ended what had stopped.

Every byte that a connection holds is now in the account, from the first that is read to the last that is sent. Two requests are parsed ahead, the next one waits until the answers before have left, and a connection reads 16 KiB at a time until it reads a body. Where room is needed, what has stalled for a second is ended, the longest stalled first; what makes progress stays. A body that stops short ends at its caller's deadline with 408, a head at the configuration's headerTimeoutMs or maxHeaderBytes.

--- a/radishshift/connection_log.py
+++ b/radishshift/connection_log.py
@@ -8,12 +8,12 @@
 from radishshift import http_server as web
 from radishshift.gateway.sockets import valid_text
 
-__all__ = ["LoggingServer"]
+__all__ = ["LoggingHandler", "LoggingServer"]
 
 logger = logbook.Logger("connections")
 
 
-class _LoggingHandler(RequestHandler):
+class LoggingHandler(RequestHandler):
     """One connection; logs its end if a request that was received has no answer."""
 
     id_header = ""
@@ -71,6 +71,6 @@
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        conn = _LoggingHandler(self, loop=self._loop, **self._kwargs)
+        conn = LoggingHandler(self, loop=self._loop, **self._kwargs)
         conn.id_header = self._id_header
         return conn
--- a/radishshift/decisions/held_bytes.py
+++ b/radishshift/decisions/held_bytes.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TypeVar
 
 __all__ = [
@@ -132,13 +132,24 @@
         Instant since which less than `PROGRESS_BYTES` have moved.
     count : int
         Bytes at that instant.
+    moved_at : float
+        Instant at which any byte was last seen to have moved.
     """
 
     marked_at: float
     count: int = 0
+    moved_at: float = field(init=False)
+    _last_count: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.moved_at = self.marked_at
+        self._last_count = self.count
 
     def observe(self, count: int, now: float) -> None:
         """Record how many bytes have arrived, or are still to leave, at an instant."""
+        if count != self._last_count:
+            self._last_count = count
+            self.moved_at = now
         if abs(count - self.count) >= PROGRESS_BYTES:
             self.count = count
             self.marked_at = now
--- a/radishshift/errors.py
+++ b/radishshift/errors.py
@@ -42,6 +42,7 @@
     "PoisonError",
     "PoisonSuspectError",
     "RadishshiftError",
+    "RequestTimeoutError",
     "ResultLostError",
     "ResumeRefusedError",
     "SessionError",
@@ -131,6 +132,14 @@
     status = 431
 
 
+class RequestTimeoutError(RadishshiftError):
+    """The request did not arrive completely in its time."""
+
+    code = "request-timeout"
+    status = 408
+    kind = "invalid_request_error"
+
+
 class AnswerTooLargeError(RadishshiftError):
     """The answer, or all stored answers together, exceed a size limit."""
 
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -10,7 +10,9 @@
 import logbook
 
 from radishshift import http_server as web
+from radishshift.caller_limits import CallerLimits
 from radishshift.clocks import Clock, SystemClock
+from radishshift.connection_bounds import ConnectionBounds
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.endpoint_pauses import EndpointPauses
@@ -73,6 +75,8 @@
 SETTINGS_POLL_INTERVAL_S = 2.0  # the file may change without a signal
 CLEANUP_INTERVAL_S = 1.0
 
+_DEFAULT_LIMITS = CallerLimits()
+
 logger = logbook.Logger("program")
 
 Handler = Callable[[CallerRequest, CallerAnswer], Awaitable[None]]
@@ -93,8 +97,8 @@
         Makes the client that sends attempts to endpoints.
     make_caller_server : callable
         Makes the server for callers from a request handler, a clock, a predicate that
-        tells whether to close each connection after its next answer, and the account
-        of the bodies that the host holds.
+        tells whether to close each connection after its next answer, and the bounds of
+        what callers make the host hold.
     make_ready_handler : callable
         Makes the handler of readiness checks from a predicate.
     """
@@ -104,7 +108,7 @@
     make_platform: Callable[[str], Platform]
     make_endpoint_client: Callable[[Clock], EndpointClient]
     make_caller_server: Callable[
-        [Handler, Clock, Callable[[], bool], HeldBytes], web.Server
+        [Handler, Clock, Callable[[], bool], ConnectionBounds], web.Server
     ]
     make_ready_handler: Callable[[Callable[[], bool]], Callable]
 
@@ -245,6 +249,7 @@
             settings.host, self.clock, self.request_path, self.dispatcher, self.gossip
         )
         self.held_bytes = HeldBytes(budget_bytes(settings.memory_mb))
+        self.caller_bounds = ConnectionBounds(self.held_bytes, self._caller_limits)
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
         self._background = BackgroundTasks()
@@ -352,7 +357,7 @@
             self.request_path.handle,
             self.clock,
             lambda: self.stopping,
-            self.held_bytes,
+            self.caller_bounds,
         )
         self._peer_server = web.Server(
             self._answer_peer,
@@ -418,10 +423,17 @@
             register(f"caller_{field.name}", self._held_on_connections(field.name))
         register("resident_bytes", resident_bytes)
         register("open_descriptors", open_descriptors)
+        register("caller_head_bytes", lambda: self.caller_bounds.head_bytes)
+        register("caller_connections_evicted", lambda: self.caller_bounds.evicted)
         register("store_calls", lambda: self.platform.calls)
         self.relays.register_gauges(self.monitor)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
+    def _caller_limits(self) -> CallerLimits:
+        """Return the limits on callers that are in force."""
+        deployment = self.host_view.deployment
+        return _DEFAULT_LIMITS if deployment is None else deployment.limits
+
     def _held_on_connections(self, name: str) -> Callable[[], float]:
         return lambda: getattr(held_on(self._caller_server), name)
 
--- a/tests/decisions/test_held_bytes.py
+++ b/tests/decisions/test_held_bytes.py
@@ -72,6 +72,7 @@
         self.assertFalse(answer.stalled(3.5))
         answer.observe(899_999, 4.5)
         self.assertTrue(answer.stalled(4.5))
+        self.assertEqual(4.5, answer.moved_at)
 
 
 class MaxConnectionsTest(TestCase):
