Connections of callers leave descriptors and memory for their requests

Callers who connected and sent nothing, or stopped short, or sent streams ahead, took 916, 916 and 777 descriptors of 600 that the process may hold: nothing bounded the connections, each of which takes a second one, to an endpoint, while a request is in work. A host now holds as many callers' connections as leave a descriptor for the request of each, besides those for files, the store, peers and readiness, and no more than leave memory for bodies. Beyond that, the connection that has been silent longest since it was opened is ended, then a stalled one, then the one idle longest, then one with requests sent ahead, after the answer to the one in work. The loop accepts 32 connections at once rather than 512, so that those that are too many are closed before further ones take descriptors; the kernel's queue stays at 512.

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import signal
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, fields
@@ -16,7 +17,7 @@
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.endpoint_pauses import EndpointPauses
-from radishshift.decisions.held_bytes import HeldBytes, budget_bytes
+from radishshift.decisions.held_bytes import HeldBytes, budget_bytes, max_connections
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
@@ -60,6 +61,7 @@
 __all__ = ["Adapter", "GatewayHost"]
 
 ACCEPT_BACKLOG = 512  # connections
+ACCEPT_BATCH = 32  # connections accepted before those that are too many are closed
 # After the signal to stop, streams that may outlast the process are still accepted
 # for this long: the load balancer checks readiness only once a second.
 STREAM_ACCEPT_S = 2.5
@@ -249,7 +251,11 @@
             settings.host, self.clock, self.request_path, self.dispatcher, self.gossip
         )
         self.held_bytes = HeldBytes(budget_bytes(settings.memory_mb))
-        self.caller_bounds = ConnectionBounds(self.held_bytes, self._caller_limits)
+        self.caller_bounds = ConnectionBounds(
+            self.held_bytes,
+            self._caller_limits,
+            max_connections(settings.max_fds, settings.memory_mb),
+        )
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
         self._background = BackgroundTasks()
@@ -375,10 +381,10 @@
         }
         loop = asyncio.get_running_loop()
         for address, server in servers.items():
-            ip, _, port = address.rpartition(":")
-            listener = await loop.create_server(
-                server, ip, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True
-            )
+            sock = _bound_socket(address)
+            # The loop accepts as many at once as its backlog says.
+            listener = await loop.create_server(server, sock=sock, backlog=ACCEPT_BATCH)
+            sock.listen(ACCEPT_BACKLOG)
             stack.callback(listener.close)
 
     async def _answer_peer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -425,6 +431,7 @@
         register("open_descriptors", open_descriptors)
         register("caller_head_bytes", lambda: self.caller_bounds.head_bytes)
         register("caller_connections_evicted", lambda: self.caller_bounds.evicted)
+        register("caller_connections_refused", lambda: self.caller_bounds.refused)
         register("store_calls", lambda: self.platform.calls)
         self.relays.register_gauges(self.monitor)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
@@ -537,3 +544,15 @@
             await asyncio.sleep(DRAIN_POLL_S)
             if self.clock.now() >= earliest_exit and not self.in_flight:
                 return
+
+
+def _bound_socket(address: str) -> socket.socket:
+    ip, _, port = address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((ip, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/radishshift/gateway/host_settings.py
+++ b/radishshift/gateway/host_settings.py
@@ -61,6 +61,8 @@
         Bandwidth of the host's link in Mbit/s, 0 if unknown.
     memory_mb : float
         Memory limit of the process in MB, 0 if there is none.
+    max_fds : int
+        Limit of the process's descriptors, 0 if there is none.
     regions : mapping of str to str
         Regions of the data centres.
     """
@@ -78,4 +80,5 @@
     bounds: Bounds = Bounds()
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    max_fds: int = 0
     regions: Mapping[str, str] = field(default_factory=dict)
