What the kernel receives for connections that are not read is bounded and counted

Callers who send requests ahead are not read until these have had their turn; what the kernel receives meanwhile counts toward the process's limit on the platform and was in no account. Such a connection now gets a receive buffer of 32 KiB and is charged for it, and one with requests ahead ends after the answer to the one in work if room is needed and nothing has stalled.

--- a/radishshift/bounded_server.py
+++ b/radishshift/bounded_server.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import contextlib
 import fcntl
+import socket
 import sys
 import termios
 
@@ -26,6 +28,10 @@
 UNSENT_BYTES = 1 << 15  # over which a connection's next answer waits
 MAX_WAITING_REQUESTS = 2  # behind the one in work, on one connection
 RESUME_WAITING_REQUESTS = 1
+# What the kernel receives for a connection that isn't read, and how much of it is
+# charged, as the kernel counts its own structures, too.
+UNREAD_BUFFER_BYTES = 1 << 15
+UNREAD_BYTES = 1 << 16
 # Callers reuse connections that have been idle for most of the limit.
 IDLE_MARGIN_S = 5.0
 CRLF = b"\r\n"
@@ -68,6 +74,7 @@
         self._last_read: StreamReader | None = None  # of those that were begun
         self._head_bytes = 0
         self._ahead_bytes = 0
+        self._unread_bytes = 0
         self._unsent_bytes = 0
         self._hold: RequestHold | None = None
         self.progress: Progress | None = None
@@ -124,6 +131,8 @@
             self._set_ahead(self._ahead_bytes + len(data))
         elif data.strip(CRLF):
             self._on_head_bytes(len(data))
+        if self._buffer_paused and not self._unread_bytes:
+            self._limit_unread()
 
     def _on_requests(self, count: int) -> None:
         self._release_head()
@@ -166,6 +175,16 @@
         self._head_bytes = 0
         self._untrack("head")
 
+    def _limit_unread(self) -> None:
+        """Bound what the kernel receives while this connection isn't read."""
+        sock = self._connection and self._connection.get_extra_info("socket")
+        if sock is None:
+            return
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES)
+        self._unread_bytes = UNREAD_BYTES
+        self._set_ahead(self._ahead_bytes + UNREAD_BYTES)
+
     def _set_ahead(self, count: int) -> None:
         if count == self._ahead_bytes:
             return
@@ -227,7 +246,9 @@
     async def begin(self, hold: RequestHold) -> None:
         """Wait until the caller has taken the answers before, and begin a request."""
         await self.drain()
-        most = BODY_RECEIVE_BYTES if self._messages else 0
+        if not self._messages:
+            self._unread_bytes = 0
+        most = BODY_RECEIVE_BYTES + self._unread_bytes if self._messages else 0
         self._set_ahead(min(self._ahead_bytes, most))
         self._hold = hold
 
--- a/radishshift/connection_bounds.py
+++ b/radishshift/connection_bounds.py
@@ -145,6 +145,8 @@
             if before - self.held.total >= count:
                 break
             self._evict(conn)
+        if before - self.held.total < count:
+            self._finish_one()
         if self.evicted > evicted:
             logger.warning(
                 "stalled connections ended for lack of memory",
@@ -164,6 +166,10 @@
         if conn is not None:
             self._evict(conn)
             return True
+        return self._finish_one()
+
+    def _finish_one(self) -> bool:
+        """Let a connection with requests ahead end after the one in work."""
         conn = next(iter(self._with_requests_ahead), None)
         if conn is None or len(self._finishing) >= MAX_FINISHING:
             return False
--- a/tests/test_bounded_server.py
+++ b/tests/test_bounded_server.py
@@ -25,6 +25,8 @@
         self.bounds = bounds
         self.bodies = []
         self.answer = b"done"
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
         self._timeout_s = timeout_s
         self.server = BoundedServer(
             self._handle, bounds=bounds, id_header="Id", handler_cancellation=True
@@ -38,6 +40,7 @@
             except RadishshiftError as exc:
                 return web.Response(status=exc.status)
             self.bodies.append(body)
+            await self.may_answer.wait()
             return web.Response(body=self.answer)
 
     async def send(self, data):
@@ -184,3 +187,21 @@
                 await asyncio.sleep(0.1)
             self.assertEqual(1, len(world.server.connections))
             sock.close()
+
+    async def test_a_caller_with_requests_ahead_ends_after_the_one_in_work(self):
+        """Bytes that the kernel receives for unread connections counted nowhere."""
+        async with _serving(budget=REQUEST_BYTES + 80_000) as world:
+            world.may_answer.clear()
+            ahead, first = await world.send(GET * 50)
+            await world.until(lambda: world.bounds.held.total > REQUEST_BYTES + 60_000)
+            ordinary, second = await world.send(GET)
+            self.assertEqual(503, await _status(ordinary))
+            world.may_answer.set()
+            answers = await ahead.read()
+            self.assertEqual(
+                (1, 1), (answers.count(b"HTTP/1.1 200"), len(world.bodies))
+            )
+            second.write(GET)
+            await world.until(lambda: len(world.bodies) == 2)
+            for writer in (first, second):
+                writer.close()
