--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -3,18 +3,21 @@
 import asyncio
 import math
 import signal
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 import logbook
 
 from radishshift import http_server as web
+from radishshift.caller_limits import CallerLimits
 from radishshift.clocks import Clock, SystemClock
+from radishshift.connection_bounds import ConnectionBounds
 from radishshift.decisions.crashes import CrashSuspects
 from radishshift.decisions.endpoint_limits import EndpointLimits
 from radishshift.decisions.endpoint_pauses import EndpointPauses
-from radishshift.decisions.held_bytes import HeldBytes, budget_bytes
+from radishshift.decisions.held_bytes import HeldBytes, budget_bytes, max_connections
 from radishshift.decisions.placing import Placer
 from radishshift.decisions.versions import VersionGuard
 from radishshift.errors import SettingsError
@@ -46,12 +49,19 @@
 from radishshift.gateway.standstill import StandstillWatch
 from radishshift.gateway.view_refresh import ViewRefresher
 from radishshift.objects import Kind
-from radishshift.open_connections import open_transports, wait_until_sent
+from radishshift.open_connections import (
+    HeldOnConnections,
+    held_on,
+    open_transports,
+    wait_until_sent,
+)
 from radishshift.platform import Platform
+from radishshift.process_usage import open_descriptors, resident_bytes
 
 __all__ = ["Adapter", "GatewayHost"]
 
 ACCEPT_BACKLOG = 512  # connections
+ACCEPT_BATCH = 32  # connections accepted before those that are too many are closed
 # After the signal to stop, streams that may outlast the process are still accepted
 # for this long: the load balancer checks readiness only once a second.
 STREAM_ACCEPT_S = 2.5
@@ -67,6 +77,8 @@
 SETTINGS_POLL_INTERVAL_S = 2.0  # the file may change without a signal
 CLEANUP_INTERVAL_S = 1.0
 
+_DEFAULT_LIMITS = CallerLimits()
+
 logger = logbook.Logger("program")
 
 Handler = Callable[[CallerRequest, CallerAnswer], Awaitable[None]]
@@ -87,8 +99,8 @@
         Makes the client that sends attempts to endpoints.
     make_caller_server : callable
         Makes the server for callers from a request handler, a clock, a predicate that
-        tells whether to close each connection after its next answer, and the account
-        of the bodies that the host holds.
+        tells whether to close each connection after its next answer, and the bounds of
+        what callers make the host hold.
     make_ready_handler : callable
         Makes the handler of readiness checks from a predicate.
     """
@@ -98,7 +110,7 @@
     make_platform: Callable[[str], Platform]
     make_endpoint_client: Callable[[Clock], EndpointClient]
     make_caller_server: Callable[
-        [Handler, Clock, Callable[[], bool], HeldBytes], web.Server
+        [Handler, Clock, Callable[[], bool], ConnectionBounds], web.Server
     ]
     make_ready_handler: Callable[[Callable[[], bool]], Callable]
 
@@ -239,6 +251,11 @@
             settings.host, self.clock, self.request_path, self.dispatcher, self.gossip
         )
         self.held_bytes = HeldBytes(budget_bytes(settings.memory_mb))
+        self.caller_bounds = ConnectionBounds(
+            self.held_bytes,
+            self._caller_limits,
+            max_connections(settings.max_fds, settings.memory_mb),
+        )
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
         self._background = BackgroundTasks()
@@ -346,7 +363,7 @@
             self.request_path.handle,
             self.clock,
             lambda: self.stopping,
-            self.held_bytes,
+            self.caller_bounds,
         )
         self._peer_server = web.Server(
             self._answer_peer,
@@ -364,10 +381,10 @@
         }
         loop = asyncio.get_running_loop()
         for address, server in servers.items():
-            ip, _, port = address.rpartition(":")
-            listener = await loop.create_server(
-                server, ip, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True
-            )
+            sock = _bound_socket(address)
+            # The loop accepts as many at once as its backlog says.
+            listener = await loop.create_server(server, sock=sock, backlog=ACCEPT_BATCH)
+            sock.listen(ACCEPT_BACKLOG)
             stack.callback(listener.close)
 
     async def _answer_peer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -408,10 +425,25 @@
         register("background_failures", lambda: self._background.failures)
         register("held_bytes", lambda: self.held_bytes.total)
         register("rejected_for_memory", lambda: self.held_bytes.rejected)
+        for field in fields(HeldOnConnections):
+            register(f"caller_{field.name}", self._held_on_connections(field.name))
+        register("resident_bytes", resident_bytes)
+        register("open_descriptors", open_descriptors)
+        register("caller_head_bytes", lambda: self.caller_bounds.head_bytes)
+        register("caller_connections_evicted", lambda: self.caller_bounds.evicted)
+        register("caller_connections_refused", lambda: self.caller_bounds.refused)
         register("store_calls", lambda: self.platform.calls)
         self.relays.register_gauges(self.monitor)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
+    def _caller_limits(self) -> CallerLimits:
+        """Return the limits on callers that are in force."""
+        deployment = self.host_view.deployment
+        return _DEFAULT_LIMITS if deployment is None else deployment.limits
+
+    def _held_on_connections(self, name: str) -> Callable[[], float]:
+        return lambda: getattr(held_on(self._caller_server), name)
+
     def _staleness_s(self) -> float:
         """Return how old the host's view may be, infinite if it is not known."""
         staleness_s = self.host_view.freshness.staleness_s(self.clock.now())
@@ -512,3 +544,15 @@
             await asyncio.sleep(DRAIN_POLL_S)
             if self.clock.now() >= earliest_exit and not self.in_flight:
                 return
+
+
+def _bound_socket(address: str) -> socket.socket:
+    ip, _, port = address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((ip, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
