TLS handshakes that never finish are bounded in number, time and memory

What callers saw: nothing; the process of an operator grew. A connection whose handshake stops after its first bytes stayed for 60 s, took a receive buffer of 256 KB, and counted towards no bound: the event loop's server tells a protocol of its connection only when the handshake is complete, and `bounds.connections` counts there.

Now the port accepts plain connections and begins the handshakes itself. A quarter of `bounds.connections`, at least 16, may be under way; a further one ends the oldest, and one that takes longer than `times.receiveS` is ended.

--- a/radishshift/caller_connections.py
+++ b/radishshift/caller_connections.py
@@ -23,6 +23,7 @@
 from radishshift.requests import new_request_id
 from radishshift.settings import BoundSettings, TimeSettings
 from radishshift.tls import ServerTls
+from radishshift.tls_handshakes import TlsHandshakes
 from radishshift.verdicts import Verdict
 
 __all__ = ["CallerSink", "error_response", "serve_callers"]
@@ -31,6 +32,8 @@
 HEADERS_MAX = 64
 LISTEN_BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
+HANDSHAKES_MIN = 16
+CONNECTIONS_PER_HANDSHAKE = 4
 UNSENT_TIMEOUT_S = 2.0  # for the end of answers that callers read slowly
 NO_RETRY_STATUSES = frozenset({400, 401, 403, 404, 410, 413, 422, 431})
 
@@ -248,10 +251,11 @@
             max_headers=HEADERS_MAX,
         )
 
-    context = None if tls is None else tls.context
-    server = await loop.create_server(
-        make_protocol, ip, port, backlog=LISTEN_BACKLOG, ssl=context
-    )
+    accept = make_protocol
+    if tls is not None:
+        most = max(HANDSHAKES_MIN, bounds.connections // CONNECTIONS_PER_HANDSHAKE)
+        accept = TlsHandshakes(tls.context, make_protocol, most, times.receive_s)
+    server = await loop.create_server(accept, ip, port, backlog=LISTEN_BACKLOG)
     bound_port = server.sockets[0].getsockname()[1]
     scheme = "http" if tls is None else "https"
     try:
