A request's lists and objects stay encoded while it is in work

The body of a model request was kept as bytes and decoded, for as long as the request ran. A body of 1.8 MB with 600,000 empty objects takes over 40 MB decoded, so a few requests inside the limits took the memory of a small machine. The body is decoded to check it, and what stays of lists and objects is what was received; the endpoint gets the same values.

--- a/radishshift/caller_requests.py
+++ b/radishshift/caller_requests.py
@@ -144,6 +144,18 @@
     return body
 
 
+def _undecoded(data: bytes, body: dict[str, Any]) -> dict[str, Any]:
+    """Return a decoded body with its lists and objects as they were received.
+
+    Decoded, a list of small values takes many times its bytes.
+    """
+    parts = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+    return {
+        name: parts[name] if isinstance(value, list | dict) else value
+        for name, value in body.items()
+    }
+
+
 def _check_body(body: dict[str, Any], operation: str) -> None:
     model = body.get("model")
     if not isinstance(model, str) or not 0 < len(model) <= MODEL_NAME_MAX:
@@ -189,7 +201,7 @@
         task_class=task_class,
         operation=operation,
         model=body["model"],
-        body=body,
+        body=_undecoded(data, body),
         body_bytes=data,
         stream=body.get("stream") is True,
         include_usage=stream_options.get("include_usage") is True,
--- a/radishshift/requests.py
+++ b/radishshift/requests.py
@@ -42,7 +42,7 @@
     model : str
         As the caller named it: a version, a model, or `auto`.
     body : dict
-        JSON body as the caller sent it.
+        JSON body as the caller sent it; lists and objects may be `msgspec.Raw`.
     body_bytes : bytes
     stream, include_usage : bool
     arrived, deadline : float
