Refusals of incomplete heads can carry a host's own form of error

The handler of one connection is public, and asks `refusal` for the bytes. The hosts on the users' platform answer as before.

--- a/radishshift/bounded_server.py
+++ b/radishshift/bounded_server.py
@@ -8,6 +8,7 @@
 import fcntl
 import sys
 import termios
+from http import HTTPStatus
 
 from aiohttp.http import HttpRequestParser
 from aiohttp.streams import StreamReader
@@ -18,9 +19,14 @@
 from radishshift.connection_bounds import ConnectionBounds
 from radishshift.connection_log import LoggingHandler, LoggingServer
 from radishshift.decisions.held_bytes import Progress
+from radishshift.errors import (
+    HeadersTooLargeError,
+    RadishshiftError,
+    RequestTimeoutError,
+)
 from radishshift.request_hold import BODY_RECEIVE_BYTES, RequestHold
 
-__all__ = ["BoundedServer"]
+__all__ = ["RECEIVE_BYTES", "BoundedHandler", "BoundedServer"]
 
 RECEIVE_BYTES = 1 << 14  # in one call, while a head is awaited
 UNSENT_BYTES = 1 << 15  # over which a connection's next answer waits
@@ -29,12 +35,10 @@
 # Callers reuse connections that have been idle for most of the limit.
 IDLE_MARGIN_S = 5.0
 CRLF = b"\r\n"
-_REFUSAL = "HTTP/1.1 {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-HEAD_TIMEOUT = _REFUSAL.format("408 Request Timeout").encode()
-HEAD_TOO_LARGE = _REFUSAL.format("431 Request Header Fields Too Large").encode()
+REFUSAL = "HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
-class _BoundedHandler(LoggingHandler):
+class BoundedHandler(LoggingHandler):
     """One connection, which tells the bounds what it holds.
 
     Attributes
@@ -144,22 +148,28 @@
         bounds.head_bytes += count
         bounds.held.add(count)
         if self._head_bytes > bounds.limits().head_bytes + self.max_line_size:
-            self._refuse_head(HEAD_TOO_LARGE)
+            error = HeadersTooLargeError("the request headers are too large")
+            self._refuse_head(error)
         elif bounds.held.excess:
             bounds.make_room(bounds.held.excess)
             if bounds.held.excess:
-                self._refuse_head(HEAD_TIMEOUT)
+                self._refuse_head(RequestTimeoutError("the head is not complete"))
 
-    def _refuse_head(self, answer: bytes) -> None:
+    def _refuse_head(self, error: RadishshiftError) -> None:
         """Answer a request whose head isn't complete, and close the connection."""
         self._release_head()
         in_work = self._current_request is not None or self._messages
         if in_work or self.transport is None:
             self.close()
             return
-        self.transport.write(answer)
+        self.transport.write(self.refusal(error))
         self.force_close()
 
+    def refusal(self, error: RadishshiftError) -> bytes:
+        """Return the answer to a request whose head isn't complete."""
+        phrase = HTTPStatus(error.status).phrase
+        return REFUSAL.format(error.status, phrase).encode()
+
     def _release_head(self) -> None:
         self._bounds.head_bytes -= self._head_bytes
         self._bounds.held.release(self._head_bytes)
@@ -217,7 +227,7 @@
         if hold is not None and hold.reading:
             hold.give_up()
         elif self._progress_of == "head":
-            self._refuse_head(HEAD_TIMEOUT)
+            self._refuse_head(RequestTimeoutError("the head is not complete"))
         elif not self._progress_of:
             self.force_close()
         elif self._connection is not None:
@@ -318,6 +328,6 @@
             "keepalive_timeout": limits.idle_timeout_s + IDLE_MARGIN_S,
             "read_bufsize": RECEIVE_BYTES,
         }
-        conn = _BoundedHandler(self._bounds, self, options)
+        conn = BoundedHandler(self._bounds, self, options)
         conn.id_header = self._id_header
         return conn
