radishshift-entry holds a bounded part of its memory for callers

What callers saw: nothing, until the process ended for lack of memory. Cause: `bounds.requests` counts requests whose body is complete, and nothing counted what comes before and after. Bodies that stop short held all that had arrived for `times.receiveS`; a head could have 64 fields of `bounds.headerBytes` each; 32 parsed requests and 512 KB of unread body could wait on each connection.

Now callers' connections share the account of held bytes. A body's stated length is reserved after the key has been checked and before it is read; in chunks it counts as it arrives; 100 Continue is sent only then. Where room is needed, what has moved less than 64 KiB within a second is ended, the longest stalled first. What finds no room is refused with 503 `overloaded`, not run, with Retry-After; a body that had to give way gets the same, one that is late 504 as before. A head over the limit is refused with 431 before it ends. An answer that its caller doesn't take counts, and ends after `times.callerStallS` for every kind of answer. Two requests may wait behind the one in work. At `bounds.connections`, a caller that has sent no request for 2 s gives way, then what has stalled or is idle; a caller is refused with 503 only if none does.

The account holds `bounds.requests` requests of full size, or fewer where the memory is too small: new setting `bounds.memoryMb`, by default the memory of the machine or of its control group. One request of full size always fits. A caller inside the bounds meets no limit on a machine whose memory holds what the bounds allow.

--- a/radishshift/caller_connections.py
+++ b/radishshift/caller_connections.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 
 import logbook
 import msgspec
@@ -11,6 +12,9 @@
 from aiohttp.http_exceptions import LineTooLong
 
 from radishshift.answers import Answer
+from radishshift.bounded_listening import AppHandler
+from radishshift.bounded_server import RECEIVE_BYTES
+from radishshift.caller_bounds import CallerBounds
 from radishshift.errors import (
     BadRequestError,
     HeadersTooLargeError,
@@ -140,20 +144,37 @@
     return resp
 
 
-class _CallerProtocol(web.RequestHandler):
+def _raw_response(error: RadishshiftError) -> bytes:
+    """Return the bytes of an error's response, after which the connection closes."""
+    resp = error_response(error, new_request_id())
+    reason = HTTPStatus(error.status).phrase
+    headers = dict(resp.headers) | {
+        "Content-Length": str(len(resp.body)),
+        "Connection": "close",
+    }
+    lines = [f"HTTP/1.1 {error.status} {reason}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "".join(f"{line}\r\n" for line in (*lines, "")).encode() + resp.body
+
+
+class _CallerProtocol(AppHandler):
     """HTTP protocol of a caller connection; reports protocol errors as JSON too."""
 
-    __slots__ = ("_first_request_timer", "_receive_timeout_s")
+    id_header = "X-Request-Id"
 
-    def __init__(self, manager: web.Server, receive_s: float, **options) -> None:
-        super().__init__(manager, **options)
-        self._receive_timeout_s = receive_s
+    def __init__(
+        self, connections: CallerBounds, manager: web.Server, options: dict
+    ) -> None:
+        super().__init__(connections, manager, options)
+        self._receive_timeout_s = connections.receive_s
         self._first_request_timer: asyncio.TimerHandle | None = None
+        self.opened_at = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the first-request timer."""
         super().connection_made(transport)
         loop = asyncio.get_running_loop()
+        self.opened_at = loop.time()
         timer = loop.call_later(self._receive_timeout_s, self.force_close)
         self._first_request_timer = timer
 
@@ -168,6 +189,10 @@
             self._first_request_timer.cancel()
             self._first_request_timer = None
 
+    def refusal(self, error: RadishshiftError) -> bytes:
+        """Return the answer to a request whose head isn't complete."""
+        return _raw_response(error)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -197,23 +222,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the error response and close the connection."""
         error = OverloadedError("too many connections", retry_after_s=1.0)
-        body = msgspec.json.encode(error.body())
-        head = (
-            "HTTP/1.1 503 Service Unavailable\r\n"
-            "Content-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            "Connection: close\r\n"
-            "Retry-After: 1\r\n"
-            "X-Should-Retry: true\r\n"
-            f"X-Radishshift-Verdict: {error.verdict.value}\r\n\r\n"
-        )
-        transport.write(head.encode() + body)
+        transport.write(_raw_response(error))
         transport.close()
 
 
 @asynccontextmanager
 async def serve_callers(
     app: web.Application,
+    connections: CallerBounds,
     bounds: BoundSettings,
     times: TimeSettings,
     ip: str = "127.0.0.1",
@@ -225,6 +241,7 @@
     Parameters
     ----------
     app : web.Application
+    connections : CallerBounds
     bounds : BoundSettings
     times : TimeSettings
     ip : str
@@ -237,19 +254,20 @@
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
 
+    options = {
+        "loop": loop,
+        "access_log": None,
+        "keepalive_timeout": KEEP_ALIVE_S,
+        "read_bufsize": RECEIVE_BYTES,
+        "max_line_size": bounds.header_bytes,
+        "max_field_size": bounds.header_bytes,
+        "max_headers": HEADERS_MAX,
+    }
+
     def make_protocol() -> asyncio.Protocol:
-        if len(runner.server.connections) >= bounds.connections:
+        if not connections.has_room():
             return _RejectingProtocol()
-        return _CallerProtocol(
-            runner.server,
-            times.receive_s,
-            loop=loop,
-            access_log=None,
-            keepalive_timeout=KEEP_ALIVE_S,
-            max_line_size=bounds.header_bytes,
-            max_field_size=bounds.header_bytes,
-            max_headers=HEADERS_MAX,
-        )
+        return _CallerProtocol(connections, runner.server, options)
 
     accept = make_protocol
     if tls is not None:
--- a/radishshift/caller_requests.py
+++ b/radishshift/caller_requests.py
@@ -8,6 +8,8 @@
 import msgspec
 from aiohttp import web
 
+from radishshift.bounded_listening import HOLD
+from radishshift.caller_bounds import CallerBounds
 from radishshift.contracts import Contract, TaskClass, key_digest
 from radishshift.errors import (
     AuthenticationError,
@@ -16,6 +18,8 @@
     HeadersTooLargeError,
     NotAllowedError,
     NotFoundError,
+    OverloadedError,
+    RequestTimeoutError,
 )
 from radishshift.requests import ModelRequest, ServiceCall, new_request_id
 from radishshift.router import Router
@@ -24,6 +28,7 @@
 
 __all__ = [
     "BOUNDS",
+    "CONNECTIONS",
     "REQUEST_ID",
     "ROUTER",
     "TIMES",
@@ -37,9 +42,11 @@
 ROUTER = web.AppKey("router", Router)
 BOUNDS = web.AppKey("bounds", BoundSettings)
 TIMES = web.AppKey("times", TimeSettings)
+CONNECTIONS = web.AppKey("connections", CallerBounds)
 REQUEST_ID = web.RequestKey("request_id", str)
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 IDEMPOTENCY_KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}")
+STALLED_RETRY_S = 1.0
 MODEL_NAME_MAX = 256
 TOKENS_MAX = 1_000_000
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language")
@@ -125,10 +132,17 @@
 
 
 async def _read_body(request: web.Request) -> bytes:
+    loop = asyncio.get_running_loop()
+    receive_s = request.app[TIMES].receive_s
+    deadline = loop.time() + receive_s
     try:
-        async with asyncio.timeout(request.app[TIMES].receive_s):
-            return await request.read()
-    except TimeoutError as exc:
+        return await request[HOLD].read_body(receive_s)
+    except RequestTimeoutError as exc:
+        if loop.time() < deadline:
+            raise OverloadedError(
+                "the request body stalled, and its memory was needed",
+                retry_after_s=STALLED_RETRY_S,
+            ) from exc
         raise DeadlineError(
             "the request body was not received in time", verdict=Verdict.NOT_RUN
         ) from exc
--- a/radishshift/callers.py
+++ b/radishshift/callers.py
@@ -7,9 +7,12 @@
 import msgspec
 from aiohttp import web
 
+from radishshift.bounded_listening import held
+from radishshift.caller_bounds import CallerBounds
 from radishshift.caller_connections import CallerSink, error_response
 from radishshift.caller_requests import (
     BOUNDS,
+    CONNECTIONS,
     REQUEST_ID,
     ROUTER,
     TIMES,
@@ -51,7 +54,8 @@
         request[REQUEST_ID] = request_id
         check_headers(request)
         with log_request_id(request_id):
-            return await handler(request)
+            async with held(request, request.app[CONNECTIONS]):
+                return await handler(request)
     except RadishshiftError as exc:
         logger.info(
             "request failed with {}: {}",
@@ -178,18 +182,29 @@
     )
 
 
+async def _expect(_: web.Request) -> None:
+    """Leave `100 Continue` to the reading of the body, which may be refused."""
+
+
 def make_caller_app(
-    router: Router, bounds: BoundSettings, times: TimeSettings | None = None
+    router: Router,
+    connections: CallerBounds,
+    bounds: BoundSettings,
+    times: TimeSettings | None = None,
 ) -> web.Application:
     """Return the application that serves callers."""
     app = web.Application(middlewares=[_json_errors], client_max_size=bounds.body_bytes)
     app[ROUTER] = router
+    app[CONNECTIONS] = connections
     app[BOUNDS] = bounds
     app[TIMES] = times or TimeSettings()
-    app.router.add_post("/v1/chat/completions", _chat_completions)
-    app.router.add_post("/v1/completions", _completions)
+    with_body = {"expect_handler": _expect}
+    app.router.add_post("/v1/chat/completions", _chat_completions, **with_body)
+    app.router.add_post("/v1/completions", _completions, **with_body)
     app.router.add_get("/v1/models", _list_models)
     app.router.add_get("/v1/answers/{request_id}", _get_answer)
     app.router.add_get("/v1/answers/{request_id}/bill", _get_bill)
-    app.router.add_route("*", "/v1/services/{service}/{path:.*}", _call_service)
+    app.router.add_route(
+        "*", "/v1/services/{service}/{path:.*}", _call_service, **with_body
+    )
     return app
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -15,6 +15,7 @@
 from radishshift.answers import Answers
 from radishshift.bill_copies import BillCopies
 from radishshift.bills import Biller
+from radishshift.caller_bounds import CallerBounds
 from radishshift.caller_connections import serve_callers
 from radishshift.callers import make_caller_app
 from radishshift.claims import Claims
@@ -79,6 +80,8 @@
         Base URL of metrics, indicators and health checks.
     copies : BillCopies
         Copies of the bills of other hosts.
+    connections : CallerBounds or None
+        What callers make the host hold.
     """
 
     cfg: HostSettings
@@ -88,6 +91,7 @@
     monitoring_address: str
     duties: Duties
     copies: BillCopies
+    connections: CallerBounds | None = None
 
     async def stop(
         self, force_stop: asyncio.Event | None = None, unready_s: float = 0.0
@@ -317,7 +321,8 @@
             ),
         ]
         router.remote_answers = RemoteAnswers(peers, router.answers, clock)
-        caller_app = make_caller_app(router, cfg.bounds, cfg.times)
+        connections = CallerBounds(cfg.bounds, cfg.times)
+        caller_app = make_caller_app(router, connections, cfg.bounds, cfg.times)
         add_health_routes(caller_app, lambda: is_ready(router))
         address = cfg.address
         caller_tls = server_tls_of(cfg.tls.callers)
@@ -335,6 +340,7 @@
             serve_monitoring(cfg, clock, router) as monitoring_url,
             serve_callers(
                 caller_app,
+                connections,
                 cfg.bounds,
                 cfg.times,
                 address.ip,
@@ -342,7 +348,9 @@
                 caller_tls,
             ) as url,
         ):
-            host = EntryHost(cfg, router, url, peers, monitoring_url, duties, copies)
+            host = EntryHost(
+                cfg, router, url, peers, monitoring_url, duties, copies, connections
+            )
             try:
                 yield host
             finally:
--- a/radishshift/settings.py
+++ b/radishshift/settings.py
@@ -89,6 +89,7 @@
 
     `answer_bytes` bounds one stored answer and `answers_bytes` all of them; `requests`
     bounds the requests in flight and `open_bills` the bills that are not yet settled.
+    `memory_mb` is the memory of the process in MB, 0 for that of the machine.
     """
 
     body_bytes: PositiveCount = 4_000_000
@@ -98,6 +99,7 @@
     connections: PositiveCount = 4_000
     requests: PositiveCount = 2_000
     open_bills: PositiveCount = 50_000
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
 class TimeSettings(Section, frozen=True):
