The ports for peers and metrics of radishshift-entry hold a bounded part of its memory

A peer's message is read before its signature can be checked, up to 8 MB, for any number of senders; heads had 128 fields of 8 KB; connections had no bound at either port.

Both ports use the account of held bytes. The peer port holds three messages of the longest kind at once, 1,000 connections and heads of 16 KB; a message that finds no room gets 503, and heartbeats and calls repeat. The metrics port holds 16 MB and 32 connections; the one that has been idle or silent longest gives way to the next. TLS handshakes at the peer port are bounded as at the callers' port. Gauges tell what is held for callers, and what was ended or rejected for it.

--- a/radishshift/control.py
+++ b/radishshift/control.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+from radishshift.bounded_listening import bounded_listening
+from radishshift.caller_limits import CallerLimits
 from radishshift.clocks import Clock
 from radishshift.configuration import Configuration
 from radishshift.confirmations import (
@@ -13,11 +15,12 @@
     CONFIRMATIONS_DUTY,
     Confirmations,
 )
+from radishshift.connection_bounds import ConnectionBounds
+from radishshift.decisions.held_bytes import REQUEST_BYTES, HeldBytes
 from radishshift.duties import Duties
 from radishshift.following import ConfigurationFollower
 from radishshift.hosts import Host
-from radishshift.http_peers import HttpPeers, make_peer_app
-from radishshift.listening import listening
+from radishshift.http_peers import MAX_MESSAGE_BYTES, HttpPeers, make_peer_app
 from radishshift.peer_messages import load_peer_keys
 from radishshift.peers import MemoryPeers, Peers
 from radishshift.platform import Platform
@@ -27,6 +30,10 @@
 __all__ = ["open_peers", "run_control_plane"]
 
 MAX_PEER_CONNECTIONS = 1_000
+INCOMING_CONNECTIONS = 1_000
+PEER_LIMITS = CallerLimits(head_bytes=16_384, body_bytes=MAX_MESSAGE_BYTES)
+# Most messages are some KB; a table of the configuration may be as long as allowed.
+INCOMING_BYTES = 3 * (MAX_MESSAGE_BYTES + REQUEST_BYTES)
 SHUTDOWN_TIMEOUT_S = 0.5
 PEER_DISCOVERY_S = 3.0
 KEEP_ALIVE_TIMEOUT_S = 60.0
@@ -62,8 +69,11 @@
         )
         app = make_peer_app(peers)
         tls = server_tls_of(cfg.tls.peers)
-        site = listening(
+        site = bounded_listening(
             app,
+            ConnectionBounds(
+                HeldBytes(INCOMING_BYTES), lambda: PEER_LIMITS, INCOMING_CONNECTIONS
+            ),
             cfg.address.ip,
             cfg.address.peer_port,
             tls,
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -337,7 +337,7 @@
         async with (
             load.running(),
             control_plane,
-            serve_monitoring(cfg, clock, router) as monitoring_url,
+            serve_monitoring(cfg, clock, router, connections) as monitoring_url,
             serve_callers(
                 caller_app,
                 connections,
--- a/radishshift/http_peers.py
+++ b/radishshift/http_peers.py
@@ -15,6 +15,7 @@
 import msgspec
 from aiohttp import web
 
+from radishshift.bounded_listening import read_body
 from radishshift.clocks import Clock
 from radishshift.errors import RadishshiftError
 from radishshift.hosts import Host
@@ -25,7 +26,7 @@
 from radishshift.peers import Peers, PeerUnavailableError
 from radishshift.verdicts import Verdict
 
-__all__ = ["HttpPeers", "make_peer_app"]
+__all__ = ["MAX_MESSAGE_BYTES", "HttpPeers", "make_peer_app"]
 
 HEARTBEAT_PATH = "/h"
 CALL_PATH = "/c/"
@@ -218,7 +219,7 @@
 
     async def handle_request(self, request: web.Request) -> web.Response:
         """Verify a request on the peer port and answer it with a signed reply."""
-        body = await request.read()
+        body = await read_body(request)
         signature = request.headers.get(SIGNATURE_HEADER, "")
         sender = self._verify(request.path, signature, body)
         if request.path == HEARTBEAT_PATH:
--- a/radishshift/monitoring.py
+++ b/radishshift/monitoring.py
@@ -6,9 +6,12 @@
 import msgspec
 from aiohttp import web
 
+from radishshift.bounded_listening import bounded_listening
+from radishshift.caller_limits import CallerLimits
 from radishshift.clocks import Clock
+from radishshift.connection_bounds import ConnectionBounds
+from radishshift.decisions.held_bytes import HeldBytes
 from radishshift.indicators import Indicators
-from radishshift.listening import listening
 from radishshift.metrics import Metrics
 from radishshift.observation import Observer
 from radishshift.router import Router
@@ -17,6 +20,9 @@
 __all__ = ["add_health_routes", "build_monitoring_app", "is_ready", "serve_monitoring"]
 
 SHUTDOWN_TIMEOUT_S = 0.5
+CONNECTIONS = 32
+HELD_BYTES = 16_000_000
+LIMITS = CallerLimits(head_bytes=16_384, body_bytes=16_384)
 
 
 def add_health_routes(app: web.Application, ready: Callable[[], bool]) -> None:
@@ -82,19 +88,31 @@
     metrics.add_gauge("catalogue.endpoints", lambda: len(router.catalogue.endpoints))
 
 
+def _add_caller_gauges(metrics: Metrics, callers: ConnectionBounds) -> None:
+    metrics.add_gauge("callers.held_bytes", lambda: callers.held.total)
+    metrics.add_gauge("callers.ended_for_room", lambda: callers.evicted)
+    metrics.add_gauge("callers.rejected_for_memory", lambda: callers.held.rejected)
+
+
 @asynccontextmanager
 async def serve_monitoring(
-    cfg: HostSettings, clock: Clock, router: Router
+    cfg: HostSettings, clock: Clock, router: Router, callers: ConnectionBounds
 ) -> AsyncIterator[str]:
     """Measure a router's requests, serve the monitoring port and yield its base URL."""
     metrics = Metrics(cfg.name, cfg.data_centre)
     indicators = Indicators(cfg.name, clock.now())
     router.observer = Observer(clock, metrics, indicators)
     _add_gauges(metrics, router)
+    _add_caller_gauges(metrics, callers)
     app = build_monitoring_app(metrics, indicators, clock, lambda: is_ready(router))
     address = cfg.address
-    async with listening(
-        app, address.ip, address.metrics_port, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+    bounds = ConnectionBounds(HeldBytes(HELD_BYTES), lambda: LIMITS, CONNECTIONS)
+    async with bounded_listening(
+        app,
+        bounds,
+        address.ip,
+        address.metrics_port,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     ) as url:
         try:
             yield url
