A host's ports for peers, metrics and readiness hold a bounded part of its memory

Cause: these ports used the library's server as it comes: any number of connections, heads of 128 fields of 8 KB, and messages of up to 16 MB, each held until its sender sees fit to end it.

They use the account of held bytes now, each port its own. The peer port takes two messages of the longest kind at once, and a quarter of `maxFds` as connections (128 to 1,024); readiness 32 connections and metrics 16. A message that finds no room gets 503; a relay order that is refused so counts as one that may have run, as before with any status but 400. A message of 16 MB passes (a test).

--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -23,6 +23,11 @@
 from radishshift.errors import SettingsError
 from radishshift.gateway.background import BackgroundTasks
 from radishshift.gateway.blocked_part_duty import BlockedPartDuty
+from radishshift.gateway.bounded_ports import (
+    BoundedPort,
+    peer_connections,
+    port_bounds,
+)
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.endpoint_permits import ENDED_PATH as PERMIT_ENDED_PATH
 from radishshift.gateway.endpoint_permits import PATH as PERMIT_PATH
@@ -78,6 +83,11 @@
 CLEANUP_INTERVAL_S = 1.0
 
 _DEFAULT_LIMITS = CallerLimits()
+MESSAGES_AT_ONCE = 2  # of the longest, to the peer port
+QUESTION_BYTES = 1 << 16
+QUESTIONS_AT_ONCE = 64
+READY_CONNECTIONS = 32
+METRICS_CONNECTIONS = 16
 
 logger = logbook.Logger("program")
 
@@ -365,18 +375,24 @@
             lambda: self.stopping,
             self.caller_bounds,
         )
-        self._peer_server = web.Server(
+        self._peer_server = BoundedPort(
             self._answer_peer,
+            port_bounds(
+                MAX_MESSAGE_BYTES, MESSAGES_AT_ONCE, peer_connections(settings.max_fds)
+            ),
             request_factory=request_factory(MAX_MESSAGE_BYTES),
             handler_cancellation=True,
-            access_log=None,
         )
         servers = {
-            settings.ready_address: web.Server(
-                self._adapter.make_ready_handler(self.ready), access_log=None
+            settings.ready_address: BoundedPort(
+                self._adapter.make_ready_handler(self.ready),
+                port_bounds(QUESTION_BYTES, QUESTIONS_AT_ONCE, READY_CONNECTIONS),
             ),
             settings.peer_address: self._peer_server,
-            settings.metrics_address: web.Server(self._metrics, access_log=None),
+            settings.metrics_address: BoundedPort(
+                self._metrics,
+                port_bounds(QUESTION_BYTES, QUESTIONS_AT_ONCE, METRICS_CONNECTIONS),
+            ),
             settings.caller_address: self._caller_server,
         }
         loop = asyncio.get_running_loop()
--- a/radishshift/gateway/peer_calls.py
+++ b/radishshift/gateway/peer_calls.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from radishshift import http_server as web
+from radishshift.gateway.bounded_ports import read_message
 from radishshift.gateway.sockets import read_body
 from radishshift.json_entries import decode_struct
 
@@ -107,7 +108,7 @@
     `by_entry` is that of `call_peer`, for the message.
     """
     with receiving(request.content_length or 0):
-        body = await request.read()
+        body = await read_message(request)
     try:
         message = _decode(body, message_type, by_entry)  # decompressed by the server
     except (msgspec.DecodeError, RecursionError) as exc:
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -19,6 +19,7 @@
     RadishshiftError,
 )
 from radishshift.gateway.attempts import Attempt
+from radishshift.gateway.bounded_ports import read_message
 from radishshift.gateway.deployment import RouteKind
 from radishshift.gateway.dispatch import Dispatcher
 from radishshift.gateway.jobs import Job
@@ -78,7 +79,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Relay the attempt of a request; a malformed one gets status 400."""
         try:
-            order = decode_message(await request.read(), RelayOrder)
+            order = decode_message(await read_message(request), RelayOrder)
             job = order.job(self._clock.now())
         except ValueError as exc:
             logger.warning("malformed relay order: {}", exc)
