A relay order that the peer had no room for has not run

A peer's port refuses what it has no room for with 503, 408 or 413 before it has read the order, and its own errors come with status 200 or 500. The sender took these for an order that may have run, so that callers of unsafe requests got 502; now another way is tried.

--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -47,6 +47,9 @@
 MAX_HEAD_BYTES = 1 << 16
 MAX_REPLY_BYTES = 5_000_000  # the longest answer of an endpoint, with its heads
 HELPER_PAUSE_S = 1.0  # after a peer failed or declined
+# The order is of a form that the peer doesn't know, as that of an earlier release, or
+# it had no room for it, so that it never had the whole of it.
+NOT_READ_STATUSES = frozenset((400, 408, 413, 503))
 
 logger = logbook.Logger("relay")
 
@@ -317,7 +320,6 @@
 
 def _error_of_status(host: str, status: int) -> EndpointError:
     """Return the error for a status other than 200, with which no head comes."""
-    if status == 400:
-        # The order could not be read, as by a host of an earlier release.
-        return HelperUnavailableError(f"host {host} can't read the order")
+    if status in NOT_READ_STATUSES:
+        return HelperUnavailableError(f"host {host} can't read the order: {status}")
     return EndpointError(f"host {host} failed with status {status}")
