--- a/radishshift/bounded_server.py
+++ b/radishshift/bounded_server.py
@@ -51,6 +51,8 @@
     ----------
     progress : Progress or None
         Progress of the body, head or answer that is on its way.
+    hold : RequestHold or None
+        What the request in work holds.
     """
 
     def __init__(
@@ -80,7 +82,7 @@
         self._ahead_bytes = 0
         self._unread_bytes = 0
         self._unsent_bytes = 0
-        self._hold: RequestHold | None = None
+        self.hold: RequestHold | None = None
         self.progress: Progress | None = None
         self._progress_of = ""
 
@@ -242,7 +244,7 @@
 
     def evict(self) -> None:
         """End the connection, and release what it holds."""
-        hold = self._hold
+        hold = self.hold
         if hold is not None and hold.reading:
             hold.give_up()
         elif self._progress_of == "head":
@@ -260,11 +262,11 @@
             self._unread_bytes = 0
         most = BODY_RECEIVE_BYTES + self._unread_bytes if self._messages else 0
         self._set_ahead(min(self._ahead_bytes, most))
-        self._hold = hold
+        self.hold = hold
 
     def ended(self, request: web.BaseRequest) -> None:
         """Record that a request has ended, whose answer may not have left yet."""
-        self._hold = None
+        self.hold = None
         if self.transport is None:
             return
         self._set_unsent(self.transport.get_write_buffer_size())
--- a/radishshift/gateway/bounded_ports.py
+++ b/radishshift/gateway/bounded_ports.py
@@ -16,7 +16,6 @@
 
 __all__ = ["BoundedPort", "peer_connections", "port_bounds", "read_message"]
 
-HOLD = "radishshift.hold"
 MIN_PEER_CONNECTIONS = 128
 MAX_PEER_CONNECTIONS = 1024
 # A message over the smallest link of a deployment, 5 Mbit/s, shared with four others.
@@ -58,11 +57,11 @@
     ------
     OverloadedError, RequestTimeoutError, TooLargeError
     """
-    hold = request.get(HOLD)
-    if hold is None:
+    conn = getattr(request, "protocol", None)
+    if not isinstance(conn, BoundedHandler):
         return await request.read()
     stated = request.content_length or 0
-    return await hold.read_body(MAX_PAUSE_S + stated / MIN_BYTES_PER_S)
+    return await conn.hold.read_body(MAX_PAUSE_S + stated / MIN_BYTES_PER_S)
 
 
 class _PortHandler(BoundedHandler):
@@ -98,12 +97,8 @@
         return _PortHandler(self._bounds, self, self._kwargs | options)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        async with RequestHold(self._bounds, request) as hold:
-            request[HOLD] = hold
+        async with RequestHold(self._bounds, request):
             try:
                 return await self._bounded(request)
             except (OverloadedError, RequestTimeoutError, TooLargeError) as exc:
                 return web.Response(status=exc.status)
-            finally:
-                # The two refer to each other; as garbage they would wait.
-                del request[HOLD]
