--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -524,7 +524,7 @@
         job.used_endpoints.append(member.name)
 
 
-def _connection_state(exc: EndpointError) -> dict[str, int | bool]:
+def _connection_state(exc: EndpointError) -> dict[str, int]:
     """Return what the log says of the connection that carried a failed attempt."""
     return {} if exc.connection is None else asdict(exc.connection)
 
