--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -583,8 +583,11 @@
             await asyncio.sleep(1.2)
             if replica.state == "gone":
                 return
-            if replica.name in self.store.objects.get("servers", {}):
-                self.store.put("servers", replica.name, replica.entry())
+            known = self.store.objects.get("servers", {}).get(replica.name)
+            entry = replica.entry()
+            # The entry changes when more than `seqNo` changes.
+            if known and known["spec"] | {"seqNo": entry["seqNo"]} != entry:
+                self.store.put("servers", replica.name, entry)
 
     async def start(self) -> None:
         """Start the store and the hosts; return once all are ready."""
@@ -792,11 +795,16 @@
             world.note(f"the case could not run: {exc!r}")
             verdict = 2
         finally:
-            await world.close()
+            with suppress(Exception):
+                await world.close()
         world.note(f"exit {verdict}")
         return verdict
 
-    verdict = asyncio.run(run())
+    try:
+        verdict = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as exc:
+        world.note(f"the case could not run: {exc!r}")
+        verdict = 2
     (folder / "record.txt").write_text("\n".join(world.lines) + "\n")
     print("\n".join(world.lines[-25:]))
     sys.exit(verdict)
