Clients: an answer without a length that a reset cuts is not whole

What callers saw: an endpoint answered a long upload at once with 200 and no length, sent 11 bytes and reset the connection; the caller got them as a whole answer with a length (MIXED).

Cause: the library ends a body without a length wherever its connection ends. The answer asked the protocol for its error when it read that end. By then the task that wrote the upload, cancelled at the end of the body, had closed the connection, and closing clears the error (traced: connection_lost with ConnectionResetError, then close() by write_bytes, then the read of the end). Bodies with a length or chunks were not affected. Two more ways to the same: `Transfer-Encoding: identity`, which the answer took for framed, and a body that this host ends itself, by closing the connections to a removed endpoint.

Ruled out: that a late reader is enough. With the upload read, it found the error after 0.1 s as well.

Change: the connection decides, which alone sees how it ends: such a body ends where the server has ended its side; a reset, or an end by this side, is an error of the body.

--- a/radishshift/burn.py
+++ b/radishshift/burn.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from radishshift.catalogue import Catalogue, VersionState
+from radishshift.http_client import checked_connector
 from radishshift.indicators import WINDOWS, Aspect, IndicatorReport, Window
 from radishshift.tables import format_table
 
@@ -212,7 +213,9 @@
 ) -> tuple[list[IndicatorReport], list[str]]:
     """Fetch the counts of hosts; return the reports and the addresses that failed."""
     timeout = aiohttp.ClientTimeout(total=GATHER_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with aiohttp.ClientSession(
+        connector=checked_connector(), timeout=timeout
+    ) as session:
         fetches = [_fetch_report(session, address) for address in addresses]
         replies = await asyncio.gather(*fetches, return_exceptions=True)
     reports = [reply for reply in replies if isinstance(reply, IndicatorReport)]
--- a/radishshift/control.py
+++ b/radishshift/control.py
@@ -20,6 +20,7 @@
 from radishshift.duties import Duties
 from radishshift.following import ConfigurationFollower
 from radishshift.hosts import Host
+from radishshift.http_client import checked_connector
 from radishshift.http_peers import MAX_MESSAGE_BYTES, HttpPeers, make_peer_app
 from radishshift.peer_messages import load_peer_keys
 from radishshift.peers import MemoryPeers, Peers
@@ -57,7 +58,7 @@
     keys = load_peer_keys(cfg.peers.key_file)
     client_tls = client_tls_of(cfg.tls.to_peers)
     async with AsyncExitStack() as stack:
-        connector = aiohttp.TCPConnector(
+        connector = checked_connector(
             limit=MAX_PEER_CONNECTIONS,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
             ssl=context_of(client_tls),
--- a/radishshift/engine_connections.py
+++ b/radishshift/engine_connections.py
@@ -6,8 +6,6 @@
 its `X-Request-Id`, which is new for each attempt, and is no refusal.
 """
 
-import asyncio
-import functools
 import ssl
 
 import aiohttp
@@ -16,6 +14,7 @@
     IdentifiedRequest,
     WatchfulResponseHandler,
 )
+from radishshift.http_client import checked_connector
 
 __all__ = ["EngineRequest", "engine_connector"]
 
@@ -40,9 +39,4 @@
 
 def engine_connector(ssl_context: ssl.SSLContext | bool = True) -> aiohttp.TCPConnector:
     """Return a pool of connections that are used again after proven answers alone."""
-    connector = aiohttp.TCPConnector(limit=0, ssl=ssl_context)
-    # The library has no option for the class of its protocol.
-    connector._factory = functools.partial(
-        _ResponseHandler, loop=asyncio.get_running_loop()
-    )
-    return connector
+    return checked_connector(_ResponseHandler, limit=0, ssl=ssl_context)
--- a/radishshift/engines.py
+++ b/radishshift/engines.py
@@ -25,6 +25,7 @@
     StreamBrokenError,
     StreamStalledError,
 )
+from radishshift.http_client import checked_connector
 from radishshift.pump import StreamPump
 from radishshift.requests import ModelRequest, ServiceCall, prefix_digest
 from radishshift.verdicts import Verdict
@@ -407,9 +408,7 @@
     ssl_context: ssl.SSLContext | bool = True,
 ) -> AsyncIterator[HttpEngineClient]:
     """Yield a client of endpoints that has its own connections."""
-    unpooled_connector = aiohttp.TCPConnector(
-        limit=0, force_close=True, ssl=ssl_context
-    )
+    unpooled_connector = checked_connector(limit=0, force_close=True, ssl=ssl_context)
     async with (
         aiohttp.ClientSession(
             connector=engine_connector(ssl_context),
--- a/radishshift/entry.py
+++ b/radishshift/entry.py
@@ -30,6 +30,7 @@
 from radishshift.evidence_pool import EvidencePool
 from radishshift.guard_pool import GuardPool
 from radishshift.guarded_platform import GuardedPlatform
+from radishshift.http_client import checked_connector
 from radishshift.http_platform import HttpPlatform
 from radishshift.in_flight import InFlightRequest
 from radishshift.kv_moves import KvMover
@@ -198,7 +199,7 @@
 
 
 def _platform_session(tls: ClientTls | None) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, ssl=context_of(tls))
+    connector = checked_connector(limit=0, ssl=context_of(tls))
     return aiohttp.ClientSession(connector=connector)
 
 
--- a/radishshift/explain_command.py
+++ b/radishshift/explain_command.py
@@ -9,6 +9,7 @@
 
 from radishshift.errors import SettingsError
 from radishshift.gateway.explanations import PATH, Explanation, Question
+from radishshift.http_client import checked_connector
 from radishshift.platform import Platform
 from radishshift.tables import format_table
 from radishshift.validation import read_commented_json, read_text_file
@@ -131,7 +132,9 @@
     path, *addresses = args
     question = read_question(path)
     timeout = aiohttp.ClientTimeout(total=FLAGS.timeout_s)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with aiohttp.ClientSession(
+        connector=checked_connector(), timeout=timeout
+    ) as session:
         replies = await asyncio.gather(
             *(ask_host(session, address, question) for address in addresses)
         )
--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -5,10 +5,11 @@
 
 import aiohttp
 import logbook
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from radishshift.http_client import CheckedResponseHandler
+
 __all__ = [
     "BoundedResponseHandler",
     "ConnectionUse",
@@ -53,7 +54,7 @@
     requests_before: int
 
 
-class WatchfulResponseHandler(ResponseHandler):
+class WatchfulResponseHandler(CheckedResponseHandler):
     """Keeps bytes that belong to no response from the next request.
 
     The library would take them, such as a second copy of an answer, for the response to
--- a/radishshift/gateway/sockets.py
+++ b/radishshift/gateway/sockets.py
@@ -11,6 +11,7 @@
 
 from radishshift import http_server as web
 from radishshift.gateway.client_connections import BoundedResponseHandler
+from radishshift.http_client import CheckedResponseHandler, checked_connector
 
 __all__ = [
     "enable_keepalive",
@@ -111,18 +112,17 @@
         closed.
     request_class : type, optional
     """
-    connector = aiohttp.TCPConnector(
+    handler = CheckedResponseHandler
+    if max_bytes is not None:
+        handler = functools.partial(BoundedResponseHandler, *max_bytes)
+    connector = checked_connector(
+        handler,
         limit=0,
         keepalive_timeout=idle_s,
         socket_factory=_open_socket,
         resolver=aiohttp.ThreadedResolver(loop=asyncio.get_running_loop()),
         use_dns_cache=False,
     )
-    if max_bytes is not None:
-        # The library has no option for the class of its protocol.
-        connector._factory = functools.partial(
-            BoundedResponseHandler, *max_bytes, loop=asyncio.get_running_loop()
-        )
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/radishshift/platform_access.py
+++ b/radishshift/platform_access.py
@@ -7,6 +7,7 @@
 import aiohttp
 from absl import app, flags
 
+from radishshift.http_client import checked_connector
 from radishshift.http_platform import HttpPlatform
 from radishshift.platform import Platform
 from radishshift.tls import ClientTls, KeyFiles, context_of
@@ -55,6 +56,6 @@
         token = read_text_file(FLAGS.token_file).strip()
         headers["Authorization"] = f"Bearer {token}"
     tls = ClientTls(KeyFiles(ca_file=FLAGS.ca_file)) if FLAGS.ca_file else None
-    connector = aiohttp.TCPConnector(ssl=context_of(tls))
+    connector = checked_connector(ssl=context_of(tls))
     async with aiohttp.ClientSession(connector=connector, headers=headers) as session:
         yield HttpPlatform(session, address, writer, call_timeout_s)
--- a/radishshift/ratings.py
+++ b/radishshift/ratings.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from radishshift.clocks import Clock
+from radishshift.http_client import checked_connector
 
 __all__ = ["AnswerToRate", "Ratings", "RatingsClient", "open_ratings"]
 
@@ -247,7 +248,7 @@
         yield Ratings()
         return
     # A score bears nothing of its answer, so no connection carries a second one.
-    connector = aiohttp.TCPConnector(force_close=True)
+    connector = checked_connector(force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         client = RatingsClient(session, clock, address, asker, score_timeout_s)
         task = asyncio.create_task(client.fetch_periodically(period_s))
