Clients: a head with a blank in a name, or before it, is no answer

What callers saw: a line `Connection : close`, `Upgrade : x` or `Transfer-Encoding : chunked` of an endpoint passed on with status 200; the text of a line that begins with a blank joined to the value before it, such as the signature; and, where that line was ` Transfer-Encoding: chunked`, the frame of the chunks as the body (MIXED).

Cause: the library's parser of responses is lenient unless its debugging mode is on. It takes a blank after the names that llhttp knows for a part of the name, and joins lines that begin with one. The parsed head tells nothing of a joined line, and which lines pass depends on the parser that is installed (the one in Python refuses the first kind).

Ruled out: the debugging mode, a variable of the process, which also refuses sound answers (lines that end without a carriage return, `Server` twice).

--- a/radishshift/gateway/client_connections.py
+++ b/radishshift/gateway/client_connections.py
@@ -119,10 +119,6 @@
     def _response_ended(self) -> None:
         self._ended = True
 
-    def _is_final(self, message: RawResponseMessage) -> bool:
-        """Return whether no other response to the request follows this one."""
-        return message.code >= 200
-
     def _is_own(self, message: RawResponseMessage) -> bool:
         """Return whether a response repeats the ID of the request, if it must."""
         if not self._id_header:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,4 +1,4 @@
-"""Tests of clients whose servers break off a response."""
+"""Tests of clients whose servers break off a response, or send a malformed one."""
 
 from radishshift.clocks import SystemClock
 from radishshift.endpoints import Endpoint
@@ -74,3 +74,28 @@
         for method in (self._call, self._stream, self._resume):
             body = await self._answer(method, OK + UNFRAMED, Ending.CLOSE)
             self.assertEqual(PART, body)
+
+
+class MalformedHeadsTest(EngineClientTestCase):
+    async def _assert_refused(self, answer):
+        for method in (self._call, self._stream, self._resume):
+            exc = await self.assert_raises_async(
+                EndpointError, self._answer(method, answer, Ending.CLOSE)
+            )
+            self.assertIs(Verdict.MAY_HAVE_RUN, exc.verdict)
+
+    async def test_a_head_with_a_malformed_name_is_no_answer(self):
+        """The frame of chunks was taken for the body."""
+        chunks = b"\r\n\r\nc\r\n%b\r\n0\r\n\r\n" % PART
+        for line in (
+            b"Connection : close",
+            b"X Odd: 1",
+            b" X-Odd: 1",
+            b" Transfer-Encoding: chunked",
+            b"Transfer-Encoding : chunked",
+        ):
+            await self._assert_refused(OK + line + chunks)
+
+    async def test_a_status_below_100_is_no_answer(self):
+        for status in (b"000", b"001", b"099"):
+            await self._assert_refused(OK.replace(b"200", status) + UNFRAMED)
