Clients: a head with a control character in a value is no answer

What callers saw: an endpoint answered with a control character (0x01, 0x7F) in the value of a header; the caller's connection was closed without an answer, and a lookup was not tried elsewhere.

Cause: the library's parser keeps such values, its writer of responses refuses them. So the answer was believed, and failed where it was passed on, too late for another attempt.

Change: the check of heads refuses them as it does malformed names. Bytes from 0x80 on pass as before.

--- a/radishshift/response_heads.py
+++ b/radishshift/response_heads.py
@@ -3,7 +3,8 @@
 What a router passes on, or takes for the length of a body, must mean the same to all
 who read it. Parsers of clients are lenient: they take a blank before the colon for a
 part of the name, and join a line that begins with a blank to the value before. A proxy
-may do neither (RFC 9112, sections 5.1 and 5.2).
+may do neither (RFC 9112, sections 5.1 and 5.2). They also keep control characters in a
+value, which no server may send on (RFC 9110, section 5.5).
 """
 
 import re
@@ -14,7 +15,9 @@
 
 # Servers may send empty lines before a response.
 _STATUS_LINE = re.compile(rb"(?:\r?\n)*[^\r\n][^\n]*\n")
-_HEADERS = re.compile(rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\n]*\n)*")
+_HEADERS = re.compile(
+    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r?\n)*"
+)
 _EMPTY_LINE = re.compile(rb"\r?\n")
 
 
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -25,6 +25,12 @@
     b": b",
     b"A",
     b"\rA: b",
+    b"A:\x01",
+    b"A: b\x00",
+    b"A: b\x1fc",
+    b"A: b\x7f",
+    b"A: b\rc",
+    b"A: b\r\r",
 )
 
 
