Stores and ratings: a status below 100 is no success

What was seen: a deletion or an update that the users' store, or the object API of `radishshift-entry`, answered with status 000 counted as done, and a score with that status as given. No caller's answer depends on it directly.

Cause: replies below 400 (ratings: below 300) counted as successes. Endpoints, engines and services were handled already: their statuses below 200 fail the attempt.

Change: 200 to 299 is a success; everything else is an error, for a write one that may have taken effect.

--- a/radishshift/http_platform.py
+++ b/radishshift/http_platform.py
@@ -233,7 +233,7 @@
                 self._session.request(method, self._base_url + path, data=data) as resp,
             ):
                 reply = await resp.read()
-                if resp.status >= 400:
+                if not 200 <= resp.status < 300:
                     raise _error_from_response(resp.status, reply)
                 return reply
         except aiohttp.ClientConnectorError as exc:
--- a/radishshift/ratings.py
+++ b/radishshift/ratings.py
@@ -215,7 +215,7 @@
                     method, self._address + path, data=data, headers=headers
                 ) as resp,
             ):
-                if resp.status >= 300:
+                if not 200 <= resp.status < 300:
                     self._mark_unavailable(f"status {resp.status}")
                     return None
                 return await resp.read()
--- a/tests/test_http_platform.py
+++ b/tests/test_http_platform.py
@@ -9,6 +9,7 @@
 from radishshift.objects import Kind, StoredObject
 from radishshift.verdicts import Verdict
 from tests.cases import TestCase
+from tests.raw_endpoints import RawEndpoint
 
 REPLIES = (
     b"{",
@@ -49,3 +50,23 @@
             verdicts = await self._errors(reply)
             self.assertEqual(3, len(verdicts), reply)
             self.assertEqual(Verdict.MAY_HAVE_RUN, verdicts[1], reply)
+
+
+class StatusTest(TestCase):
+    async def test_a_status_below_100_is_no_reply(self):
+        """A deletion that the platform answered 000 counted as done."""
+        body = b'{"metadata": {"name": "x", "resourceVersion": "2"}}'
+        item = StoredObject(Kind.ENTRY, "x", revision=1)
+        for status in (b"000", b"099"):
+            head = b"HTTP/1.1 %b x\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+            async with (
+                RawEndpoint(head + body).listening() as server,
+                aiohttp.ClientSession() as session,
+            ):
+                platform = HttpPlatform(session, f"http://{server.address}", "e", 1.0)
+                for call in (
+                    platform.get(Kind.ENTRY, "x"),
+                    platform.update(item),
+                    platform.delete(Kind.ENTRY, "x", 1),
+                ):
+                    await self.assert_raises_async(PlatformUnavailableError, call)
--- a/tests/test_ratings.py
+++ b/tests/test_ratings.py
@@ -58,3 +58,13 @@
                 )
             await ratings.fetch()
         self.assertEqual([("uyole-ring", 0.2), ("igurusi-ring", 0.8)], received)
+
+    async def test_a_status_below_100_gives_no_score(self):
+        endpoint = RepeatingEndpoint([answer("000", '{"score": 0.9}')])
+        async with (
+            endpoint.listening() as service,
+            ratings_of(service.address) as ratings,
+        ):
+            deadline = SystemClock().now() + TIMEOUT_S
+            score = await ratings.score(answer_to_rate("uyole-ring"), deadline)
+        self.assertIsNone(score)
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -23,6 +23,7 @@
 )
 from radishshift.verdicts import Verdict
 from tests.cases import TestCase
+from tests.raw_endpoints import RawEndpoint
 from tests.users_platform.served import running_platform
 
 
@@ -268,3 +269,21 @@
                 store.era = era
                 listing = await client.list_all(Kind.ENDPOINT)
                 self.assertEqual(2, era_of(listing.revision))
+
+
+class StatusTest(TestCase):
+    async def test_a_status_below_100_is_no_reply(self):
+        """A deletion that the store answered 000 counted as done."""
+        body = b'{"metadata": {"name": "x", "revision": 2}, "spec": {}}'
+        item = StoredObject(Kind.LEASE, "x", revision=1)
+        for status in (b"000", b"099"):
+            head = b"HTTP/1.1 %b x\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+            async with RawEndpoint(head + body).listening() as store:
+                client = StorePlatform(store.address)
+                for call in (
+                    client.get(Kind.LEASE, "x"),
+                    client.update(item),
+                    client.delete(Kind.LEASE, "x", 1),
+                ):
+                    await self.assert_raises_async(PlatformUnavailableError, call)
+                await client.close()
