--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -83,7 +83,7 @@
         if self._ends_after_s:
             await asyncio.sleep(self._ends_after_s)
         if self._ending is Ending.RESET:
-            reset(writer.transport)
+            _reset(writer.transport)
         return False
 
 
@@ -94,7 +94,7 @@
     return 0
 
 
-def reset(transport):
+def _reset(transport):
     """Close a connection with a TCP reset."""
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
