Clients: carriage returns before a response don't hide its head

Found in the last reading of the change: the parser skips single carriage returns before a status line, the check of heads did not, and so never saw the head begin. A malformed head after one passed as before the check. The check skips what the parser skips now; and where the parser completes a head that the check has not, the response is refused, so that the two can't disagree unnoticed.

The stand-in's pause before the end of a connection, which no test used, is gone.

--- a/radishshift/http_client.py
+++ b/radishshift/http_client.py
@@ -45,6 +45,9 @@
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Take a complete head with its payload."""
+        if not self._final and not self._head.complete:
+            self._refuse(b"")  # the parser sees the end of the head too early
+            return
         self._message, _ = data
         # The payload may be an empty one in place of what the parser reads.
         self._body = self._payload
@@ -91,7 +94,7 @@
         if self._message is not None:
             return end
         if self._exception is None:
-            self._refuse(b"")  # the parser sees no end of the head
+            self._refuse(b"")  # the parser does not see its end
         return len(data)
 
     def _possible_body_end(self, data: bytes, start: int) -> int:
--- a/radishshift/response_heads.py
+++ b/radishshift/response_heads.py
@@ -14,7 +14,7 @@
 MAX_QUOTED_BYTES = 80  # of a malformed line, in an error
 
 # Servers may send empty lines before a response.
-_STATUS_LINE = re.compile(rb"(?:\r?\n)*[^\r\n][^\n]*\n")
+_STATUS_LINE = re.compile(rb"[\r\n]*[^\r\n][^\n]*\n")
 _HEADERS = re.compile(
     rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r?\n)*"
 )
--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -27,8 +27,6 @@
     ending : Ending
     reads_body : bool
         Whether it reads the body, which must have a length, before it answers.
-    ends_after_s : float
-        Time from the answer to the end of the connection, in seconds.
 
     Attributes
     ----------
@@ -38,13 +36,12 @@
         Heads of the requests, in their order.
     """
 
-    def __init__(self, answer, ending=Ending.KEEP, reads_body=True, ends_after_s=0.0):
+    def __init__(self, answer, ending=Ending.KEEP, reads_body=True):
         self.address = ""
         self.heads = []
         self._answer = answer if callable(answer) else lambda head: answer
         self._ending = ending
         self._reads_body = reads_body
-        self._ends_after_s = ends_after_s
         self._serving = set()
 
     @asynccontextmanager
@@ -80,8 +77,6 @@
         writer.write(self._answer(head))
         if self._ending is Ending.KEEP:
             return True
-        if self._ends_after_s:
-            await asyncio.sleep(self._ends_after_s)
         if self._ending is Ending.RESET:
             _reset(writer.transport)
         return False
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -46,7 +46,7 @@
 class HeadCheckTest(TestCase):
     def test_a_sound_head_ends_with_its_empty_line(self):
         for lines in SOUND:
-            for before in (b"", b"\r\n", b"\n\r\n"):
+            for before in (b"", b"\r\n", b"\n\r\n", b"\r"):
                 head = before + STATUS + lines
                 check = HeadCheck()
                 self.assertEqual(len(head), check.feed(head + b"A : b\r\n"))
@@ -79,6 +79,10 @@
                     exc = self.assertRaises(MalformedHeadError, HeadCheck().feed, head)
                     self.assertEqual(line + end, exc.line)
                     self.assertRaises(MalformedHeadError, fed_bytewise, head)
+                    for empty in (b"\r", b"\n", b"\r\r\n"):
+                        self.assertRaises(
+                            MalformedHeadError, HeadCheck().feed, empty + head
+                        )
 
     def test_an_error_quotes_the_beginning_of_a_line(self):
         head = STATUS + b" " + b"a" * 5000 + b"\r\n"
--- a/tests/users_platform/test_malformed_heads.py
+++ b/tests/users_platform/test_malformed_heads.py
@@ -74,6 +74,12 @@
             for lines in (line + b"\r\n" + SIGNED, SIGNED + line + b"\r\n"):
                 await self._assert_refused(OK + SHORT + lines + b"\r\nhello")
 
+    async def test_a_malformed_head_after_empty_lines_is_no_answer(self):
+        for empty in (b"\r\n", b"\n", b"\r", b"\r\r\n"):
+            for line in (b"Connection : close", b" X-Odd: 1"):
+                head = empty + OK + SHORT + SIGNED + line
+                await self._assert_refused(head + b"\r\n\r\nhello")
+
     async def test_a_control_character_in_a_value_is_no_answer(self):
         for line in VALUES:
             for lines in (line + b"\r\n" + SIGNED, SIGNED + line + b"\r\n"):
