Tests: a pause of the process is no verdict of an earlier attempt

Cause, traced: the test's hosts give an attempt up after 0.2 s without bytes. Where the process stands still for longer before an engine refuses, the attempt ends as one that may have run, which is true and allowed, while the test takes "no engine ran it" for "not run".

The test is about crashes and refusals, so its host now gives up after 30 s of silence; with the pause it passes. It is as strict: where an attempt's verdict replaces that of earlier ones, it fails as before.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,10 +4,13 @@
 import time
 
 import msgspec
+from msgspec.structs import replace
 
 from tests.cases import TestCase
-from tests.served import served
+from tests.served import FAST, served
 
+# For tests that a pause of the process must not end: silence counts only after long.
+PATIENT = replace(FAST, stream_idle_s=30.0)
 WORDS = "".join(f"word{number} " for number in range(6))
 
 
@@ -99,7 +102,7 @@
 
         The error then said not-run although the request may have run.
         """
-        async with served() as entry:
+        async with served(PATIENT) as entry:
             entry.set_faults(refuse=True)
             entry.engines[0].faults = type(entry.engines[0].faults)(crash_on="Hello")
             ran = entry.engines[0].ran
