--- /dev/null
+++ b/review/common-3/poison.py
@@ -0,0 +1,214 @@
+"""A request that crashes the replicas which run it, beside sound streams."""
+
+import asyncio
+import random
+import socket
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from world import (
+    Channel,
+    Host,
+    Record,
+    Request,
+    Server,
+    Store,
+    base_config,
+    route,
+    trouble,
+)
+
+__all__ = ["Terms", "poison_case"]
+
+DOWN_S = 2.5  # "the replica is back after some seconds"
+TRAFFIC_S = 40.0
+CONTACT_S = 3.0
+EVENT_S = 0.1
+POISON_EVENTS = 150
+POISON = "/season-plan/poison"
+RULE_MOST = 3
+
+
+@dataclass(frozen=True)
+class Terms:
+    """What differs between the cases.
+
+    Attributes
+    ----------
+    crash_after_s : float
+        Time after which a replica crashes that has begun to run the poison.
+    sound_per_s : float
+        Sound streams a second.
+    sound_parts : int
+        Parts of the prompt of a sound stream.
+    sound_events : int
+    poison_every_s : float
+        Pause after which the poison comes again.
+    hosts, replicas : int
+    """
+
+    crash_after_s: float
+    sound_per_s: float
+    sound_parts: int
+    sound_events: int
+    poison_every_s: float = 3.0
+    hosts: int = 2
+    replicas: int = 6
+
+
+class Replica(Server):
+    """A replica that crashes while it runs the poison, and comes back."""
+
+    def __init__(self, name: str, store: Store, record: Record, terms: Terms) -> None:
+        super().__init__(name, "mkulima-llm", self.stream)
+        self._terms = terms
+        self._store = store
+        self._record = record
+        self._restart: asyncio.Task | None = None
+        self.poison_at: list[float] = []
+        self.crashed_at: list[float] = []
+
+    async def stream(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        """Answer with a stream."""
+        poison = request.target == POISON
+        if poison:
+            self.poison_at.append(time.monotonic())
+            self._record.add(f"replica {self.name} runs the poison")
+            if trouble():
+                loop = asyncio.get_running_loop()
+                loop.call_later(self._terms.crash_after_s, self.crash)
+        lines = ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        writer.write(self.head(request, *lines))
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        last = POISON_EVENTS if poison else self._terms.sound_events
+        for number in range(first, last + 1):
+            event = f"id: {number}\ndata: tokens\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
+
+    def crash(self) -> None:
+        """End all channels and refuse new ones, until the replica is back."""
+        if self._listener is None:
+            return
+        self.crashed_at.append(time.monotonic())
+        self._record.add(f"replica {self.name} crashes")
+        self._listener.close()
+        self._listener = None
+        for task in list(self._tasks):
+            task.cancel()
+        self._restart = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        ip, port = self.address.split(":")
+        # Bound without listening: connections are refused, nobody takes the port.
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((ip, int(port)))
+        await asyncio.sleep(DOWN_S)
+        sock.close()
+        self.born = round(time.time() * 1000)
+        self._listener = await asyncio.start_server(self._serve, ip, int(port))
+        self._store.register(self)
+
+    async def stop(self) -> None:
+        """Stop for good."""
+        if self._restart is not None:
+            self._restart.cancel()
+        if self._listener is not None:
+            await super().stop()
+
+
+async def send(host: Host, target: str, counts: dict[str, int], terms: Terms) -> None:
+    """Send one stream over a new channel, as any of many consumers."""
+    poison = target == POISON
+    parts = "5c1e07a2:800,91bd3f06:410,e4402b7d:250"
+    if not poison:
+        count = terms.sound_parts - 2
+        own = [f"{random.getrandbits(32):08x}:{410 // count}" for _ in range(count)]
+        parts = ",".join(["5c1e07a2:800", *own, "e4402b7d:250"])
+    channel = Channel(host)
+    await channel.open()
+    channel.send(
+        "POST",
+        target,
+        f"{random.getrandbits(64):016x}",
+        b"the same body",
+        X_Model="daka510000",
+        X_Token_Usage="1460,80",
+        X_Prefix_Hash=parts,
+        X_Deadline_Ms="25000",
+    )
+    answer = await channel.receive()
+    channel.close()
+    outcome = f"{answer.status}{'' if answer.complete else ' cut'}"
+    name = f"{'poison' if poison else 'sound stream'}: {outcome}"
+    counts[name] = counts.get(name, 0) + 1
+
+
+async def poison_case(record: Record, terms: Terms) -> int:
+    """Run a case; return the exit code."""
+    random.seed(73)
+    store = Store()
+    await store.start(base_config([route("season-plan", "streaming", "mkulima-llm")]))
+    replicas = [
+        Replica(f"i-{n:08x}", store, record, terms) for n in range(terms.replicas)
+    ]
+    for replica in replicas:
+        await replica.start()
+        store.register(replica)
+    counts: dict[str, int] = {}
+    with tempfile.TemporaryDirectory() as folder:
+        hosts = [
+            Host(f"edge-mbeya-{number}", store.address, Path(folder))
+            for number in range(1, terms.hosts + 1)
+        ]
+        try:
+            for host in hosts:
+                host.start([each.peer_address for each in hosts])
+            for host in hosts:
+                await host.until_ready()
+            await asyncio.sleep(CONTACT_S + 0.5)
+            await _play(hosts, counts, terms)
+        finally:
+            for host in hosts:
+                await host.stop()
+            for replica in replicas:
+                await replica.stop()
+            await store.stop()
+    arrived = sorted(at for replica in replicas for at in replica.poison_at)
+    crashed = sorted(at for replica in replicas for at in replica.crashed_at)
+    for name, count in sorted(counts.items()):
+        record.add(f"{name}: {count}")
+    if not arrived:
+        return 2
+    late = 0
+    if len(crashed) >= 3:
+        late = sum(at > crashed[2] + CONTACT_S for at in arrived)
+    record.add(
+        f"the poison reached replicas {len(arrived)} times and crashed {len(crashed)}; "
+        f"later than {CONTACT_S} s after the third crash {late} times, "
+        f"allowed {RULE_MOST}"
+    )
+    return 1 if late > RULE_MOST else 0
+
+
+async def _play(hosts: list[Host], counts: dict[str, int], terms: Terms) -> None:
+    began_at = time.monotonic()
+    tasks = []
+    sound = poison = 0
+    while (elapsed_s := time.monotonic() - began_at) < TRAFFIC_S:
+        if elapsed_s >= sound / terms.sound_per_s:
+            sound += 1
+            target = f"/season-plan/{sound}"
+            sending = send(hosts[sound % len(hosts)], target, counts, terms)
+            tasks.append(asyncio.create_task(sending))
+        if elapsed_s >= (poison + 0.5) * terms.poison_every_s:
+            poison += 1
+            sending = send(hosts[poison % len(hosts)], POISON, counts, terms)
+            tasks.append(asyncio.create_task(sending))
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*tasks)
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -242,6 +242,7 @@
         self.name = name
         self.service = service
         self.handler = handler
+        self.ip = "127.0.0.1"
         self.address = ""
         self.born = round(time.time() * 1000)
         self.ran: list[tuple[str, float]] = []  # id, and when it began
@@ -250,7 +251,7 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._listener = await asyncio.start_server(self._serve, self.ip, 0)
         ip, port = self._listener.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
 
