--- a/review/common-3/poison.py
+++ b/review/common-3/poison.py
@@ -47,6 +47,8 @@
     poison_every_s : float
         Pause after which the poison comes again.
     hosts, replicas : int
+    dark : bool
+        Whether a replica that crashes falls silent, in place of refusing connections.
     """
 
     crash_after_s: float
@@ -56,6 +58,7 @@
     poison_every_s: float = 3.0
     hosts: int = 2
     replicas: int = 6
+    dark: bool = False
 
 
 class Replica(Server):
@@ -67,9 +70,15 @@
         self._store = store
         self._record = record
         self._restart: asyncio.Task | None = None
+        self.silent = False
         self.poison_at: list[float] = []
         self.crashed_at: list[float] = []
 
+    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        while self.silent:  # nothing reaches it; the channel ends as it comes back
+            await asyncio.sleep(EVENT_S)
+        await super()._answer(request, writer)
+
     async def stream(self, request: Request, writer: asyncio.StreamWriter) -> None:
         """Answer with a stream."""
         poison = request.target == POISON
@@ -88,19 +97,27 @@
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(EVENT_S)
+            while self.silent:
+                await asyncio.sleep(EVENT_S)
         writer.write(b"0\r\n\r\n")
 
     def crash(self) -> None:
-        """End all channels and refuse new ones, until the replica is back."""
+        """Be down, until the replica is back as a new boot."""
         if self._listener is None:
             return
         self.crashed_at.append(time.monotonic())
         self._record.add(f"replica {self.name} crashes")
         self._listener.close()
         self._listener = None
+        if self._terms.dark:
+            self.silent = True
+        else:
+            self._end_channels()
+        self._restart = asyncio.create_task(self._come_back())
+
+    def _end_channels(self) -> None:
         for task in list(self._tasks):
             task.cancel()
-        self._restart = asyncio.create_task(self._come_back())
 
     async def _come_back(self) -> None:
         ip, port = self.address.split(":")
@@ -108,8 +125,20 @@
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((ip, int(port)))
+        fillers = []
+        if self._terms.dark:
+            # Nobody accepts, and the queue is full: connections are not answered.
+            sock.listen(0)
+            for _ in range(3):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((ip, int(port)))
+                fillers.append(filler)
         await asyncio.sleep(DOWN_S)
-        sock.close()
+        self._end_channels()
+        for each in (*fillers, sock):
+            each.close()
+        self.silent = False
         self.born = round(time.time() * 1000)
         self._listener = await asyncio.start_server(self._serve, ip, int(port))
         self._store.register(self)
