--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -398,15 +398,6 @@
         if self.proc is not None and self.proc.returncode is None:
             self.proc.send_signal(number)
 
-    def memory_bytes(self) -> int:
-        """Return the process's own resident memory, without files that it maps."""
-        try:
-            text = Path(f"/proc/{self.proc.pid}/status").read_text()
-        except OSError:
-            return 0
-        lines = dict(line.split(":", 1) for line in text.splitlines() if ":" in line)
-        return 1024 * int(lines.get("RssAnon", "0 kB").split()[0])
-
     async def ready(self) -> bool:
         """Return whether the host says that it is ready."""
         try:
