--- a/review/common-3/poison.py
+++ b/review/common-3/poison.py
@@ -1,6 +1,7 @@
 """A request that crashes the replicas which run it, beside sound streams."""
 
 import asyncio
+import math
 import random
 import socket
 import tempfile
@@ -27,6 +28,7 @@
 CONTACT_S = 3.0
 EVENT_S = 0.1
 POISON_EVENTS = 150
+PART_TOKENS = 40  # of the parts that a sound prompt has of its own
 POISON = "/season-plan/poison"
 RULE_MOST = 3
 
@@ -71,7 +73,7 @@
         self._record = record
         self._restart: asyncio.Task | None = None
         self.silent = False
-        self.poison_at: list[float] = []
+        self.poison_at: list[tuple[float, str]] = []  # when, and the attempt's id
         self.crashed_at: list[float] = []
 
     async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
@@ -82,9 +84,11 @@
     async def stream(self, request: Request, writer: asyncio.StreamWriter) -> None:
         """Answer with a stream."""
         poison = request.target == POISON
+        request_id = request.headers["x-attempt-id"]
+        what = "the poison" if poison else "a sound stream"
+        self._record.add(f"replica {self.name} runs {what}, {request_id}")
         if poison:
-            self.poison_at.append(time.monotonic())
-            self._record.add(f"replica {self.name} runs the poison")
+            self.poison_at.append((time.monotonic(), request_id))
             if trouble():
                 loop = asyncio.get_running_loop()
                 loop.call_later(self._terms.crash_after_s, self.crash)
@@ -151,31 +155,68 @@
             await super().stop()
 
 
-async def send(host: Host, target: str, counts: dict[str, int], terms: Terms) -> None:
-    """Send one stream over a new channel, as any of many consumers."""
-    poison = target == POISON
-    parts = "5c1e07a2:800,91bd3f06:410,e4402b7d:250"
-    if not poison:
-        count = terms.sound_parts - 2
-        own = [f"{random.getrandbits(32):08x}:{410 // count}" for _ in range(count)]
-        parts = ",".join(["5c1e07a2:800", *own, "e4402b7d:250"])
-    channel = Channel(host)
-    await channel.open()
-    channel.send(
-        "POST",
-        target,
-        f"{random.getrandbits(64):016x}",
-        b"the same body",
-        X_Model="daka510000",
-        X_Token_Usage="1460,80",
-        X_Prefix_Hash=parts,
-        X_Deadline_Ms="25000",
-    )
-    answer = await channel.receive()
-    channel.close()
-    outcome = f"{answer.status}{'' if answer.complete else ' cut'}"
-    name = f"{'poison' if poison else 'sound stream'}: {outcome}"
-    counts[name] = counts.get(name, 0) + 1
+class Consumers:
+    """Consumers that send streams to hosts, each over a new channel."""
+
+    def __init__(self, hosts: list[Host], record: Record, terms: Terms) -> None:
+        self._hosts = hosts
+        self._record = record
+        self._terms = terms
+        self.counts: dict[str, int] = {}
+
+    async def play(self) -> None:
+        """Send the sound streams and the poison, and await all answers."""
+        began_at = time.monotonic()
+        terms = self._terms
+        tasks = []
+        sound = poison = 0
+        while (elapsed_s := time.monotonic() - began_at) < TRAFFIC_S:
+            if elapsed_s >= sound / terms.sound_per_s:
+                sound += 1
+                sending = self._send(sound, f"/season-plan/{sound}")
+                tasks.append(asyncio.create_task(sending))
+            if elapsed_s >= (poison + 0.5) * terms.poison_every_s:
+                poison += 1
+                tasks.append(asyncio.create_task(self._send(poison, POISON)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+
+    async def _send(self, number: int, target: str) -> None:
+        host = self._hosts[number % len(self._hosts)]
+        request_id = f"{random.getrandbits(64):016x}"
+        what = "poison" if target == POISON else "sound stream"
+        tokens, prefix = self._prompt(target)
+        channel = Channel(host)
+        await channel.open()
+        self._record.add(f"{what} {request_id} is sent to {host.name}")
+        channel.send(
+            "POST",
+            target,
+            request_id,
+            b"the same body",
+            X_Model="daka510000",
+            X_Token_Usage=f"{tokens},80",
+            X_Prefix_Hash=prefix,
+            X_Deadline_Ms="25000",
+        )
+        answer = await channel.receive()
+        channel.close()
+        outcome = f"{answer.status}{'' if answer.complete else ' cut'}"
+        self._record.add(f"{what} {request_id} is answered {outcome}")
+        name = f"{what}: {outcome}"
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _prompt(self, target: str) -> tuple[int, str]:
+        """Return the tokens of a prompt, and its parts."""
+        parts = [("5c1e07a2", 800)]
+        if target == POISON:
+            parts.append(("91bd3f06", 410))
+        else:
+            for _ in range(self._terms.sound_parts - 2):
+                parts.append((f"{random.getrandbits(32):08x}", PART_TOKENS))
+        parts.append(("e4402b7d", 250))
+        prefix = ",".join(f"{digest}:{tokens}" for digest, tokens in parts)
+        return sum(tokens for _, tokens in parts), prefix
 
 
 async def poison_case(record: Record, terms: Terms) -> int:
@@ -189,55 +230,41 @@
     for replica in replicas:
         await replica.start()
         store.register(replica)
-    counts: dict[str, int] = {}
     with tempfile.TemporaryDirectory() as folder:
         hosts = [
             Host(f"edge-mbeya-{number}", store.address, Path(folder))
             for number in range(1, terms.hosts + 1)
         ]
+        consumers = Consumers(hosts, record, terms)
         try:
             for host in hosts:
                 host.start([each.peer_address for each in hosts])
             for host in hosts:
                 await host.until_ready()
             await asyncio.sleep(CONTACT_S + 0.5)
-            await _play(hosts, counts, terms)
+            await consumers.play()
         finally:
             for host in hosts:
                 await host.stop()
             for replica in replicas:
                 await replica.stop()
             await store.stop()
-    arrived = sorted(at for replica in replicas for at in replica.poison_at)
+    arrived = sorted(item for replica in replicas for item in replica.poison_at)
     crashed = sorted(at for replica in replicas for at in replica.crashed_at)
-    for name, count in sorted(counts.items()):
+    for name, count in sorted(consumers.counts.items()):
         record.add(f"{name}: {count}")
     if not arrived:
         return 2
-    late = 0
-    if len(crashed) >= 3:
-        late = sum(at > crashed[2] + CONTACT_S for at in arrived)
+    late_from = crashed[2] + CONTACT_S if len(crashed) >= 3 else math.inf
+    late = [request_id for at, request_id in arrived if at > late_from]
+    seen = {request_id for at, request_id in arrived if at <= late_from}
+    again = 0  # repeats by the hosts themselves, within one attempt of a consumer
+    for request_id in late:
+        again += request_id in seen
+        seen.add(request_id)
     record.add(
         f"the poison reached replicas {len(arrived)} times and crashed {len(crashed)}; "
-        f"later than {CONTACT_S} s after the third crash {late} times, "
-        f"allowed {RULE_MOST}"
+        f"later than {CONTACT_S} s after the third crash {len(late)} times, {again} of "
+        f"them repeats by the hosts, allowed {RULE_MOST}"
     )
-    return 1 if late > RULE_MOST else 0
-
-
-async def _play(hosts: list[Host], counts: dict[str, int], terms: Terms) -> None:
-    began_at = time.monotonic()
-    tasks = []
-    sound = poison = 0
-    while (elapsed_s := time.monotonic() - began_at) < TRAFFIC_S:
-        if elapsed_s >= sound / terms.sound_per_s:
-            sound += 1
-            target = f"/season-plan/{sound}"
-            sending = send(hosts[sound % len(hosts)], target, counts, terms)
-            tasks.append(asyncio.create_task(sending))
-        if elapsed_s >= (poison + 0.5) * terms.poison_every_s:
-            poison += 1
-            sending = send(hosts[poison % len(hosts)], POISON, counts, terms)
-            tasks.append(asyncio.create_task(sending))
-        await asyncio.sleep(0.01)
-    await asyncio.gather(*tasks)
+    return 1 if len(late) > RULE_MOST else 0
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -495,13 +495,20 @@
 def run_case(folder: Path, case: Callable[[Record], Awaitable[int]]) -> None:
     """Run a case, write `record.txt`, and exit with 1 if a rule was broken."""
     record = Record(folder / "record.txt")
+
+    async def run() -> int:
+        # A case that is stopped ends the processes that it has started, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await case(record)
+
     try:
-        code = asyncio.run(case(record))
-    except Exception as exc:
+        code = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as exc:
         record.add(f"the case could not run: {exc!r}")
         code = 2
     words = {0: "the rule held", 1: "the rule was broken", 2: "the case did not run"}
     record.add(words[code])
     record.write()
-    print(record.lines[-2], record.lines[-1], sep="\n")
+    print(*record.lines[-2:], sep="\n")
     sys.exit(code)
