Log why no attempt follows a failed one, and count it

Callers saw begun streams end; the record shows failed attempts and ended requests, not why no retry followed. 'retry refused' names the reason with the budget at that moment, 'attempt failed' tells how long the attempt itself was silent beside its endpoint, and gauges count refusals by reason. Retries move from complete_answers to job_retries.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatch of attempts to endpoints, and the statistics kept of their outcomes."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import asdict
@@ -99,6 +100,8 @@
         Has attempts relayed by peers; None if there are none.
     on_crash : callable
         Called after a crash of an endpoint was recorded, or taken back.
+    refused_retries : Counter
+        Failed attempts after which no further one followed, by reason.
     """
 
     def __init__(
@@ -123,6 +126,7 @@
         placer.room_tokens = host_view.memory_tokens
         self._client = client
         self.on_crash: Callable[[], None] = lambda: None
+        self.refused_retries: Counter[str] = Counter()
         self.fleet_size = FleetSize()
         self.slack_share: SlackShare | None = SlackShare(
             self.fleet_size, clock.now() + bounds.retry_window_s
@@ -462,6 +466,7 @@
                 "reason": exc.message[:200],
                 "took_s": round(now - attempt.began_at, 3),
                 "endpoint_quiet_s": _since(attempt.view.last_byte_at, now),
+                "silent_s": round(now - attempt.last_byte_at, 3),
                 "answered": attempt.answer is not None,
                 "body_began": attempt.body_began,
                 "trait": job.traits.request,
--- a/radishshift/gateway/gateway_host.py
+++ b/radishshift/gateway/gateway_host.py
@@ -38,6 +38,7 @@
 from radishshift.gateway.gossip import Gossip
 from radishshift.gateway.host_settings import GatewaySettings
 from radishshift.gateway.host_view import HostView, kinds_in_use
+from radishshift.gateway.job_retries import RetryRefusal
 from radishshift.gateway.messages import CallerAnswer, CallerRequest, EndpointClient
 from radishshift.gateway.monitor import Monitor
 from radishshift.gateway.monitored_platform import MonitoredPlatform
@@ -438,6 +439,8 @@
         register(
             "paused_endpoints", lambda: self.endpoint_pauses.count(self.clock.now())
         )
+        for refusal in RetryRefusal:
+            register(f"retries_refused_{refusal.name.lower()}", self._refused(refusal))
         register("background_failures", lambda: self._background.failures)
         register("held_bytes", lambda: self.held_bytes.total)
         register("rejected_for_memory", lambda: self.held_bytes.rejected)
@@ -452,6 +455,9 @@
         self.relays.register_gauges(self.monitor)
         register("store_lost", lambda: self.platform.unavailable_since is not None)
 
+    def _refused(self, refusal: RetryRefusal) -> Callable[[], float]:
+        return lambda: self.dispatcher.refused_retries[refusal]
+
     def _caller_limits(self) -> CallerLimits:
         """Return the limits on callers that are in force."""
         deployment = self.host_view.deployment
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -9,14 +9,16 @@
 )
 from radishshift.errors import EndpointError, StreamBrokenError, StreamStalledError
 from radishshift.gateway.attempts import Attempt
-from radishshift.gateway.complete_answers import (
+from radishshift.gateway.complete_answers import check_signature
+from radishshift.gateway.dispatch import Dispatcher
+from radishshift.gateway.event_buffer import EventBuffer
+from radishshift.gateway.job_retries import (
+    RetryRefusal,
     acquire_retry,
-    check_signature,
     may_repeat,
+    refuse_retry,
     retry_allowed,
 )
-from radishshift.gateway.dispatch import Dispatcher
-from radishshift.gateway.event_buffer import EventBuffer
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.messages import CallerAnswer
 
@@ -99,7 +101,11 @@
         job = self._job
         if self._caller.started:
             self._resumes += 1
-            if not job.route.resumable or self._resumes > MAX_RESUMES:
+            if not job.route.resumable:
+                refuse_retry(self._dispatcher, job, RetryRefusal.NOT_RESUMABLE)
+                return False
+            if self._resumes > MAX_RESUMES:
+                refuse_retry(self._dispatcher, job, RetryRefusal.ATTEMPTS_USED)
                 return False
         return await acquire_retry(self._dispatcher, job, exc)
 
--- /dev/null
+++ b/tests/gateway/test_silence.py
@@ -0,0 +1,73 @@
+"""Tests of attempts that receive nothing for a while."""
+
+import asyncio
+
+import logbook
+
+from radishshift.gateway.deployment import RouteKind
+from radishshift.gateway.host_settings import Bounds
+from radishshift.gateway.job_retries import RetryRefusal
+from tests.cases import VirtualTestCase
+from tests.gateway.worlds import Script, World, route
+
+STREAM = route(RouteKind.STREAM, timeout_s=60.0)
+EVENTS = tuple(f"id: {number}\ndata: x\n\n".encode() for number in range(1, 21))
+COMPLETE_STREAM = b"".join(EVENTS)
+ONE_RETRY = Bounds(retry_ratio=0.0, retry_slack=14.0)
+MANY_RETRIES = Bounds(retry_ratio=10.0, retry_slack=10_000.0)
+STREAMS = 24
+AT_ONCE = 4
+STANDSTILL_AT_S = 5.0
+
+
+class StandstillTest(VirtualTestCase):
+    """Streams at sound endpoints that all send nothing for a second or so."""
+
+    def _world(self, bounds, standstill_s, names="ab"):
+        """Return a world in which the first endpoints stand still for a time."""
+        scripts = {name: [Script(events=EVENTS, gap_s=0.7)] for name in names}
+        world = World([STREAM], scripts, bounds)
+        at = world.clock.now() + STANDSTILL_AT_S
+        for name in "ab":
+            world.endpoints.standstills[name] = [(at, at + standstill_s)]
+        return world
+
+    async def _send_streams(self, world):
+        """Send streams, a few at each of some instants; return their callers."""
+        callers = []
+
+        async def send(number):
+            await asyncio.sleep(number // AT_ONCE * 0.11)
+            callers.append(await world.send_request(number, deadline_s=60.0))
+
+        await asyncio.gather(*map(send, range(STREAMS)))
+        return callers
+
+    async def test_streams_that_see_the_same_retry_are_not_given_up_together(self):
+        """Guards rule LOST: one got the retry that all had seen, the others ended."""
+        for standstill_s in (1.2, 2.6):
+            world = self._world(ONE_RETRY, standstill_s)
+            callers = await self._send_streams(world)
+            self.assertEqual(STREAMS, sum(caller.finished for caller in callers))
+            self.assertEqual({COMPLETE_STREAM}, {caller.body for caller in callers})
+
+    async def test_streams_stay_at_an_endpoint_that_goes_on(self):
+        """Guards rule LOST: the first that went on made all others overdue."""
+        for standstill_s in (1.0, 1.2, 1.35, 1.9):
+            world = self._world(MANY_RETRIES, standstill_s)
+            callers = await self._send_streams(world)
+            self.assertEqual(STREAMS, len(world.attempted_endpoints()))
+            self.assertEqual({COMPLETE_STREAM}, {caller.body for caller in callers})
+
+    async def test_a_refused_retry_names_its_reason(self):
+        scripts = {"a": [Script(events=EVENTS, breaks_after=4)]}
+        world = World([STREAM], scripts, Bounds(retry_ratio=0.0, retry_slack=0.0))
+        with logbook.TestHandler() as handler:
+            await world.send_request()
+        (record,) = [
+            record for record in handler.records if record.message == "retry refused"
+        ]
+        self.assertEqual("retry budget spent", record.extra["why"])
+        self.assertEqual("request-1", record.extra["request_id"])
+        refused = world.dispatcher.refused_retries
+        self.assertEqual(1, refused[RetryRefusal.BUDGET_SPENT])
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -7,10 +7,10 @@
 from radishshift.decisions.placing import EndpointView
 from radishshift.decisions.retry_budget import RATIO_MARGIN
 from radishshift.errors import EndpointError
-from radishshift.gateway import complete_answers
-from radishshift.gateway.complete_answers import MAX_ATTEMPTS
+from radishshift.gateway import job_retries
 from radishshift.gateway.deployment import Member, Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
+from radishshift.gateway.job_retries import MAX_ATTEMPTS
 from radishshift.gateway.messages import PromptPart
 from radishshift.gateway.relay_client import Helper, RelayReply
 from radishshift.gateway.streams import EVENT_TIMEOUT_S
@@ -195,7 +195,7 @@
 
     async def test_the_head_of_the_last_attempt_is_waited_for(self):
         """Guards rule LOST: it was given up, though no further attempt could follow."""
-        self.patch(complete_answers, "MAX_ATTEMPTS", 2)
+        self.patch(job_retries, "MAX_ATTEMPTS", 2)
         slow = stream_script(first_s=4.0)
         broken = stream_script(breaks_after=1)
         world = World([STREAM], {"a": [broken, slow], "b": [slow], "c": [slow]})
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -146,7 +146,7 @@
 
 
 class _Answer(EndpointAnswer):
-    def __init__(self, script, after, on_break):
+    def __init__(self, script, after, on_break, standstills=()):
         self.status = script.status
         self._on_break = on_break
         self.headers = (("X-Signature", "s"),) if script.signed else ()
@@ -154,10 +154,16 @@
         self.confidence = script.confidence
         self.aborted = False
         self._script = script
+        self._standstills = standstills
+        self._stood_still = set()
         self._sent = after
         self._partial_sent = False
         self._paused = False
-        self._next_at = asyncio.get_running_loop().time() + script.gap_s
+        self._began_at = asyncio.get_running_loop().time()
+        self._next_at = self._began_at + script.gap_s
+        for since, until in standstills:
+            if until <= self._began_at:
+                self._stood_still.add(since)
 
     async def read(self):
         if self._script.breaks_after >= 0:
@@ -181,12 +187,19 @@
         if self._sent == script.pauses_after and not self._paused:
             self._paused = True
             self._next_at += script.pause_s
+        self._delay_by_standstills()
         # A cancelled wait does not delay the next event, as at a real connection.
         await asyncio.sleep(self._next_at - asyncio.get_running_loop().time())
         self._next_at += script.gap_s
         self._sent += 1
         return script.events[self._sent - 1]
 
+    def _delay_by_standstills(self):
+        for since, until in self._standstills:
+            if since < self._next_at and since not in self._stood_still:
+                self._stood_still.add(since)
+                self._next_at += until - max(since, self._began_at)
+
     def buffered_bytes(self):
         return b""
 
@@ -196,7 +209,14 @@
 
 @dataclass
 class _Endpoints(EndpointClient):
-    """Endpoints that follow scripts and record each attempt."""
+    """Endpoints that follow scripts and record each attempt.
+
+    Attributes
+    ----------
+    standstills : dict of str to list of tuple
+        Instants, by endpoint, between which it sends nothing; each stream then goes on
+        with what was left of its pause.
+    """
 
     scripts: dict = field(default_factory=dict)
     attempts: list = field(default_factory=list)
@@ -204,6 +224,7 @@
     forgotten: list = field(default_factory=list)
     cut_off: set = field(default_factory=set)
     down_until: dict = field(default_factory=dict)
+    standstills: dict = field(default_factory=dict)
     probes: int = 0
 
     def _go_down(self, name, script):
@@ -217,13 +238,21 @@
         if script.error == "hang":
             await asyncio.Event().wait()
         await asyncio.sleep(script.first_s)
+        standstills = self.standstills.get(order.member.name, ())
+        for since, until in standstills:
+            now = asyncio.get_running_loop().time()
+            if since <= now < until:
+                await asyncio.sleep(until - now)
         if script.error:
             if script.error == "crash":
                 self._go_down(order.member.name, script)
             raise ERRORS[script.error](script.error)
         after = int(order.last_event_id or 0)
         answer = _Answer(
-            script, after, lambda: self._go_down(order.member.name, script)
+            script,
+            after,
+            lambda: self._go_down(order.member.name, script),
+            standstills,
         )
         self.answers.append(answer)
         return answer
