Give a silent attempt up only once its replacement is held

Callers saw begun streams end, status 0, long before their deadline, when sound endpoints were silent for a second. An attempt was given up because the retry budget showed a retry; the retry, the endpoint and its permit were acquired after the attempt had been closed. Attempts that found the same silence in one turn of the loop all saw the same retry: one got it, the others ended.

An attempt now goes on while the target of the next one is chosen, with its permit. If it is still silent then, the retry is acquired and the attempt is given up in one step without a turn of the loop; otherwise it is kept and the target is given back. What arrived meanwhile, or while the process stood still, is read first. The rule holds for streams, heads, streams that complete no event and early retries.

--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -54,6 +54,10 @@
         endpoints.
     helper : str
         Peer that relays the attempt, or empty.
+    for_peer : bool
+        Whether it is made for a peer, which decides on further attempts.
+    kept : bool
+        Whether it was kept once although it was silent, as nothing could replace it.
     """
 
     job: Job
@@ -71,6 +75,8 @@
     mean_first_event_s: float = 0.0
     prefill_ktokens: float = 0.0
     helper: str = ""
+    for_peer: bool = False
+    kept: bool = False
 
     @property
     def silence_timeout_s(self) -> float:
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -41,9 +41,10 @@
 )
 from radishshift.gateway.placement import Placement
 from radishshift.gateway.relay_client import Helper, RelayClient
+from radishshift.gateway.replacements import HeldTarget, Replacements
 from radishshift.gateway.service_monitor import ServiceMonitor
 from radishshift.gateway.shared_placement import FAILED_OUTCOME, UNREACHABLE_OUTCOME
-from radishshift.gateway.silence import SilenceWatch
+from radishshift.gateway.silence import SilenceWatch, Stall
 from radishshift.verdicts import Verdict
 
 __all__ = ["Dispatcher"]
@@ -59,6 +60,8 @@
 LOOK_AFTER_S = 0.15
 # Longer than callers of such requests wait, so that they give up instead of retrying.
 POISON_RETRY_AFTER_S = 30.0
+# Turns of the event loop after which input that had arrived before has been handled.
+INPUT_TURNS = 3
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
 
 # An attempt at an endpoint that crashes doesn't fail like this.
@@ -144,6 +147,13 @@
         self._silence = SilenceWatch(
             clock, self._prober, self.budget, self._has_alternative
         )
+        self._replacements = Replacements(
+            clock,
+            self.placement,
+            self.choose_target,
+            self.check_before_attempt,
+            self.budget,
+        )
 
     def budget(self, service: str) -> HostRetryBudget:
         """Return this host's retry budget for a service."""
@@ -170,6 +180,9 @@
         ------
         NoEndpointError
         """
+        if job.held_target is not None:
+            target, job.held_target = job.held_target, None
+            return target
         helper = None if self.relays is None else self.relays.choose(job)
         return helper or await self.placement.place(job, model)
 
@@ -273,9 +286,9 @@
                 async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
                     data = await attempt.answer.chunk()
             except TimeoutError:
-                if attempt.may_retry:
-                    self._silence.check(attempt)
-                continue
+                data = await self._replace_if_silent(attempt)
+                if not data:
+                    continue
             self._silence.stream_went_on(attempt)
             now = self.clock.now()
             attempt.record_bytes(now)
@@ -295,13 +308,97 @@
                 return
             self._silence.probe_if_silent(attempt)
             if may_give_up:
-                self._silence.check(attempt)
+                await self._replace_if_headless(attempt, sending)
+
+    async def _replace_if_silent(self, attempt: Attempt) -> bytes:
+        """Give up a silent stream if another attempt can take its place.
+
+        Returns
+        -------
+        bytes
+            What was received meanwhile.
+
+        Raises
+        ------
+        StreamStalledError
+        """
+        stall = self._silence.stall(attempt) if attempt.may_retry else None
+        if stall is None:
+            return b""
+        held = await self._hold_replacement(attempt, stall)
+        data = attempt.answer.buffered_bytes()
+        if held is not None:
+            self._give_up(attempt, stall, held, went_on=bool(data))
+        return data
+
+    async def replace_incomplete(self, attempt: Attempt, reason: str) -> None:
+        """Give up a stream that makes no progress if another attempt can follow.
+
+        Raises
+        ------
+        StreamStalledError
+        """
+        if not attempt.may_retry:
+            return
+        stall = Stall(reason)
+        held = await self._hold_replacement(attempt, stall)
+        if held is not None:
+            self._give_up(attempt, stall, held)
+
+    async def _replace_if_headless(
+        self, attempt: Attempt, sending: asyncio.Future
+    ) -> None:
+        """Give up an attempt without a head if another one can take its place.
+
+        Raises
+        ------
+        StreamStalledError
+        """
+        stall = self._silence.stall(attempt)
+        if stall is None:
+            return
+        held = await self._hold_replacement(attempt, stall)
+        if held is not None:
+            self._give_up(attempt, stall, held, went_on=sending.done())
+
+    async def _hold_replacement(
+        self, attempt: Attempt, stall: Stall
+    ) -> HeldTarget | None:
+        """Hold the target of the attempt that is to replace a stalled one.
+
+        Raises
+        ------
+        StreamStalledError
+            If a peer decides on the next attempt.
+        """
+        if attempt.for_peer:
+            raise StreamStalledError(stall.reason)
+        # After a pause of this process, timers fire before its input is handled.
+        for _ in range(INPUT_TURNS):
+            await asyncio.sleep(0)
+        return await self._replacements.hold(attempt)
+
+    def _give_up(
+        self, attempt: Attempt, stall: Stall, held: HeldTarget, went_on: bool = False
+    ) -> None:
+        """Give up a stalled attempt for the one whose target is held, if allowed.
+
+        Raises
+        ------
+        StreamStalledError
+        """
+        if went_on or not self._silence.allow(stall):
+            self._replacements.release(held)
+        elif self._replacements.commit(held):
+            self._silence.record_given_up(attempt)
+            raise StreamStalledError(stall.reason)
 
     def _has_alternative(self, attempt: Attempt) -> bool:
         """Return whether an attempt could be replaced by one that goes another way."""
         job = attempt.job
         if self.relays is not None and self.services.tracker.lost(job.service):
-            return self.relays.has_other(job)
+            with job.avoiding(attempt.member.name, attempt.helper):
+                return self.relays.has_other(job)
         return not attempt.helper and self.placement.has_alternative(
             job, attempt.model, attempt.member
         )
--- a/radishshift/gateway/job_retries.py
+++ b/radishshift/gateway/job_retries.py
@@ -47,6 +47,8 @@
 
 async def acquire_retry(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
     """Acquire a retry after a failed attempt, if policy and retry budget allow it."""
+    if job.held_target is not None:
+        return True  # acquired before the attempt was given up
     refusal = _policy_refusal(job, exc) or _budget_refusal(dispatcher, job, exc)
     if refusal is None:
         now = dispatcher.clock.now()
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -1,7 +1,10 @@
 """A request being routed, with what was decided for all its attempts."""
 
 import secrets
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import xxhash
 
@@ -9,6 +12,9 @@
 from radishshift.gateway.deployment import Customer, Member, Route
 from radishshift.gateway.messages import AttemptOrder, CallerRequest
 
+if TYPE_CHECKING:
+    from radishshift.gateway.relay_client import Helper
+
 __all__ = ["Job"]
 
 TOKEN_BYTES = 8
@@ -49,6 +55,10 @@
         Number of attempts for which this host could open no connection.
     helpers : list of str
         Peers that were asked to relay an attempt.
+    avoided_helpers : list of str
+        Peers that are not to relay the next attempt.
+    held_target : Member or Helper or None
+        Where the next attempt goes, with its retry acquired.
     token : str
         Name that no other job has, at whichever host; callers may repeat their ids.
     """
@@ -69,6 +79,8 @@
     coordinated: int = 0
     unreachable_attempts: int = 0
     helpers: list[str] = field(default_factory=list)
+    avoided_helpers: list[str] = field(default_factory=list)
+    held_target: "Member | Helper | None" = None
     token: str = field(default_factory=lambda: secrets.token_hex(TOKEN_BYTES))
 
     def __post_init__(self) -> None:
@@ -93,6 +105,17 @@
         """Return the name of the next attempt."""
         return f"{self.token}/{self.attempts}"
 
+    @contextmanager
+    def avoiding(self, endpoint: str, helper: str = "") -> Iterator[None]:
+        """Choose targets as if the attempt at an endpoint, or by a peer, had failed."""
+        self.failed_endpoints.append(endpoint)
+        self.avoided_helpers.append(helper)
+        try:
+            yield
+        finally:
+            self.failed_endpoints.pop()
+            self.avoided_helpers.pop()
+
     def may_run_in(self, region: str | None) -> bool:
         """Return whether a region, None for an unknown one, may see the request."""
         return self.regions is None or region in self.regions
--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -222,6 +222,8 @@
             age_s = message.reached.get(job.service)
             paused = self._paused_until.get(host, 0.0) > now
             region = self._settings.regions.get(peer.data_centre)
+            if host in job.avoided_helpers:
+                continue
             if age_s is None or paused or not job.may_run_in(region):
                 continue
             view = self._views.get(host)
--- a/radishshift/gateway/relay_server.py
+++ b/radishshift/gateway/relay_server.py
@@ -194,6 +194,7 @@
         dispatcher.check_before_attempt(job)
         with dispatcher.attempt(job, member, self._order.model) as attempt:
             self._attempt = attempt
+            attempt.for_peer = True
             attempt.may_retry = job.route.idempotent and self._order.may_retry
             answer = await dispatcher.open(attempt, self._order.last_event_id)
             head = self._head()
--- a/radishshift/gateway/silence.py
+++ b/radishshift/gateway/silence.py
@@ -1,17 +1,17 @@
 """Tells when an attempt that receives nothing is to be given up."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from radishshift.clocks import Clock
 from radishshift.decisions.event_pauses import EventPauses
 from radishshift.decisions.patience import EarlyRetries
 from radishshift.decisions.retry_budget import HostRetryBudget
-from radishshift.errors import StreamStalledError
 from radishshift.gateway.attempts import PROBE_AFTER_S, Attempt
 from radishshift.gateway.connection_prober import ConnectionProber
 from radishshift.gateway.deployment import RouteKind
 
-__all__ = ["SilenceWatch"]
+__all__ = ["SilenceWatch", "Stall"]
 
 # Multiplies the stall timeout when no other endpoint is available.
 TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE = 4.0
@@ -19,6 +19,21 @@
 RELAY_STALL_FACTOR = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """Why an attempt is to be given up.
+
+    Attributes
+    ----------
+    reason : str
+    early : bool
+        Whether it isn't overdue, but a further attempt is more likely to be in time.
+    """
+
+    reason: str
+    early: bool = False
+
+
 class SilenceWatch:
     """Checks attempts for silence, and probes the other side meanwhile.
 
@@ -62,34 +77,37 @@
         """Count an attempt, a share of which may be given up early."""
         self._early_retries.request_received(self._clock.now())
 
-    def check(self, attempt: Attempt) -> None:
-        """Raise if the attempt has been silent for longer than its timeout.
+    def stall(self, attempt: Attempt) -> Stall | None:
+        """Return why an attempt is to be given up, None if it isn't.
 
         If the retry budget is spent, the attempt is kept, as it could not be replaced.
-
-        Raises
-        ------
-        StreamStalledError
         """
         now = self._clock.now()
         if self._may_give_up_early(attempt, now):
-            raise StreamStalledError(
+            return Stall(
                 f"no first event in {now - attempt.began_at:.2f} s, "
-                "another attempt may be in time"
+                "another attempt may be in time",
+                early=True,
             )
         overdue_ratio = self._overdue_ratio(attempt, now)
         if overdue_ratio <= 1 or self._budget(attempt.job.service).available(now) < 1:
-            return
-        if overdue_ratio > (
+            return None
+        if overdue_ratio <= (
             1.0
             if self._has_alternative(attempt)
             else TIMEOUT_FACTOR_WITHOUT_ALTERNATIVE
         ):
-            if attempt.answer is not None:
-                self._record_pause(attempt, now)
-            raise StreamStalledError(
-                f"no data received for {now - attempt.last_byte_at:.1f} s"
-            )
+            return None
+        return Stall(f"no data received for {now - attempt.last_byte_at:.1f} s")
+
+    def allow(self, stall: Stall) -> bool:
+        """Return whether an attempt may be given up now; early ones are bounded."""
+        return not stall.early or self._early_retries.try_acquire(self._clock.now())
+
+    def record_given_up(self, attempt: Attempt) -> None:
+        """Record the pause of an attempt that is given up for its silence."""
+        if attempt.answer is not None:
+            self._record_pause(attempt, self._clock.now())
 
     def _may_give_up_early(self, attempt: Attempt, now: float) -> bool:
         """Return whether a further attempt is more likely to be in time."""
@@ -104,7 +122,7 @@
         return (
             self._budget(attempt.job.service).available(now) >= 1
             and self._has_alternative(attempt)
-            and self._early_retries.try_acquire(now)
+            and self._early_retries.available(now) >= 1
         )
 
     def probe_if_silent(self, attempt: Attempt) -> None:
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -7,7 +7,7 @@
     interpolated_time_s,
     next_model,
 )
-from radishshift.errors import EndpointError, StreamBrokenError, StreamStalledError
+from radishshift.errors import EndpointError, StreamBrokenError
 from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.complete_answers import check_signature
 from radishshift.gateway.dispatch import Dispatcher
@@ -209,7 +209,11 @@
             events = buffer.feed(data)
             now = dispatcher.clock.now()
             if not events:
-                _check_progress(attempt, now - event_at)
+                unfinished_s = now - event_at
+                if unfinished_s > EVENT_TIMEOUT_S:
+                    await dispatcher.replace_incomplete(
+                        attempt, f"no complete event in {unfinished_s:.1f} s"
+                    )
                 continue
             event_at = now
             await self._forward(attempt, events)
@@ -236,14 +240,3 @@
             self.max_pause_s = max(self.max_pause_s, now - self._last_write_at)
         self._last_write_at = now
         await self._caller.write(events)
-
-
-def _check_progress(attempt: Attempt, unfinished_s: float) -> None:
-    """Raise if an endpoint sends bytes, but completes no event.
-
-    Raises
-    ------
-    StreamStalledError
-    """
-    if unfinished_s > EVENT_TIMEOUT_S and attempt.may_retry:
-        raise StreamStalledError(f"no complete event in {unfinished_s:.1f} s")
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -13,6 +13,9 @@
 STREAM = route(RouteKind.STREAM, timeout_s=60.0)
 EVENTS = tuple(f"id: {number}\ndata: x\n\n".encode() for number in range(1, 21))
 COMPLETE_STREAM = b"".join(EVENTS)
+# One event that arrives in 12 pieces.
+SLOW_BYTES = [b"id: 1\n", b"data: ", *[b"x"] * 9, b"\n\n"]
+NO_RETRIES = Bounds(retry_ratio=0.0, retry_slack=0.0)
 ONE_RETRY = Bounds(retry_ratio=0.0, retry_slack=14.0)
 MANY_RETRIES = Bounds(retry_ratio=10.0, retry_slack=10_000.0)
 STREAMS = 24
@@ -20,6 +23,26 @@
 STANDSTILL_AT_S = 5.0
 
 
+class _NoPermits:
+    """Endpoints need permits for further attempts, which their keeper denies."""
+
+    def __init__(self):
+        self.asked = []
+
+    def required(self, member):
+        return True
+
+    def retry_at(self, member):
+        return 0.0
+
+    async def acquire(self, member, job):
+        self.asked.append(member.name)
+        return job.attempts == 0
+
+    def attempt_ended(self, member, attempt, refused):
+        pass
+
+
 class StandstillTest(VirtualTestCase):
     """Streams at sound endpoints that all send nothing for a second or so."""
 
@@ -59,6 +82,31 @@
             self.assertEqual(STREAMS, len(world.attempted_endpoints()))
             self.assertEqual({COMPLETE_STREAM}, {caller.body for caller in callers})
 
+    async def test_a_silent_stream_is_kept_where_no_endpoint_permits_another(self):
+        """Guards rule LOST: an endpoint was asked only after the stream had ended."""
+        silent = [Script(events=EVENTS, pauses_after=4, pause_s=6.0)]
+        world = World([STREAM], {"a": silent, "b": silent}, MANY_RETRIES)
+        world.dispatcher.placement.permits = permits = _NoPermits()
+        caller = await world.send_request(deadline_s=60.0)
+        self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
+        self.assertIn("b", permits.asked)
+
+    async def test_a_silent_stream_of_a_blocked_request_is_kept(self):
+        silent = [Script(events=EVENTS, pauses_after=4, pause_s=6.0)]
+        world = World([STREAM], {"a": silent, "b": silent}, MANY_RETRIES)
+        sending = asyncio.create_task(world.send_request(deadline_s=60.0))
+        await asyncio.sleep(0.2)
+        self.patch(world.suspects, "blocking", lambda traits, now: "trait")
+        caller = await sending
+        self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
+
+    async def test_a_stream_of_partial_events_is_kept_if_no_retry_is_left(self):
+        slow = Script(events=tuple(SLOW_BYTES), gap_s=0.5)
+        world = World([STREAM], {"a": [slow], "b": [Script(events=EVENTS)]}, NO_RETRIES)
+        world.placer.view(world.member("b")).in_flight = 5
+        caller = await world.send_request(deadline_s=60.0)
+        self.assertEqual((b"".join(SLOW_BYTES), True), (caller.body, caller.finished))
+
     async def test_a_refused_retry_names_its_reason(self):
         scripts = {"a": [Script(events=EVENTS, breaks_after=4)]}
         world = World([STREAM], scripts, Bounds(retry_ratio=0.0, retry_slack=0.0))
