Count the progress of other streams only since the endpoint went on

Callers saw sound streams moved, or cut where no retry was left, just as an endpoint went on after a second of silence. A stream was overdue after 1 s instead of 2 s if another stream of the endpoint had received a byte since. The first stream to go on made all others overdue at that moment, before their next event was due.

A stream now stalls if others were sent to for 1 s since the endpoint went on, if the endpoint has sent nothing at all for 2 s, or after 3 s in any case.

--- a/radishshift/decisions/placing.py
+++ b/radishshift/decisions/placing.py
@@ -47,6 +47,8 @@
 # A further copy of a shared part makes parts of other prompts yield; these are then
 # read again.
 COPY_COST_PER_1000_TOKENS = 1.0
+# Streams of one endpoint together pause for less, unless it stands still.
+STANDSTILL_S = 0.4
 REQUEST_S = PREFILL_S_PER_1000_TOKENS / PREFILL_COST_PER_1000_TOKENS
 
 
@@ -67,6 +69,8 @@
         Moving average of answer times relative to the service's mean; 1 is average.
     last_byte_at : float
         Time at which the last byte was received from it.
+    went_on_at : float
+        Time at which it last sent a byte after it had sent none for `STANDSTILL_S`.
     last_reachable_at : float
         Time of the last connection probe that its host answered.
     last_unreachable_at : float
@@ -81,6 +85,7 @@
     others_load: float = 0.0
     latency_ratio: float = 1.0
     last_byte_at: float = 0.0
+    went_on_at: float = 0.0
     last_reachable_at: float = 0.0
     last_unreachable_at: float = 0.0
     circuit_breaker: CircuitBreaker = field(
@@ -107,6 +112,12 @@
         if not self.in_flight:
             self.prefill_ktokens = 0.0
 
+    def record_byte(self, now: float) -> None:
+        """Record that data was received from it."""
+        if now - self.last_byte_at > STANDSTILL_S:
+            self.went_on_at = now
+        self.last_byte_at = now
+
     @property
     def unreachable(self) -> bool:
         """Return whether the latest contact was a connection that failed."""
--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Attempts at endpoints and their timeouts for silence."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from radishshift.decisions.patience import patience_s
@@ -90,17 +91,28 @@
 
     @property
     def stall_timeout_s(self) -> float:
-        """Return the time without data after which this answer counts as stalled."""
+        """Return the time without data after which no head of an answer is awaited."""
         if self.job.route.kind is not RouteKind.STREAM:
             return COMPLETE_ANSWER_TIMEOUT_SHARE * (self.job.deadline - self.began_at)
-        if self.answer is not None:
-            others_progress = (
-                self.view.last_byte_at > self.last_byte_at + STREAM_STALL_TIMEOUT_S / 2
-            )
-            return STREAM_STALL_TIMEOUT_S if others_progress else ENGINE_STALL_TIMEOUT_S
         expected_s = FIRST_EVENT_TIMEOUT_RATIO * self.mean_first_event_s
         return FIRST_EVENT_TIMEOUT_S + self._prefill_s + expected_s
 
+    def silences(self, now: float) -> Iterator[tuple[float, float]]:
+        """Yield times without data, each with the timeout that applies to it.
+
+        An endpoint that has stood still goes on with one stream after the other, so the
+        progress of others counts only from then on.
+        """
+        silent_s = now - self.last_byte_at
+        if self.answer is None or self.job.route.kind is not RouteKind.STREAM:
+            yield silent_s, self.stall_timeout_s
+            return
+        view = self.view
+        since = max(self.last_byte_at, view.went_on_at)
+        yield view.last_byte_at - since, STREAM_STALL_TIMEOUT_S
+        yield now - max(self.last_byte_at, view.last_byte_at), ENGINE_STALL_TIMEOUT_S
+        yield silent_s, STREAM_STALL_TIMEOUT_S + ENGINE_STALL_TIMEOUT_S
+
     @property
     def patience_s(self) -> float:
         """Return the time after which a further attempt may yet be in time."""
@@ -117,4 +129,4 @@
     def record_bytes(self, now: float) -> None:
         """Record that data was received from the endpoint."""
         self.last_byte_at = now
-        self.view.last_byte_at = now
+        self.view.record_byte(now)
--- a/radishshift/gateway/silence.py
+++ b/radishshift/gateway/silence.py
@@ -142,8 +142,9 @@
         down.
         """
         view = attempt.view
-        attempt_overdue = (now - attempt.last_byte_at) / self._stall_timeout_s(
-            attempt, now
+        attempt_overdue = max(
+            silent_s / self._timeout_s(attempt, usual_s, now)
+            for silent_s, usual_s in attempt.silences(now)
         )
         if attempt.helper:
             attempt_overdue /= RELAY_STALL_FACTOR
@@ -153,10 +154,9 @@
                 return attempt_overdue
         return max(attempt_overdue, _quiet_s(attempt, now) / attempt.silence_timeout_s)
 
-    def _stall_timeout_s(self, attempt: Attempt, now: float) -> float:
-        """Return the time without data after which an attempt counts as stalled."""
+    def _timeout_s(self, attempt: Attempt, usual_s: float, now: float) -> float:
+        """Return a timeout, which is longer while all endpoints are slow."""
         job = attempt.job
-        usual_s = attempt.stall_timeout_s
         if attempt.answer is None or job.route.kind is not RouteKind.STREAM:
             return usual_s
         return self._pauses.timeout_s(job.service, attempt.member.name, usual_s, now)
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -82,6 +82,25 @@
             self.assertEqual(STREAMS, len(world.attempted_endpoints()))
             self.assertEqual({COMPLETE_STREAM}, {caller.body for caller in callers})
 
+    async def test_a_stream_that_stays_silent_after_its_endpoint_went_on_is_moved(self):
+        scripts = {
+            "a": [Script(events=EVENTS, hangs_after=4), Script(events=EVENTS * 9)],
+            "b": [Script(events=EVENTS)],
+        }
+        world = World([STREAM], scripts, MANY_RETRIES)
+        world.placer.view(world.member("b")).in_flight = 50
+        at = world.clock.now() + 0.2
+        world.endpoints.standstills["a"] = [(at, at + 1.2)]
+        sending = asyncio.create_task(world.send_request(deadline_s=60.0))
+        await asyncio.sleep(0.01)
+        other = asyncio.create_task(world.send_request(2, deadline_s=60.0))
+        caller = await sending
+        other.cancel()
+        self.assertEqual(COMPLETE_STREAM, caller.body)
+        self.assertEqual(["a", "a", "b"], world.attempted_endpoints())
+        pauses = zip(caller.parts, caller.parts[1:], strict=False)
+        self.assertLess(max(after[0] - before[0] for before, after in pauses), 2.6)
+
     async def test_a_silent_stream_is_kept_where_no_endpoint_permits_another(self):
         """Guards rule LOST: an endpoint was asked only after the stream had ended."""
         silent = [Script(events=EVENTS, pauses_after=4, pause_s=6.0)]
