Let a broken begun stream wait for a retry or an endpoint

Callers saw begun streams end at once when an endpoint broke them off while the retry budget was spent for a second, or while no endpoint was there, long before their deadlines. The budget bounds bursts over 1.8 s, and crashed endpoints are back within seconds, so a later resume completes the answer at less cost than a new request.

A begun stream that may be resumed now waits up to 3 s. A request without an answer yet gets its refusal at once, as before.

Two tests failed before: a retry that is due 1.8 s later, and an endpoint that is back 2 s later. A third keeps the end of the wait.

--- a/radishshift/gateway/job_retries.py
+++ b/radishshift/gateway/job_retries.py
@@ -1,6 +1,7 @@
 """Whether a request gets a further attempt after one that failed."""
 
 import asyncio
+import math
 from enum import StrEnum
 
 import logbook
@@ -21,6 +22,7 @@
 
 MAX_NOT_RUN_RETRIES = 6  # limit on retries after attempts that did not run
 MAX_ATTEMPTS = 5  # of one request, some of them at the same endpoint
+BUDGET_CHECK_INTERVAL_S = 0.1
 
 logger = logbook.Logger("dispatch")
 
@@ -45,21 +47,37 @@
     return _refusal(dispatcher, job, exc) is None
 
 
-async def acquire_retry(dispatcher: Dispatcher, job: Job, exc: EndpointError) -> bool:
-    """Acquire a retry after a failed attempt, if policy and retry budget allow it."""
+async def acquire_retry(
+    dispatcher: Dispatcher, job: Job, exc: EndpointError, until: float = -math.inf
+) -> bool:
+    """Acquire a retry after a failed attempt, if policy and retry budget allow it.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+    job : Job
+    exc : EndpointError
+    until : float, optional
+        Instant until which to wait for a retry while the budget is spent.
+    """
     if job.held_target is not None:
         return True  # acquired before the attempt was given up
+    clock = dispatcher.clock
     refusal = _policy_refusal(job, exc) or _budget_refusal(dispatcher, job, exc)
-    if refusal is None:
-        now = dispatcher.clock.now()
-        await asyncio.sleep(retry_at(job.lost_at, job.deadline, now) - now)
+    if refusal in (None, RetryRefusal.BUDGET_SPENT):
+        if refusal is None:
+            now = clock.now()
+            await asyncio.sleep(retry_at(job.lost_at, job.deadline, now) - now)
         refusal = _refusal(dispatcher, job, exc)
+        while refusal is RetryRefusal.BUDGET_SPENT and clock.now() < until:
+            await asyncio.sleep(BUDGET_CHECK_INTERVAL_S)
+            refusal = _refusal(dispatcher, job, exc)
     if refusal is not None:
         refuse_retry(dispatcher, job, refusal)
         return False
     if isinstance(exc, EndpointUnreachableError):
         return True
-    return dispatcher.budget(job.service).try_acquire(dispatcher.clock.now())
+    return dispatcher.budget(job.service).try_acquire(clock.now())
 
 
 def refuse_retry(dispatcher: Dispatcher, job: Job, refusal: RetryRefusal) -> None:
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -7,7 +7,7 @@
     interpolated_time_s,
     next_model,
 )
-from radishshift.errors import EndpointError, StreamBrokenError
+from radishshift.errors import EndpointError, NoEndpointError, StreamBrokenError
 from radishshift.gateway.attempts import Attempt
 from radishshift.gateway.complete_answers import check_signature
 from radishshift.gateway.dispatch import Dispatcher
@@ -29,6 +29,10 @@
 COALESCE_SHARE = 0.4
 MIN_TIMED_EVENTS = 8  # events after which the mean time between them is recorded
 MAX_RESUMES = 4
+# For a begun stream to wait for a retry or an endpoint. The budget bounds bursts over
+# less than that, and endpoints that crashed are back by then.
+RESUME_WAIT_S = 3.0
+ENDPOINT_CHECK_INTERVAL_S = 0.1
 # Twice as long as an engine that reads long prompts pauses between two events. An event
 # is some hundred bytes, so one that takes longer is not merely slow.
 EVENT_TIMEOUT_S = 4.0
@@ -65,6 +69,7 @@
         self._caller = caller
         self._buffer = EventBuffer()
         self._resumes = 0
+        self._resume_by = 0.0
         models = job.route.models
         self.model = first_model(models) if models else ""
         self.escalated = False
@@ -93,9 +98,27 @@
                     raise
                 self._buffer.discard_partial_event()
                 continue
+            except NoEndpointError as exc:
+                if not self._caller.started:
+                    raise
+                await self._wait_for_endpoint(exc)
+                continue
             if status is not None:
                 return status
 
+    async def _wait_for_endpoint(self, exc: NoEndpointError) -> None:
+        """Wait before the resume that no endpoint took is tried again.
+
+        Raises
+        ------
+        NoEndpointError
+        """
+        left_s = self._resume_by - self._dispatcher.clock.now()
+        wait_s = max(exc.retry_after_s or 0.0, ENDPOINT_CHECK_INTERVAL_S)
+        if wait_s > left_s:
+            raise exc
+        await asyncio.sleep(wait_s)
+
     async def _acquire_retry(self, exc: EndpointError) -> bool:
         """Acquire a retry, if allowed; once events were forwarded it is a resume."""
         job = self._job
@@ -107,7 +130,9 @@
             if self._resumes > MAX_RESUMES:
                 refuse_retry(self._dispatcher, job, RetryRefusal.ATTEMPTS_USED)
                 return False
-        return await acquire_retry(self._dispatcher, job, exc)
+            now = self._dispatcher.clock.now()
+            self._resume_by = min(now + RESUME_WAIT_S, job.deadline)
+        return await acquire_retry(self._dispatcher, job, exc, self._resume_by)
 
     async def _attempt(self) -> int | None:
         """Run one attempt; return the status, or None if another attempt is due."""
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -13,7 +13,7 @@
 from radishshift.gateway.job_retries import MAX_ATTEMPTS
 from radishshift.gateway.messages import PromptPart
 from radishshift.gateway.relay_client import Helper, RelayReply
-from radishshift.gateway.streams import EVENT_TIMEOUT_S
+from radishshift.gateway.streams import EVENT_TIMEOUT_S, RESUME_WAIT_S
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import SERVICE, Script, World, route
 
@@ -95,6 +95,46 @@
         self.assertTrue(caller.aborted)
         self.assertFalse(caller.finished)
 
+    async def test_a_broken_stream_waits_for_a_retry_that_is_due_soon(self):
+        """It ended at once, though the budget allowed a retry a second later."""
+        world = World(
+            [STREAM],
+            {"a": [stream_script(breaks_after=7), stream_script()]},
+            Bounds(retry_ratio=1.0, retry_slack=0.0),
+        )
+        budget = world.dispatcher.budget(SERVICE)
+        for _ in range(10):
+            budget.request_received(world.clock.now())
+        await asyncio.sleep(3.0)
+        sending = asyncio.create_task(world.send_request())
+        await asyncio.sleep(0.2)
+        while budget.try_acquire(world.clock.now()):
+            pass
+        caller = await sending
+        self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
+        self.assertLess(max_pause_s(caller), RESUME_WAIT_S)
+
+    async def _send_as_endpoints_leave(self, back_after_s):
+        """Send a stream that breaks after its endpoint has left; return the caller."""
+        broken = stream_script(breaks_after=7, gap_s=0.3)
+        world = World([STREAM], {"a": [broken, stream_script()]})
+        sending = asyncio.create_task(world.send_request())
+        await asyncio.sleep(0.1)
+        world.list_members([])
+        await asyncio.sleep(back_after_s)
+        world.list_members("a")
+        return await sending
+
+    async def test_a_broken_stream_waits_for_an_endpoint_that_is_back_soon(self):
+        """It ended at once, as no endpoint was there to go on at."""
+        caller = await self._send_as_endpoints_leave(4.0)
+        self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
+
+    async def test_a_broken_stream_ends_if_no_endpoint_is_back_in_time(self):
+        caller = await self._send_as_endpoints_leave(8.0)
+        self.assertTrue(caller.aborted)
+        self.assertLess(caller.ended_at - caller.parts[-1][0], RESUME_WAIT_S + 0.5)
+
     async def test_a_silent_stream_of_an_unreachable_endpoint_is_resumed_in_time(self):
         """In a partitioned data centre, streams hung for 3 s (day trouble-2)."""
         world = World(
