Let the sender of a relayed attempt decide that a silent endpoint is left

Callers could lose a stream that a peer relayed: the peer gave it up after 2 s of silence by what its sender had said of its retry budget when the order was sent. The sender that has spent its budget meanwhile could not go on.

A peer now breaks an attempt off only if its endpoint can't be reached. A peer that sends other bytes isn't left out for the silence of an endpoint, and one whose attempt is replaced is asked again only if there is no other.

The new test, a budget spent after the order, lost the stream before and passes now.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -310,6 +310,21 @@
             if may_give_up:
                 await self._replace_if_headless(attempt, sending)
 
+    def _stall(self, attempt: Attempt) -> Stall | None:
+        """Return why an attempt is to be replaced, None if it isn't.
+
+        Raises
+        ------
+        StreamStalledError
+            If the endpoint of an attempt that is made for a peer is lost. The peer sees
+            for itself that a sound one is silent, and knows what could follow.
+        """
+        if not attempt.for_peer:
+            return self._silence.stall(attempt)
+        if self._silence.endpoint_lost(attempt):
+            raise StreamStalledError("the endpoint is silent and can't be reached")
+        return None
+
     async def _replace_if_silent(self, attempt: Attempt) -> bytes:
         """Give up a silent stream if another attempt can take its place.
 
@@ -322,10 +337,10 @@
         ------
         StreamStalledError
         """
-        stall = self._silence.stall(attempt) if attempt.may_retry else None
+        stall = self._stall(attempt) if attempt.may_retry else None
         if stall is None:
             return b""
-        held = await self._hold_replacement(attempt, stall)
+        held = await self._hold_replacement(attempt)
         data = attempt.answer.buffered_bytes()
         if held is not None:
             self._give_up(attempt, stall, held, went_on=bool(data))
@@ -340,10 +355,9 @@
         """
         if not attempt.may_retry:
             return
-        stall = Stall(reason)
-        held = await self._hold_replacement(attempt, stall)
+        held = await self._hold_replacement(attempt)
         if held is not None:
-            self._give_up(attempt, stall, held)
+            self._give_up(attempt, Stall(reason), held)
 
     async def _replace_if_headless(
         self, attempt: Attempt, sending: asyncio.Future
@@ -354,25 +368,15 @@
         ------
         StreamStalledError
         """
-        stall = self._silence.stall(attempt)
+        stall = self._stall(attempt)
         if stall is None:
             return
-        held = await self._hold_replacement(attempt, stall)
+        held = await self._hold_replacement(attempt)
         if held is not None:
             self._give_up(attempt, stall, held, went_on=sending.done())
 
-    async def _hold_replacement(
-        self, attempt: Attempt, stall: Stall
-    ) -> HeldTarget | None:
-        """Hold the target of the attempt that is to replace a stalled one.
-
-        Raises
-        ------
-        StreamStalledError
-            If a peer decides on the next attempt.
-        """
-        if attempt.for_peer:
-            raise StreamStalledError(stall.reason)
+    async def _hold_replacement(self, attempt: Attempt) -> HeldTarget | None:
+        """Hold the target of the attempt that is to replace a stalled one."""
         # After a pause of this process, timers fire before its input is handled.
         for _ in range(INPUT_TURNS):
             await asyncio.sleep(0)
@@ -521,7 +525,10 @@
         """Record what this host alone can tell; the peer records the rest."""
         if type(exc) is EndpointError and attempt.answer is not None:
             self.record_version_answer(attempt, False)
-        elif isinstance(exc, StreamStalledError):
+        elif (
+            isinstance(exc, StreamStalledError)
+            and attempt.view.last_byte_at <= attempt.last_byte_at
+        ):
             self.relays.record_failure(attempt.helper)
 
     def _record_endpoint_failure(
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -56,7 +56,7 @@
     helpers : list of str
         Peers that were asked to relay an attempt.
     avoided_helpers : list of str
-        Peers that are not to relay the next attempt.
+        Peers that relay the next attempt only if there is no other.
     held_target : Member or Helper or None
         Where the next attempt goes, with its retry acquired.
     token : str
--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -166,9 +166,10 @@
         lost = tracker.lost(job.service)
         if not lost and not self._found_no_connection(job):
             return None
-        state = choose_helper(
-            self._helpers(job), self._settings.data_centre, self._random
-        )
+        data_centre = self._settings.data_centre
+        helpers = list(self._helpers(job))
+        others = [each for each in helpers if each.host not in job.avoided_helpers]
+        state = choose_helper(others or helpers, data_centre, self._random)
         if state is None and lost:
             self.rejected += 1
             raise NoEndpointError(
@@ -202,7 +203,9 @@
 
     def has_other(self, job: Job) -> bool:
         """Return whether a further peer could relay an attempt of a job."""
-        return any(True for _ in self._helpers(job))
+        return any(
+            helper.host not in job.avoided_helpers for helper in self._helpers(job)
+        )
 
     def _found_no_connection(self, job: Job) -> bool:
         """Return whether a job's own attempts suggest that a peer may do better."""
@@ -222,8 +225,6 @@
             age_s = message.reached.get(job.service)
             paused = self._paused_until.get(host, 0.0) > now
             region = self._settings.regions.get(peer.data_centre)
-            if host in job.avoided_helpers:
-                continue
             if age_s is None or paused or not job.may_run_in(region):
                 continue
             view = self._views.get(host)
--- a/tests/users_platform/test_relays.py
+++ b/tests/users_platform/test_relays.py
@@ -161,13 +161,25 @@
 
     async def test_a_silent_stream_is_kept_by_the_peer_if_no_retry_is_left(self):
         """Guards rule LOST: the peer gave up what the sender could not go on with."""
+        await self._check_silent_stream_is_kept(spent_before=True)
+
+    async def test_a_silent_stream_is_kept_by_the_peer_if_the_retry_is_spent_later(
+        self,
+    ):
+        """Guards rule LOST: the peer relied on a retry that its sender had spent."""
+        await self._check_silent_stream_is_kept(spent_before=False)
+
+    async def _check_silent_stream_is_kept(self, spent_before):
+        spent = HostRetryBudget(0.0, 10.0, 0.0)
         async with fleet_with_cut_host() as (fleet, session, host):
             endpoints = fleet.platform.endpoints.values()
             for endpoint in endpoints:
                 endpoint.event_count, endpoint.gap_s = 20, 0.02
-            host.dispatcher._budgets[SERVICE] = HostRetryBudget(0.0, 10.0, 0.0)
+            if spent_before:
+                host.dispatcher._budgets[SERVICE] = spent
             async with post(session, host, number=2) as resp:
                 body = await resp.content.readany()
+                host.dispatcher._budgets[SERVICE] = spent
                 for endpoint in endpoints:
                     endpoint.gap_s = 2.6
                 await asyncio.sleep(0.1)
