Hold the larger model's target before the small answer is dropped

An answer of little confidence was dropped for a larger model before an endpoint had been chosen for that; where none was to be had, the request failed with an answer in hand.

The new test, no endpoint for the larger model, failed before.

--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -103,6 +103,8 @@
         Has attempts relayed by peers; None if there are none.
     on_crash : callable
         Called after a crash of an endpoint was recorded, or taken back.
+    replacements : Replacements
+        Holds what is to take the place of running attempts.
     refused_retries : Counter
         Failed attempts after which no further one followed, by reason.
     """
@@ -147,7 +149,7 @@
         self._silence = SilenceWatch(
             clock, self._prober, self.budget, self._has_alternative
         )
-        self._replacements = Replacements(
+        self.replacements = Replacements(
             clock,
             self.placement,
             self.choose_target,
@@ -380,7 +382,7 @@
         # After a pause of this process, timers fire before its input is handled.
         for _ in range(INPUT_TURNS):
             await asyncio.sleep(0)
-        return await self._replacements.hold(attempt)
+        return await self.replacements.hold(attempt)
 
     def _give_up(
         self, attempt: Attempt, stall: Stall, held: HeldTarget, went_on: bool = False
@@ -392,8 +394,8 @@
         StreamStalledError
         """
         if went_on or not self._silence.allow(stall):
-            self._replacements.release(held)
-        elif self._replacements.commit(held):
+            self.replacements.release(held)
+        elif self.replacements.commit(held):
             self._silence.record_given_up(attempt)
             raise StreamStalledError(stall.reason)
 
--- a/radishshift/gateway/replacements.py
+++ b/radishshift/gateway/replacements.py
@@ -76,12 +76,16 @@
 
     async def hold(self, attempt: Attempt) -> HeldTarget | None:
         """Hold a target other than that of a running attempt, None if there is none."""
+        with attempt.job.avoiding(attempt.member.name, attempt.helper):
+            return await self.hold_for_model(attempt, attempt.model)
+
+    async def hold_for_model(self, attempt: Attempt, model: str) -> HeldTarget | None:
+        """Hold a target, which may be the attempt's own, for another model."""
         job = attempt.job
         version = job.version
         try:
             self._check_before_attempt(job)
-            with job.avoiding(attempt.member.name, attempt.helper):
-                target = await self._choose_target(job, attempt.model)
+            target = await self._choose_target(job, model)
         except (DeadlineError, NoEndpointError, PoisonSuspectError) as exc:
             job.version = version
             self._log_kept(attempt, exc)
@@ -120,12 +124,12 @@
             permits.attempt_ended(held.target, job.attempt_id, refused=False)
 
     def _log_kept(self, attempt: Attempt, exc: RadishshiftError) -> None:
-        """Log once for an attempt that nothing can take its place."""
+        """Log that nothing can take an attempt's place, once for each attempt."""
         if attempt.kept:
             return
         attempt.kept = True
         logger.info(
-            "silent attempt is kept",
+            "attempt is kept",
             extra={
                 "request_id": attempt.job.req.request_id,
                 "endpoint": attempt.member.name,
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -150,7 +150,7 @@
                 return await self._handle_error_answer(attempt)
             check_signature(answer)
             dispatcher.record_first_event(attempt)
-            if not self._caller.started and self._escalate(attempt):
+            if not self._caller.started and await self._escalate(attempt):
                 return None
             await self._relay(attempt)
             dispatcher.record_completion(attempt, resumed=bool(resume_after_id))
@@ -172,10 +172,11 @@
         await self._caller.send(answer.status, answer.headers, body)
         return answer.status
 
-    def _escalate(self, attempt: Attempt) -> bool:
+    async def _escalate(self, attempt: Attempt) -> bool:
         """Switch to a larger model if the confidence of the begun answer is too low.
 
-        Escalation spends a retry of the budget.
+        Escalation spends a retry of the budget. The answer is dropped only once the
+        target of the larger model's attempt is held.
 
         Returns
         -------
@@ -201,7 +202,9 @@
         # A second permit would be taken from another request, or not be had at all.
         if not self._dispatcher.placement.has_unlimited_endpoint(job):
             return False
-        if not self._dispatcher.budget(job.service).try_acquire(now):
+        replacements = self._dispatcher.replacements
+        held = await replacements.hold_for_model(attempt, model)
+        if held is None or not replacements.commit(held):
             return False
         self.model = model
         self.escalated = True
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -6,7 +6,7 @@
 from radishshift.decisions.crashes import CRASHES_TO_BLOCK_PART, CrashSuspects, Traits
 from radishshift.decisions.placing import EndpointView
 from radishshift.decisions.retry_budget import RATIO_MARGIN
-from radishshift.errors import EndpointError
+from radishshift.errors import EndpointError, NoEndpointError
 from radishshift.gateway import job_retries
 from radishshift.gateway.deployment import Member, Rollout, RolloutState, RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -282,6 +282,20 @@
         self.assertEqual(COMPLETE_STREAM, caller.body)
         self.assertTrue(world.endpoints.answers[0].aborted)
 
+    async def test_an_answer_is_kept_if_no_endpoint_takes_the_larger_model(self):
+        """It was dropped before an endpoint had been chosen, and the request failed."""
+        world = World([CASCADE], {"a": [stream_script(confidence=20.0)]})
+        place = world.dispatcher.placement.place
+
+        async def place_small(job, model=""):
+            if model != "small":
+                raise NoEndpointError("no endpoint")
+            return await place(job, model)
+
+        self.patch(world.dispatcher.placement, "place", place_small)
+        caller = await world.send_request(model="*")
+        self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
+
     async def test_a_stream_that_cannot_be_resumed_is_not_run_by_a_second_model(self):
         once = route(RouteKind.STREAM, models=MODELS, resumable=False)
         world = World([once], {"a": [stream_script(confidence=20.0)]})
