--- a/radishshift/gateway/attempts.py
+++ b/radishshift/gateway/attempts.py
@@ -57,8 +57,9 @@
         Peer that relays the attempt, or empty.
     for_peer : bool
         Whether it is made for a peer, which decides on further attempts.
-    kept : bool
-        Whether it was kept once although it was silent, as nothing could replace it.
+    kept_until : float
+        Instant until which it goes on in any case, as nothing could replace it; 0 if
+        nothing was sought yet.
     """
 
     job: Job
@@ -77,7 +78,7 @@
     prefill_ktokens: float = 0.0
     helper: str = ""
     for_peer: bool = False
-    kept: bool = False
+    kept_until: float = 0.0
 
     @property
     def silence_timeout_s(self) -> float:
--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -355,7 +355,8 @@
         ------
         StreamStalledError
         """
-        if not attempt.may_retry:
+        budget = self.budget(attempt.job.service)
+        if not attempt.may_retry or budget.available(self.clock.now()) < 1:
             return
         held = await self._hold_replacement(attempt)
         if held is not None:
--- a/radishshift/gateway/replacements.py
+++ b/radishshift/gateway/replacements.py
@@ -27,6 +27,9 @@
 
 __all__ = ["HeldTarget", "Replacements"]
 
+# Seeking a target may take messages, and is in vain for a while once it was.
+SEEK_INTERVAL_S = 0.5
+
 logger = logbook.Logger("dispatch")
 
 
@@ -83,12 +86,14 @@
         """Hold a target, which may be the attempt's own, for another model."""
         job = attempt.job
         version = job.version
+        if self._clock.now() < attempt.kept_until:
+            return None
         try:
             self._check_before_attempt(job)
             target = await self._choose_target(job, model)
         except (DeadlineError, NoEndpointError, PoisonSuspectError) as exc:
             job.version = version
-            self._log_kept(attempt, exc)
+            self._keep(attempt, exc)
             return None
         return HeldTarget(job, target, version)
 
@@ -123,11 +128,12 @@
         if permits is not None and isinstance(held.target, Member):
             permits.attempt_ended(held.target, job.attempt_id, refused=False)
 
-    def _log_kept(self, attempt: Attempt, exc: RadishshiftError) -> None:
-        """Log that nothing can take an attempt's place, once for each attempt."""
-        if attempt.kept:
+    def _keep(self, attempt: Attempt, exc: RadishshiftError) -> None:
+        """Keep an attempt for a while, and log the reason the first time."""
+        now = self._clock.now()
+        known, attempt.kept_until = attempt.kept_until, now + SEEK_INTERVAL_S
+        if known:
             return
-        attempt.kept = True
         logger.info(
             "attempt is kept",
             extra={
@@ -136,6 +142,6 @@
                 "helper": attempt.helper,
                 "error": exc.code,
                 "reason": exc.message[:200],
-                "silent_s": round(self._clock.now() - attempt.last_byte_at, 3),
+                "silent_s": round(now - attempt.last_byte_at, 3),
             },
         )
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -7,6 +7,8 @@
 from radishshift.gateway.deployment import RouteKind
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.job_retries import RetryRefusal
+from radishshift.gateway.placement import MAX_PERMIT_QUESTIONS
+from radishshift.gateway.replacements import SEEK_INTERVAL_S
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import Script, World, route
 
@@ -18,6 +20,7 @@
 NO_RETRIES = Bounds(retry_ratio=0.0, retry_slack=0.0)
 ONE_RETRY = Bounds(retry_ratio=0.0, retry_slack=14.0)
 MANY_RETRIES = Bounds(retry_ratio=10.0, retry_slack=10_000.0)
+PAUSE_S = 6.0
 STREAMS = 24
 AT_ONCE = 4
 STANDSTILL_AT_S = 5.0
@@ -103,12 +106,14 @@
 
     async def test_a_silent_stream_is_kept_where_no_endpoint_permits_another(self):
         """Guards rule LOST: an endpoint was asked only after the stream had ended."""
-        silent = [Script(events=EVENTS, pauses_after=4, pause_s=6.0)]
+        silent = [Script(events=EVENTS, pauses_after=4, pause_s=PAUSE_S)]
         world = World([STREAM], {"a": silent, "b": silent}, MANY_RETRIES)
         world.dispatcher.placement.permits = permits = _NoPermits()
         caller = await world.send_request(deadline_s=60.0)
         self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
         self.assertIn("b", permits.asked)
+        questions = MAX_PERMIT_QUESTIONS * PAUSE_S / SEEK_INTERVAL_S
+        self.assertLessEqual(len(permits.asked), questions)
 
     async def test_a_silent_stream_of_a_blocked_request_is_kept(self):
         silent = [Script(events=EVENTS, pauses_after=4, pause_s=6.0)]
