--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -41,10 +41,11 @@
 )
 from radishshift.gateway.placement import Placement
 from radishshift.gateway.relay_client import Helper, RelayClient
-from radishshift.gateway.replacements import HeldTarget, Replacements
+from radishshift.gateway.replacements import Replacements
 from radishshift.gateway.service_monitor import ServiceMonitor
 from radishshift.gateway.shared_placement import FAILED_OUTCOME, UNREACHABLE_OUTCOME
-from radishshift.gateway.silence import SilenceWatch, Stall
+from radishshift.gateway.silence import SilenceWatch
+from radishshift.gateway.stalled_attempts import StalledAttempts
 from radishshift.verdicts import Verdict
 
 __all__ = ["Dispatcher"]
@@ -60,8 +61,6 @@
 LOOK_AFTER_S = 0.15
 # Longer than callers of such requests wait, so that they give up instead of retrying.
 POISON_RETRY_AFTER_S = 30.0
-# Turns of the event loop after which input that had arrived before has been handled.
-INPUT_TURNS = 3
 DEADLINE_MARGIN_S = 0.05  # reserved for returning the answer to the caller
 
 # An attempt at an endpoint that crashes doesn't fail like this.
@@ -105,6 +104,7 @@
         Called after a crash of an endpoint was recorded, or taken back.
     replacements : Replacements
         Holds what is to take the place of running attempts.
+    stalled : StalledAttempts
     refused_retries : Counter
         Failed attempts after which no further one followed, by reason.
     """
@@ -156,6 +156,9 @@
             self.check_before_attempt,
             self.budget,
         )
+        self.stalled = StalledAttempts(
+            clock, self._silence, self.replacements, self.budget
+        )
 
     def budget(self, service: str) -> HostRetryBudget:
         """Return this host's retry budget for a service."""
@@ -288,7 +291,7 @@
                 async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
                     data = await attempt.answer.chunk()
             except TimeoutError:
-                data = await self._replace_if_silent(attempt)
+                data = await self.stalled.check_stream(attempt)
                 if not data:
                     continue
             self._silence.stream_went_on(attempt)
@@ -310,95 +313,7 @@
                 return
             self._silence.probe_if_silent(attempt)
             if may_give_up:
-                await self._replace_if_headless(attempt, sending)
-
-    def _stall(self, attempt: Attempt) -> Stall | None:
-        """Return why an attempt is to be replaced, None if it isn't.
-
-        Raises
-        ------
-        StreamStalledError
-            If the endpoint of an attempt that is made for a peer is lost. The peer sees
-            for itself that a sound one is silent, and knows what could follow.
-        """
-        if not attempt.for_peer:
-            return self._silence.stall(attempt)
-        if self._silence.endpoint_lost(attempt):
-            raise StreamStalledError("the endpoint is silent and can't be reached")
-        return None
-
-    async def _replace_if_silent(self, attempt: Attempt) -> bytes:
-        """Give up a silent stream if another attempt can take its place.
-
-        Returns
-        -------
-        bytes
-            What was received meanwhile.
-
-        Raises
-        ------
-        StreamStalledError
-        """
-        stall = self._stall(attempt) if attempt.may_retry else None
-        if stall is None:
-            return b""
-        held = await self._hold_replacement(attempt)
-        data = attempt.answer.buffered_bytes()
-        if held is not None:
-            self._give_up(attempt, stall, held, went_on=bool(data))
-        return data
-
-    async def replace_incomplete(self, attempt: Attempt, reason: str) -> None:
-        """Give up a stream that makes no progress if another attempt can follow.
-
-        Raises
-        ------
-        StreamStalledError
-        """
-        budget = self.budget(attempt.job.service)
-        if not attempt.may_retry or budget.available(self.clock.now()) < 1:
-            return
-        held = await self._hold_replacement(attempt)
-        if held is not None:
-            self._give_up(attempt, Stall(reason), held)
-
-    async def _replace_if_headless(
-        self, attempt: Attempt, sending: asyncio.Future
-    ) -> None:
-        """Give up an attempt without a head if another one can take its place.
-
-        Raises
-        ------
-        StreamStalledError
-        """
-        stall = self._stall(attempt)
-        if stall is None:
-            return
-        held = await self._hold_replacement(attempt)
-        if held is not None:
-            self._give_up(attempt, stall, held, went_on=sending.done())
-
-    async def _hold_replacement(self, attempt: Attempt) -> HeldTarget | None:
-        """Hold the target of the attempt that is to replace a stalled one."""
-        # After a pause of this process, timers fire before its input is handled.
-        for _ in range(INPUT_TURNS):
-            await asyncio.sleep(0)
-        return await self.replacements.hold(attempt)
-
-    def _give_up(
-        self, attempt: Attempt, stall: Stall, held: HeldTarget, went_on: bool = False
-    ) -> None:
-        """Give up a stalled attempt for the one whose target is held, if allowed.
-
-        Raises
-        ------
-        StreamStalledError
-        """
-        if went_on or not self._silence.allow(stall):
-            self.replacements.release(held)
-        elif self.replacements.commit(held):
-            self._silence.record_given_up(attempt)
-            raise StreamStalledError(stall.reason)
+                await self.stalled.check_head(attempt, sending)
 
     def _has_alternative(self, attempt: Attempt) -> bool:
         """Return whether an attempt could be replaced by one that goes another way."""
--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -239,7 +239,7 @@
             if not events:
                 unfinished_s = now - event_at
                 if unfinished_s > EVENT_TIMEOUT_S:
-                    await dispatcher.replace_incomplete(
+                    await dispatcher.stalled.replace_incomplete(
                         attempt, f"no complete event in {unfinished_s:.1f} s"
                     )
                 continue
