--- a/radishshift/gateway/dispatch.py
+++ b/radishshift/gateway/dispatch.py
@@ -40,12 +40,13 @@
     ProbeOutcome,
 )
 from radishshift.gateway.placement import Placement
-from radishshift.gateway.relay_client import Helper, RelayClient
+from radishshift.gateway.relay_client import RelayClient
 from radishshift.gateway.replacements import Replacements
 from radishshift.gateway.service_monitor import ServiceMonitor
 from radishshift.gateway.shared_placement import FAILED_OUTCOME, UNREACHABLE_OUTCOME
 from radishshift.gateway.silence import SilenceWatch
 from radishshift.gateway.stalled_attempts import StalledAttempts
+from radishshift.gateway.targets import Helper, Target
 from radishshift.verdicts import Verdict
 
 __all__ = ["Dispatcher"]
@@ -178,7 +179,7 @@
         """Return when this host last received a byte of an endpoint, 0 if never."""
         return self._placer.view(member).last_byte_at
 
-    async def choose_target(self, job: Job, model: str = "") -> Member | Helper:
+    async def choose_target(self, job: Job, model: str = "") -> Target:
         """Return the endpoint for the next attempt, or the peer to relay it.
 
         Raises
@@ -192,9 +193,7 @@
         return helper or await self.placement.place(job, model)
 
     @contextmanager
-    def attempt(
-        self, job: Job, target: Member | Helper, model: str
-    ) -> Iterator[Attempt]:
+    def attempt(self, job: Job, target: Target, model: str) -> Iterator[Attempt]:
         """Track an attempt while it runs, and record how it fails."""
         now = self.clock.now()
         if isinstance(target, Helper):
--- a/radishshift/gateway/jobs.py
+++ b/radishshift/gateway/jobs.py
@@ -4,16 +4,13 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 import xxhash
 
 from radishshift.decisions.crashes import Traits
 from radishshift.gateway.deployment import Customer, Member, Route
 from radishshift.gateway.messages import AttemptOrder, CallerRequest
-
-if TYPE_CHECKING:
-    from radishshift.gateway.relay_client import Helper
+from radishshift.gateway.targets import Target
 
 __all__ = ["Job"]
 
@@ -57,7 +54,7 @@
         Peers that were asked to relay an attempt.
     avoided_helpers : list of str
         Peers that relay the next attempt only if there is no other.
-    held_target : Member or Helper or None
+    held_target : Target or None
         Where the next attempt goes, with its retry acquired.
     token : str
         Name that no other job has, at whichever host; callers may repeat their ids.
@@ -80,7 +77,7 @@
     unreachable_attempts: int = 0
     helpers: list[str] = field(default_factory=list)
     avoided_helpers: list[str] = field(default_factory=list)
-    held_target: "Member | Helper | None" = None
+    held_target: Target | None = None
     token: str = field(default_factory=lambda: secrets.token_hex(TOKEN_BYTES))
 
     def __post_init__(self) -> None:
--- a/radishshift/gateway/relay_client.py
+++ b/radishshift/gateway/relay_client.py
@@ -37,8 +37,9 @@
     ServiceMonitor,
 )
 from radishshift.gateway.sockets import keepalive_session
+from radishshift.gateway.targets import Helper
 
-__all__ = ["PATH", "Helper", "RelayClient", "RelayReply"]
+__all__ = ["PATH", "RelayClient", "RelayReply"]
 
 PATH = "/relay"
 CONNECT_TIMEOUT_S = 0.35
@@ -54,20 +55,6 @@
 logger = logbook.Logger("relay")
 
 
-@dataclass(frozen=True, slots=True)
-class Helper:
-    """A peer that is to relay an attempt.
-
-    Attributes
-    ----------
-    member : Member
-        The peer in the place of the endpoint, which is not known yet.
-    """
-
-    host: str
-    member: Member
-
-
 @dataclass(frozen=True, slots=True)
 class RelayReply:
     """The outcome of an attempt up to the head of its answer.
--- a/radishshift/gateway/replacements.py
+++ b/radishshift/gateway/replacements.py
@@ -23,7 +23,7 @@
 from radishshift.gateway.deployment import Member
 from radishshift.gateway.jobs import Job
 from radishshift.gateway.placement import Placement
-from radishshift.gateway.relay_client import Helper
+from radishshift.gateway.targets import Target
 
 __all__ = ["HeldTarget", "Replacements"]
 
@@ -44,7 +44,7 @@
     """
 
     job: Job
-    target: Member | Helper
+    target: Target
     version: str
 
 
@@ -67,7 +67,7 @@
         self,
         clock: Clock,
         placement: Placement,
-        choose_target: Callable[[Job, str], Awaitable[Member | Helper]],
+        choose_target: Callable[[Job, str], Awaitable[Target]],
         check_before_attempt: Callable[[Job], None],
         budget: Callable[[str], HostRetryBudget],
     ) -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -12,8 +12,9 @@
 from radishshift.gateway.host_settings import Bounds
 from radishshift.gateway.job_retries import MAX_ATTEMPTS
 from radishshift.gateway.messages import PromptPart
-from radishshift.gateway.relay_client import Helper, RelayReply
+from radishshift.gateway.relay_client import RelayReply
 from radishshift.gateway.streams import EVENT_TIMEOUT_S, RESUME_WAIT_S
+from radishshift.gateway.targets import Helper
 from tests.cases import VirtualTestCase
 from tests.gateway.worlds import SERVICE, Script, World, route
 
