Evict complete answers only for bytes that then fit

A growing answer evicted every ended answer and was refused all the same when the running ones left too little room. A caller that came back for a complete answer got 404, and a resend with its idempotency key ran and was billed again.

The store gave the ended answers up on the promise of room, and looked for the room only afterwards. It now counts the bytes of ended answers, so that it knows before it evicts whether what remains leaves room. Opening an answer was sound (an ended answer is at least as large as the overhead of a new one) and asks the same question.

The test failed before: NotFoundError "no answer id-0" after an append of 2,000 bytes was refused at 7,048 of 8,000.

--- a/radishshift/answers.py
+++ b/radishshift/answers.py
@@ -214,10 +214,16 @@
         self._answers: dict[tuple[str, str], Answer] = {}
         self._by_key: dict[tuple[str, str], Answer] = {}
         self._ended: dict[tuple[str, str], Answer] = {}
+        self._ended_bytes = 0
 
     def __len__(self) -> int:
         return len(self._answers)
 
+    @property
+    def _running_bytes(self) -> int:
+        """Return the memory that is used even after all ended answers are evicted."""
+        return self.held_bytes - self._ended_bytes
+
     def open(
         self,
         request_id: str,
@@ -236,12 +242,12 @@
         name = (customer, request_id)
         if name in self._answers:
             self._remove(self._answers[name])
-        self._evict_ended(ANSWER_OVERHEAD_BYTES)
-        if self.held_bytes + ANSWER_OVERHEAD_BYTES > self._total_bytes_max:
+        if self._running_bytes + ANSWER_OVERHEAD_BYTES > self._total_bytes_max:
             self.refused += 1
             raise OverloadedError(
                 "running answers use all of the memory for answers", retry_after_s=1.0
             )
+        self._evict_ended(ANSWER_OVERHEAD_BYTES)
         answer = Answer(request_id, customer, expires_at, key, fingerprint, store=self)
         self._answers[name] = answer
         if key:
@@ -292,13 +298,12 @@
         if len(answer.data) + added_bytes > self.answer_bytes_max:
             self.refused += 1
             raise AnswerTooLargeError("the answer exceeds the size limit for answers")
-        if self.held_bytes + added_bytes > self._total_bytes_max:
-            self._evict_ended(added_bytes)
-            if self.held_bytes + added_bytes > self._total_bytes_max:
-                self.refused += 1
-                raise AnswerTooLargeError(
-                    "the stored answers use all of the memory for answers"
-                )
+        if self._running_bytes + added_bytes > self._total_bytes_max:
+            self.refused += 1
+            raise AnswerTooLargeError(
+                "the stored answers use all of the memory for answers"
+            )
+        self._evict_ended(added_bytes)
         self.held_bytes += added_bytes
 
     def record_end(self, answer: Answer) -> None:
@@ -306,6 +311,7 @@
         name = (answer.customer, answer.request_id)
         if self._answers.get(name) is answer:
             self._ended[name] = answer
+            self._ended_bytes += answer.size
 
     def fail(self, answer: Answer, error: RadishshiftError) -> None:
         """End an answer with an error; remove it if the request did not run."""
@@ -330,7 +336,8 @@
     def _remove(self, answer: Answer) -> None:
         name = (answer.customer, answer.request_id)
         del self._answers[name]
-        self._ended.pop(name, None)
+        if self._ended.pop(name, None) is not None:
+            self._ended_bytes -= answer.size
         self.held_bytes -= answer.size
         answer.store = None
         if self._by_key.get((answer.customer, answer.key)) is answer:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -58,6 +58,16 @@
         self.assertEqual(2, answers.refused)
         self.assertLessEqual(answers.held_bytes, 5000)
 
+    def test_complete_answers_are_not_evicted_for_one_that_is_refused(self):
+        """A resend of a complete answer ran and was billed again."""
+        answers = Answers(8000)
+        answers.open("id-0", CUSTOMER, 10.0, "key", "print").end()
+        running = answers.open("id-1", CUSTOMER, 10.0)
+        running.append(b"x" * 5000)
+        self.assertRaises(AnswerTooLargeError, running.append, b"x" * 2000)
+        found = answers.find_resent(CUSTOMER, "id-3", "key", "print")
+        self.assertIs(answers.find("id-0", CUSTOMER), found)
+
     def test_the_size_of_one_answer_is_bounded(self):
         answer = Answers(9000, 3000).open("id-0", CUSTOMER, 10.0)
         self.assertRaises(AnswerTooLargeError, answer.append, b"x" * 3001)
