Let a poison grant last from when it is given

Suspects that waited long for a grant ran beside other suspects at one endpoint: a crash there then counted against all of them, and took down more than one request's work.

The end of a grant was set once, before the wait: a suspect that waited a minute got a grant that was over as it was given, and the next one got the same endpoint at once. The end is now set each time that a host asks, so that the permit is held while it is used, up to the bound of a minute that frees the grant of a dead host.

The test failed before: of eight suspects that take 50 s each at one endpoint, six began while another was running there.

--- a/radishshift/poison_retries.py
+++ b/radishshift/poison_retries.py
@@ -216,8 +216,7 @@
             return
         self._last_grant_number += 1
         holder = f"{self._me}-{self._last_grant_number}"
-        until = min(deadline, self._clock.now() + MAX_GRANT_DURATION_S)
-        request = _GrantRequest(fingerprint, endpoint, holder, until)
+        request = _GrantRequest(fingerprint, endpoint, holder, deadline)
         granter = await self._wait_for_grant(request, deadline)
         try:
             self.check(fingerprint, self._clock.now())
@@ -228,7 +227,9 @@
 
     async def _wait_for_grant(self, request: _GrantRequest, deadline: float) -> str:
         while self._clock.now() < deadline:
-            self.check(request.fingerprint, self._clock.now())
+            now = self._clock.now()
+            self.check(request.fingerprint, now)
+            request.until = min(deadline, now + MAX_GRANT_DURATION_S)
             for granter in self._granter_candidates():
                 reply = await self._send_grant_request(granter, request)
                 if reply is not None:
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -206,6 +206,26 @@
         )
         self.assertEqual([None, "answer"], results)
 
+    async def test_suspects_that_waited_long_never_share_an_endpoint(self):
+        """A grant ran from the begin of the wait, and was over as soon as given."""
+        guards = self.fleet()
+        names = [f"innocent-{number}" for number in range(8)]
+        for name in names:
+            await guards[0].report_crash(name, "engine-0")
+        running = []
+
+        async def run(guard, name):
+            deadline = CLOCK.now() + 600.0
+            async with guard.isolated_retry(name, "engine-1", deadline):
+                running.append(name)
+                shared.append(len(running) > 1)
+                await CLOCK.sleep_until(CLOCK.now() + 50.0)
+                running.remove(name)
+
+        shared = []
+        await asyncio.gather(*(run(guards[0], name) for name in names))
+        self.assertEqual([False] * len(names), shared)
+
     async def test_the_grant_of_a_dead_host_expires(self):
         guards = self.fleet()
         await guards[0].report_crash("innocent-1", "engine-0")
