End a poison grant wherever it may be held

A caller that left while its retry waited could leave a grant behind that nobody used: other suspects then waited at that endpoint for up to a minute, or failed with 504 'could not be retried in isolation'. The same held for a grant whose reply was lost.

A grant was ended only by the request that had received it, and only at the host that had answered last. Every host that may hold one is now told, from the moment it is asked.

The test failed before: DeadlineError for a second suspect, 5 s after the first had left.

--- a/radishshift/poison_retries.py
+++ b/radishshift/poison_retries.py
@@ -217,25 +217,32 @@
         self._last_grant_number += 1
         holder = f"{self._me}-{self._last_grant_number}"
         request = _GrantRequest(fingerprint, endpoint, holder, deadline)
-        granter = await self._wait_for_grant(request, deadline)
+        granters: set[str] = set()
         try:
+            await self._wait_for_grant(request, deadline, granters)
             self.check(fingerprint, self._clock.now())
             yield
         finally:
             request.ended = True
-            await self._send_grant_request(granter, request)
+            endings = (self._send_grant_request(name, request) for name in granters)
+            await asyncio.gather(*endings)
 
-    async def _wait_for_grant(self, request: _GrantRequest, deadline: float) -> str:
+    async def _wait_for_grant(
+        self, request: _GrantRequest, deadline: float, granters: set[str]
+    ) -> None:
+        """Return once a grant is held; `granters` are the hosts that may hold one."""
         while self._clock.now() < deadline:
             now = self._clock.now()
             self.check(request.fingerprint, now)
             request.until = min(deadline, now + MAX_GRANT_DURATION_S)
             for granter in self._granter_candidates():
+                granters.add(granter)
                 reply = await self._send_grant_request(granter, request)
                 if reply is not None:
                     break
             if reply is not None and reply.granted:
-                return granter
+                return
+            granters.discard(granter)
             await self._clock.sleep_until(self._clock.now() + RETRY_INTERVAL_S)
         raise DeadlineError(
             "the request was running when an endpoint crashed, and could not be "
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -226,6 +226,32 @@
         await asyncio.gather(*(run(guards[0], name) for name in names))
         self.assertEqual([False] * len(names), shared)
 
+    async def test_a_caller_that_leaves_during_the_wait_leaves_no_grant(self):
+        """The next suspect waited a minute for a grant that nobody used."""
+        guards = self.fleet()
+        for name in ("innocent-1", "innocent-2"):
+            await guards[0].report_crash(name, "engine-0")
+        granter = guards[0]._granter_candidates()[0]
+        asking = [guard for guard in guards if guard._me != granter]
+        deadline = CLOCK.now() + 120.0
+        waiting = asyncio.create_task(
+            asking[0].isolated_retry("innocent-1", "engine-1", deadline).__aenter__()
+        )
+        granted = asking[0]._peers.call
+
+        async def cancel_once_granted(*args):
+            reply = await granted(*args)
+            asking[0]._peers.call = granted
+            waiting.cancel()
+            await asyncio.sleep(0)
+            return reply
+
+        asking[0]._peers.call = cancel_once_granted
+        await self.assert_raises_async(asyncio.CancelledError, waiting)
+        retry = asking[1].isolated_retry("innocent-2", "engine-1", CLOCK.now() + 5.0)
+        async with retry:
+            pass
+
     async def test_the_grant_of_a_dead_host_expires(self):
         guards = self.fleet()
         await guards[0].report_crash("innocent-1", "engine-0")
