Spend no retry where no endpoint is left for it

While all endpoints of one version or service failed, requests to others failed with 502 at their first fault although a sound endpoint was left for them.

A failed attempt took a retry from the host's budget and looked for an endpoint only then. Where none was left the retry was gone without an attempt, and a version with a single endpoint used up the budget of all. The endpoint is now looked for first, in the same turn of the loop as the retry is taken; callers see the same errors as before.

The test failed before: after six requests to a version without an endpoint left, one to a version with a sound one left ended with "EndpointError: the endpoint answered with status 500".

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -174,8 +174,9 @@
                 await self._attempt(endpoint)
                 return
             except EndpointError as exc:
+                endpoint_left = context.chooser.has_untried(self.version.name, tried)
                 if self.started or not context.retry_budget.allows(
-                    exc, True, self.deadline, context.clock.now()
+                    exc, True, self.deadline, context.clock.now(), endpoint_left
                 ):
                     raise
                 logger.info(
--- a/radishshift/endpoint_choice.py
+++ b/radishshift/endpoint_choice.py
@@ -1,5 +1,6 @@
 """Choice of the endpoint for the next attempt, from this host's view of the load."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from radishshift.balance import BalancingContext, choose
@@ -65,20 +66,24 @@
             host=self.host_name,
             prefix_seen=self.prefix_caches.seen(digest),
         )
-        endpoints = [
-            endpoint
-            for endpoint in catalogue.endpoints_of(served)
-            if endpoint.name not in tried
-        ]
         holders = self.prefix_caches.holders(digest)
         chosen = choose(
             catalogue.policies.balancer,
             context,
-            self.loads.candidates(endpoints, now, holders),
+            self.loads.candidates(self._untried(served, tried), now, holders),
         )
         self.prefix_caches.record_sent(digest, chosen.name)
         return chosen
 
+    def has_untried(self, served: str, tried: set[str]) -> bool:
+        """Tell whether `choose` would find an endpoint now."""
+        return any(self._untried(served, tried))
+
+    def _untried(self, served: str, tried: set[str]) -> Iterator[Endpoint]:
+        for endpoint in self.configuration.catalogue.endpoints_of(served):
+            if endpoint.name not in tried:
+                yield endpoint
+
     def kv_source(self, req: ModelRequest, served: str) -> Endpoint | None:
         """Return a leaving endpoint to fetch a session's KV cache from, if any.
 
--- a/radishshift/retries.py
+++ b/radishshift/retries.py
@@ -27,13 +27,30 @@
         self._tokens = min(MAX_TOKENS, self._tokens + self._share)
 
     def allows(
-        self, error: RadishshiftError, idempotent: bool, deadline: float, now: float
+        self,
+        error: RadishshiftError,
+        idempotent: bool,
+        deadline: float,
+        now: float,
+        endpoint_left: bool = True,
     ) -> bool:
-        """Tell whether to retry after an error; if so, take a token."""
+        """Tell whether to retry after an error; if so, take a token.
+
+        Parameters
+        ----------
+        error : RadishshiftError
+        idempotent : bool
+        deadline, now : float
+        endpoint_left : bool
+            Whether an endpoint is left for the retry. Without one the retry takes no
+            token: it fails as it chooses its endpoint.
+        """
         if now >= deadline or error.verdict is Verdict.RAN:
             return False
         if error.verdict is Verdict.MAY_HAVE_RUN and not idempotent:
             return False
+        if not endpoint_left:
+            return True
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/radishshift/service_calls.py
+++ b/radishshift/service_calls.py
@@ -84,8 +84,13 @@
             if exc.verdict is not Verdict.NOT_RUN:
                 bill.items.append(_bill_item(call, endpoint, 0, price))
             verdict = exc.verdict = verdict.worst(exc.verdict)
+            endpoint_left = context.chooser.has_untried(call.service, tried)
             if not isinstance(exc, EndpointError) or not context.retry_budget.allows(
-                exc, call.idempotent, call.deadline, context.clock.now()
+                exc,
+                call.idempotent,
+                call.deadline,
+                context.clock.now(),
+                endpoint_left,
             ):
                 if bill.items:
                     await context.biller.make_durable(bill)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,8 +6,10 @@
 import msgspec
 from msgspec.structs import replace
 
-from tests.cases import TestCase
+from radishshift.errors import EndpointError, RadishshiftError
+from tests.cases import TestCase, VirtualTestCase
 from tests.served import FAST, served
+from tests.virtual_entry import LARGE, ScriptedEndpoint, virtual_entry
 
 # For tests that a pause of the process must not end: silence counts only after long.
 PATIENT = replace(FAST, stream_idle_s=30.0)
@@ -146,3 +148,23 @@
             async with entry.get("answers/plan-1", Last_Event_ID="15") as resp:
                 text = (await resp.read()).decode()
             self.assertEqual("word16 word17 word18 word19 ", words_of(text))
+
+
+class RetriesTest(VirtualTestCase):
+    async def test_no_retry_is_spent_where_no_endpoint_is_left(self):
+        """A version with one endpoint used up the retries of all others."""
+        broken = EndpointError("the endpoint answered with status 500")
+        entry = await virtual_entry(
+            {
+                "engine-1": ScriptedEndpoint(error=broken),
+                "engine-2": ScriptedEndpoint(error=broken, serves=(LARGE,)),
+                "engine-3": ScriptedEndpoint(serves=(LARGE,)),
+            }
+        )
+        for number in range(6):
+            answer = entry.answer(f"small {number}")
+            await self.assert_raises_async(RadishshiftError, answer)
+        for number in range(6):
+            text = (await entry.answer(f"large {number}", LARGE)).decode()
+            self.assertEqual("word0 word1 word2 ", words_of(text))
+        self.assertGreater(len(entry.endpoints["engine-2"].started), 0)
