Keep a silent stream's connection until another carries it

Begun streams ended with 502 'resume-refused' in the moment their endpoint had been silent for streamIdleS, although it went on a second later; so did requests that had not begun where the retry budget was spent. All streams of an endpoint that stands still come to this in the same instant.

The connection was closed first, for a resume and then a retry that were only looked for afterwards. It is now closed once its replacement is open: a resumed stream, or a retry taken from the budget with an endpoint left for it. Without either it is read again, for four silent periods in all, as an endpoint that stands still was allowed before. A resume that gets no connection no longer counts as one of the four while the stream may go on.

Three tests failed before: a begun stream that is silent for 6 s, 'ResumeRefusedError: the endpoint cannot resume the stream'; the same without new connections for 12 s, 'EndpointError: no connection'; twelve unbegun requests at two endpoints that stand still, of which those without one of three retries failed. Two more pass before and after.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,7 +3,11 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 from dataclasses import dataclass, field
 
 import logbook
@@ -108,6 +112,41 @@
     buffered_events: bytearray = field(default_factory=bytearray)
 
 
+class _Connection:
+    """The connection that carries the stream of an attempt; a context manager.
+
+    Attributes
+    ----------
+    stream : EngineStream or None
+        None before the first one is open, and after it has failed.
+    stalled : bool
+        Whether it was silent for too long, so that it is to be replaced.
+    """
+
+    def __init__(self) -> None:
+        self.stream: EngineStream | None = None
+        self.stalled = False
+        self._opened = AsyncExitStack()
+
+    async def __aenter__(self) -> "_Connection":
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        await self.close()
+
+    async def replace(self, opening: AbstractAsyncContextManager[EngineStream]) -> None:
+        """Open the next connection, then close the last one; keep it if that fails."""
+        opened = AsyncExitStack()
+        stream = await opened.enter_async_context(opening)
+        last, self._opened, self.stream = self._opened, opened, stream
+        await last.aclose()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self.stream = None
+        await self._opened.aclose()
+
+
 class VersionRun:
     """Answers a request with one model version, in one or more attempts.
 
@@ -151,6 +190,8 @@
         self.buffered = buffered
         self.deadline = req.deadline
         self.started = False
+        self._tried: set[str] = set()
+        self._retry_acquired = False
         self._buffered_events = b""
 
     @property
@@ -161,28 +202,41 @@
     async def execute(self) -> None:
         """Try endpoints until one has given the complete answer."""
         context = self.context
-        tried: set[str] = set()
         kv_source = context.chooser.kv_source(self.req, self.version.name)
         while True:
             endpoint = context.chooser.choose(
-                self.version.name, self.req.body_bytes, tried
+                self.version.name, self.req.body_bytes, self._tried
             )
-            tried.add(endpoint.name)
+            self._tried.add(endpoint.name)
             if kv_source is not None:
                 await context.chooser.import_kv(self.req, kv_source, endpoint)
             try:
                 await self._attempt(endpoint)
                 return
             except EndpointError as exc:
-                endpoint_left = context.chooser.has_untried(self.version.name, tried)
-                if self.started or not context.retry_budget.allows(
-                    exc, True, self.deadline, context.clock.now(), endpoint_left
-                ):
+                if not self._retry_acquired and not self._may_retry(exc):
                     raise
+                self._retry_acquired = False
                 logger.info(
                     "attempt at endpoint {} failed: {}", endpoint.name, exc.message
                 )
 
+    def _may_retry(self, exc: EndpointError) -> bool:
+        """Tell whether to try another endpoint; if one is left, take a retry for it."""
+        context = self.context
+        return not self.started and context.retry_budget.allows(
+            exc, True, self.deadline, context.clock.now(), self._endpoint_left
+        )
+
+    def _acquire_retry(self, exc: EndpointError) -> bool:
+        """Take the retry for which a running attempt is given up, if there is one."""
+        self._retry_acquired = self._endpoint_left and self._may_retry(exc)
+        return self._retry_acquired
+
+    @property
+    def _endpoint_left(self) -> bool:
+        return self.context.chooser.has_untried(self.version.name, self._tried)
+
     async def _attempt(self, endpoint: Endpoint) -> None:
         context = self.context
         req = self.req
@@ -240,38 +294,78 @@
 
     async def _receive(self, endpoint: Endpoint, attempt: _Attempt) -> None:
         """Receive the complete stream, resuming it on a new connection if one fails."""
-        engines = self.context.engines
-        scanner = attempt.scanner
-        opening = engines.open(
-            endpoint, self.req, self.version.name, attempt.attempt_id
-        )
         failures = 0
-        while True:
-            events_before = scanner.events
-            try:
-                async with opening as stream:
-                    attempt.dispatched = True
-                    await self._relay(endpoint, attempt, stream)
+        async with _Connection() as connection:
+            while True:
+                events_before = attempt.scanner.events
+                try:
+                    await self._read(endpoint, attempt, connection)
                     return
-            except ResumeRefusedError:
-                raise
-            except EndpointError as exc:
-                stream_broken = isinstance(exc, StreamBrokenError)
-                if not attempt.dispatched and not stream_broken:
-                    raise
-                attempt.dispatched = True
-                attempt.stream_broken |= stream_broken and not isinstance(
-                    exc, StreamStalledError
-                )
-                failures = 1 if scanner.events > events_before else failures + 1
-                if failures >= MAX_FAILURES_WITHOUT_PROGRESS:
-                    raise
-                logger.info(
-                    "resuming the stream of endpoint {}: {}", endpoint.name, exc.message
-                )
-            scanner.discard_partial_event()
-            await asyncio.sleep(RESUME_BACKOFF_S * failures)
-            opening = engines.resume(endpoint, attempt.attempt_id, scanner.events)
+                except EndpointError as exc:
+                    if attempt.scanner.events > events_before:
+                        failures = 0
+                    # A refused resume costs nothing while the stream may go on.
+                    if connection.stream is None or isinstance(exc, StreamStalledError):
+                        failures += 1
+                    self._record_stream_failure(attempt, connection, exc)
+                    if failures >= MAX_FAILURES_WITHOUT_PROGRESS or (
+                        isinstance(exc, ResumeRefusedError)
+                        and (connection.stream is None or self._acquire_retry(exc))
+                    ):
+                        raise
+                    logger.info(
+                        "resuming the stream of endpoint {}: {}",
+                        endpoint.name,
+                        exc.message,
+                    )
+                await asyncio.sleep(RESUME_BACKOFF_S * failures)
+
+    async def _read(
+        self, endpoint: Endpoint, attempt: _Attempt, connection: "_Connection"
+    ) -> None:
+        """Read the stream to its end, on a new connection if the last one failed.
+
+        A connection that is only silent is kept until its replacement is open. Where
+        there is none, the next call reads it again.
+        """
+        if connection.stream is None or connection.stalled:
+            connection.stalled = False
+            await connection.replace(self._opening(endpoint, attempt))
+            attempt.dispatched = True
+            attempt.scanner.discard_partial_event()
+        try:
+            await self._relay(endpoint, attempt, connection.stream)
+        except StreamStalledError:
+            connection.stalled = True
+            raise
+        except EndpointError:
+            await connection.close()
+            raise
+
+    def _opening(
+        self, endpoint: Endpoint, attempt: _Attempt
+    ) -> AbstractAsyncContextManager[EngineStream]:
+        engines = self.context.engines
+        attempt_id = attempt.attempt_id
+        if attempt.dispatched:
+            return engines.resume(endpoint, attempt_id, attempt.scanner.events)
+        return engines.open(endpoint, self.req, self.version.name, attempt_id)
+
+    def _record_stream_failure(
+        self, attempt: _Attempt, connection: "_Connection", exc: EndpointError
+    ) -> None:
+        """Record what a failure tells of the attempt; raise it if that has not begun.
+
+        Raises
+        ------
+        EndpointError
+        """
+        stream_broken = isinstance(exc, StreamBrokenError)
+        if not attempt.dispatched and not stream_broken:
+            raise exc
+        attempt.dispatched = True
+        if stream_broken and connection.stream is None:
+            attempt.stream_broken |= not isinstance(exc, StreamStalledError)
 
     async def _relay(
         self, endpoint: Endpoint, attempt: _Attempt, stream: EngineStream
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -168,3 +168,48 @@
             text = (await entry.answer(f"large {number}", LARGE)).decode()
             self.assertEqual("word0 word1 word2 ", words_of(text))
         self.assertGreater(len(entry.endpoints["engine-2"].started), 0)
+
+
+class SilenceTest(VirtualTestCase):
+    async def test_a_begun_stream_that_cannot_be_resumed_goes_on(self):
+        """Its connection was closed for a resume that the endpoint then refused."""
+        endpoint = ScriptedEndpoint(pauses=(0.1, 6.0, 0.1), resumes=False)
+        entry = await virtual_entry({"engine-1": endpoint})
+        text = (await entry.answer()).decode()
+        self.assertEqual("word0 word1 word2 ", words_of(text))
+        self.assertEqual([], endpoint.cancelled)
+
+    async def test_only_attempts_that_hold_a_retry_leave_a_silent_endpoint(self):
+        """Of many that stood still at once, all but three failed."""
+        late = (6.0, 0.1, 0.1)
+        entry = await virtual_entry(
+            {
+                name: ScriptedEndpoint(pauses=late, resumes=False)
+                for name in ("engine-1", "engine-2")
+            }
+        )
+        answers = (entry.answer(f"request {number}") for number in range(12))
+        for data in await asyncio.gather(*answers):
+            self.assertEqual("word0 word1 word2 ", words_of(data.decode()))
+        started = sum(len(each.started) for each in entry.endpoints.values())
+        self.assertEqual(12 + 3, started)
+
+    async def test_a_silent_stream_whose_endpoint_takes_no_new_connection_goes_on(self):
+        """A host at its limit of connections ended streams that it still served."""
+        endpoint = ScriptedEndpoint(pauses=(0.1, 12.0, 0.1), accepts_resumes=False)
+        entry = await virtual_entry({"engine-1": endpoint})
+        text = (await entry.answer()).decode()
+        self.assertEqual("word0 word1 word2 ", words_of(text))
+
+    async def test_a_silent_stream_that_can_be_resumed_is_resumed(self):
+        endpoint = ScriptedEndpoint(pauses=(0.1, 6.0, 0.1))
+        entry = await virtual_entry({"engine-1": endpoint})
+        text = (await entry.answer()).decode()
+        self.assertEqual("word0 word1 word2 ", words_of(text))
+        self.assertEqual([1], endpoint.resumed)
+
+    async def test_a_stream_that_stays_silent_ends_before_its_deadline(self):
+        endpoint = ScriptedEndpoint(pauses=(0.1, 500.0), resumes=False)
+        entry = await virtual_entry({"engine-1": endpoint})
+        await self.assert_raises_async(EndpointError, entry.answer())
+        self.assertEqual(1, len(endpoint.cancelled))
--- a/tests/virtual_entry.py
+++ b/tests/virtual_entry.py
@@ -12,13 +12,14 @@
 from radishshift.claims import Claims
 from radishshift.configuration import Configuration
 from radishshift.engines import EngineClient, EngineStream
-from radishshift.errors import ResumeRefusedError, StreamStalledError
+from radishshift.errors import EndpointError, ResumeRefusedError, StreamStalledError
 from radishshift.objects import Kind, StoredObject
 from radishshift.platform import MemoryPlatform
 from radishshift.requests import ModelRequest
 from radishshift.router import Router
 from radishshift.sessions import SessionKeys
 from radishshift.standins.deployment import small_catalogue
+from radishshift.verdicts import Verdict
 from radishshift.virtual_time import LoopClock
 from tests.test_answers import RecordingSink
 
@@ -41,7 +42,9 @@
     pauses: tuple[float, ...] = (0.1, 0.1, 0.1)
     error: Exception | None = None
     resumes: bool = True
+    accepts_resumes: bool = True
     serves: tuple[str, ...] = (SMALL,)
+    resumed: list[int] = field(default_factory=list)
     started: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
 
@@ -93,8 +96,11 @@
     async def resume(self, endpoint, attempt_id, events):
         target = self._endpoints[endpoint.name]
         await asyncio.sleep(0.001)
+        if not target.accepts_resumes:
+            raise EndpointError("no connection", verdict=Verdict.NOT_RUN)
         if not target.resumes:
             raise ResumeRefusedError("the endpoint cannot resume the stream")
+        target.resumed.append(events)
         started_at = self._attempts[attempt_id]
         yield _ScriptedStream(attempt_id, started_at, target.pauses, events)
 
