Count an attempt at its endpoint while a KV cache moves there

As an endpoint left and its sessions moved, all requests that waited for a cache at once went to an endpoint under probe. Each failed there and took a retry, and once the budget was spent callers got 502, beside sound endpoints.

An endpoint was chosen by its load and its circuit breaker, but counted in both only after the move: every request that chose meanwhile saw the same free endpoint and the same one probe. The attempt is now counted in the turn of the loop that chooses, and until it ends.

The test failed before: of twelve such requests one ended with 'EndpointError: the endpoint answered with status 500'; now the endpoint under probe gets one.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
     asynccontextmanager,
+    contextmanager,
 )
 from dataclasses import dataclass, field
 
@@ -208,10 +209,8 @@
                 self.version.name, self.req.body_bytes, self._tried
             )
             self._tried.add(endpoint.name)
-            if kv_source is not None:
-                await context.chooser.import_kv(self.req, kv_source, endpoint)
             try:
-                await self._attempt(endpoint)
+                await self._attempt(endpoint, kv_source)
                 return
             except EndpointError as exc:
                 if not self._retry_acquired and not self._may_retry(exc):
@@ -237,34 +236,55 @@
     def _endpoint_left(self) -> bool:
         return self.context.chooser.has_untried(self.version.name, self._tried)
 
-    async def _attempt(self, endpoint: Endpoint) -> None:
+    async def _attempt(self, endpoint: Endpoint, kv_source: Endpoint | None) -> None:
+        with self._counted(endpoint):
+            if kv_source is not None:
+                await self.context.chooser.import_kv(self.req, kv_source, endpoint)
+            attempt = self._new_attempt()
+            await self._run(endpoint, attempt)
+        self.answer.ended_verdict = Verdict.RAN
+        scanner = attempt.scanner
+        usage = scanner.usage or Usage(self.req.prompt_tokens_estimate, scanner.events)
+        self._record_outcome(endpoint, attempt, usage, ok=True)
+        await self._finish(endpoint, attempt, usage)
+
+    @contextmanager
+    def _counted(self, endpoint: Endpoint) -> Iterator[None]:
+        """Count an attempt in the endpoint's load, from the choice of it on."""
         context = self.context
+        context.loads.record_start(endpoint, context.clock.now())
+        ok: bool | None = None
+        try:
+            yield
+            ok = True
+        except EndpointError:
+            ok = False
+            raise
+        finally:
+            context.loads.record_end(endpoint, context.clock.now(), ok)
+
+    def _new_attempt(self) -> _Attempt:
         req = self.req
         attempt_id = f"{req.request_id}.{secrets.token_hex(ATTEMPT_ID_BYTES)}"
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
-        attempt = _Attempt(attempt_id, context.clock.now(), scanner)
-        context.loads.record_start(endpoint, context.clock.now())
+        return _Attempt(attempt_id, self.context.clock.now(), scanner)
+
+    async def _run(self, endpoint: Endpoint, attempt: _Attempt) -> None:
+        """Receive the complete answer, until the deadline or a disconnect."""
         self.answer.attempt_running = True
-        ok: bool | None = None
         try:
             async with self._until_deadline_or_disconnect(), self._isolated(endpoint):
                 await self._receive(endpoint, attempt)
-            ok = True
         except BaseException as exc:
-            if isinstance(exc, EndpointError):
-                ok = False
             self._record_failure(endpoint, attempt, exc)
             if _is_crash(exc, attempt):
-                await context.poison_guard.report_crash(req.fingerprint, endpoint.name)
+                await self.context.poison_guard.report_crash(
+                    self.req.fingerprint, endpoint.name
+                )
             raise
         finally:
             self.answer.attempt_running = False
-            context.loads.record_end(endpoint, context.clock.now(), ok)
-        self.answer.ended_verdict = Verdict.RAN
-        usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
-        self._record_outcome(endpoint, attempt, usage, ok=True)
-        await self._finish(endpoint, attempt, usage)
 
     def _isolated(self, endpoint: Endpoint) -> AbstractAsyncContextManager[None]:
         req = self.req
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -7,9 +7,12 @@
 from msgspec.structs import replace
 
 from radishshift.errors import EndpointError, RadishshiftError
+from radishshift.kv_moves import KvMover
+from radishshift.requests import prefix_digest
+from radishshift.sessions import Session, SessionKey
 from tests.cases import TestCase, VirtualTestCase
 from tests.served import FAST, served
-from tests.virtual_entry import LARGE, ScriptedEndpoint, virtual_entry
+from tests.virtual_entry import CLOCK, LARGE, SMALL, ScriptedEndpoint, virtual_entry
 
 # For tests that a pause of the process must not end: silence counts only after long.
 PATIENT = replace(FAST, stream_idle_s=30.0)
@@ -150,6 +153,25 @@
             self.assertEqual("word16 word17 word18 word19 ", words_of(text))
 
 
+class SlowMover(KvMover):
+    """Moves caches in 0.1 s."""
+
+    requested = 0
+
+    async def _request_import(self, *_):
+        self.requested += 1
+        await CLOCK.sleep_until(CLOCK.now() + 0.1)
+        return True
+
+
+def session_token(entry):
+    """Return a token of a session that is pinned to the small version."""
+    keys = entry.router.session_keys
+    keys.keys["key-1"] = SessionKey(b"secret", 0.0)
+    session = Session("session-1", "uyole-ring", SMALL, CLOCK.now() + 60.0)
+    return keys.issue(session, CLOCK.now())
+
+
 class RetriesTest(VirtualTestCase):
     async def test_no_retry_is_spent_where_no_endpoint_is_left(self):
         """A version with one endpoint used up the retries of all others."""
@@ -170,6 +192,33 @@
         self.assertGreater(len(entry.endpoints["engine-2"].started), 0)
 
 
+class CacheMovesTest(VirtualTestCase):
+    async def test_an_endpoint_under_probe_gets_one_attempt_while_caches_move(self):
+        """All requests that waited for a move were sent to it as its one probe."""
+        mover = SlowMover(None, CLOCK)
+        broken = EndpointError("the endpoint answered with status 500")
+        endpoints = {
+            "engine-1": ScriptedEndpoint(),
+            "engine-2": ScriptedEndpoint(error=broken),
+            "leaving": ScriptedEndpoint(state="leaving"),
+        }
+        entry = await virtual_entry(endpoints, kv_mover=mover)
+        texts = [f"{number}{'x' * 4000}" for number in range(12)]
+        token = session_token(entry)
+        for text in texts:
+            digest = prefix_digest(entry.request(text).body_bytes)
+            entry.router.chooser.prefix_caches.record_sent(digest, "leaving")
+        target = entry.router.catalogue.endpoints["engine-2"]
+        for _ in range(3):
+            entry.router.loads.record_start(target, CLOCK.now())
+            entry.router.loads.record_end(target, CLOCK.now(), ok=False)
+        await CLOCK.sleep_until(CLOCK.now() + 1.5)
+        answers = (entry.answer(text, session_token=token) for text in texts)
+        await asyncio.gather(*answers)
+        self.assertEqual(12 + 1, mover.requested)
+        self.assertEqual(1, len(endpoints["engine-2"].started))
+
+
 class SilenceTest(VirtualTestCase):
     async def test_a_begun_stream_that_cannot_be_resumed_goes_on(self):
         """Its connection was closed for a resume that the endpoint then refused."""
--- a/tests/virtual_entry.py
+++ b/tests/virtual_entry.py
@@ -23,7 +23,14 @@
 from radishshift.virtual_time import LoopClock
 from tests.test_answers import RecordingSink
 
-__all__ = ["LARGE", "SMALL", "ScriptedEndpoint", "VirtualEntry", "virtual_entry"]
+__all__ = [
+    "CLOCK",
+    "LARGE",
+    "SMALL",
+    "ScriptedEndpoint",
+    "VirtualEntry",
+    "virtual_entry",
+]
 
 CLOCK = LoopClock()
 SMALL = "farm-advice-small.v1"
@@ -44,6 +51,7 @@
     resumes: bool = True
     accepts_resumes: bool = True
     serves: tuple[str, ...] = (SMALL,)
+    state: str = "live"
     resumed: list[int] = field(default_factory=list)
     started: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
@@ -150,6 +158,7 @@
             "address": f"http://127.0.0.1:{1000 + number}",
             "dataCentre": "mbeya",
             "serves": list(endpoint.serves),
+            "state": endpoint.state,
         }
         specs.append((Kind.ENDPOINT, name, spec))
     stored = [await platform.create(StoredObject(*spec)) for spec in specs]
