Cancel an abandoned answer only when nobody follows it

A caller of a class with cancelOnHangUp that lost its connection and resent the request got 499 'hung-up', the answer of its own first attempt, while it waited for it: the resend is answered from the run in progress, and that run was cancelled because the connection that had started it was gone. The same held for a caller that follows through another host.

A run looked only at the sink that started it. It now goes on while any caller receives the answer: one of this host, or another host whose last query is at most 2 s old.

The test failed before: the second caller got CallerDisconnectedError. An answer whose callers have all left is cancelled as before, which a second test holds fast.

--- a/radishshift/answers.py
+++ b/radishshift/answers.py
@@ -51,6 +51,8 @@
         Whether an attempt is in flight.
     store : Answers or None
         Store that counts its bytes; None if it is in none or was removed.
+    followed_until : float
+        Instant until which another host is taken to follow it.
     """
 
     request_id: str
@@ -68,8 +70,10 @@
     ended_verdict: Verdict = Verdict.NOT_RUN
     attempt_running: bool = False
     store: "Answers | None" = None
+    followed_until: float = 0.0
     token: str = field(default_factory=lambda: secrets.token_hex(TOKEN_BYTES))
     _waiters: list[asyncio.Future[None]] = field(default_factory=list)
+    _followers: list["AnswerSink"] = field(default_factory=list)
 
     @property
     def size(self) -> int:
@@ -155,15 +159,25 @@
         RadishshiftError
             The request failed; the bytes received before that have been sent.
         """
-        await self.wait_until_started()
-        await sink.start(self)
-        async for chunk in self.read(position):
-            await sink.write(chunk)
-            if sink.caller_disconnected:
-                return
+        self._followers.append(sink)
+        try:
+            await self.wait_until_started()
+            await sink.start(self)
+            async for chunk in self.read(position):
+                await sink.write(chunk)
+                if sink.caller_disconnected:
+                    return
+        finally:
+            self._followers.remove(sink)
         if self.error is not None:
             raise self.error
 
+    def is_followed(self, now: float) -> bool:
+        """Tell whether a caller receives it that did not start its run."""
+        return now < self.followed_until or any(
+            not sink.caller_disconnected for sink in self._followers
+        )
+
 
 class AnswerSink(Protocol):
     """Connection to a caller, to which an answer is sent."""
--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -82,16 +82,23 @@
 
 
 class _DisconnectWatch:
-    """Cuts a timeout short when the caller disconnects."""
+    """Cuts a timeout short when the caller and all who follow have disconnected."""
 
-    def __init__(self, sink: AnswerSink, timeout: asyncio.Timeout) -> None:
+    def __init__(
+        self, sink: AnswerSink, answer: Answer, timeout: asyncio.Timeout
+    ) -> None:
         self._sink = sink
+        self._answer = answer
         self._timeout = timeout
         self.disconnected = False
 
     def check(self, now: float) -> None:
-        """Expire the timeout at once if the caller has disconnected."""
-        if self._sink.caller_disconnected and not self.disconnected:
+        """Expire the timeout at once if no caller is left."""
+        if (
+            self._sink.caller_disconnected
+            and not self._answer.is_followed(now)
+            and not self.disconnected
+        ):
             self.disconnected = True
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
@@ -299,7 +306,7 @@
         if remaining_s <= 0:
             raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
         timeout = asyncio.timeout(remaining_s)
-        watch = _DisconnectWatch(self.sink, timeout)
+        watch = _DisconnectWatch(self.sink, self.answer, timeout)
         if req.task_class.cancel_on_disconnect:
             self.context.periodic_checks.add(watch)
         try:
--- a/radishshift/remote_answers.py
+++ b/radishshift/remote_answers.py
@@ -20,6 +20,7 @@
 
 TOPIC = "answer"
 LONG_POLL_S = 1.0
+FOLLOWED_S = 2.0  # after a query, within which the next one comes
 QUERY_TIMEOUT_S = 3.0
 CHUNK_BYTES_MAX = 1 << 18
 
@@ -149,6 +150,7 @@
             answer = None
         if answer is None or query.token not in ("", answer.token):
             return msgspec.json.encode(_QueryReply()) + b"\n"
+        answer.followed_until = self._clock.now() + FOLLOWED_S
         position = query.position or skip_events(answer.data, query.events)
         if position >= len(answer.data) and not answer.ended:
             await self._wait_until_changed(answer)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -136,6 +136,19 @@
         self.assertEqual(b"data: 1\n\n", sink.data)
         self.assertEqual({"X-Request-Id": "id-0"}, sink.answer.headers)
 
+    async def test_a_host_sees_that_another_follows_its_answer(self):
+        """It cancelled the answer as its own caller had left."""
+        answer = self.answers["entry-2"].open("id-0", CUSTOMER, 10.0)
+        replay = self.remote["entry-1"].replay("id-0", CUSTOMER, RecordingSink())
+        reading = asyncio.ensure_future(replay)
+        await asyncio.sleep(0.01)
+        now = SystemClock().now()
+        self.assertTrue(answer.is_followed(now))
+        self.assertFalse(answer.is_followed(now + 5.0))
+        answer.start()
+        answer.end()
+        await reading
+
     async def test_an_answer_is_not_found_by_another_customer(self):
         self.answers["entry-2"].open("id-0", CUSTOMER, 10.0)
         replay = self.remote["entry-1"].replay("id-0", "igurusi-ring", RecordingSink())
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,12 +6,17 @@
 import msgspec
 from msgspec.structs import replace
 
-from radishshift.errors import EndpointError, RadishshiftError
+from radishshift.errors import (
+    CallerDisconnectedError,
+    EndpointError,
+    RadishshiftError,
+)
 from radishshift.kv_moves import KvMover
 from radishshift.requests import prefix_digest
 from radishshift.sessions import Session, SessionKey
 from tests.cases import TestCase, VirtualTestCase
 from tests.served import FAST, served
+from tests.test_answers import RecordingSink
 from tests.virtual_entry import CLOCK, LARGE, SMALL, ScriptedEndpoint, virtual_entry
 
 # For tests that a pause of the process must not end: silence counts only after long.
@@ -219,6 +224,32 @@
         self.assertEqual(1, len(endpoints["engine-2"].started))
 
 
+class DisconnectTest(VirtualTestCase):
+    async def follow(self, entry, gone, **kwargs):
+        """Have a caller leave, and another come, while a quick check is answered."""
+        request = {"task_class": "quick-check"}
+        first = asyncio.create_task(entry.answer(sink=gone, **request))
+        await CLOCK.sleep_until(CLOCK.now() + 0.5)
+        following = asyncio.create_task(entry.answer(**request | kwargs))
+        await CLOCK.sleep_until(CLOCK.now() + 0.1)
+        gone.caller_disconnected = True
+        return await asyncio.gather(first, following, return_exceptions=True)
+
+    async def test_an_answer_is_not_cancelled_under_the_caller_that_resumes_it(self):
+        """A caller that reconnected was told that the caller had disconnected."""
+        entry = await virtual_entry({"engine-1": ScriptedEndpoint((0.4,) * 3)})
+        _, data = await self.follow(entry, RecordingSink())
+        self.assertEqual("word0 word1 word2 ", words_of(data.decode()))
+
+    async def test_an_answer_is_cancelled_when_all_its_callers_have_left(self):
+        endpoint = ScriptedEndpoint((0.4,) * 3)
+        entry = await virtual_entry({"engine-1": endpoint})
+        gone = RecordingSink()
+        errors = await self.follow(entry, gone, sink=gone)
+        self.assertIsInstance(errors[0], CallerDisconnectedError)
+        self.assertEqual(1, len(endpoint.cancelled))
+
+
 class SilenceTest(VirtualTestCase):
     async def test_a_begun_stream_that_cannot_be_resumed_goes_on(self):
         """Its connection was closed for a resume that the endpoint then refused."""
