Send a withheld answer if the larger version gives none

In a cascade callers got 502 or 503 although a complete answer lay at the host: a first answer with too low a score, or without one, was dropped for a second version none of whose endpoints then answered. They were billed for it all the same.

The first answer was given up before anything took its place. It is now kept until the second has begun, and sent if that fails before. The target is a mean over a customer's answers, and what this one is expected to lack goes on the account. A version withdrawn meanwhile still ends the request with 'withdrawn', which an earlier test asks for, and at the deadline the request ends as before.

A second test, that nothing follows a begun answer, passes before and after.

--- a/radishshift/plan_runs.py
+++ b/radishshift/plan_runs.py
@@ -10,7 +10,12 @@
 from radishshift.bills import Bill
 from radishshift.cascade import Plan, PlanningContext, PlanStep
 from radishshift.configuration import Configuration
-from radishshift.errors import DeadlineError, EndpointError, NoEndpointError
+from radishshift.errors import (
+    DeadlineError,
+    EndpointError,
+    NoEndpointError,
+    RadishshiftError,
+)
 from radishshift.evidence import Cell
 from radishshift.mixing import record_answer_quality
 from radishshift.plan_tables import answer_time_bound_s
@@ -49,7 +54,8 @@
     """Executes the steps of a request's plan.
 
     An answer is withheld until it has been scored; only the accepted one is sent to
-    the caller. All attempts are items of the same bill.
+    the caller, or the rejected one if the later steps give none. All attempts are items
+    of the same bill.
 
     Parameters
     ----------
@@ -89,6 +95,7 @@
         self.sink = sink
         self._score: float | None = None
         self._rejected: VersionRun | None = None
+        self._rejected_index = 0
 
     async def execute(self) -> None:
         """Run the steps until one has given a complete answer."""
@@ -100,8 +107,13 @@
             try:
                 await run.execute()
             except (EndpointError, NoEndpointError, DeadlineError) as exc:
-                if last or self._clock.now() >= self.req.deadline:
+                if self._clock.now() >= self.req.deadline:
                     raise
+                if last:
+                    if run.started or self._rejected is None:
+                        raise
+                    await self._release_rejected(exc)
+                    return
                 logger.info(
                     "version {} gave no answer, trying the next step: {}",
                     step.version.name,
@@ -114,6 +126,18 @@
                 self._record_expected_quality(run, step_index)
                 return
             self._rejected = run
+            self._rejected_index = step_index
+
+    async def _release_rejected(self, error: RadishshiftError) -> None:
+        """Send the rejected answer, as the versions that were to replace it failed."""
+        run = self._rejected
+        logger.info(
+            "sending the rejected answer of version {}, as no other was given: {}",
+            run.version.name,
+            error.message,
+        )
+        await run.release()
+        self._record_expected_quality(run, self._rejected_index)
 
     def _version_run(self, step: PlanStep, buffered: bool) -> VersionRun:
         run = VersionRun(
--- a/tests/test_plan_runs.py
+++ b/tests/test_plan_runs.py
@@ -6,11 +6,15 @@
 
 import msgspec
 
+from radishshift.errors import EndpointError
 from radishshift.evidence import RATINGS, SCORES, Cell
 from radishshift.objects import Kind
+from radishshift.ratings import Ratings
 from radishshift.standins.engine import EngineFaults
-from tests.cases import TestCase
+from tests.cases import TestCase, VirtualTestCase
 from tests.served import served
+from tests.test_answers import RecordingSink
+from tests.virtual_entry import ScriptedEndpoint, virtual_entry
 
 SMALL = "farm-advice-small.v1"
 LARGE = "farm-advice-large.v1"
@@ -132,3 +136,41 @@
             self.assertEqual("withdrawn", error["code"])
             after = sum(len(engine.ran) for engine in case.engines)
             self.assertEqual(sum(map(len, ran)) + 1, after)
+
+
+class LowRatings(Ratings):
+    """A judge that finds every answer bad."""
+
+    def is_available(self, now):
+        return True
+
+    async def score(self, answer, deadline):
+        return 0.2
+
+
+class RejectedAnswerTest(VirtualTestCase):
+    async def entry(self, **endpoints):
+        policies = {"planner": "cheap-first"}
+        endpoints = {"engine-1": ScriptedEndpoint()} | endpoints
+        return await virtual_entry(endpoints, policies, ratings=LowRatings())
+
+    async def test_a_complete_answer_is_sent_if_the_next_step_fails(self):
+        """The caller got an error and a bill for the answer that was withheld."""
+        broken = EndpointError("the endpoint answered with status 500")
+        large = ScriptedEndpoint(error=broken, serves=(LARGE,))
+        entry = await self.entry(large=large)
+        for stream in (True, False):
+            data = await entry.answer(f"stream {stream}", "auto", stream=stream)
+            self.assertIn(b"word2", data)
+            bill = entry.router.biller.find(f"stream {stream}", "uyole-ring")
+            paid = [item.served_by for item in bill.items if item.cost]
+            self.assertEqual([SMALL], paid)
+        self.assertGreater(len(large.started), 0)
+
+    async def test_a_rejected_answer_never_follows_a_begun_one(self):
+        broken = ScriptedEndpoint((0.1, 500.0), resumes=False, serves=(LARGE,))
+        entry = await self.entry(large=broken)
+        sink = RecordingSink()
+        answer = entry.answer("Hello", "auto", sink=sink)
+        await self.assert_raises_async(EndpointError, answer)
+        self.assertEqual(1, sink.data.count(b"word"))
--- a/tests/virtual_entry.py
+++ b/tests/virtual_entry.py
@@ -149,10 +149,12 @@
         return sink.data
 
 
-async def virtual_entry(endpoints, **kwargs):
+async def virtual_entry(endpoints, policies=None, **kwargs):
     """Return an entry host before endpoints of one data centre, by their names."""
     platform = MemoryPlatform()
-    specs = [(Kind.ENTRY, name, spec) for name, spec in small_catalogue().items()]
+    catalogue = small_catalogue()
+    catalogue["policies"] |= policies or {}
+    specs = [(Kind.ENTRY, name, spec) for name, spec in catalogue.items()]
     for number, (name, endpoint) in enumerate(endpoints.items()):
         spec = {
             "address": f"http://127.0.0.1:{1000 + number}",
