Keep a queued place that a refused newcomer would have taken

A request that had been accepted to the queue got 503 'overloaded' for a newcomer of another customer, although that was refused in the same instant and the place was free.

Requests at the tail were refused while the newcomer, ahead of them by fairness, made their wait too long, and only then was the newcomer itself weighed, by its own, stricter bound. If the newcomer is refused, those dropped before it now go back to their places, and are refused only if they are late without it.

The test failed before: one request waited in place of two.

--- a/radishshift/admission_queue.py
+++ b/radishshift/admission_queue.py
@@ -134,21 +134,38 @@
         )
         if now > ticket.latest_start:
             raise self._refusal(self._wait_s(state, state.queue.cost, now))
-        contract = ticket.contract
-        state.queue.push(contract.customer, contract.weight, ticket.cost, ticket)
+        self._push(state, ticket)
         self.start_ready(now)
         if ticket.started is None:
             self.concurrency.record_waiting()
             self._shed(state, ticket, now)
 
     def _shed(self, state: _ClassState, newest: Ticket, now: float) -> None:
-        """Refuse requests at the tail of the queue whose expected wait is too long.
+        """Refuse requests whose expected wait is too long.
+
+        If the new request is one of them, those that would be refused only to make
+        room for it keep their places.
+        """
+        refused = self._drop_late(state, newest, now)
+        if newest in refused:
+            error = refused.pop(newest)
+            for ticket in reversed(refused):
+                self._push(state, ticket)
+            refused = {newest: error} | self._drop_late(state, newest, now)
+        for ticket, error in refused.items():
+            ticket.decide(error)
+
+    def _drop_late(
+        self, state: _ClassState, newest: Ticket, now: float
+    ) -> dict[Ticket, OverloadedError]:
+        """Drop requests at the tail of the queue whose expected wait is too long.
 
         The limit is stricter for a new request than for those already queued, so
         that few accepted requests have to be refused later. It is stricter still if
         the customer has been served more than others: such a customer would
         otherwise take all capacity that becomes free for a moment.
         """
+        dropped = {}
         while (entry := state.queue.tail()) is not None:
             cost, ticket = entry
             wait_s = self._wait_s(state, state.queue.cost - cost, now)
@@ -161,9 +178,15 @@
                     ABOVE_MEAN_SLACK_SHARE if is_above_mean else NEW_REQUEST_SLACK_SHARE
                 )
             if wait_s <= slack_s:
-                return
+                break
             state.queue.drop_tail()
-            ticket.decide(self._refusal(wait_s - slack_s))
+            dropped[ticket] = self._refusal(wait_s - slack_s)
+        return dropped
+
+    @staticmethod
+    def _push(state: _ClassState, ticket: Ticket) -> None:
+        contract = ticket.contract
+        state.queue.push(contract.customer, contract.weight, ticket.cost, ticket)
 
     def _wait_s(self, state: _ClassState, cost_ahead: float, now: float) -> float:
         """Return the expected wait in seconds, given the cost queued ahead."""
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -1,6 +1,7 @@
 """Tests of the admission queue and the adaptive concurrency limit."""
 
 import math
+from dataclasses import replace
 
 from radishshift.admission_queue import AdmissionQueue, Ticket
 from radishshift.concurrency_limit import ConcurrencyLimit
@@ -107,6 +108,24 @@
         self.assertEqual(running + 1, self.decisions.count(None))
         self.assertIsNotNone(small.started)
 
+    def test_a_queued_request_is_not_refused_for_one_that_is_refused_itself(self):
+        """It lost its place to a newcomer that then could not start in time either."""
+        for ticket in [self.offer(PLAN, 0.0) for _ in range(4)]:
+            self.queue.finish(ticket, 100.0, 1.0)
+        running = [self.offer(PLAN, 1.0) for _ in range(4)]
+        self.offer(PLAN, 1.0, cost=4000.0)
+        queued = self.offer(replace(PLAN, queue_s=16.0), 1.0, cost=1000.0)
+        self.assertEqual(2, self.queue.waiting)
+        hasty = replace(PLAN, queue_s=5.0)
+        newcomer = self.offer(hasty, 1.0, "igurusi-ring", cost=4500.0)
+        self.assertEqual("overloaded", self.decisions[-1].code)
+        self.assertEqual(2, self.queue.waiting)
+        self.queue.expire(newcomer.latest_start)
+        self.assertEqual(2, self.queue.waiting)
+        for ticket in running:
+            self.queue.finish(ticket, 100.0, 2.0)
+        self.assertIsNotNone(queued.started)
+
     def test_a_request_past_its_deadline_is_refused(self):
         ticket = Ticket(QUICK, contract(), 1.0, 5.0, 4.0, self.decisions.append)
         error = self.assertRaises(OverloadedError, self.queue.offer, ticket, 5.0)
