--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -17,7 +17,13 @@
 from tests.cases import TestCase, VirtualTestCase
 from tests.served import FAST, served
 from tests.test_answers import RecordingSink
-from tests.virtual_entry import CLOCK, LARGE, SMALL, ScriptedEndpoint, virtual_entry
+from tests.virtual_entry import (
+    CLOCK,
+    LARGE,
+    SMALL,
+    ScriptedEndpoint,
+    virtual_entry,
+)
 
 # For tests that a pause of the process must not end: silence counts only after long.
 PATIENT = replace(FAST, stream_idle_s=30.0)
--- a/tests/virtual_entry.py
+++ b/tests/virtual_entry.py
@@ -11,11 +11,11 @@
 from radishshift.bills import Biller
 from radishshift.claims import Claims
 from radishshift.configuration import Configuration
-from radishshift.engines import EngineClient, EngineStream
+from radishshift.engines import EngineClient, EngineStream, ServiceReply
 from radishshift.errors import EndpointError, ResumeRefusedError, StreamStalledError
 from radishshift.objects import Kind, StoredObject
 from radishshift.platform import MemoryPlatform
-from radishshift.requests import ModelRequest
+from radishshift.requests import ModelRequest, ServiceCall
 from radishshift.router import Router
 from radishshift.sessions import SessionKeys
 from radishshift.standins.deployment import small_catalogue
@@ -35,6 +35,7 @@
 CLOCK = LoopClock()
 SMALL = "farm-advice-small.v1"
 LARGE = "farm-advice-large.v1"
+DESK = "booking-desk"
 IDLE_S = 5.0
 
 
@@ -112,6 +113,14 @@
         started_at = self._attempts[attempt_id]
         yield _ScriptedStream(attempt_id, started_at, target.pauses, events)
 
+    async def call(self, endpoint, call):
+        target = self._endpoints[endpoint.name]
+        target.started.append(call.request_id)
+        await asyncio.sleep(0.001)
+        if target.error is not None:
+            raise target.error
+        return ServiceReply(200, "text/plain", b"done")
+
     async def cancel(self, endpoint, attempt_id):
         self._endpoints[endpoint.name].cancelled.append(attempt_id)
 
@@ -142,6 +151,26 @@
         }
         return ModelRequest(**(fields | kwargs))
 
+    async def call(self, name, path="/holders/1"):
+        """Make an idempotent call of the service; return its reply."""
+        catalogue = self.router.catalogue
+        now = CLOCK.now()
+        call = ServiceCall(
+            request_id=name,
+            contract=catalogue.contracts["uyole-ring"],
+            task_class=catalogue.task_classes["booking"],
+            service=DESK,
+            method="GET",
+            path=path,
+            headers={},
+            body=name.encode(),
+            idempotent=True,
+            arrived=now,
+            deadline=now + 20.0,
+            idempotency_key=name,
+        )
+        return await self.router.call_service(call)
+
     async def answer(self, *args, sink=None, **kwargs):
         """Answer a request; return the bytes that its caller received."""
         sink = sink or RecordingSink()
