Run a resend anew when the run it followed hits its own deadline

A caller that resent a request with a later deadline, while the first was running, got 504 'deadline' at the deadline of the first, with its own still far off.

The resend gave up its own run for the answer of one that ends by another's bounds. Any other error is the request's own, and is passed on; nothing follows a begun answer.

The test failed before: DeadlineError 59 s before the resend's deadline. Two more, for a begun answer and for the resend's own deadline, pass before and after.

--- a/radishshift/router.py
+++ b/radishshift/router.py
@@ -20,6 +20,7 @@
 from radishshift.endpoints import Endpoint
 from radishshift.engines import EngineClient, ServiceReply
 from radishshift.errors import (
+    CallerDisconnectedError,
     DeadlineError,
     InternalError,
     NotAllowedError,
@@ -176,12 +177,13 @@
         """
         customer = req.contract.customer
         self.answers.drop_expired(self.clock.now())
-        existing = self.answers.find_resent(
-            customer, req.request_id, req.idempotency_key, req.fingerprint
-        )
-        if existing is not None:
-            await self.replay(existing, sink, 0, req.deadline)
-            return
+        while (
+            existing := self.answers.find_resent(
+                customer, req.request_id, req.idempotency_key, req.fingerprint
+            )
+        ) is not None:
+            if await self._follow(existing, req, sink):
+                return
         answer = self._open_answer(req)
         with self._observe(req):
             try:
@@ -198,6 +200,22 @@
                 raise
             answer.end()
 
+    async def _follow(
+        self, answer: Answer, req: ModelRequest, sink: AnswerSink
+    ) -> bool:
+        """Answer a resend with an earlier run, and tell whether that was possible.
+
+        A run that ends before its first event for what its own caller did, or the
+        deadline it gave, is no answer to a later request.
+        """
+        try:
+            await self.replay(answer, sink, 0, req.deadline)
+        except (CallerDisconnectedError, DeadlineError):
+            if answer.started or not answer.ended or self.clock.now() >= req.deadline:
+                raise
+            return False
+        return True
+
     def _open_answer(self, req: ModelRequest) -> Answer:
         expires_at = max(req.deadline, self.clock.now() + self.answer_retention_s)
         return self.answers.open(
