--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import secrets
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import (
     AbstractAsyncContextManager,
-    AsyncExitStack,
-    asynccontextmanager,
     contextmanager,
 )
 from dataclasses import dataclass, field
@@ -17,6 +15,7 @@
 from radishshift.assembly import assemble_answer
 from radishshift.background import BackgroundTasks
 from radishshift.bills import Bill, Biller, BillItem
+from radishshift.caller_waits import until_no_caller_waits
 from radishshift.catalogue import ModelVersion
 from radishshift.clocks import Clock
 from radishshift.endpoint_choice import EndpointChooser
@@ -24,7 +23,6 @@
 from radishshift.engines import EngineClient, EngineStream
 from radishshift.errors import (
     AnswerTooLargeError,
-    CallerDisconnectedError,
     DeadlineError,
     EndpointCrashedError,
     EndpointError,
@@ -42,6 +40,7 @@
 from radishshift.rollout import RolloutGuard
 from radishshift.session_keys import SessionKeys
 from radishshift.sessions import SESSION_DURATION_S, Session
+from radishshift.stream_connections import StreamConnection
 from radishshift.verdicts import Verdict
 
 __all__ = ["AttemptContext", "VersionRun"]
@@ -81,28 +80,6 @@
     guard: RolloutGuard | None = None
 
 
-class _DisconnectWatch:
-    """Cuts a timeout short when the caller and all who follow have disconnected."""
-
-    def __init__(
-        self, sink: AnswerSink, answer: Answer, timeout: asyncio.Timeout
-    ) -> None:
-        self._sink = sink
-        self._answer = answer
-        self._timeout = timeout
-        self.disconnected = False
-
-    def check(self, now: float) -> None:
-        """Expire the timeout at once if no caller is left."""
-        if (
-            self._sink.caller_disconnected
-            and not self._answer.is_followed(now)
-            and not self.disconnected
-        ):
-            self.disconnected = True
-            self._timeout.reschedule(asyncio.get_running_loop().time())
-
-
 @dataclass(slots=True)
 class _Attempt:
     """State of one attempt.
@@ -120,41 +97,6 @@
     buffered_events: bytearray = field(default_factory=bytearray)
 
 
-class _Connection:
-    """The connection that carries the stream of an attempt; a context manager.
-
-    Attributes
-    ----------
-    stream : EngineStream or None
-        None before the first one is open, and after it has failed.
-    stalled : bool
-        Whether it was silent for too long, so that it is to be replaced.
-    """
-
-    def __init__(self) -> None:
-        self.stream: EngineStream | None = None
-        self.stalled = False
-        self._opened = AsyncExitStack()
-
-    async def __aenter__(self) -> "_Connection":
-        return self
-
-    async def __aexit__(self, *exc_info) -> None:
-        await self.close()
-
-    async def replace(self, opening: AbstractAsyncContextManager[EngineStream]) -> None:
-        """Open the next connection, then close the last one; keep it if that fails."""
-        opened = AsyncExitStack()
-        stream = await opened.enter_async_context(opening)
-        last, self._opened, self.stream = self._opened, opened, stream
-        await last.aclose()
-
-    async def close(self) -> None:
-        """Close the connection."""
-        self.stream = None
-        await self._opened.aclose()
-
-
 class VersionRun:
     """Answers a request with one model version, in one or more attempts.
 
@@ -281,7 +223,7 @@
         """Receive the complete answer, until the deadline or a disconnect."""
         self.answer.attempt_running = True
         try:
-            async with self._until_deadline_or_disconnect(), self._isolated(endpoint):
+            async with self._until_no_caller_waits(), self._isolated(endpoint):
                 await self._receive(endpoint, attempt)
         except BaseException as exc:
             self._record_failure(endpoint, attempt, exc)
@@ -298,31 +240,18 @@
         poison_guard = self.context.poison_guard
         return poison_guard.isolated_retry(req.fingerprint, endpoint.name, req.deadline)
 
-    @asynccontextmanager
-    async def _until_deadline_or_disconnect(self) -> AsyncIterator[None]:
-        """Cancel the block at the deadline, or when the caller disconnects."""
-        req = self.req
-        remaining_s = self.deadline - self.context.clock.now()
-        if remaining_s <= 0:
-            raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
-        timeout = asyncio.timeout(remaining_s)
-        watch = _DisconnectWatch(self.sink, self.answer, timeout)
-        if req.task_class.cancel_on_disconnect:
-            self.context.periodic_checks.add(watch)
-        try:
-            async with timeout:
-                yield
-        except TimeoutError as exc:
-            if watch.disconnected:
-                raise CallerDisconnectedError("the caller disconnected") from exc
-            raise DeadlineError("the deadline has passed") from exc
-        finally:
-            self.context.periodic_checks.discard(watch)
+    def _until_no_caller_waits(self) -> AbstractAsyncContextManager[None]:
+        context = self.context
+        cancels = self.req.task_class.cancel_on_disconnect
+        checks = context.periodic_checks if cancels else None
+        return until_no_caller_waits(
+            context.clock, self.deadline, self.sink, self.answer, checks
+        )
 
     async def _receive(self, endpoint: Endpoint, attempt: _Attempt) -> None:
         """Receive the complete stream, resuming it on a new connection if one fails."""
         failures = 0
-        async with _Connection() as connection:
+        async with StreamConnection() as connection:
             while True:
                 events_before = attempt.scanner.events
                 try:
@@ -348,7 +277,7 @@
                 await asyncio.sleep(RESUME_BACKOFF_S * failures)
 
     async def _read(
-        self, endpoint: Endpoint, attempt: _Attempt, connection: "_Connection"
+        self, endpoint: Endpoint, attempt: _Attempt, connection: StreamConnection
     ) -> None:
         """Read the stream to its end, on a new connection if the last one failed.
 
@@ -379,7 +308,7 @@
         return engines.open(endpoint, self.req, self.version.name, attempt_id)
 
     def _record_stream_failure(
-        self, attempt: _Attempt, connection: "_Connection", exc: EndpointError
+        self, attempt: _Attempt, connection: StreamConnection, exc: EndpointError
     ) -> None:
         """Record what a failure tells of the attempt; raise it if that has not begun.
 
