Prefer an answer that did not fail among those of other hosts

A caller that resent a request through another host and then fetched the answer through a third got the error of the first run, although a complete answer lay beside it.

The first host that had any answer was taken, whatever had become of it. One that hasn't failed now goes first. The host that is asked still sends its own answer, if it has one.

The test failed before: 'DeadlineError: the deadline has passed' in place of the answer.

--- a/radishshift/remote_answers.py
+++ b/radishshift/remote_answers.py
@@ -119,13 +119,17 @@
             *(self._query(host.name, query) for host in hosts), return_exceptions=True
         )
         any_unreachable = False
+        found = []
         for host, reply in zip(hosts, replies, strict=True):
             if isinstance(reply, RadishshiftError):
                 any_unreachable = True
             elif isinstance(reply, BaseException):
                 raise reply
             elif reply[0].found:
-                return host.name, *reply
+                found.append((host.name, *reply))
+        if found:
+            # A resend through another host may have run where the first one failed.
+            return min(found, key=lambda item: item[1].error is not None)
         if any_unreachable:
             raise PeerUnavailableError(
                 "a host that may have the answer is unreachable", retry_after_s=2.0
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -149,6 +149,18 @@
         answer.end()
         await reading
 
+    async def test_a_complete_answer_goes_before_a_failed_one_of_another_host(self):
+        """After a resend through a third host the caller got the first one's error."""
+        failed = self.answers["entry-2"].open("id-0", CUSTOMER, 10.0)
+        failed.end(DeadlineError("the deadline has passed"))
+        complete = self.answers["entry-3"].open("id-0", CUSTOMER, 10.0)
+        complete.start()
+        complete.append(b"data: 0\n\n")
+        complete.end()
+        sink = RecordingSink()
+        await self.remote["entry-1"].replay("id-0", CUSTOMER, sink)
+        self.assertEqual(b"data: 0\n\n", sink.data)
+
     async def test_an_answer_is_not_found_by_another_customer(self):
         self.answers["entry-2"].open("id-0", CUSTOMER, 10.0)
         replay = self.remote["entry-1"].replay("id-0", "igurusi-ring", RecordingSink())
