Let an unbegun attempt leave an endpoint that takes no connection

A resume that fails otherwise than by silence now counts like a refused one: the attempt leaves if it holds a retry at another endpoint, after the first silent period. A begun stream can't move, and stays for four.

The test failed before: DeadlineError for requests with 8 s left.

--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -3,10 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable, Iterator
-from contextlib import (
-    AbstractAsyncContextManager,
-    contextmanager,
-)
+from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass, field
 
 import logbook
@@ -258,16 +255,14 @@
                     await self._read(endpoint, attempt, connection)
                     return
                 except EndpointError as exc:
+                    self._record_stream_failure(attempt, connection, exc)
                     if attempt.scanner.events > events_before:
                         failures = 0
-                    # A refused resume costs nothing while the stream may go on.
-                    if connection.stream is None or isinstance(exc, StreamStalledError):
-                        failures += 1
-                    self._record_stream_failure(attempt, connection, exc)
-                    if failures >= MAX_FAILURES_WITHOUT_PROGRESS or (
-                        isinstance(exc, ResumeRefusedError)
-                        and (connection.stream is None or self._acquire_retry(exc))
-                    ):
+                    may_go_on = connection.stream is not None and not isinstance(
+                        exc, StreamStalledError
+                    )
+                    failures += not may_go_on
+                    if self._is_given_up(exc, may_go_on, failures):
                         raise
                     logger.info(
                         "resuming the stream of endpoint {}: {}",
@@ -276,6 +271,23 @@
                     )
                 await asyncio.sleep(RESUME_BACKOFF_S * failures)
 
+    def _is_given_up(self, exc: EndpointError, may_go_on: bool, failures: int) -> bool:
+        """Tell whether to give an attempt up after a failure.
+
+        Parameters
+        ----------
+        exc : EndpointError
+        may_go_on : bool
+            Whether its connection is open and silent, but could not be replaced.
+        failures : int
+            Connections that failed or were silent since the last event.
+        """
+        if failures >= MAX_FAILURES_WITHOUT_PROGRESS:
+            return True
+        if may_go_on:
+            return self._acquire_retry(exc)
+        return isinstance(exc, ResumeRefusedError)
+
     async def _read(
         self, endpoint: Endpoint, attempt: _Attempt, connection: StreamConnection
     ) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -287,6 +287,16 @@
         text = (await entry.answer()).decode()
         self.assertEqual("word0 word1 word2 ", words_of(text))
 
+    async def test_an_attempt_leaves_a_dead_machine_before_its_fourth_silence(self):
+        """Its open connection kept it there for as long as a begun stream."""
+        dead = ScriptedEndpoint(pauses=(500.0,), accepts_resumes=False)
+        entry = await virtual_entry({"engine-1": dead, "engine-2": ScriptedEndpoint()})
+        for number in range(6):
+            deadline = CLOCK.now() + 8.0
+            text = (await entry.answer(f"{number}", deadline=deadline)).decode()
+            self.assertEqual("word0 word1 word2 ", words_of(text))
+        self.assertGreater(len(dead.started), 0)
+
     async def test_a_silent_stream_that_can_be_resumed_is_resumed(self):
         endpoint = ScriptedEndpoint(pauses=(0.1, 6.0, 0.1))
         entry = await virtual_entry({"engine-1": endpoint})
