--- a/radishshift/attempts.py
+++ b/radishshift/attempts.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import secrets
-from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from collections.abc import Callable, Iterator
+from contextlib import AbstractAsyncContextManager, contextmanager
 from dataclasses import dataclass, field
 
 import logbook
@@ -12,6 +12,7 @@
 from radishshift.assembly import assemble_answer
 from radishshift.background import BackgroundTasks
 from radishshift.bills import Bill, Biller, BillItem
+from radishshift.caller_waits import until_no_caller_waits
 from radishshift.catalogue import ModelVersion
 from radishshift.clocks import Clock
 from radishshift.endpoint_choice import EndpointChooser
@@ -19,7 +20,6 @@
 from radishshift.engines import EngineClient, EngineStream
 from radishshift.errors import (
     AnswerTooLargeError,
-    CallerDisconnectedError,
     DeadlineError,
     EndpointCrashedError,
     EndpointError,
@@ -37,6 +37,7 @@
 from radishshift.rollout import RolloutGuard
 from radishshift.session_keys import SessionKeys
 from radishshift.sessions import SESSION_DURATION_S, Session
+from radishshift.stream_connections import StreamConnection
 from radishshift.verdicts import Verdict
 
 __all__ = ["AttemptContext", "VersionRun"]
@@ -76,21 +77,6 @@
     guard: RolloutGuard | None = None
 
 
-class _DisconnectWatch:
-    """Cuts a timeout short when the caller disconnects."""
-
-    def __init__(self, sink: AnswerSink, timeout: asyncio.Timeout) -> None:
-        self._sink = sink
-        self._timeout = timeout
-        self.disconnected = False
-
-    def check(self, now: float) -> None:
-        """Expire the timeout at once if the caller has disconnected."""
-        if self._sink.caller_disconnected and not self.disconnected:
-            self.disconnected = True
-            self._timeout.reschedule(asyncio.get_running_loop().time())
-
-
 @dataclass(slots=True)
 class _Attempt:
     """State of one attempt.
@@ -151,6 +137,8 @@
         self.buffered = buffered
         self.deadline = req.deadline
         self.started = False
+        self._tried: set[str] = set()
+        self._retry_acquired = False
         self._buffered_events = b""
 
     @property
@@ -161,116 +149,191 @@
     async def execute(self) -> None:
         """Try endpoints until one has given the complete answer."""
         context = self.context
-        tried: set[str] = set()
         kv_source = context.chooser.kv_source(self.req, self.version.name)
         while True:
             endpoint = context.chooser.choose(
-                self.version.name, self.req.body_bytes, tried
+                self.version.name, self.req.body_bytes, self._tried
             )
-            tried.add(endpoint.name)
-            if kv_source is not None:
-                await context.chooser.import_kv(self.req, kv_source, endpoint)
+            self._tried.add(endpoint.name)
             try:
-                await self._attempt(endpoint)
+                await self._attempt(endpoint, kv_source)
                 return
             except EndpointError as exc:
-                if self.started or not context.retry_budget.allows(
-                    exc, True, self.deadline, context.clock.now()
-                ):
+                if not self._retry_acquired and not self._may_retry(exc):
                     raise
+                self._retry_acquired = False
                 logger.info(
                     "attempt at endpoint {} failed: {}", endpoint.name, exc.message
                 )
 
-    async def _attempt(self, endpoint: Endpoint) -> None:
+    def _may_retry(self, exc: EndpointError) -> bool:
+        """Tell whether to try another endpoint; if one is left, take a retry for it."""
+        context = self.context
+        return not self.started and context.retry_budget.allows(
+            exc, True, self.deadline, context.clock.now(), self._endpoint_left
+        )
+
+    def _acquire_retry(self, exc: EndpointError) -> bool:
+        """Take the retry for which a running attempt is given up, if there is one."""
+        self._retry_acquired = self._endpoint_left and self._may_retry(exc)
+        return self._retry_acquired
+
+    @property
+    def _endpoint_left(self) -> bool:
+        return self.context.chooser.has_untried(self.version.name, self._tried)
+
+    async def _attempt(self, endpoint: Endpoint, kv_source: Endpoint | None) -> None:
+        with self._counted(endpoint):
+            if kv_source is not None:
+                await self.context.chooser.import_kv(self.req, kv_source, endpoint)
+            attempt = self._new_attempt()
+            await self._run(endpoint, attempt)
+        self.answer.ended_verdict = Verdict.RAN
+        scanner = attempt.scanner
+        usage = scanner.usage or Usage(self.req.prompt_tokens_estimate, scanner.events)
+        self._record_outcome(endpoint, attempt, usage, ok=True)
+        await self._finish(endpoint, attempt, usage)
+
+    @contextmanager
+    def _counted(self, endpoint: Endpoint) -> Iterator[None]:
+        """Count an attempt in the endpoint's load, from the choice of it on."""
         context = self.context
+        context.loads.record_start(endpoint, context.clock.now())
+        ok: bool | None = None
+        try:
+            yield
+            ok = True
+        except EndpointError:
+            ok = False
+            raise
+        finally:
+            context.loads.record_end(endpoint, context.clock.now(), ok)
+
+    def _new_attempt(self) -> _Attempt:
         req = self.req
         attempt_id = f"{req.request_id}.{secrets.token_hex(ATTEMPT_ID_BYTES)}"
         keep_usage = req.include_usage or not req.stream
         scanner = EventScanner(keep_usage, attempt_id)
-        attempt = _Attempt(attempt_id, context.clock.now(), scanner)
-        context.loads.record_start(endpoint, context.clock.now())
+        return _Attempt(attempt_id, self.context.clock.now(), scanner)
+
+    async def _run(self, endpoint: Endpoint, attempt: _Attempt) -> None:
+        """Receive the complete answer, until the deadline or a disconnect."""
         self.answer.attempt_running = True
-        ok: bool | None = None
         try:
-            async with self._until_deadline_or_disconnect(), self._isolated(endpoint):
+            async with self._until_no_caller_waits(), self._isolated(endpoint):
                 await self._receive(endpoint, attempt)
-            ok = True
         except BaseException as exc:
-            if isinstance(exc, EndpointError):
-                ok = False
             self._record_failure(endpoint, attempt, exc)
             if _is_crash(exc, attempt):
-                await context.poison_guard.report_crash(req.fingerprint, endpoint.name)
+                await self.context.poison_guard.report_crash(
+                    self.req.fingerprint, endpoint.name
+                )
             raise
         finally:
             self.answer.attempt_running = False
-            context.loads.record_end(endpoint, context.clock.now(), ok)
-        self.answer.ended_verdict = Verdict.RAN
-        usage = scanner.usage or Usage(req.prompt_tokens_estimate, scanner.events)
-        self._record_outcome(endpoint, attempt, usage, ok=True)
-        await self._finish(endpoint, attempt, usage)
 
     def _isolated(self, endpoint: Endpoint) -> AbstractAsyncContextManager[None]:
         req = self.req
         poison_guard = self.context.poison_guard
         return poison_guard.isolated_retry(req.fingerprint, endpoint.name, req.deadline)
 
-    @asynccontextmanager
-    async def _until_deadline_or_disconnect(self) -> AsyncIterator[None]:
-        """Cancel the block at the deadline, or when the caller disconnects."""
-        req = self.req
-        remaining_s = self.deadline - self.context.clock.now()
-        if remaining_s <= 0:
-            raise DeadlineError("the deadline has passed", verdict=Verdict.NOT_RUN)
-        timeout = asyncio.timeout(remaining_s)
-        watch = _DisconnectWatch(self.sink, timeout)
-        if req.task_class.cancel_on_disconnect:
-            self.context.periodic_checks.add(watch)
-        try:
-            async with timeout:
-                yield
-        except TimeoutError as exc:
-            if watch.disconnected:
-                raise CallerDisconnectedError("the caller disconnected") from exc
-            raise DeadlineError("the deadline has passed") from exc
-        finally:
-            self.context.periodic_checks.discard(watch)
+    def _until_no_caller_waits(self) -> AbstractAsyncContextManager[None]:
+        context = self.context
+        cancels = self.req.task_class.cancel_on_disconnect
+        checks = context.periodic_checks if cancels else None
+        return until_no_caller_waits(
+            context.clock, self.deadline, self.sink, self.answer, checks
+        )
 
     async def _receive(self, endpoint: Endpoint, attempt: _Attempt) -> None:
         """Receive the complete stream, resuming it on a new connection if one fails."""
-        engines = self.context.engines
-        scanner = attempt.scanner
-        opening = engines.open(
-            endpoint, self.req, self.version.name, attempt.attempt_id
-        )
         failures = 0
-        while True:
-            events_before = scanner.events
-            try:
-                async with opening as stream:
-                    attempt.dispatched = True
-                    await self._relay(endpoint, attempt, stream)
+        async with StreamConnection() as connection:
+            while True:
+                events_before = attempt.scanner.events
+                try:
+                    await self._read(endpoint, attempt, connection)
                     return
-            except ResumeRefusedError:
-                raise
-            except EndpointError as exc:
-                stream_broken = isinstance(exc, StreamBrokenError)
-                if not attempt.dispatched and not stream_broken:
-                    raise
-                attempt.dispatched = True
-                attempt.stream_broken |= stream_broken and not isinstance(
-                    exc, StreamStalledError
-                )
-                failures = 1 if scanner.events > events_before else failures + 1
-                if failures >= MAX_FAILURES_WITHOUT_PROGRESS:
-                    raise
-                logger.info(
-                    "resuming the stream of endpoint {}: {}", endpoint.name, exc.message
-                )
-            scanner.discard_partial_event()
-            await asyncio.sleep(RESUME_BACKOFF_S * failures)
-            opening = engines.resume(endpoint, attempt.attempt_id, scanner.events)
+                except EndpointError as exc:
+                    self._record_stream_failure(attempt, connection, exc)
+                    if attempt.scanner.events > events_before:
+                        failures = 0
+                    may_go_on = connection.stream is not None and not isinstance(
+                        exc, StreamStalledError
+                    )
+                    failures += not may_go_on
+                    if self._is_given_up(exc, may_go_on, failures):
+                        raise
+                    logger.info(
+                        "resuming the stream of endpoint {}: {}",
+                        endpoint.name,
+                        exc.message,
+                    )
+                await asyncio.sleep(RESUME_BACKOFF_S * failures)
+
+    def _is_given_up(self, exc: EndpointError, may_go_on: bool, failures: int) -> bool:
+        """Tell whether to give an attempt up after a failure.
+
+        Parameters
+        ----------
+        exc : EndpointError
+        may_go_on : bool
+            Whether its connection is open and silent, but could not be replaced.
+        failures : int
+            Connections that failed or were silent since the last event.
+        """
+        if failures >= MAX_FAILURES_WITHOUT_PROGRESS:
+            return True
+        if may_go_on:
+            return self._acquire_retry(exc)
+        return isinstance(exc, ResumeRefusedError)
+
+    async def _read(
+        self, endpoint: Endpoint, attempt: _Attempt, connection: StreamConnection
+    ) -> None:
+        """Read the stream to its end, on a new connection if the last one failed.
+
+        A connection that is only silent is kept until its replacement is open. Where
+        there is none, the next call reads it again.
+        """
+        if connection.stream is None or connection.stalled:
+            connection.stalled = False
+            await connection.replace(self._opening(endpoint, attempt))
+            attempt.dispatched = True
+            attempt.scanner.discard_partial_event()
+        try:
+            await self._relay(endpoint, attempt, connection.stream)
+        except StreamStalledError:
+            connection.stalled = True
+            raise
+        except EndpointError:
+            await connection.close()
+            raise
+
+    def _opening(
+        self, endpoint: Endpoint, attempt: _Attempt
+    ) -> AbstractAsyncContextManager[EngineStream]:
+        engines = self.context.engines
+        attempt_id = attempt.attempt_id
+        if attempt.dispatched:
+            return engines.resume(endpoint, attempt_id, attempt.scanner.events)
+        return engines.open(endpoint, self.req, self.version.name, attempt_id)
+
+    def _record_stream_failure(
+        self, attempt: _Attempt, connection: StreamConnection, exc: EndpointError
+    ) -> None:
+        """Record what a failure tells of the attempt; raise it if that has not begun.
+
+        Raises
+        ------
+        EndpointError
+        """
+        stream_broken = isinstance(exc, StreamBrokenError)
+        if not attempt.dispatched and not stream_broken:
+            raise exc
+        attempt.dispatched = True
+        if stream_broken and connection.stream is None:
+            attempt.stream_broken |= not isinstance(exc, StreamStalledError)
 
     async def _relay(
         self, endpoint: Endpoint, attempt: _Attempt, stream: EngineStream
--- a/radishshift/remote_answers.py
+++ b/radishshift/remote_answers.py
@@ -20,6 +20,7 @@
 
 TOPIC = "answer"
 LONG_POLL_S = 1.0
+FOLLOWED_S = 2.0  # after a query, within which the next one comes
 QUERY_TIMEOUT_S = 3.0
 CHUNK_BYTES_MAX = 1 << 18
 
@@ -118,13 +119,17 @@
             *(self._query(host.name, query) for host in hosts), return_exceptions=True
         )
         any_unreachable = False
+        found = []
         for host, reply in zip(hosts, replies, strict=True):
             if isinstance(reply, RadishshiftError):
                 any_unreachable = True
             elif isinstance(reply, BaseException):
                 raise reply
             elif reply[0].found:
-                return host.name, *reply
+                found.append((host.name, *reply))
+        if found:
+            # A resend through another host may have run where the first one failed.
+            return min(found, key=lambda item: item[1].error is not None)
         if any_unreachable:
             raise PeerUnavailableError(
                 "a host that may have the answer is unreachable", retry_after_s=2.0
@@ -149,6 +154,7 @@
             answer = None
         if answer is None or query.token not in ("", answer.token):
             return msgspec.json.encode(_QueryReply()) + b"\n"
+        answer.followed_until = self._clock.now() + FOLLOWED_S
         position = query.position or skip_events(answer.data, query.events)
         if position >= len(answer.data) and not answer.ended:
             await self._wait_until_changed(answer)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -58,6 +58,16 @@
         self.assertEqual(2, answers.refused)
         self.assertLessEqual(answers.held_bytes, 5000)
 
+    def test_complete_answers_are_not_evicted_for_one_that_is_refused(self):
+        """A resend of a complete answer ran and was billed again."""
+        answers = Answers(8000)
+        answers.open("id-0", CUSTOMER, 10.0, "key", "print").end()
+        running = answers.open("id-1", CUSTOMER, 10.0)
+        running.append(b"x" * 5000)
+        self.assertRaises(AnswerTooLargeError, running.append, b"x" * 2000)
+        found = answers.find_resent(CUSTOMER, "id-3", "key", "print")
+        self.assertIs(answers.find("id-0", CUSTOMER), found)
+
     def test_the_size_of_one_answer_is_bounded(self):
         answer = Answers(9000, 3000).open("id-0", CUSTOMER, 10.0)
         self.assertRaises(AnswerTooLargeError, answer.append, b"x" * 3001)
@@ -126,6 +136,31 @@
         self.assertEqual(b"data: 1\n\n", sink.data)
         self.assertEqual({"X-Request-Id": "id-0"}, sink.answer.headers)
 
+    async def test_a_host_sees_that_another_follows_its_answer(self):
+        """It cancelled the answer as its own caller had left."""
+        answer = self.answers["entry-2"].open("id-0", CUSTOMER, 10.0)
+        replay = self.remote["entry-1"].replay("id-0", CUSTOMER, RecordingSink())
+        reading = asyncio.ensure_future(replay)
+        await asyncio.sleep(0.01)
+        now = SystemClock().now()
+        self.assertTrue(answer.is_followed(now))
+        self.assertFalse(answer.is_followed(now + 5.0))
+        answer.start()
+        answer.end()
+        await reading
+
+    async def test_a_complete_answer_goes_before_a_failed_one_of_another_host(self):
+        """After a resend through a third host the caller got the first one's error."""
+        failed = self.answers["entry-2"].open("id-0", CUSTOMER, 10.0)
+        failed.end(DeadlineError("the deadline has passed"))
+        complete = self.answers["entry-3"].open("id-0", CUSTOMER, 10.0)
+        complete.start()
+        complete.append(b"data: 0\n\n")
+        complete.end()
+        sink = RecordingSink()
+        await self.remote["entry-1"].replay("id-0", CUSTOMER, sink)
+        self.assertEqual(b"data: 0\n\n", sink.data)
+
     async def test_an_answer_is_not_found_by_another_customer(self):
         self.answers["entry-2"].open("id-0", CUSTOMER, 10.0)
         replay = self.remote["entry-1"].replay("id-0", "igurusi-ring", RecordingSink())
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -206,6 +206,52 @@
         )
         self.assertEqual([None, "answer"], results)
 
+    async def test_suspects_that_waited_long_never_share_an_endpoint(self):
+        """A grant ran from the begin of the wait, and was over as soon as given."""
+        guards = self.fleet()
+        names = [f"innocent-{number}" for number in range(8)]
+        for name in names:
+            await guards[0].report_crash(name, "engine-0")
+        running = []
+
+        async def run(guard, name):
+            deadline = CLOCK.now() + 600.0
+            async with guard.isolated_retry(name, "engine-1", deadline):
+                running.append(name)
+                shared.append(len(running) > 1)
+                await CLOCK.sleep_until(CLOCK.now() + 50.0)
+                running.remove(name)
+
+        shared = []
+        await asyncio.gather(*(run(guards[0], name) for name in names))
+        self.assertEqual([False] * len(names), shared)
+
+    async def test_a_caller_that_leaves_during_the_wait_leaves_no_grant(self):
+        """The next suspect waited a minute for a grant that nobody used."""
+        guards = self.fleet()
+        for name in ("innocent-1", "innocent-2"):
+            await guards[0].report_crash(name, "engine-0")
+        granter = guards[0]._granter_candidates()[0]
+        asking = [guard for guard in guards if guard._me != granter]
+        deadline = CLOCK.now() + 120.0
+        waiting = asyncio.create_task(
+            asking[0].isolated_retry("innocent-1", "engine-1", deadline).__aenter__()
+        )
+        granted = asking[0]._peers.call
+
+        async def cancel_once_granted(*args):
+            reply = await granted(*args)
+            asking[0]._peers.call = granted
+            waiting.cancel()
+            await asyncio.sleep(0)
+            return reply
+
+        asking[0]._peers.call = cancel_once_granted
+        await self.assert_raises_async(asyncio.CancelledError, waiting)
+        retry = asking[1].isolated_retry("innocent-2", "engine-1", CLOCK.now() + 5.0)
+        async with retry:
+            pass
+
     async def test_the_grant_of_a_dead_host_expires(self):
         guards = self.fleet()
         await guards[0].report_crash("innocent-1", "engine-0")
