Soak promise: hosts cut no begun stream where nothing is disturbed

sound-streams-are-not-cut counts resumable streams that have begun and end before their deadline, outside disturbances and at processes that got no SIGTERM.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -40,6 +40,7 @@
 EARLY_S = 3.0
 LAST_SHARE = 1 / 6  # of the grace time
 KILL_SLACK_S = 1.0  # for a process to be killed after the grace time
+RESUMABLE_KIND = "plan"
 TOLD_S = 0.5  # after which a process that got a limited answer has to keep to it
 SETTLE_S = 3.0  # time for which a disturbance is felt
 SERVICE_BY_KIND = {"check": "desk", "book": "desk", "step": "desk"}
@@ -212,6 +213,35 @@
             yield f"{attempt.attempt_id} ended as complete after {len(numbers)} events"
 
 
+@promise("sound-streams-are-not-cut")
+def _sound_streams_are_not_cut(record: SoakRecord) -> Iterator[str]:
+    """Find begun streams that a host ended although nothing was disturbed.
+
+    Exempt are those of processes that got SIGTERM.
+    """
+    runs = record.runs_by_attempt()
+    stopped = {(stop.host, stop.process) for stop in record.stops}
+    for attempt in record.attempts:
+        if attempt.kind != RESUMABLE_KIND or attempt.status != ANSWERED_STATUS:
+            continue
+        if attempt.complete or attempt.disconnected or not attempt.sent_at:
+            continue
+        if (attempt.host, attempt.process_numbers[0]) in stopped:
+            continue
+        left_s = attempt.sent_at + attempt.deadline_s - attempt.ended_at
+        if left_s <= 0 or record.disturbed(
+            attempt.sent_at - SETTLE_S, attempt.ended_at
+        ):
+            continue
+        yield (
+            f"{attempt.attempt_id} from {attempt.host}, at "
+            f"{[run.endpoint for run in runs[attempt.attempt_id]]}, ended after "
+            f"{len(EVENT_PATTERN.findall(attempt.body))} events, "
+            f"{attempt.ended_at - attempt.sent_at:.2f} s after it was sent and "
+            f"{left_s:.2f} s before its deadline ({attempt.error})"
+        )
+
+
 @promise("only-what-was-asked")
 def _only_what_was_asked(record: SoakRecord) -> Iterator[str]:
     attempts = {attempt.attempt_id: attempt for attempt in record.attempts}
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -97,6 +97,33 @@
         attempt = _attempt("plan", body=_stream([1, 2]), complete=False)
         self.assertEqual(set(), _broken([attempt], [_run(attempt)]))
 
+    def test_a_resumable_stream_that_a_host_ends_without_a_disturbance(self):
+        cut = _attempt(
+            "plan",
+            body=_stream([1, 2]),
+            complete=False,
+            sent_at=100.0,
+            ended_at=110.0,
+            deadline_s=30.0,
+        )
+        other_stop = replace(STOP, process=2)
+        for changes, stops, disturbances, expected in (
+            ({}, (), (), {"sound-streams-are-not-cut"}),
+            ({}, (other_stop,), (), {"sound-streams-are-not-cut"}),
+            ({}, (), ((90.0, 96.9),), {"sound-streams-are-not-cut"}),
+            ({}, (), ((110.1, 112.0),), {"sound-streams-are-not-cut"}),
+            ({"process_numbers": (1, 2)}, (), (), {"sound-streams-are-not-cut"}),
+            ({}, (STOP,), (), set()),
+            ({}, (), ((90.0, 97.1),), set()),
+            ({"deadline_s": 10.0}, (), (), set()),
+            ({"disconnected": True}, (), (), set()),
+            ({"kind": "draft", "path": "/draft/a1?x=1"}, (), (), set()),
+            ({"status": 502}, (), (), set()),
+        ):
+            attempt = replace(cut, **changes)
+            broken = _broken([attempt], [_run(attempt)], stops, disturbances)
+            self.assertEqual(expected, broken)
+
     def test_runs_that_no_caller_sent(self):
         attempt = _attempt()
         for run in (
