--- a/tests/users_platform/test_standins.py
+++ b/tests/users_platform/test_standins.py
@@ -168,3 +168,46 @@
         self.extra.end()
         self.assertEqual([("503", "a2", False)], await self._send("a2"))
         self.assertEqual(0, self.extra.count)
+
+
+class StandstillTest(TestCase):
+    def run_coroutine(self, test):
+        asyncio.run(self._with_platform(test))
+
+    async def _with_platform(self, test):
+        async with running_platform() as platform, aiohttp.ClientSession() as session:
+            self.session = session
+            self.endpoint = platform.endpoints[NAME]
+            self.endpoint.event_count, self.endpoint.gap_s = 3, 0.6
+            self.url = f"http://{platform.addresses[NAME]}/plan/x"
+            await test
+
+    async def _receive(self, received_at):
+        """Record when the head and each event came."""
+        loop = asyncio.get_running_loop()
+        async with self.session.post(self.url, headers=REQUEST) as resp:
+            received_at.append(loop.time())
+            async for _ in resp.content.iter_any():
+                received_at.append(loop.time())
+
+    async def test_a_stream_goes_on_with_what_was_left_of_its_pause(self):
+        received_at = []
+        async with asyncio.timeout(10), asyncio.TaskGroup() as group:
+            group.create_task(self._receive(received_at))
+            while len(received_at) < 2:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            self.endpoint.stand_still(0.5)
+        _, first_at, second_at, third_at = received_at
+        self.assertGreater(second_at - first_at, 0.9)
+        self.assertLess(third_at - second_at, second_at - first_at)
+
+    async def test_a_request_that_comes_meanwhile_is_answered_afterwards(self):
+        received_at = []
+        self.endpoint.stand_still(0.5)
+        began_at = asyncio.get_running_loop().time()
+        async with asyncio.timeout(10):
+            await self._receive(received_at)
+        self.assertEqual(4, len(received_at))
+        self.assertGreaterEqual(received_at[0] - began_at, 0.49)
+        self.assertEqual(1, len(self.endpoint.ran))
