Soak mode standstills: sound engines are silent for about a second

Six hosts, four engines, 20 streams of 15 s at each host; the configuration changes, and nothing is disturbed.

Other modes draw what they drew: their faults and settings are the same.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -109,11 +109,20 @@
         self.after_faults = False
         self._stopped = asyncio.Event()
 
-    async def run(self) -> None:
-        """Send requests to any host over kept connections until `stop` is called."""
+    async def run(self, host: str = "", wait_s: float = 0.0) -> None:
+        """Send requests over kept connections until `stop` is called.
+
+        Parameters
+        ----------
+        host : str, optional
+            Host of all requests but retries; without it, each goes to any host.
+        wait_s : float, optional
+            Time until the first.
+        """
+        await asyncio.sleep(wait_s)
         async with self.session() as session:
             while not self._stopped.is_set():
-                await self._send_request(session)
+                await self._send_request(session, host)
                 pause_s = self._random.uniform(0.0, self._mode.caller_pause_s)
                 await asyncio.sleep(pause_s)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -129,13 +129,13 @@
     await _host(world, rng).pause(rng.uniform(0.1, 2.0))
 
 
-@fault("settings-read-again", planned=True)
+@fault("settings-read-again", ("all", "standstills"), planned=True)
 async def _settings_read_again(world, rng):
     for host in world.hosts.values():
         host.signal(signal.SIGHUP)
 
 
-@fault("configuration-changed", ("all", "stops", "copies"), planned=True)
+@fault("configuration-changed", ("all", "stops", "copies", "standstills"), planned=True)
 async def _configuration_changed(world, rng):
     for _ in range(rng.randint(1, 3)):
         world.change_configuration()
@@ -269,6 +269,28 @@
         endpoint.gap_s = world.mode.event_gap_s
 
 
+# Sound endpoints may be silent for a second, so this is no disturbance.
+@fault("engines-stand-still", ("standstills",), planned=True)
+async def _engines_stand_still(world, rng):
+    """Let all engines, or six in ten, stand still until they go on."""
+    engines = sorted(
+        name
+        for name, service in world.service_by_endpoint.items()
+        if service == "advice"
+    )
+    count = rng.choice((len(engines), round(0.6 * len(engines))))
+    names = rng.sample(engines, count)
+    time_s = rng.uniform(1.0, 1.35)
+    if world.standing_still:
+        return
+    world.standing_still = True
+    for name in names:
+        world.endpoints[name].stand_still(time_s)
+    # Each stream sends an event before the next time.
+    await asyncio.sleep(time_s + world.mode.event_gap_s)
+    world.standing_still = False
+
+
 @fault("hosts-killed-in-series", ("brownouts",))
 async def _hosts_killed_in_series(world, rng):
     pause_s = rng.uniform(0.7, 3.0)
--- a/tests/soak/modes.py
+++ b/tests/soak/modes.py
@@ -26,6 +26,8 @@
         Time between the events of a stream.
     caller_count : int
         Callers that send to any host, with hardly a pause.
+    callers_per_host : int
+        Callers that send to one host, for each host, and begin one after the other.
     callers_in_turn : int
         Callers that stay with one host, for each host. One after the other sends a
         request, so that the host has none in flight for an instant between two.
@@ -54,6 +56,14 @@
         Whether requests that crash endpoints are answered until then.
     own_links : bool
         Whether single hosts can be cut off from the endpoints.
+    stream_timeout_s : float
+        Time that the routes of streams allow.
+    small_confidence : float
+        Confidence that the small model states; at 30 its streams are escalated.
+    changes_timeouts : bool
+        Whether changes of the configuration change timeouts, too.
+    lead_s : float
+        Time for which callers send before the first fault.
     """
 
     name: str
@@ -62,6 +72,7 @@
     work_s: tuple[float, float] = (0.0, 0.0)
     event_gap_s: float = 0.02
     caller_count: int = 12
+    callers_per_host: int = 0
     callers_in_turn: int = 0
     kinds: tuple[str, ...] = ("check", "book", "plan", "plan")
     deadlines_s: dict[str, tuple[float, ...]] = field(default_factory=dict)
@@ -76,6 +87,10 @@
     unsafe_attempts: int = 1
     own_links: bool = False
     answers_before_crash: bool = False
+    stream_timeout_s: float = 4.0
+    small_confidence: float = 30.0
+    changes_timeouts: bool = False
+    lead_s: float = 0.0
 
 
 MODES = {
@@ -151,6 +166,24 @@
             links=False,
             endpoint_counts={"advice": (5, 7), "desk": (4,)},
         ),
+        # Engines stand still for about a second, under long streams. Other requests are
+        # few, so that retry budgets are small.
+        Mode(
+            "standstills",
+            fault_gap_s=(0.5, 2.0),
+            grace_s=2.0,
+            event_gap_s=0.5,
+            caller_count=0,
+            callers_per_host=20,
+            kinds=("plan",) * 9 + ("check",),
+            deadlines_s={"plan": (30.0,)},
+            links=False,
+            endpoint_counts={"advice": (4,)},
+            stream_timeout_s=30.0,
+            small_confidence=90.0,
+            changes_timeouts=True,
+            lead_s=4.0,
+        ),
     )
 }
 MODES["deadly-answers"] = replace(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,7 +13,7 @@
 from tests.soak.callers import Callers
 from tests.soak.faults import inject
 from tests.soak.fleet import PROGRAM, HostStop
-from tests.soak.modes import MODES
+from tests.soak.modes import DEADLINE_S, MODES
 from tests.soak.promises import (
     EndpointRun,
     SoakRecord,
@@ -30,6 +30,7 @@
 MAX_ENDPOINTS = {"check": 2, "step": 2, "book": 1, "plan": 3, "draft": 1}
 STALL_CHECK_S = 0.01
 OPENING_TIMEOUT_S = 30.0
+CALLER_WAIT_S = 0.1  # between the first requests of callers that stay with one host
 OPENING_REQUESTS = 4  # concurrent at each host while callers open their connections
 LAST_REQUESTS_TIMEOUT_S = 8.0  # for requests in flight when the faults end
 
@@ -174,17 +175,24 @@
     caller_tasks += [
         asyncio.create_task(callers.run()) for _ in range(mode.caller_count)
     ]
+    caller_tasks += [
+        asyncio.create_task(callers.run(host, number * CALLER_WAIT_S))
+        for host in world.hosts
+        for number in range(mode.callers_per_host)
+    ]
 
     def on_fault(name: str) -> None:
         result.faults[name] += 1
 
     if not mode.callers_outlast_stops:
         loop.call_at(until, callers.stop)
-    await inject(world, rng, mode, time_s, on_fault)
+    await asyncio.sleep(mode.lead_s)
+    await inject(world, rng, mode, until - loop.time(), on_fault)
     if mode.callers_outlast_stops:
         await world.until_stopped()
         callers.stop()
-    async with asyncio.timeout(LAST_REQUESTS_TIMEOUT_S + time_s):
+    longest_s = max(map(max, mode.deadlines_s.values()), default=DEADLINE_S)
+    async with asyncio.timeout(LAST_REQUESTS_TIMEOUT_S + time_s + longest_s):
         await asyncio.gather(*caller_tasks)
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -31,6 +31,9 @@
 DEADLY_SEED = 6405  # requests that crash endpoints overlap
 DEADLY_HOSTS = 4
 DEADLY_TIME_S = 10.0
+STANDSTILLS_SEED = 7612  # begins with a standstill of all engines
+STANDSTILLS_HOSTS = 6
+STANDSTILLS_TIME_S = 8.0
 FAILED_SEEDS_FILE = Path(__file__).parent / "failed-seeds.txt"
 
 
@@ -86,6 +89,13 @@
         self.assertGreater(len(result.crashing), 0)
         self.assertGreater(result.statuses[200], 0)
 
+    def test_streams_outlast_engines_that_stand_still(self):
+        result = self._run_seed(
+            STANDSTILLS_SEED, STANDSTILLS_HOSTS, STANDSTILLS_TIME_S, "standstills"
+        )
+        self.assertGreater(result.faults["engines-stand-still"], 0)
+        self.assertGreater(result.statuses[200], 0)
+
     def test_seeds_that_broke_a_promise_keep_them_now(self):
         """Each line of the file holds seed, hosts, seconds, mode, and what broke."""
         for line in FAILED_SEEDS_FILE.read_text(encoding="utf-8").splitlines():
--- a/tests/soak/worlds.py
+++ b/tests/soak/worlds.py
@@ -41,6 +41,7 @@
 CUSTOMER = "ring"
 SERVICES = {"desk": 3, "advice": 3}
 DATA_CENTRES = ("mbeya", "iringa")
+MAX_CALM_GAP_S = 0.05  # between the events of a stream once the faults have ended
 MAX_OWN_LINKS = 8  # hosts whose ways to endpoints have addresses of their own
 READY_TIMEOUT_S = 30.0  # a start takes 1 s on a machine that is not overloaded
 # Below the kernel's range of ephemeral ports.
@@ -82,7 +83,7 @@
         try:
             if longest_s:
                 share = random.random() ** 6
-                await asyncio.sleep(shortest_s + (longest_s - shortest_s) * share)
+                await self.pause(shortest_s + (longest_s - shortest_s) * share)
             return await super()._answer(request)
         finally:
             self.ended_at[number] = asyncio.get_running_loop().time()
@@ -129,6 +130,8 @@
         Set before the first fault.
     cut_hosts : set of str
         Hosts that are cut off from all endpoints.
+    standing_still : bool
+        Whether any endpoint stands still or has just gone on.
     """
 
     def __init__(
@@ -154,6 +157,7 @@
         self._ready_addresses: dict[str, str] = {}
         self._replacements = 0
         self.cut_hosts: set[str] = set()
+        self.standing_still = False
         self._down_links: list[Link] = []  # whose endpoints crashed
         self._stack = AsyncExitStack()
 
@@ -240,7 +244,7 @@
             name,
             event_count=STREAM_EVENTS,
             gap_s=self.mode.event_gap_s,
-            confidence={"small": 30.0, "large": 90.0},
+            confidence={"small": self.mode.small_confidence, "large": 90.0},
             echoes_id=True,
             work_s=self.mode.work_s,
             crash_delays_s=self.crash_delays_s,
@@ -270,6 +274,11 @@
         return link.address if self.mode.links else link.target
 
     def _config(self) -> dict:
+        stream_timeout_ms = round(1000 * self.mode.stream_timeout_s)
+        limits = {}
+        if self.mode.changes_timeouts:
+            stream_timeout_ms += 1000 * self.added_route_count
+            limits["idleTimeoutMs"] = (15_000, 8000)[self.added_route_count % 2]
         steps = [
             _route(f"step-{number}", "safe", "desk", 2)
             for number in range(1, self.added_route_count + 1)
@@ -286,12 +295,14 @@
                     3,
                     resumable=True,
                     sizes=["small", "large"],
+                    timeoutMs=stream_timeout_ms,
                 ),
-                _route("draft", "streaming", "advice", 3),
+                _route("draft", "streaming", "advice", 3, timeoutMs=stream_timeout_ms),
                 *steps,
             ],
             "services": [{"name": name} for name in SERVICES],
             "tenants": [{"name": CUSTOMER, "apiKeys": [API_KEY]}],
+            "limits": limits,
         }
 
     def change_configuration(self) -> None:
@@ -369,7 +380,7 @@
             endpoint.limit_per_s = None
             endpoint.refused_share = 0.0
             endpoint.extra_answers.end()
-            endpoint.gap_s = self.mode.event_gap_s
+            endpoint.gap_s = min(self.mode.event_gap_s, MAX_CALM_GAP_S)
         self.platform.store.faults = StoreFaults()
 
     def log(self) -> str:
