Give back what was held exactly once

Fakes' answers hand out events that have arrived, as HTTP answers do: a stream that goes on while its replacement is sought stays, and its retry is given back.

--- a/radishshift/gateway/replacements.py
+++ b/radishshift/gateway/replacements.py
@@ -146,25 +146,28 @@
             Whether the job may still be sent; if not, what was held is given back.
         """
         job = held.job
+        budget = self._budget(job.service)
+        # The retry counts from the instant at which it is sent.
+        budget.give_back(held.retry_acquired_at)
         try:
             self._check_before_attempt(job)  # the choice of the target takes time
         except (DeadlineError, PoisonSuspectError):
-            self.release(held)
+            self._release_target(held)
             return False
-        # The retry counts from the instant at which it is sent.
-        budget = self._budget(job.service)
-        budget.give_back(held.retry_acquired_at)
         if not budget.try_acquire(self._clock.now()):
-            self.release(held)
+            self._release_target(held)
             return False
         job.held_target = held.target
         return True
 
     def release(self, held: HeldTarget) -> None:
         """Give back what no attempt is made with."""
+        self._budget(held.job.service).give_back(held.retry_acquired_at)
+        self._release_target(held)
+
+    def _release_target(self, held: HeldTarget) -> None:
         job = held.job
         job.version = held.version
-        self._budget(job.service).give_back(held.retry_acquired_at)
         permits = self._placement.permits
         if permits is not None and isinstance(held.target, Member):
             permits.attempt_ended(held.target, job.attempt_id, refused=False)
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from radishshift.decisions.placing import EndpointView
+from radishshift.decisions.retry_budget import HostRetryBudget
 from radishshift.gateway import streams
 from radishshift.gateway.deployment import Member, RouteKind
 from radishshift.gateway.host_settings import Bounds
@@ -392,6 +393,32 @@
 
 
 class BudgetTest(VirtualTestCase):
+    async def test_a_retry_that_is_given_back_may_be_acquired_again(self):
+        budget = HostRetryBudget(0.0, 10.0, 1.0)
+        budget.give_back(0.0)  # not acquired
+        self.assertTrue(budget.try_acquire(1.0))
+        self.assertFalse(budget.try_acquire(1.1))
+        budget.give_back(1.0)
+        self.assertTrue(budget.try_acquire(1.2))
+        self.assertFalse(budget.try_acquire(1.3))
+
+    async def test_a_stream_that_goes_on_gives_its_retry_back(self):
+        """The target is sought for a while, as by a question to the coordinator."""
+        scripts = {name: [silent(2.2)] for name in "ab"}
+        world = World([STREAM], scripts, ONE_RETRY)
+        place = world.dispatcher.placement.place
+
+        async def place_late(job, model=""):
+            await asyncio.sleep(0.3 if job.attempts else 0.0)
+            return await place(job, model)
+
+        self.patch(world.dispatcher.placement, "place", place_late)
+        caller = await world.send_request(deadline_s=60.0)
+        self.assertEqual((COMPLETE_STREAM, True), (caller.body, caller.finished))
+        self.assertEqual(1, len(world.attempted_endpoints()))
+        budget = world.dispatcher.budget(SERVICE)
+        self.assertGreaterEqual(budget.available(world.clock.now()), 1)
+
     async def test_retries_that_waited_for_an_endpoint_stay_within_the_ratio(self):
         """They are paid as the wait begins, and all arrive as it ends."""
         ratio, window_s = 0.2, 10.0
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -184,24 +184,33 @@
             raise StreamBrokenError("broke off")
         if self._sent >= len(script.events):
             return b""
-        if self._sent == script.pauses_after and not self._paused:
-            self._paused = True
-            self._next_at += script.pause_s
-        self._delay_by_standstills()
+        self._delay()
         # A cancelled wait does not delay the next event, as at a real connection.
         await asyncio.sleep(self._next_at - asyncio.get_running_loop().time())
-        self._next_at += script.gap_s
+        return self._next_event()
+
+    def _next_event(self):
+        self._next_at += self._script.gap_s
         self._sent += 1
-        return script.events[self._sent - 1]
+        return self._script.events[self._sent - 1]
 
-    def _delay_by_standstills(self):
+    def _delay(self):
+        """Delay the next event by its pause, and by standstills of the endpoint."""
+        if self._sent == self._script.pauses_after and not self._paused:
+            self._paused = True
+            self._next_at += self._script.pause_s
         for since, until in self._standstills:
             if since < self._next_at and since not in self._stood_still:
                 self._stood_still.add(since)
                 self._next_at += until - max(since, self._began_at)
 
     def buffered_bytes(self):
-        return b""
+        script = self._script
+        if self._sent in (script.hangs_after, script.breaks_after, len(script.events)):
+            return b""
+        self._delay()
+        arrived = self._next_at <= asyncio.get_running_loop().time()
+        return self._next_event() if arrived else b""
 
     def abort(self):
         self.aborted = True
