--- a/radishshift/gateway/streams.py
+++ b/radishshift/gateway/streams.py
@@ -34,7 +34,6 @@
 MAX_RESUMES = 4
 # For a begun stream to wait for an endpoint; those that crashed are back by then.
 ENDPOINT_WAIT_S = 3.0
-RETRIES_TO_ESCALATE = 2
 ENDPOINT_CHECK_INTERVAL_S = 0.1
 # Twice as long as an engine that reads long prompts pauses between two events. An event
 # is some hundred bytes, so one that takes longer is not merely slow.
@@ -146,10 +145,10 @@
         return await self._acquire_resume(exc)
 
     async def _acquire_resume(self, exc: EndpointError) -> bool:
-        """Acquire a retry; once events were forwarded, wait until one is left."""
+        """Acquire a retry; wait until one is left if an answer was begun or dropped."""
         dispatcher = self._dispatcher
         until = -math.inf
-        if self._caller.started:
+        if self._caller.started or self.escalated:
             until = dispatcher.clock.now() + dispatcher.bounds.retry_window_s
         return await acquire_retry(
             dispatcher, self._job, exc, min(until, self._job.deadline)
@@ -229,9 +228,6 @@
         # A second permit would be taken from another request, or not be had at all.
         if not self._dispatcher.placement.has_unlimited_endpoint(job):
             return False
-        # A second one is for the case that the larger model's attempt is refused.
-        if self._dispatcher.budget(job.service).available(now) < RETRIES_TO_ESCALATE:
-            return False
         replacements = self._dispatcher.replacements
         held = await replacements.hold_for_model(attempt, model)
         if held is None or not replacements.commit(held):
