--- a/tests/test_plan_runs.py
+++ b/tests/test_plan_runs.py
@@ -19,6 +19,7 @@
 SMALL = "farm-advice-small.v1"
 LARGE = "farm-advice-large.v1"
 POLL_S = 0.01
+HANG_S = 120.0  # a score or rating that is lost is not asked for again
 
 
 @asynccontextmanager
@@ -93,7 +94,10 @@
 
     async def test_late_ratings_are_recorded_when_they_arrive(self):
         """The service delays ratings while requests continue."""
-        async with cascading(**{"target-mix.rated-share": 1.0}) as case:
+        async with (
+            asyncio.timeout(HANG_S),
+            cascading(**{"target-mix.rated-share": 1.0}) as case,
+        ):
             platform = case.deployment.platform
             item = await platform.get(Kind.ENTRY, "policies")
             spec = item.spec | {"planner": "target-mix"}
